--- /dev/null
+++ b/GNUmakefile
@@ -0,0 +1,36 @@
+# The front door: every target is a short command.
+GO ?= go
+SCENARIO ?= examples/scenarios/ramdin.yaml
+BIN := bin
+
+.PHONY: all demo test lint spec measure bench fuzz fmt clean
+
+all:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+demo:
+	$(GO) run ./cmd/yarrowctl demo
+
+test:
+	$(GO) test ./...
+
+lint:
+	script/lint
+
+spec:
+	script/spec
+
+measure:
+	$(GO) run ./cmd/yarrowctl measure --file $(SCENARIO)
+
+bench:
+	script/bench
+
+fuzz:
+	script/fuzz
+
+fmt:
+	gofmt -w cmd internal pkg standin test
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/yarrowctl/cmd_check.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/yarrowmast/yarrowmast/internal/command"
+	"github.com/yarrowmast/yarrowmast/internal/config"
+	"github.com/yarrowmast/yarrowmast/pkg/strictyaml"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+)
+
+var checkArgs struct{ table, settings string }
+
+var cmdCheck = &command.Command{
+	Name:        "check",
+	Description: "checks a table and settings, and names each error with its line",
+	Flags: func(s *flaggy.Subcommand) {
+		s.String(&checkArgs.table, "t", "table", "file of the table")
+		s.String(&checkArgs.settings, "s", "settings", "file of a router's settings")
+	},
+	Run: runCheck,
+}
+
+var errNothingToCheck = errors.New("nothing to check; give --table FILE, --settings FILE or both")
+
+func runCheck(c *command.Context) error {
+	if checkArgs.table == "" && checkArgs.settings == "" {
+		return errNothingToCheck
+	}
+	bad := false
+	for _, x := range []struct {
+		file  string
+		check func(file string, data []byte) error
+	}{{checkArgs.settings, checkSettings}, {checkArgs.table, checkTable}} {
+		if x.file == "" {
+			continue
+		}
+		ok, err := checkFile(c, x.file, x.check)
+		if err != nil {
+			return err
+		}
+		bad = bad || !ok
+	}
+	if bad {
+		return command.ErrFailed
+	}
+	return nil
+}
+
+func checkSettings(file string, data []byte) error {
+	_, err := config.Parse(file, data)
+	return err
+}
+
+func checkTable(file string, data []byte) error {
+	_, err := table.Parse(file, data)
+	return err
+}
+
+func checkFile(c *command.Context, file string, check func(string, []byte) error) (bool, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return false, err
+	}
+	err = check(file, data)
+	var problems *strictyaml.Problems
+	if errors.As(err, &problems) {
+		_, _ = fmt.Fprintln(c.Err, problems.Error())
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	_, err = fmt.Fprintf(c.Out, "%s: good\n", file)
+	return true, err
+}
--- /dev/null
+++ b/cmd/yarrowctl/cmd_measure.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/yarrowmast/yarrowmast/internal/command"
+	"github.com/yarrowmast/yarrowmast/internal/measure"
+)
+
+var measureArgs struct {
+	file   string
+	policy string
+	seed   uint64
+}
+
+var cmdMeasure = &command.Command{
+	Name:        "measure",
+	Description: "runs a scenario on real routers with stand-ins and prints the measures",
+	Flags: func(s *flaggy.Subcommand) {
+		s.String(&measureArgs.file, "f", "file", "file of the scenario")
+		s.String(&measureArgs.policy, "p", "policy", "only this policy")
+		s.UInt64(&measureArgs.seed, "", "seed", "another seed than the scenario's")
+	},
+	Run: runMeasure,
+}
+
+var errNoScenario = errors.New("no scenario; give --file FILE, such as examples/scenarios/ramdin.yaml")
+
+func runMeasure(c *command.Context) error {
+	if measureArgs.file == "" {
+		return errNoScenario
+	}
+	s, err := measure.Load(measureArgs.file)
+	if err != nil {
+		return err
+	}
+	if measureArgs.policy != "" {
+		s.Policies = []string{measureArgs.policy}
+	}
+	if measureArgs.seed != 0 {
+		s.Seed = measureArgs.seed
+	}
+	return runScenario(c, s)
+}
+
+// runScenario runs every policy and fails if the fleet broke a promise.
+func runScenario(c *command.Context, s *measure.Scenario) error {
+	bad := false
+	for _, policy := range s.Policies {
+		_, _ = fmt.Fprintf(c.Err, "%s, policy %s, seed %d, %s\n", s.Name, policy, s.Seed, s.Duration)
+		r, err := measure.Run(s, policy, func(line string) { _, _ = fmt.Fprintln(c.Err, "  "+line) })
+		if err != nil {
+			return err
+		}
+		r.PrintTable(c.Err)
+		if err := r.PrintJSON(c.Out); err != nil {
+			return err
+		}
+		if broken := r.Broken(); len(broken) > 0 && strings.HasPrefix(policy, measure.PolicyFleet) {
+			_, _ = fmt.Fprintf(c.Err, "broken: %s\n", strings.Join(broken, ", "))
+			bad = true
+		}
+	}
+	if bad {
+		return command.ErrFailed
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/backend/events.go
@@ -0,0 +1,160 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// Bounds of a stream of events.
+const (
+	// maxEvent is the largest event, in bytes.
+	maxEvent = 1 << 20
+	readSize = 4 << 10
+)
+
+// Errors of a stream that is not what an engine should send.
+var (
+	ErrGarbage  = errors.New("backend: the stream holds something that is no event")
+	ErrCrossed  = errors.New("backend: the stream holds a part of another answer")
+	ErrAfterEnd = errors.New("backend: the stream goes on after its end")
+	ErrTooLong  = errors.New("backend: an event is over the limit")
+)
+
+// Events reads server-sent events of one answer and checks each of them.
+type Events struct {
+	r      *bufio.Reader
+	event  bytes.Buffer
+	id     string
+	tokens int64
+	done   bool
+}
+
+// NewEvents returns a reader of the events in r.
+func NewEvents(r io.Reader) *Events {
+	return &Events{r: bufio.NewReaderSize(r, readSize)}
+}
+
+// Tokens returns how many tokens the events so far carried.
+func (e *Events) Tokens() int64 { return e.tokens }
+
+// Done reports whether the answer's end was read.
+func (e *Events) Done() bool { return e.done }
+
+// Next returns the bytes of the next event with its blank line; they are valid
+// until the next call. It returns io.EOF where the stream ends between events.
+func (e *Events) Next() ([]byte, error) {
+	e.event.Reset()
+	for {
+		line, err := e.line()
+		if err != nil {
+			return nil, e.ended(err)
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			if e.event.Len() > len(line) {
+				return e.event.Bytes(), nil
+			}
+			continue
+		}
+		if err := e.check(line); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (e *Events) ended(err error) error {
+	if errors.Is(err, io.EOF) && e.event.Len() > 0 && len(bytes.TrimSpace(e.event.Bytes())) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// line reads one line into the event and returns it.
+func (e *Events) line() ([]byte, error) {
+	start := e.event.Len()
+	for {
+		part, err := e.r.ReadSlice('\n')
+		e.event.Write(part)
+		if e.event.Len() > maxEvent {
+			return nil, ErrTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		return e.event.Bytes()[start:], nil
+	}
+}
+
+var (
+	dataField = []byte("data:")
+	endMark   = []byte("[DONE]")
+	// otherFields are the fields of an event besides data, and comments.
+	otherFields = [][]byte{[]byte("event:"), []byte("id:"), []byte("retry:"), []byte(":")}
+)
+
+func (e *Events) check(line []byte) error {
+	if e.done {
+		return ErrAfterEnd
+	}
+	data, ok := bytes.CutPrefix(line, dataField)
+	if !ok {
+		for _, f := range otherFields {
+			if bytes.HasPrefix(line, f) {
+				return nil
+			}
+		}
+		return ErrGarbage
+	}
+	data = bytes.TrimSpace(data)
+	if bytes.Equal(data, endMark) {
+		e.done = true
+		return nil
+	}
+	return e.checkData(data)
+}
+
+func (e *Events) checkData(data []byte) error {
+	info, err := parseChunk(data)
+	if err != nil {
+		return err
+	}
+	if info.ID != "" && e.id == "" {
+		e.id = info.ID
+	}
+	if info.ID != e.id && info.ID != "" {
+		return ErrCrossed
+	}
+	if len(info.Choices) > 0 {
+		e.tokens++
+	}
+	if info.Usage != nil && info.Usage.CompletionTokens > 0 {
+		e.tokens = info.Usage.CompletionTokens
+	}
+	return nil
+}
+
+// chunk is what the router reads of an engine's answer. All else passes
+// through unread.
+type chunk struct {
+	ID      string            `json:"id"`
+	Choices []json.RawMessage `json:"choices"`
+	Usage   *usage            `json:"usage"`
+}
+
+type usage struct {
+	CompletionTokens int64 `json:"completion_tokens"`
+}
+
+func parseChunk(data []byte) (chunk, error) {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return chunk{}, fmt.Errorf("%w: %w", ErrGarbage, err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/backend/load.go
@@ -0,0 +1,68 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+)
+
+// loadTimeout bounds one read of a load.
+const loadTimeout = time.Second
+
+// Loads reads the load that backend servers report.
+type Loads struct {
+	dialer Dialer
+	http   *http.Client
+}
+
+// NewLoads returns a reader that dials with d.
+func NewLoads(d Dialer) *Loads {
+	return &Loads{dialer: d, http: &http.Client{
+		Transport: &http.Transport{DialContext: d.DialContext},
+		Timeout:   loadTimeout,
+	}}
+}
+
+// loadReport is an engine's answer to GET /load.
+type loadReport struct {
+	InFlight int `json:"in_flight"`
+}
+
+// Load returns how many requests run at a backend server as it last reported.
+// A plain service reports nothing; for it, Load only tells whether it listens.
+func (l *Loads) Load(ctx context.Context, b table.Backend) (int, error) {
+	if b.Kind == table.Service {
+		return 0, l.listens(ctx, b.Address)
+	}
+	req, err := sling.New().Get("http://" + b.Address + "/load").Request()
+	if err != nil {
+		return 0, fmt.Errorf("backend: load of %s: %w", b.Name, err)
+	}
+	var report loadReport
+	resp, err := sling.New().Client(l.http).Do(req.WithContext(ctx), &report, nil)
+	if err != nil {
+		return 0, fmt.Errorf("backend: load of %s: %w", b.Name, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("backend: load of %s: status %d", b.Name, resp.StatusCode)
+	}
+	return report.InFlight, nil
+}
+
+func (l *Loads) listens(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	conn, err := l.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("backend: dial %s: %w", address, err)
+	}
+	return conn.Close()
+}
+
+// Close closes the idle connections.
+func (l *Loads) Close() { l.http.CloseIdleConnections() }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,87 @@
+// Package fleet asks the admin listeners of all routers at once, for the
+// operators' command. Who does not answer is named, never left out.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"github.com/yarrowmast/yarrowmast/internal/platform"
+)
+
+// askTimeout bounds the wait for one router.
+const askTimeout = 3 * time.Second
+
+// atOnce bounds how many routers are asked at the same time.
+const atOnce = 64
+
+// Router is a router to ask.
+type Router struct {
+	Name  string `json:"name"`
+	Zone  string `json:"zone,omitempty"`
+	Admin string `json:"admin"`
+}
+
+// Answer is one router's answer, or why there is none.
+type Answer[V any] struct {
+	Router Router `json:"router"`
+	Value  V      `json:"value"`
+	// Error is "" if the router answered.
+	Error string `json:"error,omitempty"`
+}
+
+// Listed returns the routers on the platform's list, by zone and name.
+func Listed(address string) ([]Router, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	list, _, err := platform.New(address).WatchInstances(ctx, 0)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: list of routers: %w", err)
+	}
+	var all []Router
+	for _, i := range list.Instances {
+		all = append(all, Router{Name: i.Name, Zone: i.Zone, Admin: i.Admin})
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].Zone != all[j].Zone {
+			return all[i].Zone < all[j].Zone
+		}
+		return all[i].Name < all[j].Name
+	})
+	return all, nil
+}
+
+// Ask gets a path of every router's admin listener, in the routers' order.
+func Ask[V any](routers []Router, path string) []Answer[V] {
+	answers := make([]Answer[V], len(routers))
+	slots := make(chan struct{}, atOnce)
+	client := &http.Client{Timeout: askTimeout}
+	var all sync.WaitGroup
+	for i, r := range routers {
+		all.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			answers[i] = askOne[V](client, r, path)
+		})
+	}
+	all.Wait()
+	return answers
+}
+
+func askOne[V any](client *http.Client, r Router, path string) Answer[V] {
+	a := Answer[V]{Router: r}
+	resp, err := sling.New().Client(client).Get("http://" + r.Admin + path).ReceiveSuccess(&a.Value)
+	switch {
+	case err != nil:
+		a.Error = err.Error()
+	case resp.StatusCode != http.StatusOK:
+		a.Error = resp.Status
+	}
+	return a
+}
--- /dev/null
+++ b/internal/front/handle.go
@@ -0,0 +1,264 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/backend"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/verdict"
+)
+
+// retryAfter is when a caller may come back to another entry instance.
+const retryAfter = time.Second
+
+// admit does what every request needs first: an id, an account, its headers.
+func (s *Server) admit(r *http.Request) (*ask, *verdict.Error) {
+	a := &ask{id: s.requestID(), arrived: time.Now()}
+	if s.draining.Load() {
+		return a, errDraining.After(retryAfter)
+	}
+	t := s.scheduler.Table()
+	if t == nil {
+		return a, errNotReady.After(retryAfter)
+	}
+	account, err := authenticate(r, t)
+	if err != nil {
+		return a, err
+	}
+	a.account = account
+	a.path = r.URL.RequestURI()
+	return a, s.readHeaders(a, r)
+}
+
+// handle runs one request from its admission to its end.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request, read func(*ask) *verdict.Error) {
+	a, err := s.admit(r)
+	if s.open.Add(1) > s.opt.maxOpen && err == nil {
+		err = errTooManyOpen.After(retryAfter)
+	}
+	defer s.open.Add(-1)
+	if err == nil {
+		err = read(a)
+	}
+	if err == nil && !s.serves(a.model) {
+		err = errNoModel
+	}
+	out := &answer{w: w, id: a.id, slow: s.opt.slowCaller}
+	outcome := Outcome{Account: a.account.Name, Model: a.model}
+	if err == nil {
+		err = s.schedule(r.Context(), a, r, out, &outcome)
+	}
+	if err != nil {
+		out.fail(err)
+		outcome.Code = err.Code
+		outcome.Status = err.Status
+		outcome.Verdict = err.Verdict.String()
+	}
+	outcome.Total = time.Since(a.arrived)
+	s.opt.observer.Answered(outcome)
+	s.log(a, &outcome)
+	if err != nil && out.began {
+		// The answer has no end, so the connection must not have one either.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) serves(model string) bool {
+	t := s.scheduler.Table()
+	return t != nil && t.HasModel(model)
+}
+
+func (s *Server) log(a *ask, o *Outcome) {
+	s.opt.log.Info("request_end", "request", a.id, "account", o.Account, "model", o.Model,
+		"status", o.Status, "code", o.Code, "verdict", o.Verdict, "tokens", o.Tokens, "attempts", o.Attempts,
+		"waited_ms", o.Waited.Milliseconds(), "total_ms", o.Total.Milliseconds())
+}
+
+// schedule tries the request until it ends, by the rules of verdicts.
+func (s *Server) schedule(ctx context.Context, a *ask, r *http.Request, out *answer, o *Outcome) *verdict.Error {
+	ctx, cancel := context.WithDeadline(ctx, a.deadline)
+	defer cancel()
+	if a.key != "" {
+		if err := s.scheduler.Claim(ctx, Claim{Account: a.account.Name, Key: a.key, At: a.keyTime}); err != nil {
+			return asVerdict(err)
+		}
+	}
+	doubt := false
+	for {
+		result, err := s.attempt(ctx, a, r, out, o)
+		if err == nil {
+			return nil
+		}
+		doubt = doubt || result.Sent && err.Verdict != verdict.NotRun
+		if !s.again(ctx, a, result, err) {
+			return inDoubt(err, doubt)
+		}
+	}
+}
+
+// inDoubt keeps an earlier attempt's doubt: a request that may have run once
+// cannot end as not run.
+func inDoubt(err *verdict.Error, doubt bool) *verdict.Error {
+	if !doubt || err.Verdict != verdict.NotRun {
+		return err
+	}
+	e := *err
+	e.Verdict = verdict.MayHaveRun
+	return &e
+}
+
+// again reports whether the request is tried once more.
+func (s *Server) again(ctx context.Context, a *ask, result backend.Result, err *verdict.Error) bool {
+	if result.Began || ctx.Err() != nil || err.Phase == verdict.PhaseAdmit || err.Code == "" {
+		return false
+	}
+	if !verdict.MayRetry(err.Verdict, !a.once) || !retryable(err.Code) {
+		return false
+	}
+	return s.scheduler.MayRetry()
+}
+
+// retryable lists the causes that another attempt may mend.
+func retryable(code string) bool {
+	return slices.Contains([]string{"lease-expired", "backend-unreachable", "backend-broke", "backend-refused", "answer-cut"}, code)
+}
+
+func (s *Server) attempt(ctx context.Context, a *ask, r *http.Request, out *answer, o *Outcome) (backend.Result, *verdict.Error) {
+	o.Attempts++
+	g, err := s.scheduler.Acquire(ctx, Request{
+		Account: a.account.Name, Model: a.model, Priority: a.priority, Deadline: a.deadline,
+		Waited: o.Waited, Attempt: o.Attempts - 1, Prefix: prefixOf(a.body),
+	})
+	if err != nil {
+		return backend.Result{}, acquireFailed(ctx, err)
+	}
+	o.Waited = g.Waited
+	started := time.Now()
+	result := s.backend.Do(ctx, s.call(a, r, g), out)
+	o.Tokens = s.tokens(a, g, started)
+	s.scheduler.Release(g, Usage{Tokens: o.Tokens, Sent: result.Sent, Failed: result.Failed})
+	s.opt.log.Debug("attempt_end", "request", a.id, "backend", g.Backend, "attempt", o.Attempts, "sent", result.Sent, "error", result.Err)
+	if result.Err != nil {
+		return result, result.Err
+	}
+	o.Status = result.Status
+	o.Verdict = verdict.Ran.String()
+	o.FirstByte = result.FirstByte.Sub(a.arrived)
+	return result, nil
+}
+
+// tokens is what the attempt is charged: an engine's tokens, or a plain
+// service's time in milliseconds.
+func (s *Server) tokens(a *ask, g Grant, started time.Time) int64 {
+	if a.events {
+		return g.Served.Load()
+	}
+	return max(1, time.Since(started).Milliseconds())
+}
+
+// acquireFailed tells a deadline from a caller that left.
+func acquireFailed(ctx context.Context, err error) *verdict.Error {
+	if ctx.Err() == nil {
+		return asVerdict(err)
+	}
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return verdict.New(verdict.PhaseQueue, http.StatusGatewayTimeout, "deadline", "the deadline passed while the request waited for a slot")
+	}
+	return verdict.New(verdict.PhaseQueue, statusClientGone, "caller-gone", "the caller went away")
+}
+
+// statusClientGone is logged for callers that left; nobody receives it.
+const statusClientGone = 499
+
+func (s *Server) call(a *ask, r *http.Request, g Grant) backend.Call {
+	header := r.Header.Clone()
+	header.Del("Authorization")
+	return backend.Call{
+		Address: g.Address, Method: r.Method, Path: a.path, Header: header, Body: a.body,
+		RequestID: a.id, Priority: max(a.priority, a.account.Priority), Once: a.once, Events: a.events,
+		MayStart: g.MayStart, Served: g.Served,
+	}
+}
+
+func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
+	s.handle(w, r, func(a *ask) *verdict.Error {
+		a.events = true
+		body, err := s.readBody(w, r)
+		if err != nil {
+			return err
+		}
+		a.body = body
+		a.model, err = modelOf(body)
+		return err
+	})
+}
+
+// service passes a request on to a plain service, any method and body.
+// Methods that may change something are not repeated unless marked so.
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	s.handle(w, r, func(a *ask) *verdict.Error {
+		a.model = r.PathValue("service")
+		a.path = servicePath(r)
+		if r.Header.Get(HeaderOnce) == "" {
+			a.once = r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodOptions
+		}
+		body, err := s.readBody(w, r)
+		a.body = body
+		return err
+	})
+}
+
+func servicePath(r *http.Request) string {
+	u := *r.URL
+	u.Path = "/" + r.PathValue("rest")
+	u.RawPath = ""
+	return u.RequestURI()
+}
+
+// models lists the models that the table's backend servers serve.
+func (s *Server) models(w http.ResponseWriter, r *http.Request) {
+	a, err := s.admit(r)
+	if err != nil {
+		writeProblem(w, a.id, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(modelList(s.scheduler.Table()))
+}
+
+// ModelList is the answer to PathModels.
+type ModelList struct {
+	Object string      `json:"object"`
+	Data   []ModelItem `json:"data"`
+}
+
+// ModelItem is one model.
+type ModelItem struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+func modelList(t *table.Table) ModelList {
+	list := ModelList{Object: "list", Data: []ModelItem{}}
+	seen := map[string]bool{}
+	for _, b := range t.Backends {
+		if b.Kind != table.Engine {
+			continue
+		}
+		for _, m := range b.Models {
+			if !seen[m] {
+				seen[m] = true
+				list.Data = append(list.Data, ModelItem{ID: m, Object: "model"})
+			}
+		}
+	}
+	return list
+}
+
+func (s *Server) notFound(w http.ResponseWriter, _ *http.Request) {
+	writeProblem(w, s.requestID(), errNotFound)
+}
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,213 @@
+// Package front answers callers: it finds out whose request it is, what it
+// asks for and by when, lets the scheduler say when it runs, and passes the
+// answer on.
+package front
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/backend"
+)
+
+// The defaults of the callers' listener.
+const (
+	// DefaultMaxBody is the largest request body, in bytes.
+	DefaultMaxBody = 8 << 20
+	// DefaultMaxHeader is the largest request header, in bytes.
+	DefaultMaxHeader = 64 << 10
+	// DefaultDeadline is how long a request may take that states none.
+	DefaultDeadline = 5 * time.Minute
+	// MaxDeadline is the longest deadline a caller may state.
+	MaxDeadline = time.Hour
+	// DefaultSlowCaller is how long a caller may take for one read or write.
+	DefaultSlowCaller = 30 * time.Second
+	// DefaultMaxOpen is how many requests may be open at once.
+	DefaultMaxOpen = 20_000
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+)
+
+// Paths that callers use.
+const (
+	PathCompletions = "/v1/completions"
+	PathChat        = "/v1/chat/completions"
+	PathModels      = "/v1/models"
+	// PathServices is followed by the service's name and its own path.
+	PathServices = "/services/"
+)
+
+// Backend runs a call on a backend server.
+type Backend interface {
+	Do(ctx context.Context, call backend.Call, sink backend.Sink) backend.Result
+}
+
+// Observer is told how requests ended.
+type Observer interface {
+	// Answered is called once for each request.
+	Answered(o Outcome)
+}
+
+// Outcome is how one request ended.
+type Outcome struct {
+	Account string
+	Model   string
+	// Status and Code are what the caller was told; Code is "" for success.
+	Status int
+	Code   string
+	// Verdict is as in the response header.
+	Verdict string
+	// Waited is the time before the request started, FirstByte the time to
+	// the first byte of the answer, Total the whole, all from its arrival.
+	Waited    time.Duration
+	FirstByte time.Duration
+	Total     time.Duration
+	Tokens    int64
+	Attempts  int
+}
+
+// Server is the callers' listener.
+type Server struct {
+	opt       options
+	scheduler Scheduler
+	backend   Backend
+	name      string
+	// idBase makes request ids unique to this start of the router.
+	idBase   string
+	nextID   atomic.Uint64
+	open     atomic.Int64
+	draining atomic.Bool
+	http     *http.Server
+	serve    sync.WaitGroup
+}
+
+type options struct {
+	maxBody    int64
+	maxHeader  int
+	deadline   time.Duration
+	slowCaller time.Duration
+	maxOpen    int64
+	tls        *tls.Config
+	log        *slog.Logger
+	observer   Observer
+}
+
+// Option changes a new Server.
+type Option func(*options)
+
+// WithMaxBody sets the largest request body, in bytes.
+func WithMaxBody(n int64) Option { return func(o *options) { o.maxBody = n } }
+
+// WithMaxHeader sets the largest request header, in bytes.
+func WithMaxHeader(n int) Option { return func(o *options) { o.maxHeader = n } }
+
+// WithDeadline sets the deadline of requests that state none.
+func WithDeadline(d time.Duration) Option { return func(o *options) { o.deadline = d } }
+
+// WithSlowCaller bounds one read from or write to a caller.
+func WithSlowCaller(d time.Duration) Option { return func(o *options) { o.slowCaller = d } }
+
+// WithMaxOpen bounds the requests open at once.
+func WithMaxOpen(n int64) Option { return func(o *options) { o.maxOpen = n } }
+
+// WithTLS serves callers over TLS.
+func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
+
+// WithLogger sets where events are logged.
+func WithLogger(l *slog.Logger) Option { return func(o *options) { o.log = l } }
+
+// WithObserver sets who is told of outcomes.
+func WithObserver(ob Observer) Option { return func(o *options) { o.observer = ob } }
+
+type noObserver struct{}
+
+func (noObserver) Answered(Outcome) {}
+
+// New returns a server for the router name, whose incarnation is inc.
+func New(name string, inc uint64, s Scheduler, b Backend, opts ...Option) *Server {
+	srv := &Server{
+		opt: options{
+			maxBody: DefaultMaxBody, maxHeader: DefaultMaxHeader, deadline: DefaultDeadline,
+			slowCaller: DefaultSlowCaller, maxOpen: DefaultMaxOpen, log: slog.Default(), observer: noObserver{},
+		},
+		scheduler: s, backend: b, name: name,
+		idBase: name + "-" + strconv.FormatUint(inc, 36) + "-",
+	}
+	for _, f := range opts {
+		f(&srv.opt)
+	}
+	srv.http = &http.Server{
+		Handler:           srv.routes(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    srv.opt.maxHeader,
+		TLSConfig:         srv.opt.tls,
+		Protocols:         protocols(),
+		ErrorLog:          slog.NewLogLogger(srv.opt.log.Handler(), slog.LevelDebug),
+	}
+	return srv
+}
+
+// protocols allows HTTP/1.1 and HTTP/2, the latter without TLS too.
+func protocols() *http.Protocols {
+	p := &http.Protocols{}
+	p.SetHTTP1(true)
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+PathCompletions, s.completions)
+	mux.HandleFunc("POST "+PathChat, s.completions)
+	mux.HandleFunc("GET "+PathModels, s.models)
+	mux.HandleFunc(PathServices+"{service}/{rest...}", s.service)
+	mux.HandleFunc("/", s.notFound)
+	return mux
+}
+
+// Serve answers callers on ln until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	var err error
+	if s.opt.tls != nil {
+		err = s.http.ServeTLS(ln, "", "")
+	} else {
+		err = s.http.Serve(ln)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("front: serve callers: %w", err)
+}
+
+// Drain refuses new requests as not run; those that wait or run go on.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Open returns how many requests are open.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// Shutdown waits until every request has ended or ctx is done.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
+	if err := s.http.Shutdown(ctx); err != nil {
+		return fmt.Errorf("front: shutdown: %w", err)
+	}
+	return nil
+}
+
+// Close cuts every connection.
+func (s *Server) Close() error { return s.http.Close() }
+
+func (s *Server) requestID() string {
+	return s.idBase + strconv.FormatUint(s.nextID.Add(1), 10)
+}
--- /dev/null
+++ b/internal/measure/cluster.go
@@ -0,0 +1,265 @@
+package measure
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"go.yaml.in/yaml/v4"
+
+	"github.com/yarrowmast/yarrowmast/internal/config"
+	"github.com/yarrowmast/yarrowmast/internal/node"
+	client "github.com/yarrowmast/yarrowmast/internal/platform"
+	"github.com/yarrowmast/yarrowmast/internal/router"
+	"github.com/yarrowmast/yarrowmast/pkg/pool"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/standin/engine"
+	"github.com/yarrowmast/yarrowmast/standin/fabric"
+	"github.com/yarrowmast/yarrowmast/standin/judge"
+	"github.com/yarrowmast/yarrowmast/standin/platform"
+)
+
+// The policies.
+const (
+	PolicyFleet   = "fleet"
+	PolicyLocal   = "local"
+	PolicyCentral = "central"
+	// PolicyAsLastShared is the fleet with counters read as last shared.
+	PolicyAsLastShared = "fleet/as-last-shared"
+)
+
+func knownPolicy(p string) bool {
+	return p == PolicyFleet || p == PolicyLocal || p == PolicyCentral || p == PolicyAsLastShared
+}
+
+const (
+	anyPort = "127.0.0.1:0"
+	// engineStep is the time between two chunks of a stand-in.
+	engineStep = 20 * time.Millisecond
+	// loadLag is how old the load is that a stand-in reports.
+	loadLag      = 300 * time.Millisecond
+	readyTimeout = 15 * time.Second
+)
+
+// cluster is a running fleet with its stand-ins.
+type cluster struct {
+	scenario *Scenario
+	policy   string
+	judge    *judge.Judge
+	fabric   *fabric.Fabric
+	platform *platform.Platform
+	address  string
+	engines  map[string]*engine.Engine
+	table    table.Table
+	central  *baseline
+	versions *versions
+	state    *state
+
+	mu    sync.Mutex
+	nodes map[string]*node.Node
+	// fixed are the settings of each router with the ports it was given.
+	fixed map[string]config.Settings
+}
+
+func startCluster(s *Scenario, policy string) (*cluster, error) {
+	c := &cluster{
+		scenario: s, policy: policy, judge: judge.New(), fabric: fabric.New(s.ZoneLatency),
+		engines: map[string]*engine.Engine{}, nodes: map[string]*node.Node{}, fixed: map[string]config.Settings{},
+		versions: newVersions(), state: newState(),
+	}
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return nil, fmt.Errorf("measure: listen: %w", err)
+	}
+	c.address = ln.Addr().String()
+	c.platform = platform.Start(ln)
+	if err := c.startEngines(); err != nil {
+		return nil, err
+	}
+	c.central = newBaseline(c, "")
+	c.publishTable()
+	for _, z := range s.Zones {
+		for i := range z.Routers {
+			if err := c.startNode(z.Name, routerName(z.Name, i)); err != nil {
+				return nil, err
+			}
+		}
+	}
+	c.publishInstances()
+	return c, c.waitReady()
+}
+
+func (c *cluster) startEngines() error {
+	for _, z := range c.scenario.Zones {
+		for _, b := range z.Backends {
+			ln, err := net.Listen("tcp", anyPort)
+			if err != nil {
+				return fmt.Errorf("measure: listen: %w", err)
+			}
+			c.judge.AddServer(judge.Server{Name: b.Name, Model: b.Model, Zone: z.Name, Slots: b.Slots})
+			c.engines[b.Name] = engine.Start(engine.Config{
+				Name: b.Name, Slots: b.Slots, TokensPerSecond: b.TokensPerSecond, Step: engineStep, LoadLag: loadLag, Judge: c.judge,
+			}, ln)
+			address := ln.Addr().String()
+			c.fabric.Place(address, z.Name, b.Name)
+			c.table.Backends = append(c.table.Backends, table.Backend{
+				Name: b.Name, Zone: z.Name, Address: address, Kind: table.Engine, Models: []string{b.Model},
+				Slots: b.Slots, Mark: table.Serving,
+			})
+		}
+	}
+	for _, a := range c.scenario.Accounts {
+		sum := sha256.Sum256([]byte(accountKey(a.Name)))
+		c.table.Accounts = append(c.table.Accounts, table.Account{
+			Name: a.Name, Weight: a.Weight, Priority: a.Priority, KeySHA256: hex.EncodeToString(sum[:]),
+			Limits: table.Limits{Queued: maxQueued},
+		})
+	}
+	return nil
+}
+
+// maxQueued lets floods queue instead of being refused at once.
+const maxQueued = 5000
+
+func accountKey(name string) string { return "key of " + name }
+
+// publishTable publishes the table as it is now and returns its revision.
+func (c *cluster) publishTable() uint64 {
+	var buf bytes.Buffer
+	enc := yaml.NewEncoder(&buf)
+	if err := enc.Encode(&c.table); err != nil {
+		panic(err)
+	}
+	return c.platform.Publish(router.TableName, buf.Bytes())
+}
+
+func (c *cluster) settings(zone, name string) config.Settings {
+	s := config.Defaults()
+	s.Name, s.Zone, s.Platform = name, zone, c.address
+	s.Listen = config.Listen{Callers: anyPort, Peers: anyPort, Admin: anyPort}
+	if old, ok := c.fixed[name]; ok {
+		return old
+	}
+	return s
+}
+
+func (c *cluster) startNode(zone, name string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.settings(zone, name)
+	estimator := pool.CountedByZones
+	if c.policy == PolicyAsLastShared {
+		estimator = pool.AsLastShared
+	}
+	opts := []node.Option{
+		node.WithDialer(c.fabric.Dialer(zone, name)),
+		node.WithLogger(slog.New(slog.DiscardHandler)),
+		node.WithRouter(router.WithPool(pool.WithEstimator(estimator)), router.WithObserver(c.versions.of(name))),
+	}
+	switch c.policy {
+	case PolicyCentral:
+		opts = append(opts, node.WithScheduler(c.central.schedulerFor(zone)))
+	case PolicyLocal:
+		opts = append(opts, node.WithScheduler(newBaseline(c, name).schedulerFor(zone)))
+	}
+	n, err := node.Start(s, opts...)
+	if err != nil {
+		return err
+	}
+	s.Listen = n.Listening()
+	c.fixed[name] = s
+	c.nodes[name] = n
+	for _, a := range []string{s.Listen.Callers, s.Listen.Peers, s.Listen.Admin} {
+		c.fabric.Place(a, zone, name)
+	}
+	return nil
+}
+
+func (c *cluster) publishInstances() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []client.Instance
+	for _, s := range c.fixed {
+		list = append(list, client.Instance{Name: s.Name, Zone: s.Zone, Address: s.Listen.Peers, Admin: s.Listen.Admin, State: "live"})
+	}
+	c.platform.PublishInstances(list)
+}
+
+func (c *cluster) node(name string) *node.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[name]
+}
+
+// each calls f for every router that runs.
+func (c *cluster) each(f func(name string, n *node.Node)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, n := range c.nodes {
+		f(name, n)
+	}
+}
+
+// waitReady waits until every router has the table and knows its zone.
+func (c *cluster) waitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		ready := true
+		c.each(func(_ string, n *node.Node) {
+			ready = ready && n.Router.Table() != nil && c.knowsZone(n)
+		})
+		if ready {
+			time.Sleep(pool.DefaultTTL)
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return fmt.Errorf("measure: routers were not ready within %s", readyTimeout)
+}
+
+func (c *cluster) knowsZone(n *node.Node) bool {
+	s := n.Router.Status()
+	known := 1
+	for _, m := range s.Members {
+		if m.State == "alive" && m.Incarnation > 0 {
+			known++
+		}
+	}
+	for _, z := range c.scenario.Zones {
+		if z.Name == s.Zone {
+			return known >= z.Routers
+		}
+	}
+	return false
+}
+
+func (c *cluster) close() {
+	var all []*node.Node
+	c.each(func(_ string, n *node.Node) { all = append(all, n) })
+	var wg sync.WaitGroup
+	for _, n := range all {
+		wg.Go(n.Kill)
+	}
+	wg.Wait()
+	for _, e := range c.engines {
+		e.Close()
+	}
+	c.platform.Close()
+	c.central.close()
+}
+
+// stopNode ends a router as a crash does.
+func (c *cluster) stopNode(name string) {
+	n := c.node(name)
+	c.mu.Lock()
+	delete(c.nodes, name)
+	c.mu.Unlock()
+	if n != nil {
+		n.Kill()
+	}
+}
--- /dev/null
+++ b/internal/measure/run.go
@@ -0,0 +1,194 @@
+package measure
+
+import (
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/node"
+	"github.com/yarrowmast/yarrowmast/pkg/hold"
+	"github.com/yarrowmast/yarrowmast/pkg/pool"
+)
+
+// Report is the last line that a policy's run prints.
+type Report struct {
+	Policy              string         `json:"policy"`
+	Scenario            string         `json:"scenario"`
+	Seed                uint64         `json:"seed"`
+	Requests            int            `json:"requests"`
+	Answered            int            `json:"answered"`
+	RefusedNotRun       int            `json:"refused_not_run"`
+	MayHaveRun          int            `json:"may_have_run"`
+	Unanswered          int            `json:"unanswered"`
+	MixedAnswers        int            `json:"mixed_answers"`
+	RanAfterNotRun      int            `json:"ran_after_not_run"`
+	RunTwice            int            `json:"run_twice"`
+	FairnessGap         float64        `json:"fairness_gap"`
+	FairnessGapRequests float64        `json:"fairness_gap_requests"`
+	FairnessBound       float64        `json:"fairness_bound"`
+	MinShare            float64        `json:"min_share"`
+	Utilisation         float64        `json:"utilisation"`
+	IdleWhileWaiting    float64        `json:"idle_while_waiting"`
+	Overload            float64        `json:"overload"`
+	TTFTP50             float64        `json:"ttft_p50_ms"`
+	TTFTP95             float64        `json:"ttft_p95_ms"`
+	ControlBytesMean    float64        `json:"control_bytes_per_node_second"`
+	ControlBytesMax     float64        `json:"control_bytes_largest_node_second"`
+	ControlPerRequest   float64        `json:"control_messages_per_request"`
+	ControlCPUShare     float64        `json:"control_cpu_share"`
+	PlatformCalls       float64        `json:"platform_calls_per_second"`
+	EditInForce         float64        `json:"edit_in_force_p100_ms"`
+	TableReverts        int            `json:"table_reverts"`
+	NewWorkAfterLeave   float64        `json:"new_work_after_leave_ms"`
+	CutStreams          int            `json:"cut_streams"`
+	Codes               map[string]int `json:"refusal_codes,omitempty"`
+	// Accounts is answers, refusals and tokens by account, for people.
+	Accounts []AccountReport `json:"-"`
+}
+
+// AccountReport is one row of the table for people.
+type AccountReport struct {
+	Name     string
+	Model    string
+	Weight   float64
+	Answered int
+	Refused  int
+	Doubtful int
+	Tokens   float64
+}
+
+// Broken names the counts that should be 0 and are not.
+func (r *Report) Broken() []string {
+	var broken []string
+	for name, n := range map[string]int{
+		"unanswered": r.Unanswered, "mixed_answers": r.MixedAnswers, "ran_after_not_run": r.RanAfterNotRun,
+		"run_twice": r.RunTwice, "table_reverts": r.TableReverts, "cut_streams": r.CutStreams,
+	} {
+		if n != 0 {
+			broken = append(broken, fmt.Sprintf("%s=%d", name, n))
+		}
+	}
+	return broken
+}
+
+// warmUp is the time after the callers' start that is not measured.
+const warmUp = time.Second
+
+// control is what routers spent on each other at a moment.
+type control struct {
+	bytes, messages int64
+	busy            time.Duration
+}
+
+func (c *cluster) control() map[*node.Node]control {
+	all := map[*node.Node]control{}
+	c.each(func(_ string, n *node.Node) {
+		p := n.Peers.Counters()
+		all[n] = control{
+			bytes:    p.BytesOut.Load() + p.BytesIn.Load(),
+			messages: p.MessagesOut.Load(),
+			busy:     n.Router.Busy() + time.Duration(p.CodecNanos.Load()),
+		}
+	})
+	return all
+}
+
+// Run runs one policy of a scenario. Progress is told of what happens.
+func Run(s *Scenario, policy string, progress func(string)) (*Report, error) {
+	c, err := startCluster(s, policy)
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	progress(fmt.Sprintf("%d routers and %d backend servers are up", len(c.nodes), len(c.engines)))
+	l := newLoad(c)
+	l.start()
+	time.Sleep(warmUp)
+	c.judge.Count(true)
+	before, calls := c.control(), c.platform.Calls()
+	done := make(chan struct{})
+	var faults sync.WaitGroup
+	for _, f := range s.Faults {
+		faults.Go(func() { c.inject(f, done) })
+	}
+	tick(s.Duration, progress, l)
+	c.judge.Count(false)
+	after, callsAfter := c.control(), c.platform.Calls()
+	close(done)
+	faults.Wait()
+	l.finish()
+	r := c.report(l)
+	r.Policy = policy
+	r.addControl(before, after, s.Duration, float64(callsAfter-calls))
+	return r, nil
+}
+
+// tick waits for the scenario to pass, and tells how it goes.
+func tick(d time.Duration, progress func(string), l *load) {
+	const every = 2 * time.Second
+	for passed := time.Duration(0); passed < d; passed += every {
+		time.Sleep(min(every, d-passed))
+		l.tally.mu.Lock()
+		progress(fmt.Sprintf("%s: %d answered, %d refused as not run, %d in doubt", min(passed+every, d),
+			l.tally.ends[answered], l.tally.ends[refusedNotRun], l.tally.ends[mayHaveRun]))
+		l.tally.mu.Unlock()
+	}
+}
+
+func (c *cluster) report(l *load) *Report {
+	s, t, f := c.scenario, l.tally, c.judge.Find()
+	r := &Report{
+		Scenario: s.Name, Seed: s.Seed,
+		Answered: t.ends[answered], RefusedNotRun: t.ends[refusedNotRun], MayHaveRun: t.ends[mayHaveRun], Unanswered: t.ends[unanswered],
+		MixedAnswers: t.mixed, RanAfterNotRun: t.ranOff, RunTwice: f.RunTwice,
+		FairnessGap: round(s.fairness(f.Points)), MinShare: round(s.minShare(f.Points)),
+		FairnessBound: round(s.bound(t.largest, pool.DefaultShareEvery+hold.DefaultReportEvery)),
+		Utilisation:   round(f.Utilisation), IdleWhileWaiting: round(1 - f.Utilisation), Overload: round(f.Overload),
+		TTFTP50: ms(percentile(t.ttft, 0.5)), TTFTP95: ms(percentile(t.ttft, 0.95)),
+		EditInForce: ms(c.versions.slowest), TableReverts: c.versions.reverts,
+		NewWorkAfterLeave: ms(f.NewWorkAfterLeave), CutStreams: f.CutStreams, Codes: t.codes,
+	}
+	r.Requests = r.Answered + r.RefusedNotRun + r.MayHaveRun + r.Unanswered
+	if t.largest > 0 {
+		r.FairnessGapRequests = round(r.FairnessGap / float64(t.largest))
+	}
+	for _, a := range s.Accounts {
+		by := t.byName[a.Name]
+		r.Accounts = append(r.Accounts, AccountReport{
+			Name: a.Name, Model: a.Model, Weight: a.Weight, Answered: by[answered], Refused: by[refusedNotRun],
+			Doubtful: by[mayHaveRun] + by[unanswered], Tokens: got(f.Points[a.Name]),
+		})
+	}
+	return r
+}
+
+func (r *Report) addControl(before, after map[*node.Node]control, d time.Duration, calls float64) {
+	var bytes, most, messages float64
+	var busy time.Duration
+	n := 0.0
+	for node, x := range after {
+		y, ok := before[node]
+		if !ok {
+			continue
+		}
+		n++
+		b := float64(x.bytes-y.bytes) / d.Seconds()
+		bytes += b
+		most = max(most, b)
+		messages += float64(x.messages - y.messages)
+		busy += x.busy - y.busy
+	}
+	if n == 0 {
+		return
+	}
+	r.ControlBytesMean = round(bytes / n)
+	r.ControlBytesMax = round(most)
+	r.ControlPerRequest = round(messages / max(1, float64(r.Requests)))
+	r.ControlCPUShare = round(busy.Seconds() / n / d.Seconds())
+	r.PlatformCalls = round(calls / d.Seconds())
+}
+
+func ms(d time.Duration) float64 { return round(float64(d) / float64(time.Millisecond)) }
+
+func round(x float64) float64 { return math.Round(x*1e4) / 1e4 }
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,129 @@
+// Package metrics names every metric of a router and reports them through
+// tally, with its Prometheus reporter on the admin listener.
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/yarrowmast/yarrowmast/internal/front"
+)
+
+// The names of all metrics. docs/METRICS.md lists them with their units; a
+// test compares the two.
+const (
+	Requests      = "requests"
+	Refusals      = "refusals"
+	Tokens        = "tokens"
+	Retries       = "retries"
+	WaitSeconds   = "wait_seconds"
+	FirstSeconds  = "first_byte_seconds"
+	TotalSeconds  = "request_seconds"
+	TableRevision = "table_revision"
+	TableChanges  = "table_changes"
+	Open          = "open_requests"
+	Leases        = "leases"
+	IdleLeases    = "idle_leases"
+	Members       = "members"
+	PeerBytesOut  = "peer_bytes_out"
+	PeerBytesIn   = "peer_bytes_in"
+	PeerMsgsOut   = "peer_messages_out"
+	PeerMsgsIn    = "peer_messages_in"
+	PeerDropped   = "peer_messages_dropped"
+	PlatformCalls = "platform_calls"
+	Events        = "events"
+)
+
+// Names lists every name.
+func Names() []string {
+	return []string{
+		Requests, Refusals, Tokens, Retries, WaitSeconds, FirstSeconds, TotalSeconds, TableRevision,
+		TableChanges, Open, Leases, IdleLeases, Members, PeerBytesOut, PeerBytesIn, PeerMsgsOut,
+		PeerMsgsIn, PeerDropped, PlatformCalls, Events,
+	}
+}
+
+// reportEvery is the interval at which tally hands values on.
+const reportEvery = time.Second
+
+// prefix stands before each name.
+const prefix = "yarrowmast"
+
+// Metrics is a router's metrics.
+type Metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+	closer  io.Closer
+	seconds tally.Buckets
+}
+
+// New returns metrics whose values are labelled with the router's zone.
+func New(zone string) (*Metrics, error) {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          prefix,
+		Tags:            map[string]string{"zone": zone},
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	buckets, err := tally.ExponentialDurationBuckets(firstBucket, bucketFactor, bucketCount)
+	if err != nil {
+		return nil, fmt.Errorf("metrics: buckets: %w", err)
+	}
+	return &Metrics{scope: scope, handler: reporter.HTTPHandler(), closer: closer, seconds: buckets}, nil
+}
+
+// The buckets of durations run from 1 ms to about 2 minutes.
+const (
+	firstBucket  = time.Millisecond
+	bucketFactor = 1.8
+	bucketCount  = 20
+)
+
+// Handler answers scrapes.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close ends the reporting.
+func (m *Metrics) Close() error { return m.closer.Close() }
+
+// Answered implements front.Observer.
+func (m *Metrics) Answered(o front.Outcome) {
+	s := m.scope.Tagged(map[string]string{"account": o.Account, "model": o.Model})
+	if o.Code != "" {
+		s.Tagged(map[string]string{"code": o.Code, "verdict": o.Verdict}).Counter(Refusals).Inc(1)
+	}
+	s.Counter(Requests).Inc(1)
+	s.Counter(Tokens).Inc(o.Tokens)
+	if o.Attempts > 1 {
+		s.Counter(Retries).Inc(int64(o.Attempts - 1))
+	}
+	m.scope.Histogram(WaitSeconds, m.seconds).RecordDuration(o.Waited)
+	m.scope.Histogram(TotalSeconds, m.seconds).RecordDuration(o.Total)
+	if o.FirstByte > 0 {
+		m.scope.Histogram(FirstSeconds, m.seconds).RecordDuration(o.FirstByte)
+	}
+}
+
+// TableInForce implements router.Observer.
+func (m *Metrics) TableInForce(revision uint64) {
+	m.scope.Gauge(TableRevision).Update(float64(revision))
+	m.scope.Counter(TableChanges).Inc(1)
+}
+
+// Gauge sets a gauge.
+func (m *Metrics) Gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
+
+// Event sets the running count of a named event.
+func (m *Metrics) Event(name string, total int64) {
+	m.scope.Tagged(map[string]string{"event": name}).Gauge(Events).Update(float64(total))
+}
--- /dev/null
+++ b/internal/node/parts.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/config"
+	"github.com/yarrowmast/yarrowmast/internal/front"
+	"github.com/yarrowmast/yarrowmast/internal/metrics"
+	"github.com/yarrowmast/yarrowmast/internal/tlsconf"
+)
+
+type listeners struct{ callers, peers, admin net.Listener }
+
+func listenAll(l config.Listen) (*listeners, error) {
+	ls := &listeners{}
+	for _, x := range []struct {
+		what, address string
+		ln            *net.Listener
+	}{{"callers", l.Callers, &ls.callers}, {"peers", l.Peers, &ls.peers}, {"admin", l.Admin, &ls.admin}} {
+		ln, err := net.Listen("tcp", x.address)
+		if err != nil {
+			return nil, errors.Join(fmt.Errorf("listen for %s: %w", x.what, err), ls.close())
+		}
+		*x.ln = ln
+	}
+	return ls, nil
+}
+
+func (ls *listeners) close() error {
+	var errs []error
+	for _, ln := range []net.Listener{ls.callers, ls.peers, ls.admin} {
+		if ln != nil {
+			errs = append(errs, ln.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
+
+type tlsAll struct{ callers, peers, admin *tls.Config }
+
+func loadTLS(s config.TLSAll) (t tlsAll, err error) {
+	if t.callers, err = tlsconf.New(s.Callers); err != nil {
+		return t, fmt.Errorf("tls for callers: %w", err)
+	}
+	if t.peers, err = tlsconf.New(s.Peers); err != nil {
+		return t, fmt.Errorf("tls for peers: %w", err)
+	}
+	if t.admin, err = tlsconf.New(s.Admin); err != nil {
+		return t, fmt.Errorf("tls for admin: %w", err)
+	}
+	return t, nil
+}
+
+// observers tells several of an outcome; nil ones are passed over.
+type observers []front.Observer
+
+// Answered implements front.Observer.
+func (os observers) Answered(o front.Outcome) {
+	for _, ob := range os {
+		if ob != nil {
+			ob.Answered(o)
+		}
+	}
+}
+
+// gaugeEvery is the interval at which gauges are renewed.
+const gaugeEvery = time.Second
+
+// gauge is the task that copies counts into metrics.
+func (n *Node) gauge(ctx context.Context) {
+	tick := time.NewTicker(gaugeEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			n.gaugeOnce()
+		}
+	}
+}
+
+func (n *Node) gaugeOnce() {
+	s := n.Router.Status()
+	p := n.Peers.Counters()
+	for name, v := range map[string]int64{
+		metrics.Open:          n.Front.Open(),
+		metrics.Leases:        int64(s.Leases),
+		metrics.IdleLeases:    int64(s.IdleLeases),
+		metrics.Members:       int64(len(s.Members) + 1),
+		metrics.PeerBytesOut:  p.BytesOut.Load(),
+		metrics.PeerBytesIn:   p.BytesIn.Load(),
+		metrics.PeerMsgsOut:   p.MessagesOut.Load(),
+		metrics.PeerMsgsIn:    p.MessagesIn.Load(),
+		metrics.PeerDropped:   p.Dropped.Load(),
+		metrics.PlatformCalls: n.Platform.Calls(),
+	} {
+		n.metrics.Gauge(name, float64(v))
+	}
+	for name, total := range s.Counts {
+		n.metrics.Event(name, total)
+	}
+}
--- /dev/null
+++ b/internal/peer/net.go
@@ -0,0 +1,191 @@
+// Package peer carries messages between routers: one TCP connection each way
+// for a pair, each owned by one task. A message is delivered at most once and
+// in order per connection; a loss is reported, never hidden.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// Bounds of a connection between routers.
+const (
+	// MaxFrame is the largest payload accepted, in bytes: a whole table at
+	// the target size with room to grow.
+	MaxFrame = 4 << 20
+	// outboxSize is how many messages may wait for one peer.
+	outboxSize = 4096
+	// batchSize is how many messages go into one frame at most.
+	batchSize    = 256
+	dialTimeout  = time.Second
+	writeTimeout = 3 * time.Second
+	// redialAfter is the pause after a failed dial.
+	redialAfter = 100 * time.Millisecond
+	// maxInbound bounds the connections accepted at once.
+	maxInbound = 2048
+)
+
+// Inbound is a message of another router.
+type Inbound struct {
+	From string
+	Zone string
+	Inc  uint64
+	Msg  any
+}
+
+// Lost reports that messages to a peer were dropped. Refused says that its
+// address refused the connection, so that no process listens there.
+type Lost struct {
+	Peer    string
+	Refused bool
+}
+
+// Dialer opens a connection; net.Dialer is one.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Counters count what a router exchanged with its peers.
+type Counters struct {
+	MessagesOut atomic.Int64
+	MessagesIn  atomic.Int64
+	BytesOut    atomic.Int64
+	BytesIn     atomic.Int64
+	Dropped     atomic.Int64
+	// CodecNanos is the time spent on encoding and decoding.
+	CodecNanos atomic.Int64
+}
+
+// Net is a router's end of all connections to its peers.
+type Net struct {
+	hello  wire.Hello
+	opt    options
+	ln     net.Listener
+	inbox  chan Inbound
+	lost   chan Lost
+	count  *Counters
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	mu    sync.Mutex
+	addrs map[string]string
+	out   map[string]*outbox
+}
+
+type options struct {
+	dialer Dialer
+	tls    *tls.Config
+	log    *slog.Logger
+}
+
+// Option changes a new Net.
+type Option func(*options)
+
+// WithDialer replaces the plain TCP dialer.
+func WithDialer(d Dialer) Option { return func(o *options) { o.dialer = d } }
+
+// WithTLS makes connections mutual TLS by the configuration, which holds both
+// the own certificate and the authority of the peers'.
+func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
+
+// WithLogger sets where events are logged.
+func WithLogger(l *slog.Logger) Option { return func(o *options) { o.log = l } }
+
+// New starts to accept connections on ln, which it closes at the end.
+func New(name, zone string, inc uint64, ln net.Listener, opts ...Option) *Net {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Net{
+		hello:  wire.Hello{Protocol: wire.Protocol, Oldest: wire.OldestProtocol, Name: name, Zone: zone, Inc: inc},
+		opt:    options{dialer: &net.Dialer{Timeout: dialTimeout}, log: slog.Default()},
+		ln:     ln,
+		inbox:  make(chan Inbound, outboxSize),
+		lost:   make(chan Lost, outboxSize),
+		count:  &Counters{},
+		ctx:    ctx,
+		cancel: cancel,
+		addrs:  map[string]string{},
+		out:    map[string]*outbox{},
+	}
+	for _, f := range opts {
+		f(&n.opt)
+	}
+	if n.opt.tls != nil {
+		n.ln = tls.NewListener(ln, n.opt.tls)
+	}
+	n.tasks.Add(1)
+	go n.accept()
+	return n
+}
+
+// Inbox is where messages of peers come in.
+func (n *Net) Inbox() <-chan Inbound { return n.inbox }
+
+// Losses is where losses are reported.
+func (n *Net) Losses() <-chan Lost { return n.lost }
+
+// Counters returns the counters, which go on counting.
+func (n *Net) Counters() *Counters { return n.count }
+
+// SetAddresses replaces the addresses of the peers by name.
+func (n *Net) SetAddresses(addrs map[string]string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.addrs = addrs
+}
+
+func (n *Net) address(name string) (string, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a, ok := n.addrs[name]
+	return a, ok
+}
+
+// Send puts a message into the peer's outbox and does not wait. It must not
+// be called after Close.
+func (n *Net) Send(to string, msg any) {
+	n.mu.Lock()
+	o, ok := n.out[to]
+	if !ok {
+		o = &outbox{net: n, to: to, queue: make(chan any, outboxSize)}
+		n.out[to] = o
+		n.tasks.Add(1)
+		go o.run()
+	}
+	n.mu.Unlock()
+	select {
+	case o.queue <- msg:
+	default:
+		n.count.Dropped.Add(1)
+		n.reportLost(to, nil)
+	}
+}
+
+func (n *Net) reportLost(peer string, err error) {
+	l := Lost{Peer: peer, Refused: errors.Is(err, syscall.ECONNREFUSED)}
+	select {
+	case n.lost <- l:
+	default:
+	}
+}
+
+// Close ends all connections and tasks.
+func (n *Net) Close() error {
+	n.cancel()
+	err := n.ln.Close()
+	n.tasks.Wait()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("peer: close listener: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/outbox.go
@@ -0,0 +1,148 @@
+package peer
+
+import (
+	"bytes"
+	"crypto/tls"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// outbox is the task that owns the connection to one peer.
+type outbox struct {
+	net   *Net
+	to    string
+	queue chan any
+	conn  net.Conn
+	// failedAt is when the last dial failed; the zero time if it did not.
+	failedAt time.Time
+	buf      bytes.Buffer
+}
+
+func (o *outbox) run() {
+	defer o.net.tasks.Done()
+	defer o.drop()
+	for {
+		select {
+		case <-o.net.ctx.Done():
+			return
+		case msg := <-o.queue:
+			o.deliver(msg)
+		}
+	}
+}
+
+// deliver writes the message and all that wait behind it as one frame.
+func (o *outbox) deliver(first any) {
+	o.buf.Reset()
+	o.buf.Write(make([]byte, headerSize))
+	count := o.fill(first)
+	if err := o.connect(); err != nil {
+		o.lose(count, err)
+		return
+	}
+	if err := o.write(); err != nil {
+		o.lose(count, err)
+		o.drop()
+		return
+	}
+	o.net.count.MessagesOut.Add(int64(count))
+	o.net.count.BytesOut.Add(int64(o.buf.Len()))
+}
+
+func (o *outbox) fill(first any) int {
+	count := 0
+	for msg := first; ; {
+		begun := time.Now()
+		if err := wire.Append(&o.buf, msg); err != nil {
+			o.net.opt.log.Error("peer_encode_failed", "peer", o.to, "error", err)
+		}
+		o.net.count.CodecNanos.Add(int64(time.Since(begun)))
+		count++
+		if count >= batchSize || o.buf.Len() > MaxFrame/2 {
+			return count
+		}
+		select {
+		case msg = <-o.queue:
+		default:
+			return count
+		}
+	}
+}
+
+func (o *outbox) lose(count int, err error) {
+	o.net.count.Dropped.Add(int64(count))
+	o.net.reportLost(o.to, err)
+}
+
+func (o *outbox) write() error {
+	frame := o.buf.Bytes()
+	size := len(frame) - headerSize
+	if size > MaxFrame {
+		return fmt.Errorf("peer: frame of %d bytes is over %d", size, MaxFrame)
+	}
+	binary.BigEndian.PutUint32(frame, uint32(size))
+	if err := o.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return fmt.Errorf("peer: set deadline: %w", err)
+	}
+	if _, err := o.conn.Write(frame); err != nil {
+		return fmt.Errorf("peer: write frame: %w", err)
+	}
+	return nil
+}
+
+// connect dials unless there is a connection, but not again soon after a
+// failure: what is sent meanwhile is lost, which the sender is told.
+func (o *outbox) connect() error {
+	if o.conn != nil {
+		return nil
+	}
+	if time.Since(o.failedAt) < redialAfter {
+		return errDialFailed
+	}
+	conn, err := o.dial()
+	if err != nil {
+		o.failedAt = time.Now()
+		return err
+	}
+	o.conn = conn
+	go o.watch(conn)
+	return nil
+}
+
+func (o *outbox) dial() (net.Conn, error) {
+	addr, ok := o.net.address(o.to)
+	if !ok {
+		return nil, errNoAddress
+	}
+	conn, err := o.net.opt.dialer.DialContext(o.net.ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("peer: dial %s: %w", o.to, err)
+	}
+	if c := o.net.opt.tls; c != nil {
+		conn = tls.Client(conn, clientConfig(c, o.to))
+	}
+	if err := writeHello(conn, o.net.hello); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// watch closes the connection when the other side does, so that its end is
+// known before the next write.
+func (o *outbox) watch(conn net.Conn) {
+	var one [1]byte
+	_, _ = conn.Read(one[:])
+	_ = conn.Close()
+}
+
+func (o *outbox) drop() {
+	if o.conn != nil {
+		_ = o.conn.Close()
+		o.conn = nil
+	}
+}
--- /dev/null
+++ b/internal/router/acquire.go
@@ -0,0 +1,182 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/front"
+	"github.com/yarrowmast/yarrowmast/pkg/hold"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/verdict"
+)
+
+// Refusals at admission. None of them has run.
+var (
+	errQueueFull = verdict.New(verdict.PhaseAdmit, http.StatusTooManyRequests, "queue-full",
+		"too many requests of this client account wait here; come back later")
+	errStopping = verdict.New(verdict.PhaseAdmit, http.StatusServiceUnavailable, "draining",
+		"this entry instance is stopping; send the request again")
+	errGone = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "stopped",
+		"this entry instance stopped while the request waited")
+	errNoAccount = verdict.New(verdict.PhaseAdmit, http.StatusForbidden, "wrong-key",
+		"the client account is no longer in the table")
+)
+
+// acquired is the core's answer to a request for a slot.
+type acquired struct {
+	grant front.Grant
+	err   *verdict.Error
+}
+
+// Table implements front.Scheduler.
+func (r *Router) Table() *table.Table { return r.snapshot.table.Load() }
+
+// Acquire implements front.Scheduler.
+func (r *Router) Acquire(ctx context.Context, req front.Request) (front.Grant, error) {
+	answer := make(chan acquired, 1)
+	ask := &acquire{req: req, deadline: r.deadline(req.Deadline), answer: answer}
+	if !r.post(ask) {
+		return front.Grant{}, errGone
+	}
+	select {
+	case a := <-answer:
+		return a.result()
+	case <-r.ctx.Done():
+		return front.Grant{}, errGone
+	case <-ctx.Done():
+	}
+	r.post(cancel{ask})
+	select {
+	case a := <-answer:
+		if a.err == nil {
+			r.Release(a.grant, front.Usage{})
+		}
+	case <-r.ctx.Done():
+	}
+	return front.Grant{}, ctx.Err()
+}
+
+func (a acquired) result() (front.Grant, error) {
+	if a.err != nil {
+		return front.Grant{}, a.err
+	}
+	return a.grant, nil
+}
+
+// deadline returns a wall time on the router's clock.
+func (r *Router) deadline(t time.Time) time.Duration {
+	return r.now() + time.Until(t)
+}
+
+// Release implements front.Scheduler.
+func (r *Router) Release(g front.Grant, u front.Usage) {
+	r.post(release{id: g.ID, usage: u})
+}
+
+// MayRetry implements front.Scheduler.
+func (r *Router) MayRetry() bool {
+	answer := make(chan bool, 1)
+	if !r.post(spendRetry{answer}) {
+		return false
+	}
+	select {
+	case ok := <-answer:
+		return ok
+	case <-r.ctx.Done():
+		return false
+	}
+}
+
+type spendRetry struct{ answer chan<- bool }
+
+func (e spendRetry) apply(c *core) { e.answer <- c.budget.Spend() }
+
+type acquire struct {
+	req      front.Request
+	deadline time.Duration
+	answer   chan<- acquired
+	id       uint64
+}
+
+func (e *acquire) apply(c *core) {
+	if err := c.admit(e); err != nil {
+		e.answer <- acquired{err: err}
+		return
+	}
+	if e.req.Attempt == 0 {
+		c.budget.Earn()
+	}
+	c.nextID++
+	e.id = c.nextID
+	c.waiting[e.id] = e.answer
+	c.runHolder(hold.Arrive{
+		ID: e.id, Account: e.req.Account, Model: e.req.Model, Priority: e.req.Priority,
+		Deadline: e.deadline, Waited: e.req.Waited,
+	})
+}
+
+// retryAfter is when a caller whose account has too much waiting may return.
+const retryAfter = 2 * time.Second
+
+func (c *core) admit(e *acquire) *verdict.Error {
+	if c.draining {
+		return errStopping.After(time.Second)
+	}
+	a, ok := c.table.Account(e.req.Account)
+	if !ok {
+		return errNoAccount
+	}
+	if c.holder.Queued(a.Name) >= a.Limits.Queued {
+		return errQueueFull.After(retryAfter)
+	}
+	return nil
+}
+
+type cancel struct{ ask *acquire }
+
+func (e cancel) apply(c *core) {
+	if _, waits := c.waiting[e.ask.id]; !waits || e.ask.id == 0 {
+		return
+	}
+	c.runHolder(hold.Cancel{ID: e.ask.id})
+	c.reply(e.ask.id, acquired{err: errGone})
+}
+
+// reply answers a waiting request once.
+func (c *core) reply(id uint64, a acquired) {
+	answer, ok := c.waiting[id]
+	if !ok {
+		return
+	}
+	delete(c.waiting, id)
+	answer <- a
+}
+
+// begin lets a request run.
+func (c *core) begin(s hold.Start) {
+	b, ok := c.table.Backend(s.Lease.Backend)
+	if !ok {
+		b = table.Backend{Name: s.Lease.Backend}
+	}
+	served := &atomic.Int64{}
+	c.served[s.ID] = served
+	c.reply(s.ID, acquired{grant: front.Grant{
+		ID: s.ID, Backend: b.Name, Address: b.Address, Served: served, Waited: s.Waited,
+		MayStart: func() bool { return c.r.now() < s.Expires },
+	}})
+}
+
+type release struct {
+	id    uint64
+	usage front.Usage
+}
+
+func (e release) apply(c *core) {
+	delete(c.served, e.id)
+	c.runHolder(hold.Finished{ID: e.id, Tokens: e.usage.Tokens, Sent: e.usage.Sent, Failed: e.usage.Failed})
+}
+
+// Claim implements front.Scheduler.
+func (r *Router) Claim(context.Context, front.Claim) error { return nil }
--- /dev/null
+++ b/internal/router/drain.go
@@ -0,0 +1,19 @@
+package router
+
+import (
+	"github.com/yarrowmast/yarrowmast/pkg/hold"
+	"github.com/yarrowmast/yarrowmast/pkg/member"
+)
+
+type drain struct{ done chan<- struct{} }
+
+func (e drain) apply(c *core) {
+	defer close(e.done)
+	if c.draining {
+		return
+	}
+	c.draining = true
+	c.r.opt.log.Info("router_draining")
+	c.runHolder(hold.Drain{})
+	c.sendAll(c.members.Step(c.now, member.Leave{}))
+}
--- /dev/null
+++ b/internal/router/feed.go
@@ -0,0 +1,186 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/yarrowmast/yarrowmast/internal/platform"
+	"github.com/yarrowmast/yarrowmast/pkg/pool"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/tablesync"
+)
+
+// TableName is the platform's name of the table's value.
+const TableName = "table"
+
+// notReaderPause is how often a router that reads nothing looks whether it
+// has become a reader.
+const notReaderPause = 100 * time.Millisecond
+
+// newBackoff spreads the retries of all routers after an outage.
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 200 * time.Millisecond
+	b.MaxInterval = 5 * time.Second
+	b.RandomizationFactor = 0.5
+	return b
+}
+
+// pause waits; it reports false if the router ends meanwhile.
+func (r *Router) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
+}
+
+// watchInstances is the task that follows the platform's list.
+func (r *Router) watchInstances() {
+	wait := newBackoff()
+	after := uint64(0)
+	for r.ctx.Err() == nil {
+		list, ok, err := r.platform.WatchInstances(r.ctx, after)
+		if err != nil {
+			r.count("platform_errors")
+			if !r.pause(wait.NextBackOff()) {
+				return
+			}
+			continue
+		}
+		wait.Reset()
+		if !ok {
+			continue
+		}
+		if list.Revision > after {
+			after = list.Revision
+			r.post(instances{list})
+		} else if !r.pause(wait.NextBackOff()) {
+			return
+		}
+	}
+}
+
+type instances struct{ platform.Instances }
+
+func (e instances) apply(c *core) {
+	c.listRev = e.Revision
+	c.instances = e.Instances.Instances
+	c.instancesChanged()
+}
+
+// watchTable is the task that reads the table while this router is a reader.
+func (r *Router) watchTable() {
+	wait := newBackoff()
+	after := uint64(0)
+	for r.ctx.Err() == nil {
+		if !r.snapshot.reader.Load() {
+			if !r.pause(notReaderPause + rand.N(notReaderPause)) {
+				return
+			}
+			continue
+		}
+		v, ok, err := r.platform.Watch(r.ctx, TableName, after)
+		if err != nil {
+			r.count("platform_errors")
+			if !r.pause(wait.NextBackOff()) {
+				return
+			}
+			continue
+		}
+		wait.Reset()
+		if !ok {
+			continue
+		}
+		if v.Revision > after {
+			after = v.Revision
+			r.post(readTable(v))
+		} else if !r.pause(wait.NextBackOff()) {
+			return
+		}
+	}
+}
+
+func readTable(v platform.Value) tableRead {
+	t, err := table.Parse(TableName, v.Data)
+	return tableRead{tablesync.Platform{Revision: v.Revision, Table: t, Err: err}}
+}
+
+type tableRead struct{ tablesync.Platform }
+
+func (e tableRead) apply(c *core) { c.runSync(e.Platform) }
+
+// loadFeed is the task that reads one backend server's load.
+type loadFeed struct{ cancel context.CancelFunc }
+
+// feedLoads starts and ends load readers so that there is one for each
+// backend server of the owned pools.
+func (c *core) feedLoads() {
+	wanted := map[string]bool{}
+	for p := range c.owners {
+		for _, b := range c.pools[p] {
+			wanted[b.Name] = true
+			if _, ok := c.feeds[b.Name]; !ok {
+				c.feeds[b.Name] = c.r.feedLoad(b)
+			}
+		}
+	}
+	for name, f := range c.feeds {
+		if !wanted[name] {
+			f.cancel()
+			delete(c.feeds, name)
+		}
+	}
+}
+
+func (r *Router) feedLoad(b table.Backend) *loadFeed {
+	ctx, cancel := context.WithCancel(r.ctx)
+	r.tasks.Add(1)
+	go func() {
+		defer r.tasks.Done()
+		r.readLoads(ctx, b)
+	}()
+	return &loadFeed{cancel: cancel}
+}
+
+func (r *Router) readLoads(ctx context.Context, b table.Backend) {
+	for ctx.Err() == nil {
+		n, err := r.loads.Load(ctx, b)
+		if ctx.Err() != nil {
+			return
+		}
+		r.post(loadRead{backend: b.Name, inFlight: n, err: err})
+		if !r.pause(r.opt.loadEvery) {
+			return
+		}
+	}
+}
+
+type loadRead struct {
+	backend  string
+	inFlight int
+	err      error
+}
+
+func (e loadRead) apply(c *core) {
+	for p, o := range c.owners {
+		for _, b := range c.pools[p] {
+			if b.Name == e.backend {
+				c.runOwner(o, e.event())
+			}
+		}
+	}
+}
+
+func (e loadRead) event() pool.Event {
+	if e.err != nil {
+		return pool.Unreachable{Backend: e.backend}
+	}
+	return pool.Load{Backend: e.backend, InFlight: e.inFlight}
+}
--- /dev/null
+++ b/internal/router/receive.go
@@ -0,0 +1,103 @@
+package router
+
+import (
+	"github.com/yarrowmast/yarrowmast/pkg/hold"
+	"github.com/yarrowmast/yarrowmast/pkg/member"
+	"github.com/yarrowmast/yarrowmast/pkg/pool"
+	"github.com/yarrowmast/yarrowmast/pkg/tablesync"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// receive hands one message to the core that it is for.
+func (c *core) receive(from string, inc uint64, msg any) {
+	switch m := msg.(type) {
+	case *wire.Probe:
+		c.sendAll(c.members.Step(c.now, member.Probe{From: from, Msg: m}))
+		c.runSync(tablesync.Revision{From: from, Revision: m.Table})
+	case *wire.Ack:
+		c.sendAll(c.members.Step(c.now, member.Ack{From: from, Msg: m}))
+		c.runSync(tablesync.Revision{From: from, Revision: m.Table})
+	case *wire.TableAsk:
+		c.runSync(tablesync.Asked{From: from, Msg: m})
+	case *wire.TableWhole:
+		c.runSync(tablesync.Whole{From: from, Msg: m})
+	case *wire.TableDelta:
+		c.runSync(tablesync.Delta{From: from, Msg: m})
+	case *wire.Demand:
+		c.toOwner(from, m.Pool, pool.Demand{From: from, Msg: m}, true)
+	case *wire.Return:
+		c.toOwner(from, m.Pool, pool.Return{From: from, Msg: m}, false)
+	case *wire.Report:
+		c.toOwner(from, m.Pool, pool.Report{From: from, Msg: m}, false)
+	case *wire.Share:
+		c.receiveShare(from, inc, m)
+	case *wire.Grant:
+		c.receiveGrant(from, m)
+	case *wire.Renew:
+		c.runHolder(hold.Renewed{From: from, Msg: m})
+	case *wire.Recall:
+		c.runHolder(hold.Recalled{From: from, Msg: m})
+	case *wire.NotOwner:
+		c.receiveNotOwner(from, m)
+	}
+}
+
+// toOwner gives an event to the owner of a pool, if this router is it. Who
+// asks a router that is not the owner is told who is.
+func (c *core) toOwner(from string, p wire.Pool, ev pool.Event, tell bool) {
+	if o, ok := c.owners[p]; ok {
+		c.runOwner(o, ev)
+		return
+	}
+	if tell && p.Zone == c.r.id.Zone && from != c.r.id.Name {
+		c.send(from, &wire.NotOwner{Pool: p, Owner: c.ownerOf(p).Owner})
+	}
+}
+
+func (c *core) receiveShare(from string, inc uint64, m *wire.Share) {
+	c.runSync(tablesync.Revision{From: from, Revision: m.Table})
+	c.nameOwner(m.From, from, inc)
+	c.toOwner(from, m.To, pool.Share{From: from, Msg: m}, true)
+}
+
+func (c *core) receiveGrant(from string, m *wire.Grant) {
+	if !m.Lent {
+		c.runHolder(hold.Granted{From: from, Msg: m})
+		return
+	}
+	if o, ok := c.owners[m.For]; ok {
+		c.runOwner(o, pool.Lent{From: from, Msg: m})
+		return
+	}
+	for i := range m.Leases {
+		l := &m.Leases[i]
+		use := wire.Use{Inc: l.Inc, ID: l.ID, Backend: l.Backend}
+		c.send(l.Owner, &wire.Return{Pool: l.Pool, Unused: []wire.Use{use}})
+	}
+}
+
+// receiveNotOwner turns to the owner that a router of the pool's own zone
+// names.
+func (c *core) receiveNotOwner(from string, m *wire.NotOwner) {
+	if m.Pool.Zone == c.r.id.Zone || m.Owner == "" {
+		return
+	}
+	if c.ownerOf(m.Pool).Owner == from {
+		c.nameOwner(m.Pool, m.Owner, 0)
+	}
+}
+
+// nameOwner notes who a peer says owns a pool of another zone.
+func (c *core) nameOwner(p wire.Pool, owner string, inc uint64) {
+	if p.Zone == c.r.id.Zone {
+		return
+	}
+	old := c.named[p]
+	if old.owner == owner && inc == 0 {
+		inc = old.inc
+	}
+	c.named[p] = naming{owner: owner, inc: inc, at: c.now}
+	if old.owner != owner || old.inc != inc {
+		c.reown()
+	}
+}
--- /dev/null
+++ b/internal/router/status.go
@@ -0,0 +1,143 @@
+package router
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/member"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+)
+
+// statusEvery is the interval at which the status for operators is renewed.
+const statusEvery = 250 * time.Millisecond
+
+// snapshot is what other tasks may read of the core.
+type snapshot struct {
+	table  atomic.Pointer[table.Table]
+	reader atomic.Bool
+	status atomic.Pointer[Status]
+
+	mu     sync.Mutex
+	counts map[string]int64
+}
+
+// Status is one router's state, for operators.
+type Status struct {
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	Incarnation uint64 `json:"incarnation"`
+	// Table is the revision in force, 0 before there is one.
+	Table uint64 `json:"table"`
+	// RefusedTable is the newest refused edit, 0 if none; Refusal says why.
+	RefusedTable uint64 `json:"refused_table,omitempty"`
+	Refusal      string `json:"refusal,omitempty"`
+	Reader       bool   `json:"table_reader"`
+	Draining     bool   `json:"draining"`
+	// Members is the zone as this router sees it.
+	Members []member.Status `json:"members"`
+	// Pools lists the owned pools.
+	Pools []string `json:"pools"`
+	// Waiting counts waiting requests by model and account.
+	Waiting map[string]map[string]int `json:"waiting"`
+	// Running counts running requests by backend server.
+	Running map[string]int `json:"running"`
+	// Leases and IdleLeases count what is held.
+	Leases     int `json:"leases"`
+	IdleLeases int `json:"idle_leases"`
+	// Counts are the router's counters by name.
+	Counts map[string]int64 `json:"counts"`
+}
+
+func (r *Router) count(name string) {
+	r.snapshot.mu.Lock()
+	defer r.snapshot.mu.Unlock()
+	if r.snapshot.counts == nil {
+		r.snapshot.counts = map[string]int64{}
+	}
+	r.snapshot.counts[name]++
+}
+
+func (r *Router) counts() map[string]int64 {
+	r.snapshot.mu.Lock()
+	defer r.snapshot.mu.Unlock()
+	all := make(map[string]int64, len(r.snapshot.counts))
+	for k, v := range r.snapshot.counts {
+		all[k] = v
+	}
+	return all
+}
+
+// Status returns the state as it was a moment ago.
+func (r *Router) Status() Status {
+	if s := r.snapshot.status.Load(); s != nil {
+		return *s
+	}
+	return Status{Name: r.id.Name, Zone: r.id.Zone, Incarnation: r.id.Inc}
+}
+
+func (c *core) snapshotIfDue() {
+	if c.now-c.snapped < statusEvery {
+		return
+	}
+	c.snapped = c.now
+	s := &Status{
+		Name: c.r.id.Name, Zone: c.r.id.Zone, Incarnation: c.r.id.Inc,
+		Table: c.sync.Revision(), Reader: c.sync.Reader(), Draining: c.draining,
+		Members: c.members.All(), Waiting: c.holder.Waiting(), Running: c.holder.Running(), Counts: c.r.counts(),
+	}
+	if bad := c.sync.LastRefused(); bad != nil {
+		s.RefusedTable = bad.Revision
+		s.Refusal = bad.Err.Error()
+	}
+	s.Leases, s.IdleLeases = c.holder.Leases()
+	for p := range c.owners {
+		s.Pools = append(s.Pools, p.String())
+	}
+	c.r.snapshot.status.Store(s)
+}
+
+// Drain makes the router leave: it owns nothing more, hands its leases back
+// and refuses what waits. What runs goes on.
+func (r *Router) Drain() {
+	done := make(chan struct{})
+	if !r.post(drain{done}) {
+		return
+	}
+	select {
+	case <-done:
+	case <-r.ctx.Done():
+	}
+}
+
+// AllWaiting returns how many requests wait.
+func (s *Status) AllWaiting() int {
+	n := 0
+	for _, accounts := range s.Waiting {
+		for _, k := range accounts {
+			n += k
+		}
+	}
+	return n
+}
+
+// AllRunning returns how many requests run.
+func (s *Status) AllRunning() int {
+	n := 0
+	for _, k := range s.Running {
+		n += k
+	}
+	return n
+}
+
+// State says in a word whether the router serves.
+func (s *Status) State() string {
+	switch {
+	case s.Draining:
+		return "stopping"
+	case s.Table == 0:
+		return "starting"
+	default:
+		return "serving"
+	}
+}
--- /dev/null
+++ b/pkg/hold/lease.go
@@ -0,0 +1,230 @@
+package hold
+
+import (
+	"sort"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/chart"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+func (e Granted) apply(h *Holder) {
+	m := h.model(e.Msg.For.Model)
+	if e.From == m.home.Owner && e.Msg.For == m.home.Pool {
+		m.seen = max(m.seen, e.Msg.Seq)
+	}
+	for i := range e.Msg.Leases {
+		h.take(m, e.Msg.Leases[i], e.Msg.Stamp)
+	}
+}
+
+// take uses a lease at once, keeps it if it is a standing one, or hands it
+// back if there is nothing it could run.
+func (h *Holder) take(m *model, l wire.Lease, stamp wire.Stamp) {
+	if _, twice := h.leases[l.Key()]; twice {
+		return
+	}
+	ttl := time.Duration(l.TTLMillis) * time.Millisecond
+	x := &held{Lease: l, state: chart.Granted, expires: stamp.At() + ttl, standing: l.Account == "", owner: l.Owner}
+	h.leases[l.Key()] = x
+	h.pool(l.Pool).held[l.Key()] = x
+	r := h.nextFor(m, x)
+	switch {
+	case r != nil:
+		h.start(r, x)
+	case x.standing && !h.draining && !h.closed[l.Backend] && h.now < x.expires:
+		m.idle = append(m.idle, x)
+	default:
+		x.move(chart.Return)
+		h.giveBack(x, h.use(x, "", 0), false)
+	}
+}
+
+// nextFor takes the request that the lease is for out of its queue.
+func (h *Holder) nextFor(m *model, l *held) *request {
+	if h.closed[l.Backend] || h.now+startMargin >= l.expires {
+		return nil
+	}
+	account := l.Account
+	if l.standing {
+		account = m.oldest()
+	}
+	q, ok := m.queues[account]
+	if !ok || len(*q) == 0 {
+		return nil
+	}
+	r := q.next()
+	h.dequeued(r)
+	if !l.standing {
+		m.note(account, max(0, m.told[account]-1))
+	}
+	return r
+}
+
+// oldest returns the account whose next request has waited longest.
+func (m *model) oldest() string {
+	best := ""
+	for _, name := range sortedKeys(m.queues) {
+		q := *m.queues[name]
+		if len(q) > 0 && (best == "" || q[0].turn < (*m.queues[best])[0].turn) {
+			best = name
+		}
+	}
+	return best
+}
+
+func (e Renewed) apply(h *Holder) {
+	p := h.pool(e.Msg.Pool)
+	for _, l := range p.held {
+		if l.standing && l.owner == e.From {
+			ttl := time.Duration(l.TTLMillis) * time.Millisecond
+			l.expires = max(l.expires, e.Msg.Stamp.At()+ttl)
+		}
+	}
+}
+
+func (e Recalled) apply(h *Holder) {
+	p := h.pool(e.Msg.Pool)
+	m := h.model(e.Msg.Pool.Model)
+	for _, l := range p.held {
+		if l.standing && l.owner == e.From {
+			l.recalled = true
+		}
+	}
+	h.returnIdle(m, func(l *held) bool { return l.recalled }, chart.Recall)
+}
+
+// returnIdle hands back the idle standing leases that match, in one message
+// for each owner and pool.
+func (h *Holder) returnIdle(m *model, match func(*held) bool, on chart.Event) {
+	type to struct {
+		owner string
+		pool  wire.Pool
+	}
+	returns := map[to]*wire.Return{}
+	var order []to
+	kept := m.idle[:0]
+	for _, l := range m.idle {
+		if !match(l) || !l.move(on) {
+			kept = append(kept, l)
+			continue
+		}
+		k := to{l.owner, l.Pool}
+		if returns[k] == nil {
+			p := h.pool(l.Pool)
+			returns[k] = &wire.Return{Pool: l.Pool, Ended: p.ended}
+			p.ended = nil
+			order = append(order, k)
+		}
+		returns[k].Unused = append(returns[k].Unused, h.use(l, "", 0))
+		h.forget(l)
+	}
+	m.idle = kept
+	for _, k := range order {
+		h.send(k.owner, returns[k])
+	}
+}
+
+func (e Closed) apply(h *Holder) {
+	h.closed = e.Backends
+	for _, name := range sortedKeys(h.models) {
+		h.returnIdle(h.models[name], func(l *held) bool { return h.closed[l.Backend] }, chart.Return)
+	}
+}
+
+func (e Homes) apply(h *Holder) {
+	for name, home := range e.Of {
+		h.moveHome(h.model(name), home)
+	}
+	for name, m := range h.models {
+		if _, ok := e.Of[name]; !ok {
+			m.home = Home{}
+		}
+	}
+}
+
+// moveHome turns to another owner: idle leases of the former one go back to
+// it, and the new one is told all that waits.
+func (h *Holder) moveHome(m *model, home Home) {
+	if m.home == home {
+		return
+	}
+	m.home = home
+	m.seen = 0
+	m.seq = 0
+	m.needAll = true
+	h.tellNow(m)
+}
+
+func (e Lenders) apply(h *Holder) {
+	old := h.lenders
+	h.lenders = e.Of
+	for _, p := range h.pools() {
+		now, known := e.Of[p]
+		if known && now != old[p] && now.Owner != "" {
+			h.moveLeases(p, old[p], now)
+		}
+	}
+}
+
+// moveLeases gives the leases of a pool a new owner. Idle ones end, so that
+// nothing starts on the word of two owners; running ones are reported for
+// the new owner to count.
+func (h *Holder) moveLeases(p wire.Pool, from, to Home) {
+	if from.Owner == "" {
+		return
+	}
+	h.returnIdle(h.model(p.Model), func(l *held) bool { return l.Pool == p }, chart.Return)
+	x := h.pool(p)
+	report := &wire.Report{Pool: p, Adopt: true, Stamp: wire.StampOf(h.now)}
+	for _, l := range x.sorted() {
+		l.owner = to.Owner
+		l.standing = false
+		report.Held = append(report.Held, h.use(l, l.request.Account, l.tokens))
+	}
+	h.send(to.Owner, report)
+}
+
+func (h *Holder) pools() []wire.Pool {
+	pools := make([]wire.Pool, 0, len(h.byPool))
+	for p := range h.byPool {
+		pools = append(pools, p)
+	}
+	sort.Slice(pools, func(i, j int) bool { return pools[i].String() < pools[j].String() })
+	return pools
+}
+
+func (x *lent) sorted() []*held {
+	all := make([]*held, 0, len(x.held))
+	for _, l := range x.held {
+		all = append(all, l)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].Inc != all[j].Inc {
+			return all[i].Inc < all[j].Inc
+		}
+		return all[i].ID < all[j].ID
+	})
+	return all
+}
+
+// Drain stops keeping leases, because the router is about to stop. Waiting
+// requests are refused as not run.
+type Drain struct{}
+
+func (Drain) apply(h *Holder) {
+	h.draining = true
+	for _, name := range sortedKeys(h.models) {
+		m := h.models[name]
+		h.returnIdle(m, func(*held) bool { return true }, chart.Return)
+		for _, account := range sortedKeys(m.queues) {
+			q := m.queues[account]
+			for len(*q) > 0 {
+				r := q.next()
+				h.dequeued(r)
+				h.refuse(r, errGivenUp.After(time.Second))
+			}
+		}
+		h.tellNow(m)
+	}
+}
--- /dev/null
+++ b/pkg/hold/options.go
@@ -0,0 +1,34 @@
+package hold
+
+import "time"
+
+// DefaultReportEvery is the interval at which owners hear of held leases. It
+// is a third of pool.DefaultTTL, so that one lost report expires nothing.
+const DefaultReportEvery = 500 * time.Millisecond
+
+// fullRounds: one regular demand in so many is full, so that an owner that
+// missed a change learns of it.
+const fullRounds = 4
+
+// soonCount: a change of an account's count is told at once while the owner
+// believes it below this, and with the next report above it.
+const soonCount = 4
+
+// startMargin is how long before its expiry a lease starts nothing more.
+const startMargin = 20 * time.Millisecond
+
+type options struct {
+	reportEvery time.Duration
+}
+
+func defaults() options {
+	return options{reportEvery: DefaultReportEvery}
+}
+
+// Option changes a new Holder.
+type Option func(*options)
+
+// WithReportEvery sets the interval of reports to owners.
+func WithReportEvery(d time.Duration) Option {
+	return func(o *options) { o.reportEvery = d }
+}
--- /dev/null
+++ b/pkg/hold/request.go
@@ -0,0 +1,169 @@
+package hold
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/chart"
+	"github.com/yarrowmast/yarrowmast/pkg/verdict"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// Refusals of a waiting request. None of them has run.
+var (
+	errDeadline = verdict.New(verdict.PhaseQueue, http.StatusGatewayTimeout, "deadline",
+		"the deadline passed while the request waited for a slot")
+	errGivenUp = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "draining",
+		"this entry instance is stopping; send the request again")
+)
+
+func (e Arrive) apply(h *Holder) {
+	r := &request{Arrive: e, arrived: h.now - e.Waited, index: -1}
+	r.turn = r.arrived - time.Duration(e.Priority)*priorityLead
+	h.requests[e.ID] = r
+	if e.Deadline <= h.now {
+		h.refuse(r, errDeadline)
+		return
+	}
+	m := h.model(e.Model)
+	if l := h.takeIdle(m); l != nil {
+		h.start(r, l)
+		return
+	}
+	h.enqueue(r)
+	h.tellSoon(m)
+}
+
+func (e Cancel) apply(h *Holder) {
+	r, ok := h.requests[e.ID]
+	if !ok || r.index < 0 {
+		return
+	}
+	m := h.model(r.Model)
+	m.queue(r.Account).remove(r)
+	h.dequeued(r)
+	delete(h.requests, e.ID)
+	h.tellSoon(m)
+}
+
+func (e Finished) apply(h *Holder) {
+	r, ok := h.requests[e.ID]
+	if !ok || r.held == nil {
+		return
+	}
+	delete(h.requests, e.ID)
+	l := r.held
+	l.request = nil
+	l.tokens = e.Tokens
+	if !e.Failed && h.mayReuse(l) && l.move(chart.Reuse) {
+		h.reuse(l, r, e)
+		return
+	}
+	l.move(chart.Finish)
+	u := h.use(l, r.Account, e.Tokens)
+	u.Failed = e.Failed
+	h.giveBack(l, u, e.Sent)
+}
+
+// mayReuse reports whether a standing lease stays here: not when the owner
+// wants it back, nor while requests wait, whose order is the owner's to say.
+func (h *Holder) mayReuse(l *held) bool {
+	return l.standing && !l.recalled && !h.draining && h.now < l.expires &&
+		!h.closed[l.Backend] && !h.model(l.Pool.Model).waiting()
+}
+
+func (h *Holder) reuse(l *held, r *request, e Finished) {
+	if e.Sent {
+		p := h.pool(l.Pool)
+		p.ended = append(p.ended, h.use(l, r.Account, e.Tokens))
+	}
+	l.tokens = 0
+	m := h.model(l.Pool.Model)
+	m.idle = append(m.idle, l)
+}
+
+func (h *Holder) use(l *held, account string, tokens int64) wire.Use {
+	return wire.Use{Inc: l.Inc, ID: l.ID, Account: account, Tokens: tokens, Backend: l.Backend}
+}
+
+// giveBack returns a lease to its owner at once, since work may wait for it.
+func (h *Holder) giveBack(l *held, u wire.Use, used bool) {
+	p := h.pool(l.Pool)
+	msg := &wire.Return{Pool: l.Pool}
+	if l.standing {
+		msg.Ended = p.ended
+		p.ended = nil
+	}
+	if used {
+		msg.Done = []wire.Use{u}
+	} else {
+		msg.Unused = []wire.Use{u}
+	}
+	h.forget(l)
+	h.send(l.owner, msg)
+}
+
+func (h *Holder) forget(l *held) {
+	delete(h.leases, l.Key())
+	delete(h.pool(l.Pool).held, l.Key())
+}
+
+func (h *Holder) pool(p wire.Pool) *lent {
+	x, ok := h.byPool[p]
+	if !ok {
+		x = &lent{held: map[wire.Key]*held{}}
+		h.byPool[p] = x
+	}
+	return x
+}
+
+// takeIdle returns a standing lease that may start a request now.
+func (h *Holder) takeIdle(m *model) *held {
+	if m.waiting() {
+		return nil
+	}
+	for len(m.idle) > 0 {
+		l := m.idle[len(m.idle)-1]
+		m.idle = m.idle[:len(m.idle)-1]
+		if h.now+startMargin < l.expires && !h.closed[l.Backend] {
+			return l
+		}
+		l.move(chart.Expire)
+		h.giveBack(l, h.use(l, "", 0), false)
+	}
+	return nil
+}
+
+func (h *Holder) start(r *request, l *held) {
+	if !l.move(chart.Start) {
+		return
+	}
+	l.request = r
+	l.tokens = 0
+	r.held = l
+	h.act(Start{ID: r.ID, Lease: l.Lease, Expires: l.expires, Waited: h.now - r.arrived})
+}
+
+// expireWaiting refuses the requests whose deadline has passed.
+func (h *Holder) expireWaiting() {
+	for _, name := range sortedKeys(h.models) {
+		m := h.models[name]
+		for _, account := range sortedKeys(m.queues) {
+			h.expireQueue(m.queues[account])
+		}
+	}
+}
+
+func (h *Holder) expireQueue(q *queue) {
+	var late []*request
+	for _, r := range *q {
+		if r.Deadline <= h.now {
+			late = append(late, r)
+		}
+	}
+	for _, r := range late {
+		q.remove(r)
+		h.dequeued(r)
+		h.refuse(r, errDeadline)
+	}
+}
--- /dev/null
+++ b/pkg/hold/tell.go
@@ -0,0 +1,172 @@
+package hold
+
+import (
+	"github.com/yarrowmast/yarrowmast/pkg/chart"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+func (e Tick) apply(h *Holder) {
+	for id, tokens := range e.Tokens {
+		if r, ok := h.requests[id]; ok && r.held != nil {
+			r.held.tokens = max(r.held.tokens, tokens)
+		}
+	}
+	h.expireWaiting()
+	h.expireIdle()
+	if h.now-h.lastTell < h.opt.reportEvery {
+		return
+	}
+	h.lastTell = h.now
+	for _, name := range sortedKeys(h.models) {
+		h.tellRound(h.models[name])
+	}
+	for _, p := range h.pools() {
+		h.report(p)
+	}
+}
+
+func (h *Holder) expireIdle() {
+	for _, name := range sortedKeys(h.models) {
+		h.returnIdle(h.models[name], func(l *held) bool { return h.now >= l.expires }, chart.Expire)
+	}
+}
+
+// tellSoon tells the owner of changes that it should act on now; others wait
+// for the next report, since an owner that knows of a long queue need not
+// hear of its every change.
+func (h *Holder) tellSoon(m *model) {
+	for account := range m.dirty {
+		n := m.count(account)
+		if n != m.told[account] && min(n, m.told[account]) < soonCount {
+			h.tellNow(m)
+			return
+		}
+	}
+}
+
+func (m *model) count(account string) int {
+	q, ok := m.queues[account]
+	if !ok {
+		return 0
+	}
+	return len(*q)
+}
+
+// tellRound is the regular demand, sent while anything waits even if nothing
+// changed, since grants count from its stamp. Now and then it is a full one.
+func (h *Holder) tellRound(m *model) {
+	if len(m.queues) == 0 && len(m.dirty) == 0 && !m.needAll {
+		return
+	}
+	m.rounds++
+	if m.rounds%fullRounds == 0 {
+		m.needAll = true
+	}
+	h.tell(m, true)
+}
+
+// tellNow sends the count of every account that changed. An account that a
+// grant touched is named even if its count is what the owner believes, since
+// the message's Seen makes the owner forget that grant.
+func (h *Holder) tellNow(m *model) { h.tell(m, false) }
+
+func (h *Holder) tell(m *model, always bool) {
+	if m.home.Owner == "" {
+		return
+	}
+	d := &wire.Demand{Pool: m.home.Pool, Full: m.needAll, Seen: m.seen, Stamp: wire.StampOf(h.now)}
+	if m.needAll {
+		clear(m.told)
+		for name := range m.queues {
+			m.dirty[name] = true
+		}
+	}
+	for _, account := range sortedKeys(m.dirty) {
+		n := m.count(account)
+		d.Waiting = append(d.Waiting, wire.Waiting{Account: account, Count: n, Priority: m.priority(account)})
+		m.note(account, n)
+	}
+	clear(m.dirty)
+	if len(d.Waiting) == 0 && !d.Full && !always {
+		return
+	}
+	m.needAll = false
+	m.seq++
+	d.Seq = m.seq
+	h.send(m.home.Owner, d)
+}
+
+func (m *model) note(account string, n int) {
+	if n == 0 {
+		delete(m.told, account)
+		return
+	}
+	m.told[account] = n
+}
+
+func (m *model) priority(account string) int {
+	q, ok := m.queues[account]
+	if !ok {
+		return 0
+	}
+	return q.top()
+}
+
+// report tells the owner of a pool which leases are held here.
+func (h *Holder) report(p wire.Pool) {
+	x := h.byPool[p]
+	if len(x.held) == 0 && len(x.ended) == 0 {
+		delete(h.byPool, p)
+		return
+	}
+	byOwner := map[string]*wire.Report{}
+	for _, l := range x.sorted() {
+		r, ok := byOwner[l.owner]
+		if !ok {
+			r = &wire.Report{Pool: p, Stamp: wire.StampOf(h.now)}
+			byOwner[l.owner] = r
+		}
+		r.Held = append(r.Held, h.use(l, l.account(), l.tokens))
+	}
+	h.attachEnded(p, x, byOwner)
+	for _, owner := range sortedKeys(byOwner) {
+		h.send(owner, byOwner[owner])
+	}
+}
+
+// attachEnded adds what ended on standing leases to the report that goes to
+// the pool's present owner.
+func (h *Holder) attachEnded(p wire.Pool, x *lent, byOwner map[string]*wire.Report) {
+	if len(x.ended) == 0 {
+		return
+	}
+	owner := h.lenders[p].Owner
+	if owner == "" {
+		return
+	}
+	r, ok := byOwner[owner]
+	if !ok {
+		r = &wire.Report{Pool: p, Stamp: wire.StampOf(h.now)}
+		byOwner[owner] = r
+	}
+	r.Ended = x.ended
+	x.ended = nil
+}
+
+func (l *held) account() string {
+	if l.request == nil {
+		return ""
+	}
+	return l.request.Account
+}
+
+// Lost applies: what the peer was told may not have arrived.
+func (e Lost) apply(h *Holder) {
+	for _, name := range sortedKeys(h.models) {
+		m := h.models[name]
+		if m.home.Owner == e.Peer {
+			m.needAll = true
+			h.tellNow(m)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/pool/claim.go
@@ -0,0 +1,103 @@
+package pool
+
+import "github.com/yarrowmast/yarrowmast/pkg/wire"
+
+func (o *Owner) claimer(who claimant) *claimer {
+	c, ok := o.claims[who]
+	if !ok {
+		c = &claimer{claims: map[string]*claim{}}
+		o.claims[who] = c
+	}
+	return c
+}
+
+// setClaims replaces a claimant's waiting counts. Grants that the claimant
+// had not seen when it counted are taken off again.
+func (o *Owner) setClaims(who claimant, waiting []wire.Waiting, seen uint64, full bool) {
+	c := o.claimer(who)
+	named := make(map[string]bool, len(waiting))
+	for _, w := range waiting {
+		named[w.Account] = true
+		o.setClaim(who, c, w)
+	}
+	for name, cl := range c.claims {
+		cl.unseen = dropSeen(cl.unseen, seen)
+		if full && !named[name] {
+			cl.reported = 0
+		}
+		o.refresh(o.account(name))
+		if cl.reported == 0 && len(cl.unseen) == 0 {
+			delete(c.claims, name)
+			delete(o.account(name).claims, who)
+		}
+	}
+}
+
+func (o *Owner) setClaim(who claimant, c *claimer, w wire.Waiting) {
+	cl, ok := c.claims[w.Account]
+	if !ok {
+		if w.Count <= 0 {
+			return
+		}
+		cl = &claim{who: who}
+		c.claims[w.Account] = cl
+		o.account(w.Account).claims[who] = cl
+	}
+	cl.reported = max(0, w.Count)
+	cl.priority = w.Priority
+}
+
+func dropSeen(unseen []uint64, seen uint64) []uint64 {
+	kept := unseen[:0]
+	for _, s := range unseen {
+		if s > seen {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+func (o *Owner) dropClaimer(who claimant) {
+	c, ok := o.claims[who]
+	if !ok {
+		return
+	}
+	for name := range c.claims {
+		a := o.account(name)
+		delete(a.claims, who)
+		o.refresh(a)
+	}
+	delete(o.claims, who)
+}
+
+// best returns the claim of the account to meet first: a router of the own
+// zone before another owner, then the higher priority, then the longer queue.
+func (o *Owner) best(a *account) *claim {
+	var best *claim
+	for _, c := range a.claims {
+		if c.count() == 0 {
+			continue
+		}
+		if best == nil || o.before(c, best) {
+			best = c
+		}
+	}
+	return best
+}
+
+func (o *Owner) before(c, d *claim) bool {
+	cl, dl := c.who.pool == o.pool, d.who.pool == o.pool
+	if cl != dl {
+		return cl
+	}
+	if c.priority != d.priority {
+		return c.priority > d.priority
+	}
+	if c.count() != d.count() {
+		return c.count() > d.count()
+	}
+	if c.who.node != d.who.node {
+		return c.who.node < d.who.node
+	}
+	return c.who.pool.Zone < d.who.pool.Zone
+}
--- /dev/null
+++ b/pkg/pool/event.go
@@ -0,0 +1,286 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// Event is what an Owner takes in one Step.
+type Event interface{ apply(o *Owner) }
+
+// Tick lets time pass. It is due at least every DefaultShareEvery.
+type Tick struct{}
+
+// Servers replaces the backend servers of the pool.
+type Servers struct{ List []Server }
+
+// Weights sets the weights of accounts.
+type Weights struct{ Of map[string]float64 }
+
+// Holders replaces the live routers of the zone.
+type Holders struct{ Names []string }
+
+// Load is a backend server's own report of what runs there. It lags.
+type Load struct {
+	Backend  string
+	InFlight int
+}
+
+// Unreachable says that a backend server did not answer the last call for
+// its load; it gets no work until it does.
+type Unreachable struct{ Backend string }
+
+// Demand is a router's demand.
+type Demand struct {
+	From string
+	Msg  *wire.Demand
+}
+
+// Return is a router's return of leases.
+type Return struct {
+	From string
+	Msg  *wire.Return
+}
+
+// Report is a router's list of the leases it holds.
+type Report struct {
+	From string
+	Msg  *wire.Report
+}
+
+// Lent is a grant from the owner of another pool of the model.
+type Lent struct {
+	From string
+	Msg  *wire.Grant
+}
+
+func (Tick) apply(o *Owner) {
+	o.reclaimSilent()
+	o.dropSilentHolders()
+	o.dropSilentSiblings()
+	o.shareIfDue()
+}
+
+func (e Servers) apply(o *Owner) {
+	o.names = nil
+	old := o.servers
+	o.servers = make(map[string]*server, len(e.List))
+	for _, s := range e.List {
+		sv, ok := old[s.Name]
+		if !ok {
+			sv = &server{}
+		}
+		sv.Server = s
+		o.servers[s.Name] = sv
+	}
+}
+
+func (e Weights) apply(o *Owner) {
+	for name, w := range e.Of {
+		o.queue.SetWeight(name, w)
+	}
+	for name := range o.accounts {
+		if _, ok := e.Of[name]; !ok {
+			o.forget(name)
+		}
+	}
+}
+
+// forget drops an account that left the table, once nothing of it waits.
+func (o *Owner) forget(name string) {
+	if o.queue.Get(name).Active {
+		return
+	}
+	delete(o.accounts, name)
+	o.queue.Drop(name)
+}
+
+func (e Holders) apply(o *Owner) {
+	live := make(map[string]bool, len(e.Names))
+	for _, n := range e.Names {
+		live[n] = true
+		o.holder(n).member = true
+	}
+	for n, h := range o.holders {
+		if h.member && !live[n] {
+			o.dropHolder(n)
+		}
+	}
+}
+
+// dropHolder forgets a dead router's demand. Its leases are reclaimed after
+// their silence, not at once, since what it started may still run.
+func (o *Owner) dropHolder(name string) {
+	for who := range o.claims {
+		if who.node == name && who.pool == o.pool {
+			o.dropClaimer(who)
+		}
+	}
+	for _, l := range o.leases {
+		if l.holder == name && l.standing {
+			l.standing = false
+		}
+	}
+	delete(o.holders, name)
+}
+
+// dropSilentHolders forgets routers of other zones that ask nothing more.
+func (o *Owner) dropSilentHolders() {
+	for n, h := range o.holders {
+		if !h.member && o.now-h.heard >= o.opt.reclaim {
+			o.dropHolder(n)
+		}
+	}
+}
+
+// hear notes a router's sign of life.
+func (h *holder) hear(now time.Duration, stamp wire.Stamp) {
+	h.reported = true
+	h.heard = now
+	h.stamp = max(h.stamp, stamp)
+}
+
+func (e Load) apply(o *Owner) {
+	s, ok := o.servers[e.Backend]
+	if !ok {
+		return
+	}
+	known := max(s.peak, s.lastPeak, s.used)
+	s.foreign = max(0, e.InFlight-known)
+	s.lastPeak = s.peak
+	s.peak = s.used
+	s.loaded = true
+	s.down = false
+}
+
+func (e Unreachable) apply(o *Owner) {
+	if s, ok := o.servers[e.Backend]; ok {
+		s.down = true
+		s.loaded = true
+	}
+}
+
+func (e Demand) apply(o *Owner) {
+	who := claimant{node: e.From, pool: o.pool}
+	c := o.claimer(who)
+	if e.Msg.Seq <= c.demandSeq && !e.Msg.Full {
+		return
+	}
+	c.demandSeq = e.Msg.Seq
+	h := o.holder(e.From)
+	h.hear(o.now, e.Msg.Stamp)
+	h.lastUse = o.now
+	o.setClaims(who, e.Msg.Waiting, e.Msg.Seen, e.Msg.Full)
+}
+
+func (e Return) apply(o *Owner) {
+	o.ended(e.From, e.Msg.Ended)
+	for _, u := range e.Msg.Done {
+		if l := o.find(u); l != nil {
+			l.server.down = l.server.down || u.Failed
+			o.bind(l, u.Account)
+			o.settle(l, u.Tokens, true)
+			o.free(l)
+		}
+	}
+	for _, u := range e.Msg.Unused {
+		if l := o.find(u); l != nil {
+			l.server.down = l.server.down || u.Failed
+			o.charge(l.account, -l.charged)
+			o.free(l)
+		}
+	}
+}
+
+func (e Report) apply(o *Owner) {
+	h := o.holder(e.From)
+	h.hear(o.now, e.Msg.Stamp)
+	o.ended(e.From, e.Msg.Ended)
+	for _, u := range e.Msg.Held {
+		l := o.find(u)
+		if l == nil && e.Msg.Adopt {
+			l = o.adopt(e.From, u)
+		}
+		if l == nil {
+			continue
+		}
+		l.heard = o.now
+		l.holder = e.From
+		o.bind(l, u.Account)
+		o.settle(l, u.Tokens, false)
+	}
+	if !e.Msg.Adopt && len(e.Msg.Held) > 0 {
+		o.send(e.From, &wire.Renew{Pool: e.Msg.Pool, Stamp: e.Msg.Stamp})
+	}
+}
+
+// ended charges requests that ended on standing leases, less what earlier
+// reports of the same request charged.
+func (o *Owner) ended(from string, uses []wire.Use) {
+	for _, u := range uses {
+		tokens := float64(u.Tokens)
+		charged := 0.0
+		if l := o.find(u); l != nil && l.account == u.Account {
+			charged = l.charged
+			l.account = ""
+			l.charged = 0
+			l.tokens = 0
+		}
+		o.charge(u.Account, tokens-charged)
+		o.account(u.Account).est.add(tokens)
+		o.overall.add(tokens)
+		o.holder(from).lastUse = o.now
+	}
+}
+
+func (e Lent) apply(o *Owner) { o.relay(e.From, e.Msg) }
+
+// find returns the lease that the use speaks of.
+func (o *Owner) find(u wire.Use) *lease {
+	l := o.leases[u.ID]
+	if l != nil && l.inc == u.Inc {
+		return l
+	}
+	if l = o.leases[adoptedID(u)]; l != nil && l.inc == u.Inc {
+		return l
+	}
+	return nil
+}
+
+// bind charges what runs on a standing lease to the account it runs for.
+func (o *Owner) bind(l *lease, account string) {
+	if !l.standing || account == l.account {
+		return
+	}
+	l.account = account
+	l.charged = 0
+	l.tokens = 0
+}
+
+// adoptedBit keeps the numbers of adopted leases apart from own ones.
+const adoptedBit = 1 << 63
+
+func adoptedID(u wire.Use) uint64 { return adoptedBit | u.ID ^ u.Inc<<20 }
+
+// adopt takes over a lease that a former owner granted.
+func (o *Owner) adopt(holder string, u wire.Use) *lease {
+	s, ok := o.servers[u.Backend]
+	if !ok {
+		return nil
+	}
+	l := &lease{id: adoptedID(u), inc: u.Inc, server: s, name: s.Name, holder: holder, account: u.Account, heard: o.now}
+	o.leases[l.id] = l
+	s.used++
+	s.peak = max(s.peak, s.used)
+	return l
+}
+
+// reclaimSilent frees the leases that nobody spoke of for too long.
+func (o *Owner) reclaimSilent() {
+	for _, l := range o.leases {
+		if o.now-l.heard >= o.opt.reclaim {
+			o.free(l)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/pool/options.go
@@ -0,0 +1,93 @@
+package pool
+
+import "time"
+
+// Estimator is how an owner reads the service that other zones gave since
+// their last share.
+type Estimator string
+
+// The estimators weighed in docs/FAIRNESS.md.
+const (
+	// AsLastShared takes the last share as it stands.
+	AsLastShared Estimator = "as-last-shared"
+	// CountedByZones counts own service once for each zone that serves the
+	// account, until the next share puts it right.
+	CountedByZones Estimator = "counted-by-zones"
+)
+
+// The defaults; docs/CAPACITY.md weighs them at the target size.
+const (
+	// DefaultTTL is how long a holder may start work on a lease unrenewed.
+	DefaultTTL = 1500 * time.Millisecond
+	// DefaultReclaim is after what silence an owner takes a lease back. It
+	// exceeds the TTL and the longest trip of a renewal.
+	DefaultReclaim = 4 * time.Second
+	// DefaultShareEvery is the interval between shares of one pool.
+	DefaultShareEvery = 250 * time.Millisecond
+	// DefaultShareSoonest is the least time between two urgent shares.
+	DefaultShareSoonest = 20 * time.Millisecond
+	// DefaultSiblingSilence is when another owner's demand is dropped.
+	DefaultSiblingSilence = 2 * time.Second
+	// DefaultFirstEstimate is a request's cost in tokens before any is known.
+	DefaultFirstEstimate = 100
+)
+
+type options struct {
+	ttl            time.Duration
+	reclaim        time.Duration
+	shareEvery     time.Duration
+	shareSoonest   time.Duration
+	siblingSilence time.Duration
+	calm           time.Duration
+	recent         time.Duration
+	idleGrace      time.Duration
+	firstEstimate  float64
+	debt           float64
+	estimator      Estimator
+	quiet          time.Duration
+}
+
+func defaults() options {
+	return options{
+		ttl:            DefaultTTL,
+		reclaim:        DefaultReclaim,
+		shareEvery:     DefaultShareEvery,
+		shareSoonest:   DefaultShareSoonest,
+		siblingSilence: DefaultSiblingSilence,
+		calm:           500 * time.Millisecond,
+		recent:         30 * time.Second,
+		idleGrace:      250 * time.Millisecond,
+		firstEstimate:  DefaultFirstEstimate,
+		debt:           50_000,
+		estimator:      CountedByZones,
+		quiet:          DefaultTTL,
+	}
+}
+
+// Option changes a new Owner.
+type Option func(*options)
+
+// WithTTL sets the lease time and the quiet time of a new owner.
+func WithTTL(ttl time.Duration) Option {
+	return func(o *options) { o.ttl, o.quiet = ttl, ttl }
+}
+
+// WithQuiet sets how long a new owner grants nothing.
+func WithQuiet(d time.Duration) Option {
+	return func(o *options) { o.quiet = d }
+}
+
+// WithEstimator sets how others' service is read between shares.
+func WithEstimator(e Estimator) Option {
+	return func(o *options) { o.estimator = e }
+}
+
+// WithShareEvery sets the interval between shares.
+func WithShareEvery(d time.Duration) Option {
+	return func(o *options) { o.shareEvery = d }
+}
+
+// WithDebt bounds, in tokens per unit of weight, what a returning account owes.
+func WithDebt(tokens float64) Option {
+	return func(o *options) { o.debt = tokens }
+}
--- /dev/null
+++ b/pkg/pool/owner.go
@@ -0,0 +1,320 @@
+// Package pool decides, for one pool of backend servers, which waiting
+// request gets the next free slot. It is a pure state machine: events and the
+// time go in, messages to other routers come out.
+package pool
+
+import (
+	"sort"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/fair"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// Send is a message that the caller of Step delivers.
+type Send struct {
+	// To is the router's name; never the owner's own where it can be local.
+	To string
+	// Msg is a pointer to one of the types of package wire.
+	Msg any
+}
+
+// Server is a backend server of the pool.
+type Server struct {
+	// Name is the backend server.
+	Name string
+	// Slots is how many requests may run at once; above zero.
+	Slots int
+	// Open says that new work may go there.
+	Open bool
+}
+
+// Owner is the state of a pool's owner.
+type Owner struct {
+	opt     options
+	self    string
+	inc     uint64
+	pool    wire.Pool
+	now     time.Duration
+	started time.Duration
+
+	servers  map[string]*server
+	names    []string
+	claims   map[claimant]*claimer
+	leases   map[uint64]*lease
+	nextID   uint64
+	accounts map[string]*account
+	queue    *fair.Queue
+	siblings map[wire.Pool]*sibling
+	holders  map[string]*holder
+	overall  estimate
+
+	shareSeq   uint64
+	lastShare  time.Duration
+	shareDirty bool
+	// untold says that an account has work here that no share named yet.
+	untold     bool
+	contended  time.Duration
+	out        []Send
+	quiet      bool
+	batch      map[claimant]*wire.Grant
+	batchOrder []claimant
+}
+
+// claimant is who may be granted a lease: a router, or another pool's owner.
+type claimant struct {
+	node string
+	pool wire.Pool
+}
+
+type server struct {
+	Server
+	used    int
+	foreign int
+	// peak is the most leases out since the last load report, because a
+	// lagging report may still count them.
+	peak     int
+	lastPeak int
+	loaded   bool
+	// down says that the server could not be reached when last tried.
+	down bool
+}
+
+func (s *server) free() int {
+	if !s.Open || s.down {
+		return 0
+	}
+	return max(0, s.Slots-s.used-s.foreign)
+}
+
+type lease struct {
+	id       uint64
+	server   *server
+	name     string
+	holder   string
+	account  string
+	charged  float64
+	tokens   int64
+	heard    time.Duration
+	standing bool
+	inc      uint64
+}
+
+type account struct {
+	name    string
+	claims  map[claimant]*claim
+	own     float64
+	est     estimate
+	idle    time.Duration
+	changed bool
+	// sent says that the last share named the account, told that it named
+	// work of it that waits here.
+	sent bool
+	told bool
+	// zones is how many siblings served the account in their last share.
+	zones int
+}
+
+type claim struct {
+	who      claimant
+	reported int
+	priority int
+	unseen   []uint64
+}
+
+func (c *claim) count() int { return max(0, c.reported-len(c.unseen)) }
+
+// claimer is what the owner knows of one claimant.
+type claimer struct {
+	demandSeq uint64
+	grantSeq  uint64
+	claims    map[string]*claim
+}
+
+type holder struct {
+	standing int
+	lastUse  time.Duration
+	reported bool
+	// member says that the platform or the zone's routers know it as a
+	// router of this zone.
+	member bool
+	// stamp is the last one received, heard when that was.
+	stamp    wire.Stamp
+	heard    time.Duration
+	recalled bool
+}
+
+// New returns the owner of a pool as it is at the time now. It stays quiet,
+// granting nothing, for one lease time unless the options say otherwise.
+func New(self string, inc uint64, pool wire.Pool, now time.Duration, opts ...Option) *Owner {
+	o := &Owner{
+		opt: defaults(), self: self, inc: inc, pool: pool, now: now, started: now,
+		servers:  map[string]*server{},
+		claims:   map[claimant]*claimer{},
+		leases:   map[uint64]*lease{},
+		accounts: map[string]*account{},
+		siblings: map[wire.Pool]*sibling{},
+		holders:  map[string]*holder{},
+		batch:    map[claimant]*wire.Grant{},
+		quiet:    true,
+	}
+	for _, f := range opts {
+		f(&o.opt)
+	}
+	o.queue = fair.New(fair.WithDebt(o.opt.debt))
+	o.contended = now - o.opt.calm
+	return o
+}
+
+// Pool returns the pool that is owned.
+func (o *Owner) Pool() wire.Pool { return o.pool }
+
+// Step takes one event at the time now and returns the messages to send. The
+// returned slice is valid until the next Step.
+func (o *Owner) Step(now time.Duration, ev Event) []Send {
+	o.now = max(o.now, now)
+	o.out = o.out[:0]
+	ev.apply(o)
+	o.decide()
+	return o.out
+}
+
+func (o *Owner) send(to string, msg any) {
+	o.out = append(o.out, Send{To: to, Msg: msg})
+}
+
+func (o *Owner) account(name string) *account {
+	a, ok := o.accounts[name]
+	if !ok {
+		a = &account{name: name, claims: map[claimant]*claim{}, idle: o.now - o.opt.idleGrace}
+		o.accounts[name] = a
+	}
+	return a
+}
+
+// refresh puts the account in or out of the queue by its waiting work.
+func (o *Owner) refresh(a *account) {
+	n, local := 0, 0
+	for who, c := range a.claims {
+		n += c.count()
+		if who.pool == o.pool {
+			local += c.count()
+		}
+	}
+	o.untold = o.untold || (local > 0 && !a.told)
+	if n > 0 {
+		o.queue.Activate(a.name, o.now-a.idle >= o.opt.idleGrace)
+		return
+	}
+	if o.queue.Get(a.name).Active {
+		a.idle = o.now
+		o.queue.Deactivate(a.name)
+	}
+}
+
+// charge adds served tokens to the account here, and for each other zone
+// that serves it, so that all zones do not rush to the same account.
+func (o *Owner) charge(name string, tokens float64) {
+	if tokens == 0 || name == "" {
+		return
+	}
+	a := o.account(name)
+	a.own += tokens
+	a.changed = true
+	factor := 1.0
+	if o.opt.estimator == CountedByZones {
+		factor += float64(a.zones)
+	}
+	o.queue.Charge(name, tokens*factor)
+}
+
+// settle moves a lease's charge to what it has served, or to its estimate
+// while it may still serve more.
+func (o *Owner) settle(l *lease, tokens int64, done bool) {
+	l.tokens = max(l.tokens, tokens)
+	due := float64(l.tokens)
+	if !done {
+		due = max(due, l.charged)
+	}
+	o.charge(l.account, due-l.charged)
+	l.charged = due
+	if done && l.account != "" {
+		o.account(l.account).est.add(float64(l.tokens))
+		o.overall.add(float64(l.tokens))
+	}
+}
+
+func (o *Owner) estimate(a *account) float64 {
+	if a.est.known {
+		return a.est.mean
+	}
+	if o.overall.known {
+		return o.overall.mean
+	}
+	return o.opt.firstEstimate
+}
+
+// free drops a lease and frees its slot.
+func (o *Owner) free(l *lease) {
+	if l.standing {
+		o.holder(l.holder).standing--
+	}
+	l.server.used--
+	delete(o.leases, l.id)
+}
+
+func (o *Owner) holder(name string) *holder {
+	h, ok := o.holders[name]
+	if !ok {
+		h = &holder{lastUse: -o.opt.recent}
+		o.holders[name] = h
+	}
+	return h
+}
+
+func (o *Owner) sortedNames() []string {
+	if o.names == nil {
+		for n := range o.servers {
+			o.names = append(o.names, n)
+		}
+		sort.Strings(o.names)
+	}
+	return o.names
+}
+
+// freeSlots counts the slots that may be granted now.
+func (o *Owner) freeSlots() int {
+	n := 0
+	for _, s := range o.servers {
+		n += s.free()
+	}
+	return n
+}
+
+func (o *Owner) slots() int {
+	n := 0
+	for _, s := range o.servers {
+		if s.Open {
+			n += s.Slots
+		}
+	}
+	return n
+}
+
+// estimate is a slowly moving mean of what a request costs.
+type estimate struct {
+	mean  float64
+	known bool
+}
+
+// estimateGain is the weight of the newest request in the mean.
+const estimateGain = 0.1
+
+func (e *estimate) add(x float64) {
+	if !e.known {
+		e.mean = x
+		e.known = true
+		return
+	}
+	e.mean += estimateGain * (x - e.mean)
+}
--- /dev/null
+++ b/pkg/pool/share.go
@@ -0,0 +1,325 @@
+package pool
+
+import (
+	"sort"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// sibling is the owner of another pool of the same model.
+type sibling struct {
+	node  string
+	inc   uint64
+	seq   uint64
+	heard time.Duration
+	known bool
+	free  int
+	slots int
+	// stamp is the last one received.
+	stamp wire.Stamp
+	// seenGrant is the Seq of the last grant received from it.
+	seenGrant uint64
+	served    map[string]remote
+}
+
+// remote is an account's service as a sibling last told it.
+type remote struct {
+	tokens float64
+	// ownAt is this owner's own service of the account at that time.
+	ownAt float64
+	// serving says that the sibling's last share raised the service.
+	serving bool
+}
+
+// Siblings replaces the owners of the model's other pools, by pool.
+type Siblings struct{ Nodes map[wire.Pool]string }
+
+// Share is another owner's share.
+type Share struct {
+	From string
+	Msg  *wire.Share
+}
+
+func (e Siblings) apply(o *Owner) {
+	for p, node := range e.Nodes {
+		s, ok := o.siblings[p]
+		if !ok {
+			s = &sibling{served: map[string]remote{}}
+			o.siblings[p] = s
+		}
+		if s.node != node {
+			o.dropClaimer(claimant{node: s.node, pool: p})
+			s.node = node
+			s.seenGrant = 0
+		}
+	}
+	for p, s := range o.siblings {
+		if _, ok := e.Nodes[p]; !ok {
+			o.dropClaimer(claimant{node: s.node, pool: p})
+			o.unserve(s)
+			delete(o.siblings, p)
+		}
+	}
+}
+
+func (e Share) apply(o *Owner) {
+	s, ok := o.siblings[e.Msg.From]
+	if !ok || s.node != e.From {
+		return
+	}
+	if s.inc == e.Msg.Inc && e.Msg.Seq <= s.seq {
+		return
+	}
+	fresh := !s.known || s.inc != e.Msg.Inc
+	s.inc, s.seq, s.heard, s.known = e.Msg.Inc, e.Msg.Seq, o.now, true
+	s.free, s.slots, s.stamp = e.Msg.Free, e.Msg.Slots, e.Msg.Stamp
+	o.learn(s, e.Msg.Served, fresh)
+	o.setClaims(claimant{node: e.From, pool: e.Msg.From}, e.Msg.Waiting, e.Msg.Seen, true)
+}
+
+// learn takes over what a sibling served. What it served before it was first
+// heard, or while it was cut off, is forgiven.
+func (o *Owner) learn(s *sibling, served []wire.Served, fresh bool) {
+	if fresh {
+		o.unserve(s)
+		s.served = map[string]remote{}
+	}
+	named := make(map[string]bool, len(served))
+	for _, v := range served {
+		named[v.Account] = true
+		o.learnOne(s, v)
+	}
+	for name, r := range s.served {
+		if !named[name] && r.serving {
+			o.learnOne(s, wire.Served{Account: name, Tokens: r.tokens})
+		}
+	}
+}
+
+func (o *Owner) learnOne(s *sibling, v wire.Served) {
+	a := o.account(v.Account)
+	r, known := s.served[v.Account]
+	if known {
+		guessed := 0.0
+		if r.serving && o.opt.estimator == CountedByZones {
+			guessed = a.own - r.ownAt
+		}
+		o.queue.Charge(v.Account, v.Tokens-r.tokens-guessed)
+	}
+	serving := known && v.Tokens > r.tokens
+	a.zones += boolToInt(serving) - boolToInt(r.serving)
+	s.served[v.Account] = remote{tokens: v.Tokens, ownAt: a.own, serving: serving}
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (o *Owner) unserve(s *sibling) {
+	for name, r := range s.served {
+		if r.serving {
+			o.account(name).zones--
+			r.serving = false
+			s.served[name] = r
+		}
+	}
+}
+
+// dropSilentSiblings forgets the demand of owners that are cut off.
+func (o *Owner) dropSilentSiblings() {
+	for p, s := range o.siblings {
+		if s.known && o.now-s.heard >= o.opt.siblingSilence {
+			s.known = false
+			s.free = 0
+			o.unserve(s)
+			o.dropClaimer(claimant{node: s.node, pool: p})
+		}
+	}
+}
+
+// wantShare asks for a share before the next regular one, because work waits
+// here that idle slots elsewhere could take.
+func (o *Owner) wantShare() {
+	o.shareDirty = true
+	if o.untold && o.now-o.lastShare >= o.opt.shareSoonest {
+		o.shareAll()
+	}
+}
+
+func (o *Owner) localWaiting(a *account) int {
+	n := 0
+	for who, c := range a.claims {
+		if who.pool == o.pool {
+			n += c.count()
+		}
+	}
+	return n
+}
+
+// shareIfDue sends the regular share. An owner with nothing to tell shares at
+// a tenth of the rate, so that others know it is there.
+func (o *Owner) shareIfDue() {
+	since := o.now - o.lastShare
+	if since < o.opt.shareEvery {
+		return
+	}
+	if !o.shareDirty && !o.anyChanged() && since < idleShares*o.opt.shareEvery {
+		return
+	}
+	o.shareAll()
+}
+
+// idleShares is how many intervals pass between shares with no news. It
+// keeps below DefaultSiblingSilence.
+const idleShares = 4
+
+func (o *Owner) anyChanged() bool {
+	for _, a := range o.accounts {
+		if a.changed || a.told {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *Owner) shareAll() {
+	o.lastShare = o.now
+	o.shareDirty = false
+	o.untold = false
+	o.shareSeq++
+	served := o.servedNews()
+	pools := o.siblingPools()
+	waiting := o.slices(pools)
+	free := o.freeSlots()
+	slots := o.slots()
+	for i, p := range pools {
+		s := o.siblings[p]
+		o.send(s.node, &wire.Share{
+			From: o.pool, To: p, Inc: o.inc, Seq: o.shareSeq, Stamp: wire.StampOf(o.now), Seen: s.seenGrant,
+			Served: served, Waiting: waiting[i], Free: free, Slots: slots,
+		})
+	}
+}
+
+func (o *Owner) siblingPools() []wire.Pool {
+	pools := make([]wire.Pool, 0, len(o.siblings))
+	for p := range o.siblings {
+		pools = append(pools, p)
+	}
+	sort.Slice(pools, func(i, j int) bool { return pools[i].String() < pools[j].String() })
+	return pools
+}
+
+// servedNews lists the accounts whose service changed since the last share,
+// and once more those that stopped changing.
+func (o *Owner) servedNews() []wire.Served {
+	var served []wire.Served
+	for name, a := range o.accounts {
+		if a.changed || a.sent {
+			served = append(served, wire.Served{Account: name, Tokens: a.own})
+		}
+		a.sent = a.changed
+		a.changed = false
+	}
+	sort.Slice(served, func(i, j int) bool { return served[i].Account < served[j].Account })
+	return served
+}
+
+// slices divides the work that waits here among the siblings, so that not
+// all of them send leases for the same request: first by their free slots,
+// the rest evenly, the odd ones in turn.
+func (o *Owner) slices(pools []wire.Pool) [][]wire.Waiting {
+	parts := make([][]wire.Waiting, len(pools))
+	if len(pools) == 0 {
+		return parts
+	}
+	free := make([]int, len(pools))
+	for i, p := range pools {
+		free[i] = o.siblings[p].free
+	}
+	for _, name := range o.activeNames() {
+		a := o.accounts[name]
+		n := o.localWaiting(a)
+		a.told = n > 0
+		o.slice(a, n, free, parts)
+	}
+	return parts
+}
+
+func (o *Owner) slice(a *account, n int, free []int, parts [][]wire.Waiting) {
+	k := len(parts)
+	counts := make([]int, k)
+	for i := range free {
+		take := min(n, free[i])
+		counts[i] += take
+		free[i] -= take
+		n -= take
+	}
+	for i := range counts {
+		counts[i] += n / k
+	}
+	for j := 0; j < n%k; j++ {
+		counts[(int(o.shareSeq)+j)%k]++
+	}
+	for i, c := range counts {
+		if c > 0 {
+			parts[i] = append(parts[i], wire.Waiting{Account: a.name, Count: c})
+		}
+	}
+}
+
+func (o *Owner) activeNames() []string {
+	var names []string
+	for name, a := range o.accounts {
+		if o.queue.Get(name).Active {
+			names = append(names, name)
+		} else {
+			a.told = false
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// relay hands leases lent by another owner to routers of this zone. What
+// nobody needs any more goes straight back.
+func (o *Owner) relay(from string, g *wire.Grant) {
+	for i := range g.Leases {
+		l := &g.Leases[i]
+		if s, ok := o.siblings[l.Pool]; ok && s.node == from {
+			s.seenGrant = max(s.seenGrant, g.Seq)
+		}
+		o.relayOne(l, g.Stamp)
+	}
+	o.flushGrants()
+}
+
+// relayOne passes a lease on for what is left of its time, which the lender
+// counts from the stamp of this owner's share.
+func (o *Owner) relayOne(l *wire.Lease, stamp wire.Stamp) {
+	a := o.account(l.Account)
+	c := o.bestLocal(a)
+	left := stamp.At() + time.Duration(l.TTLMillis)*time.Millisecond - o.now
+	l.TTLMillis = int(left.Milliseconds())
+	if c == nil || left <= 0 {
+		use := wire.Use{Inc: l.Inc, ID: l.ID, Backend: l.Backend}
+		o.send(l.Owner, &wire.Return{Pool: l.Pool, Unused: []wire.Use{use}})
+		return
+	}
+	g := o.batched(c.who)
+	c.unseen = append(c.unseen, g.Seq)
+	g.Leases = append(g.Leases, *l)
+	o.refresh(a)
+}
+
+func (o *Owner) bestLocal(a *account) *claim {
+	c := o.best(a)
+	if c == nil || c.who.pool != o.pool {
+		return nil
+	}
+	return c
+}
--- /dev/null
+++ b/pkg/table/delta.go
@@ -0,0 +1,119 @@
+package table
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Delta is what changed between two versions of a table, row by row.
+type Delta struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// From and To are platform revisions; From is less than To.
+	From uint64
+	To   uint64
+	// Digest is the Digest of the table at To, which the receiver checks.
+	Digest uint64
+	// Accounts and Backends are the new or changed rows.
+	Accounts []Account
+	Backends []Backend
+	// GoneAccounts and GoneBackends are the names of removed rows.
+	GoneAccounts []string
+	GoneBackends []string
+}
+
+// Diff returns the rows that differ between two versions.
+func Diff(from, to *Table) Delta {
+	d := Delta{From: from.Revision, To: to.Revision, Digest: to.Digest()}
+	for _, a := range to.Accounts {
+		if old, ok := from.Account(a.Name); !ok || old != a {
+			d.Accounts = append(d.Accounts, a)
+		}
+	}
+	for _, a := range from.Accounts {
+		if _, ok := to.Account(a.Name); !ok {
+			d.GoneAccounts = append(d.GoneAccounts, a.Name)
+		}
+	}
+	for _, b := range to.Backends {
+		if old, ok := from.Backend(b.Name); !ok || !old.equal(&b) {
+			d.Backends = append(d.Backends, b)
+		}
+	}
+	for _, b := range from.Backends {
+		if _, ok := to.Backend(b.Name); !ok {
+			d.GoneBackends = append(d.GoneBackends, b.Name)
+		}
+	}
+	return d
+}
+
+func (b *Backend) equal(c *Backend) bool {
+	if len(b.Models) != len(c.Models) {
+		return false
+	}
+	for i := range b.Models {
+		if b.Models[i] != c.Models[i] {
+			return false
+		}
+	}
+	return b.Name == c.Name && b.Zone == c.Zone && b.Address == c.Address && b.Kind == c.Kind &&
+		b.Slots == c.Slots && b.Mark == c.Mark && b.ChecksFences == c.ChecksFences
+}
+
+// Apply returns the version that the delta leads to. It fails if the delta
+// starts elsewhere or the result is not what its sender had.
+func (t *Table) Apply(d Delta) (*Table, error) {
+	if d.From != t.Revision {
+		return nil, fmt.Errorf("table delta starts at revision %d, not %d", d.From, t.Revision)
+	}
+	accounts := merge(t.Accounts, d.Accounts, d.GoneAccounts, func(a Account) string { return a.Name })
+	backends := merge(t.Backends, d.Backends, d.GoneBackends, func(b Backend) string { return b.Name })
+	next := &Table{Revision: d.To, Accounts: accounts, Backends: backends}
+	next.Index()
+	if next.Digest() != d.Digest {
+		return nil, fmt.Errorf("table delta to revision %d gives another table than its sender has", d.To)
+	}
+	return next, nil
+}
+
+func merge[R any](old, changed []R, gone []string, name func(R) string) []R {
+	rows := make(map[string]R, len(old)+len(changed))
+	for _, r := range old {
+		rows[name(r)] = r
+	}
+	for _, r := range changed {
+		rows[name(r)] = r
+	}
+	for _, n := range gone {
+		delete(rows, n)
+	}
+	merged := make([]R, 0, len(rows))
+	for _, r := range rows {
+		merged = append(merged, r)
+	}
+	sort.Slice(merged, func(i, j int) bool { return name(merged[i]) < name(merged[j]) })
+	return merged
+}
+
+// Digest is a hash of the rows, whatever their order.
+func (t *Table) Digest() uint64 {
+	var sum uint64
+	for i := range t.Accounts {
+		sum += rowDigest(&t.Accounts[i])
+	}
+	for i := range t.Backends {
+		sum += rowDigest(&t.Backends[i])
+	}
+	return sum
+}
+
+func rowDigest(row any) uint64 {
+	data, err := msgpack.Marshal(row)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(data)
+}
--- /dev/null
+++ b/pkg/table/parse.go
@@ -0,0 +1,140 @@
+package table
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math"
+	"net/netip"
+
+	"github.com/yarrowmast/yarrowmast/pkg/strictyaml"
+)
+
+// Bounds on what a table may say, so that a slip of the pen is caught.
+const (
+	maxWeight   = 1e6
+	maxPriority = 9
+	maxSlots    = 1 << 16
+	maxName     = 128
+	hashBytes   = 32
+)
+
+// Parse reads a table and checks it whole. Its error is a
+// *strictyaml.Problems that lists everything wrong.
+func Parse(file string, data []byte) (*Table, error) {
+	t := &Table{}
+	d := strictyaml.Decode(file, data, t)
+	if d.Err() != nil {
+		return nil, d.Err()
+	}
+	c := checker{doc: d, names: map[string]bool{}, keys: map[string]string{}}
+	if len(t.Accounts) == 0 {
+		d.Add("no rows: a table without client accounts would refuse every request; add at least one", "accounts")
+	}
+	for i := range t.Accounts {
+		c.account(i, &t.Accounts[i])
+	}
+	for i := range t.Backends {
+		c.backend(i, &t.Backends[i])
+	}
+	if err := d.Err(); err != nil {
+		return nil, err
+	}
+	t.Index()
+	return t, nil
+}
+
+type checker struct {
+	doc   *strictyaml.Doc
+	names map[string]bool
+	keys  map[string]string
+}
+
+func (c *checker) name(kind, name string, path ...any) {
+	if name == "" || len(name) > maxName {
+		c.doc.Add(fmt.Sprintf("needs a name of 1 to %d bytes", maxName), path...)
+		return
+	}
+	id := kind + " " + name
+	if c.names[id] {
+		c.doc.Add(fmt.Sprintf("%s %q stands twice; remove or rename one row", kind, name), path...)
+	}
+	c.names[id] = true
+}
+
+func (c *checker) account(i int, a *Account) {
+	c.name("account", a.Name, "accounts", i, "name")
+	if !(a.Weight > 0) || a.Weight > maxWeight || math.IsNaN(a.Weight) {
+		c.doc.Add(fmt.Sprintf("is %v; write a number above 0 and up to %v", a.Weight, float64(maxWeight)), "accounts", i, "weight")
+	}
+	if a.Priority < 0 || a.Priority > maxPriority {
+		c.doc.Add(fmt.Sprintf("is %d; write 0 to %d", a.Priority, maxPriority), "accounts", i, "priority")
+	}
+	c.key(i, a)
+	c.limits(i, &a.Limits)
+}
+
+func (c *checker) key(i int, a *Account) {
+	if a.KeySHA256 == "" {
+		c.doc.Add("is missing; write the hex SHA-256 of the account's key", "accounts", i, "key_sha256")
+		return
+	}
+	raw, err := hex.DecodeString(a.KeySHA256)
+	if err != nil || len(raw) != hashBytes {
+		c.doc.Add("is not 64 hex digits; write the SHA-256 of the account's key", "accounts", i, "key_sha256")
+		return
+	}
+	a.KeySHA256 = hex.EncodeToString(raw)
+	if other, twice := c.keys[a.KeySHA256]; twice {
+		c.doc.Add(fmt.Sprintf("is the key of account %q too; give each account its own", other), "accounts", i, "key_sha256")
+	}
+	c.keys[a.KeySHA256] = a.Name
+}
+
+func (c *checker) limits(i int, l *Limits) {
+	c.notNegative(l.RequestsPerSecond, "accounts", i, "limits", "requests_per_second")
+	c.notNegative(l.TokensPerSecond, "accounts", i, "limits", "tokens_per_second")
+	c.notNegative(float64(l.InFlight), "accounts", i, "limits", "in_flight")
+	c.notNegative(float64(l.Queued), "accounts", i, "limits", "queued")
+	if l.Queued == 0 {
+		l.Queued = DefaultQueued
+	}
+}
+
+func (c *checker) notNegative(x float64, path ...any) {
+	if !(x >= 0) || math.IsInf(x, 0) {
+		c.doc.Add(fmt.Sprintf("is %v; write 0 for no limit or a number above it", x), path...)
+	}
+}
+
+func (c *checker) backend(i int, b *Backend) {
+	c.name("backend server", b.Name, "backends", i, "name")
+	if b.Zone == "" {
+		c.doc.Add("is missing; write the availability zone", "backends", i, "zone")
+	}
+	if _, err := netip.ParseAddrPort(b.Address); err != nil {
+		c.doc.Add(fmt.Sprintf("%q is no IP number and port, such as 10.0.0.7:8000", b.Address), "backends", i, "address")
+	}
+	if b.Kind == "" {
+		b.Kind = Engine
+	}
+	if b.Kind != Engine && b.Kind != Service {
+		c.doc.Add(fmt.Sprintf("%q is unknown; write engine or service", b.Kind), "backends", i, "kind")
+	}
+	if len(b.Models) == 0 {
+		c.doc.Add("is empty; list the models it serves", "backends", i, "models")
+	}
+	if b.Slots < 1 || b.Slots > maxSlots {
+		c.doc.Add(fmt.Sprintf("is %d; write 1 to %d", b.Slots, maxSlots), "backends", i, "slots")
+	}
+	c.mark(i, b)
+}
+
+func (c *checker) mark(i int, b *Backend) {
+	switch b.Mark {
+	case "":
+		b.Mark = Serving
+	case Joining, Serving, Leaving, Stopping:
+	default:
+		c.doc.Add(fmt.Sprintf("%q is unknown; write joining, serving, leaving or stopping", b.Mark), "backends", i, "mark")
+	}
+}
--- /dev/null
+++ b/pkg/wire/codec.go
@@ -0,0 +1,140 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Kind numbers a message type. Numbers are never used again for another type.
+type Kind uint8
+
+// The message types.
+const (
+	KindHello      Kind = 1
+	KindDemand     Kind = 2
+	KindGrant      Kind = 3
+	KindReturn     Kind = 4
+	KindReport     Kind = 5
+	KindRenew      Kind = 6
+	KindRecall     Kind = 7
+	KindShare      Kind = 8
+	KindNotOwner   Kind = 9
+	KindProbe      Kind = 10
+	KindAck        Kind = 11
+	KindTableAsk   Kind = 12
+	KindTableWhole Kind = 13
+	KindTableDelta Kind = 14
+)
+
+// Protocol is the version of the frames this program writes. A router talks
+// to any other whose OldestProtocol is not above it.
+const (
+	Protocol       = 1
+	OldestProtocol = 1
+)
+
+// Hello is the first message on each connection.
+type Hello struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Protocol and Oldest are the sender's Protocol and OldestProtocol.
+	Protocol int
+	Oldest   int
+	// Name, Zone and Inc are the sender's.
+	Name string
+	Zone string
+	Inc  uint64
+}
+
+// ErrUnknown is returned for a message of a type that cannot be sent.
+var ErrUnknown = errors.New("wire: unknown message type")
+
+// kindOf returns the number of the message's type.
+func kindOf(msg any) (Kind, error) {
+	k, ok := kinds[reflect.TypeOf(msg)]
+	if !ok {
+		return 0, fmt.Errorf("%w: %T", ErrUnknown, msg)
+	}
+	return k, nil
+}
+
+// kinds is factories the other way round.
+var kinds = func() map[reflect.Type]Kind {
+	m := make(map[reflect.Type]Kind, len(factories))
+	for k, f := range factories {
+		m[reflect.TypeOf(f())] = k
+	}
+	return m
+}()
+
+// factories make an empty message of each kind.
+var factories = map[Kind]func() any{
+	KindHello:      func() any { return &Hello{} },
+	KindDemand:     func() any { return &Demand{} },
+	KindGrant:      func() any { return &Grant{} },
+	KindReturn:     func() any { return &Return{} },
+	KindReport:     func() any { return &Report{} },
+	KindRenew:      func() any { return &Renew{} },
+	KindRecall:     func() any { return &Recall{} },
+	KindShare:      func() any { return &Share{} },
+	KindNotOwner:   func() any { return &NotOwner{} },
+	KindProbe:      func() any { return &Probe{} },
+	KindAck:        func() any { return &Ack{} },
+	KindTableAsk:   func() any { return &TableAsk{} },
+	KindTableWhole: func() any { return &TableWhole{} },
+	KindTableDelta: func() any { return &TableDelta{} },
+}
+
+// Append encodes a message at the end of a frame's payload.
+func Append(payload *bytes.Buffer, msg any) error {
+	k, err := kindOf(msg)
+	if err != nil {
+		return err
+	}
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(payload)
+	enc.UseCompactInts(true)
+	enc.UseCompactFloats(true)
+	if err := enc.EncodeUint8(uint8(k)); err != nil {
+		return fmt.Errorf("wire: encode kind %d: %w", k, err)
+	}
+	if err := enc.Encode(msg); err != nil {
+		return fmt.Errorf("wire: encode %T: %w", msg, err)
+	}
+	return nil
+}
+
+// Decode reads all messages of a payload. Messages of kinds that a newer
+// router sent and this one does not know are passed over.
+func Decode(payload []byte) ([]any, error) {
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(bytes.NewReader(payload))
+	var msgs []any
+	for {
+		k, err := dec.DecodeUint8()
+		if errors.Is(err, io.EOF) {
+			return msgs, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("wire: decode kind: %w", err)
+		}
+		f, known := factories[Kind(k)]
+		if !known {
+			if err := dec.Skip(); err != nil {
+				return nil, fmt.Errorf("wire: skip kind %d: %w", k, err)
+			}
+			continue
+		}
+		msg := f()
+		if err := dec.Decode(msg); err != nil {
+			return nil, fmt.Errorf("wire: decode kind %d: %w", k, err)
+		}
+		msgs = append(msgs, msg)
+	}
+}
--- /dev/null
+++ b/pkg/wire/wire.go
@@ -0,0 +1,300 @@
+// Package wire defines the messages between routers. Each message is one
+// msgpack array [kind, body]; docs/PROTOCOL.md gives the framing.
+package wire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+)
+
+// Pool names a set of backend servers with one owner: those of one model in
+// one availability zone, or a shard of them where they are many.
+type Pool struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Model is the model that the pool's backend servers serve.
+	Model string
+	// Zone is the availability zone they stand in.
+	Zone string
+	// Shard counts from 0.
+	Shard int
+}
+
+// NewPool returns the pool of a model, a zone and a shard.
+func NewPool(model, zone string, shard int) Pool {
+	return Pool{Model: model, Zone: zone, Shard: shard}
+}
+
+// String returns the key that is hashed to find the owner.
+func (p Pool) String() string {
+	return p.Model + "/" + p.Zone + "/" + strconv.Itoa(p.Shard)
+}
+
+// ParsePool reads what String writes.
+func ParsePool(s string) (Pool, error) {
+	parts := strings.Split(s, "/")
+	if len(parts) != 3 {
+		return Pool{}, fmt.Errorf("pool %q: want model/zone/shard", s)
+	}
+	n, err := strconv.Atoi(parts[2])
+	if err != nil {
+		return Pool{}, fmt.Errorf("pool %q: shard: %w", s, err)
+	}
+	return NewPool(parts[0], parts[1], n), nil
+}
+
+// Stamp is a moment on one router's own clock, in milliseconds. Only that
+// router may compare it with anything; others hand it back as it is. Since a
+// clock starts at the wall time of the router's start and then runs
+// monotonically, a stamp of an earlier start lies in the past.
+type Stamp int64
+
+// StampOf returns the stamp of a moment on the router's clock.
+func StampOf(now time.Duration) Stamp { return Stamp(now.Milliseconds()) }
+
+// At returns the moment of the stamp on the router's clock.
+func (s Stamp) At() time.Duration { return time.Duration(s) * time.Millisecond }
+
+// Lease is the right to run one request at a time on one slot.
+type Lease struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Owner is the router that granted the lease and gets it back.
+	Owner string
+	// Inc is the owner's incarnation; ID is unique within it.
+	Inc uint64
+	// ID numbers the lease.
+	ID uint64
+	// Pool is the pool the slot belongs to.
+	Pool Pool
+	// Backend is the name of the backend server.
+	Backend string
+	// Account is whose request may run; "" means any (a standing lease).
+	Account string
+	// TTLMillis is for how long after the grant's Stamp a request may start.
+	TTLMillis int
+}
+
+// Key identifies a lease in the whole fleet.
+type Key struct {
+	Owner string
+	Inc   uint64
+	ID    uint64
+}
+
+// Key returns the lease's identity.
+func (l *Lease) Key() Key { return Key{l.Owner, l.Inc, l.ID} }
+
+// Waiting is how many requests of an account wait.
+type Waiting struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Account is the client account.
+	Account string
+	// Count is never negative; 0 withdraws the demand.
+	Count int
+	// Priority is the highest among those waiting.
+	Priority int
+}
+
+// Demand tells an owner what waits at a router. A later Seq replaces a
+// former one; a Full one also replaces all accounts it does not name.
+type Demand struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Pool     Pool
+	// Seq grows by one with each Demand for the pool.
+	Seq uint64
+	// Stamp is the sender's clock when it sent this. Grants echo it.
+	Stamp Stamp
+	// Seen is the Seq of the last Grant that Waiting already counts.
+	Seen uint64
+	// Full says that accounts not named have nothing waiting.
+	Full bool
+	// Waiting lists the accounts whose count changed.
+	Waiting []Waiting
+}
+
+// Grant gives leases to a router. Seq grows by one for each receiver.
+type Grant struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// For is the pool whose demand is met.
+	For Pool
+	// Lent says that the receiver is For's owner, who passes the leases on,
+	// and not a router with waiting requests.
+	Lent bool
+	Seq  uint64
+	// Stamp is the last one received from the receiver. Leases count their
+	// time from it, on the receiver's own clock.
+	Stamp  Stamp
+	Leases []Lease
+}
+
+// Use is what a lease has served.
+type Use struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// ID and Inc identify the lease at its owner.
+	Inc uint64
+	ID  uint64
+	// Account is whose request ran or runs; "" if none does.
+	Account string
+	// Tokens is the count served so far to the running request.
+	Tokens int64
+	// Backend is needed by an owner that did not grant the lease itself.
+	Backend string
+	// Failed says that the backend server could not be reached.
+	Failed bool
+}
+
+// Return gives leases back.
+type Return struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Pool     Pool
+	// Ended lists requests that ended earlier on standing leases.
+	Ended []Use
+	// Done lists leases on which a request ended last.
+	Done []Use
+	// Unused lists leases on which none ran.
+	Unused []Use
+}
+
+// Report lists every lease that a router holds of a pool, in use or idle.
+// It proves that the router still has them.
+type Report struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Pool     Pool
+	// Stamp is the sender's clock when it sent this; Renew echoes it.
+	Stamp Stamp
+	// Held lists the leases.
+	Held []Use
+	// Ended lists requests that ended on standing leases since the last
+	// Report, which the router keeps.
+	Ended []Use
+	// Adopt says that the leases were granted by a former owner.
+	Adopt bool
+}
+
+// Renew extends the standing leases that the Report with Stamp listed.
+type Renew struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Pool     Pool
+	Stamp    Stamp
+}
+
+// Recall asks for all standing leases of a pool back.
+type Recall struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Pool     Pool
+}
+
+// Served is the service an owner has charged to an account.
+type Served struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Account  string
+	// Tokens includes the estimates of requests that still run.
+	Tokens float64
+}
+
+// Share is what owners of the same model tell each other.
+type Share struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// From and To are pools of one model.
+	From Pool
+	To   Pool
+	// Inc and Seq order shares of a pool; a greater pair replaces a lesser.
+	Inc uint64
+	Seq uint64
+	// Stamp is the sender's clock when it sent this. Grants echo it.
+	Stamp Stamp
+	// Seen is the Seq of the last Grant from To that Waiting counts.
+	Seen uint64
+	// Served lists the accounts that were charged lately.
+	Served []Served
+	// Waiting lists all demand that From asks To to meet.
+	Waiting []Waiting
+	// Free is how many slots of From are idle.
+	Free int
+	// Slots is how many slots From has.
+	Slots int
+	// Table is the revision of the table in force at the sender.
+	Table uint64
+}
+
+// NotOwner answers a message for a pool the receiver does not own.
+type NotOwner struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Pool     Pool
+	// Owner is who owns the pool as the sender sees it; "" if nobody.
+	Owner string
+}
+
+// MemberState is what a router believes of another one.
+type MemberState uint8
+
+// The states of a member; of two rumours about one incarnation and
+// refutation the greater state wins.
+const (
+	Alive MemberState = iota
+	Suspect
+	Dead
+	Left
+)
+
+// String returns the state's name in logs and status.
+func (s MemberState) String() string {
+	return [...]string{"alive", "suspect", "dead", "left"}[s&3]
+}
+
+// Rumour is what is said of a member of the zone.
+type Rumour struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Name     string
+	// Inc is the member's start, Ref its count of refutations since.
+	Inc   uint64
+	Ref   uint64
+	State MemberState
+}
+
+// Probe asks a member whether it lives; the answer is an Ack.
+type Probe struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Seq      uint64
+	// Inc and Ref are the sender's.
+	Inc uint64
+	Ref uint64
+	// Table is the revision in force at the sender.
+	Table uint64
+	// Rumours are the latest changes the sender knows of.
+	Rumours []Rumour
+}
+
+// Ack answers a Probe.
+type Ack struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Seq      uint64
+	Inc      uint64
+	Ref      uint64
+	Table    uint64
+	Rumours  []Rumour
+}
+
+// TableAsk asks a peer for its table.
+type TableAsk struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Have is the asker's revision, 0 if it has none.
+	Have uint64
+}
+
+// TableWhole is a whole table; Revision is 0 if the sender has none.
+type TableWhole struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Revision uint64
+	Accounts []table.Account
+	Backends []table.Backend
+}
+
+// TableDelta is a step from one table to the next.
+type TableDelta struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Delta    table.Delta
+}
--- /dev/null
+++ b/standin/judge/judge.go
@@ -0,0 +1,283 @@
+// Package judge watches callers and stand-ins at once, and so knows what the
+// routers cannot: which request really ran where, who waited, and which slots
+// were idle meanwhile.
+package judge
+
+import (
+	"sync"
+	"time"
+)
+
+// Request is what is known of one request of a caller.
+type Request struct {
+	Account string
+	Model   string
+	// Zone is the availability zone of the router it was sent to.
+	Zone string
+	// Once says that it must not run twice.
+	Once bool
+	// Runs is how often a stand-in began it.
+	Runs  int
+	ended bool
+}
+
+// Server is what is known of one backend server.
+type Server struct {
+	Name  string
+	Model string
+	Zone  string
+	Slots int
+	// InFlight is what runs or queues there now, Most the greatest ever.
+	InFlight int
+	Most     int
+	// Closed says that operators marked it leaving or stopping.
+	Closed bool
+	// ClosedAt and LastStart give how long new work went on coming.
+	ClosedAt  time.Time
+	LastStart time.Time
+}
+
+// Point is an account's state at a moment: its cumulative service and whether
+// it has work waiting.
+type Point struct {
+	At      time.Duration
+	Tokens  float64
+	Waiting bool
+}
+
+// Judge is safe for concurrent use.
+type Judge struct {
+	mu       sync.Mutex
+	start    time.Time
+	requests map[string]*Request
+	servers  map[string]*Server
+	// waiting counts requests that were sent and have not begun, by model
+	// and zone and by account.
+	waiting   map[place]int
+	accounts  map[string]int
+	served    map[string]float64
+	points    map[string][]Point
+	cut       map[string]bool
+	last      time.Time
+	busy      float64
+	available float64
+	counting  bool
+	cutShort  int
+}
+
+type place struct{ model, zone string }
+
+// New returns a judge that counts nothing until Count is called.
+func New() *Judge {
+	now := time.Now()
+	return &Judge{
+		start: now, last: now,
+		requests: map[string]*Request{}, servers: map[string]*Server{}, waiting: map[place]int{},
+		accounts: map[string]int{}, served: map[string]float64{}, points: map[string][]Point{}, cut: map[string]bool{},
+	}
+}
+
+// AddServer makes a backend server known.
+func (j *Judge) AddServer(s Server) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.servers[s.Name] = &s
+}
+
+// Count starts or ends the time that is measured.
+func (j *Judge) Count(on bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.advance()
+	j.counting = on
+}
+
+// Cut says whether a zone is cut off from the others.
+func (j *Judge) Cut(zone string, cut bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.advance()
+	j.cut[zone] = cut
+}
+
+// Close says that operators marked a backend server leaving or stopping.
+func (j *Judge) Close(server string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.advance()
+	s := j.servers[server]
+	s.Closed = true
+	s.ClosedAt = time.Now()
+	s.LastStart = s.ClosedAt
+}
+
+// Sent says that a caller sent a request.
+func (j *Judge) Sent(id string, r Request) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.advance()
+	j.requests[id] = &r
+	j.wait(&r, 1)
+}
+
+// Ended says that the caller has its answer, whatever it is.
+func (j *Judge) Ended(id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.advance()
+	r := j.requests[id]
+	if r != nil && !r.ended {
+		r.ended = true
+		if r.Runs == 0 {
+			j.wait(r, -1)
+		}
+	}
+}
+
+// Arrived says that a request reached a backend server.
+func (j *Judge) Arrived(server string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.advance()
+	s := j.servers[server]
+	s.InFlight++
+	s.LastStart = time.Now()
+	if j.counting {
+		s.Most = max(s.Most, s.InFlight)
+	}
+}
+
+// Began says that a backend server began a request.
+func (j *Judge) Began(id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.advance()
+	r := j.requests[id]
+	if r == nil {
+		return
+	}
+	r.Runs++
+	if r.Runs == 1 && !r.ended {
+		j.wait(r, -1)
+	}
+}
+
+// Served says that a request was served tokens.
+func (j *Judge) Served(id string, tokens int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := j.requests[id]
+	if r == nil {
+		return
+	}
+	j.served[r.Account] += float64(tokens)
+	j.point(r.Account)
+}
+
+// CutShort says that a request's stream ended before its end. It counts if
+// the backend server was marked for a planned stop.
+func (j *Judge) CutShort(server string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.servers[server].Closed {
+		j.cutShort++
+	}
+}
+
+// Left says that a request left a backend server.
+func (j *Judge) Left(server string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.advance()
+	j.servers[server].InFlight--
+}
+
+func (j *Judge) wait(r *Request, n int) {
+	j.waiting[place{r.Model, r.Zone}] += n
+	j.accounts[r.Account] += n
+	j.point(r.Account)
+}
+
+func (j *Judge) point(account string) {
+	if !j.counting {
+		return
+	}
+	p := Point{At: time.Since(j.start), Tokens: j.served[account], Waiting: j.accounts[account] > 0}
+	j.points[account] = append(j.points[account], p)
+}
+
+// advance adds the time since the last event to the slots' account.
+func (j *Judge) advance() {
+	now := time.Now()
+	dt := now.Sub(j.last).Seconds()
+	j.last = now
+	if !j.counting {
+		return
+	}
+	for _, s := range j.servers {
+		if s.Closed || !j.workFor(s) {
+			continue
+		}
+		j.available += dt * float64(s.Slots)
+		j.busy += dt * float64(min(s.InFlight, s.Slots))
+	}
+}
+
+// workFor reports whether work waits that the server could do.
+func (j *Judge) workFor(s *Server) bool {
+	for p, n := range j.waiting {
+		if n > 0 && p.model == s.Model && (p.zone == s.Zone || !j.cut[p.zone] && !j.cut[s.Zone]) {
+			return true
+		}
+	}
+	return false
+}
+
+// Finding is what the judge saw.
+type Finding struct {
+	// Utilisation is 1 if no work ever waited.
+	Utilisation float64
+	// Overload is the greatest in flight over the slots.
+	Overload float64
+	// RunTwice counts requests not to be repeated that ran again.
+	RunTwice int
+	// CutStreams counts streams that a planned stop cut.
+	CutStreams int
+	// NewWorkAfterLeave is the longest time from a mark to the last start.
+	NewWorkAfterLeave time.Duration
+	// Points are the accounts' states over time.
+	Points map[string][]Point
+}
+
+// Ran reports how often a request ran.
+func (j *Judge) Ran(id string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if r := j.requests[id]; r != nil {
+		return r.Runs
+	}
+	return 0
+}
+
+// Find returns what was seen so far.
+func (j *Judge) Find() Finding {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.advance()
+	f := Finding{Utilisation: 1, Points: j.points, CutStreams: j.cutShort}
+	if j.available > 0 {
+		f.Utilisation = j.busy / j.available
+	}
+	for _, s := range j.servers {
+		f.Overload = max(f.Overload, float64(s.Most)/float64(s.Slots))
+		if s.Closed {
+			f.NewWorkAfterLeave = max(f.NewWorkAfterLeave, s.LastStart.Sub(s.ClosedAt))
+		}
+	}
+	for _, r := range j.requests {
+		if r.Once && r.Runs > 1 {
+			f.RunTwice++
+		}
+	}
+	return f
+}
