--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -87,7 +86,6 @@
 	open     atomic.Int64
 	draining atomic.Bool
 	http     *http.Server
-	serve    sync.WaitGroup
 }
 
 type options struct {
--- a/pkg/table/delta.go
+++ b/pkg/table/delta.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"bytes"
 	"fmt"
 	"sort"
 
@@ -10,7 +11,6 @@
 
 // Delta is what changed between two versions of a table, row by row.
 type Delta struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// From and To are platform revisions; From is less than To.
 	From uint64
 	To   uint64
@@ -111,9 +111,11 @@
 }
 
 func rowDigest(row any) uint64 {
-	data, err := msgpack.Marshal(row)
-	if err != nil {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true)
+	if err := enc.Encode(row); err != nil {
 		return 0
 	}
-	return xxhash.Sum64(data)
+	return xxhash.Sum64(buf.Bytes())
 }
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -30,7 +30,6 @@
 // Limits bound an account's use of the whole fleet. Zero means no limit,
 // except for Queued, where zero means DefaultQueued.
 type Limits struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// RequestsPerSecond is the rate of admitted requests; never negative.
 	RequestsPerSecond float64 `yaml:"requests_per_second" json:"requests_per_second"`
 	// TokensPerSecond is the rate of served tokens; never negative.
@@ -47,7 +46,6 @@
 
 // Account is the row of a client account.
 type Account struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Name is unique in the table and not empty.
 	Name string `yaml:"name" json:"name"`
 	// Weight is the account's share against others; finite, above zero.
@@ -62,7 +60,6 @@
 
 // Backend is the row of a backend server.
 type Backend struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Name is unique in the table and not empty.
 	Name string `yaml:"name" json:"name"`
 	// Zone is the availability zone the backend server stands in.
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -40,7 +40,6 @@
 
 // Hello is the first message on each connection.
 type Hello struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Protocol and Oldest are the sender's Protocol and OldestProtocol.
 	Protocol int
 	Oldest   int
@@ -98,6 +97,7 @@
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
 	enc.Reset(payload)
+	enc.UseArrayEncodedStructs(true)
 	enc.UseCompactInts(true)
 	enc.UseCompactFloats(true)
 	if err := enc.EncodeUint8(uint8(k)); err != nil {
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -14,7 +14,6 @@
 // Pool names a set of backend servers with one owner: those of one model in
 // one availability zone, or a shard of them where they are many.
 type Pool struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Model is the model that the pool's backend servers serve.
 	Model string
 	// Zone is the availability zone they stand in.
@@ -60,7 +59,6 @@
 
 // Lease is the right to run one request at a time on one slot.
 type Lease struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Owner is the router that granted the lease and gets it back.
 	Owner string
 	// Inc is the owner's incarnation; ID is unique within it.
@@ -89,7 +87,6 @@
 
 // Waiting is how many requests of an account wait.
 type Waiting struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Account is the client account.
 	Account string
 	// Count is never negative; 0 withdraws the demand.
@@ -101,8 +98,7 @@
 // Demand tells an owner what waits at a router. A later Seq replaces a
 // former one; a Full one also replaces all accounts it does not name.
 type Demand struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Pool     Pool
+	Pool Pool
 	// Seq grows by one with each Demand for the pool.
 	Seq uint64
 	// Stamp is the sender's clock when it sent this. Grants echo it.
@@ -117,7 +113,6 @@
 
 // Grant gives leases to a router. Seq grows by one for each receiver.
 type Grant struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// For is the pool whose demand is met.
 	For Pool
 	// Lent says that the receiver is For's owner, who passes the leases on,
@@ -132,7 +127,6 @@
 
 // Use is what a lease has served.
 type Use struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// ID and Inc identify the lease at its owner.
 	Inc uint64
 	ID  uint64
@@ -148,8 +142,7 @@
 
 // Return gives leases back.
 type Return struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Pool     Pool
+	Pool Pool
 	// Ended lists requests that ended earlier on standing leases.
 	Ended []Use
 	// Done lists leases on which a request ended last.
@@ -161,8 +154,7 @@
 // Report lists every lease that a router holds of a pool, in use or idle.
 // It proves that the router still has them.
 type Report struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Pool     Pool
+	Pool Pool
 	// Stamp is the sender's clock when it sent this; Renew echoes it.
 	Stamp Stamp
 	// Held lists the leases.
@@ -176,28 +168,24 @@
 
 // Renew extends the standing leases that the Report with Stamp listed.
 type Renew struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Pool     Pool
-	Stamp    Stamp
+	Pool  Pool
+	Stamp Stamp
 }
 
 // Recall asks for all standing leases of a pool back.
 type Recall struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Pool     Pool
+	Pool Pool
 }
 
 // Served is the service an owner has charged to an account.
 type Served struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Account  string
+	Account string
 	// Tokens includes the estimates of requests that still run.
 	Tokens float64
 }
 
 // Share is what owners of the same model tell each other.
 type Share struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// From and To are pools of one model.
 	From Pool
 	To   Pool
@@ -222,8 +210,7 @@
 
 // NotOwner answers a message for a pool the receiver does not own.
 type NotOwner struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Pool     Pool
+	Pool Pool
 	// Owner is who owns the pool as the sender sees it; "" if nobody.
 	Owner string
 }
@@ -247,8 +234,7 @@
 
 // Rumour is what is said of a member of the zone.
 type Rumour struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Name     string
+	Name string
 	// Inc is the member's start, Ref its count of refutations since.
 	Inc   uint64
 	Ref   uint64
@@ -257,8 +243,7 @@
 
 // Probe asks a member whether it lives; the answer is an Ack.
 type Probe struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Seq      uint64
+	Seq uint64
 	// Inc and Ref are the sender's.
 	Inc uint64
 	Ref uint64
@@ -270,24 +255,21 @@
 
 // Ack answers a Probe.
 type Ack struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Seq      uint64
-	Inc      uint64
-	Ref      uint64
-	Table    uint64
-	Rumours  []Rumour
+	Seq     uint64
+	Inc     uint64
+	Ref     uint64
+	Table   uint64
+	Rumours []Rumour
 }
 
 // TableAsk asks a peer for its table.
 type TableAsk struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Have is the asker's revision, 0 if it has none.
 	Have uint64
 }
 
 // TableWhole is a whole table; Revision is 0 if the sender has none.
 type TableWhole struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Revision uint64
 	Accounts []table.Account
 	Backends []table.Backend
@@ -295,6 +277,5 @@
 
 // TableDelta is a step from one table to the next.
 type TableDelta struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Delta    table.Delta
+	Delta table.Delta
 }
