Number leases by the owner's epoch and pool, and shorten the messages

Cause: 8 of 96 slots stood idle for 4 s each at the start. Leases were identified by owner, incarnation and number, but a router that owns two pools counts in both, and one that becomes owner again starts from 1, so a holder took new leases for ones it had and dropped them. Ruled out: lost messages (no drop was counted), lease expiry. Change: a lease's source is owner, pool and epoch (the moment of becoming owner); it stands once per message. A new owner is told of running requests even if there are none, so its quiet time ends early.

--- a/internal/measure/fairness.go
+++ b/internal/measure/fairness.go
@@ -7,10 +7,20 @@
 	"github.com/yarrowmast/yarrowmast/standin/judge"
 )
 
-// gap returns the largest difference of weighted service between two accounts
-// over all windows in which both had work waiting throughout.
-func gap(a, b []judge.Point, wa, wb float64) float64 {
-	largest, low, high := 0.0, 0.0, 0.0
+// window is a difference of weighted service between two accounts, in tokens,
+// and between which moments it came about.
+type window struct {
+	gap      float64
+	accounts string
+	from, to time.Duration
+}
+
+// largestGap returns the largest difference over all windows in which both
+// accounts had work waiting throughout.
+func largestGap(a, b []judge.Point, wa, wb float64) window {
+	var most window
+	var low, high, d float64
+	var lowAt, highAt time.Duration
 	inside := false
 	var sa, sb judge.Point
 	for len(a) > 0 || len(b) > 0 {
@@ -23,27 +33,37 @@
 			inside = false
 			continue
 		}
-		d := sa.Tokens/wa - sb.Tokens/wb
-		if !inside {
-			low, high, inside = d, d, true
+		now := max(sa.At, sb.At)
+		d = sa.Tokens/wa - sb.Tokens/wb
+		if !inside || d < low {
+			low, lowAt = d, now
+		}
+		if !inside || d > high {
+			high, highAt = d, now
+		}
+		inside = true
+		if high-low > most.gap {
+			most = window{gap: high - low, from: min(lowAt, highAt), to: max(lowAt, highAt)}
 		}
-		low, high = min(low, d), max(high, d)
-		largest = max(largest, high-low)
 	}
-	return largest
+	return most
 }
 
 // fairness returns the largest gap over all pairs of accounts of one model.
-func (s *Scenario) fairness(points map[string][]judge.Point) float64 {
-	largest := 0.0
+func (s *Scenario) fairness(points map[string][]judge.Point) window {
+	var most window
 	for i, a := range s.Accounts {
 		for _, b := range s.Accounts[i+1:] {
 			if a.Model == b.Model {
-				largest = max(largest, gap(points[a.Name], points[b.Name], a.Weight, b.Weight))
+				w := largestGap(points[a.Name], points[b.Name], a.Weight, b.Weight)
+				w.accounts = a.Name + " and " + b.Name
+				if w.gap > most.gap {
+					most = w
+				}
 			}
 		}
 	}
-	return largest
+	return most
 }
 
 // backloggedShare is how much of the time an account must have had work
--- a/internal/measure/print.go
+++ b/internal/measure/print.go
@@ -23,6 +23,7 @@
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%g\t%d\t%d\t%d\t%.0f\t%.1f%%\n", a.Name, a.Model, a.Weight, a.Answered, a.Refused, a.Doubtful, a.Tokens, share)
 	}
 	_ = t.Flush()
+	_, _ = fmt.Fprintf(w, "largest fairness gap: %.0f tokens, %s\n", r.FairnessGap, r.GapWhere)
 }
 
 // PrintJSON writes the report on one line.
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -43,6 +43,10 @@
 	NewWorkAfterLeave   float64        `json:"new_work_after_leave_ms"`
 	CutStreams          int            `json:"cut_streams"`
 	Codes               map[string]int `json:"refusal_codes,omitempty"`
+	// Owners counts what the owners of pools did.
+	Owners pool.Stats `json:"owners"`
+	// GapWhere names the pair of accounts and the window of the gap.
+	GapWhere string `json:"-"`
 	// Accounts is answers, refusals and tokens by account, for people.
 	Accounts []AccountReport `json:"-"`
 }
@@ -73,7 +77,7 @@
 }
 
 // warmUp is the time after the callers' start that is not measured.
-const warmUp = time.Second
+const warmUp = 3 * time.Second
 
 // control is what routers spent on each other at a moment.
 type control struct {
@@ -120,6 +124,7 @@
 	l.finish()
 	r := c.report(l)
 	r.Policy = policy
+	c.each(func(_ string, n *node.Node) { r.Owners.Add(n.Router.Status().Owner) })
 	r.addControl(before, after, s.Duration, float64(callsAfter-calls))
 	return r, nil
 }
@@ -138,11 +143,13 @@
 
 func (c *cluster) report(l *load) *Report {
 	s, t, f := c.scenario, l.tally, c.judge.Find()
+	w := s.fairness(f.Points)
 	r := &Report{
+		GapWhere: fmt.Sprintf("%s, between %.1f s and %.1f s", w.accounts, w.from.Seconds(), w.to.Seconds()),
 		Scenario: s.Name, Seed: s.Seed,
 		Answered: t.ends[answered], RefusedNotRun: t.ends[refusedNotRun], MayHaveRun: t.ends[mayHaveRun], Unanswered: t.ends[unanswered],
 		MixedAnswers: t.mixed, RanAfterNotRun: t.ranOff, RunTwice: f.RunTwice,
-		FairnessGap: round(s.fairness(f.Points)), MinShare: round(s.minShare(f.Points)),
+		FairnessGap: round(w.gap), MinShare: round(s.minShare(f.Points)),
 		FairnessBound: round(s.bound(t.largest, pool.DefaultShareEvery+hold.DefaultReportEvery)),
 		Utilisation:   round(f.Utilisation), IdleWhileWaiting: round(1 - f.Utilisation), Overload: round(f.Overload),
 		TTFTP50: ms(percentile(t.ttft, 0.5)), TTFTP95: ms(percentile(t.ttft, 0.95)),
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -118,7 +118,7 @@
 	if c.ownersAt == 0 {
 		c.takeOwnership(lenders)
 	}
-	c.runHolder(hold.Lenders{Of: lenders})
+	c.runHolder(hold.Lenders{Zone: c.r.id.Zone, Of: lenders})
 	c.runHolder(hold.Homes{Of: c.homes(lenders)})
 	for p, o := range c.owners {
 		c.runOwner(o, pool.Siblings{Nodes: siblings(p, lenders)})
@@ -144,7 +144,7 @@
 }
 
 func (c *core) newOwner(p wire.Pool) {
-	o := pool.New(c.r.id.Name, c.r.id.Inc, p, c.now, c.r.opt.pool...)
+	o := pool.New(c.r.id.Name, p, c.now, c.r.opt.pool...)
 	c.owners[p] = o
 	c.r.opt.log.Info("pool_owned", "pool", p.String())
 	c.runOwner(o, pool.Servers{List: poolServers(c.pools[p])})
--- a/internal/router/receive.go
+++ b/internal/router/receive.go
@@ -69,11 +69,11 @@
 		c.runOwner(o, pool.Lent{From: from, Msg: m})
 		return
 	}
-	for i := range m.Leases {
-		l := &m.Leases[i]
-		use := wire.Use{Inc: l.Inc, ID: l.ID, Backend: l.Backend}
-		c.send(l.Owner, &wire.Return{Pool: l.Pool, Unused: []wire.Use{use}})
+	back := &wire.Return{Pool: m.Source.Pool, Epoch: m.Source.Epoch}
+	for _, l := range m.Leases {
+		back.Unused = append(back.Unused, wire.Use{ID: l.ID})
 	}
+	c.send(m.Source.Owner, back)
 }
 
 // receiveNotOwner turns to the owner that a router of the pool's own zone
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/member"
+	"github.com/yarrowmast/yarrowmast/pkg/pool"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 )
 
@@ -38,6 +39,8 @@
 	Members []member.Status `json:"members"`
 	// Pools lists the owned pools.
 	Pools []string `json:"pools"`
+	// Owner counts what the owners of pools did here.
+	Owner pool.Stats `json:"owner"`
 	// Waiting counts waiting requests by model and account.
 	Waiting map[string]map[string]int `json:"waiting"`
 	// Running counts running requests by backend server.
@@ -91,8 +94,9 @@
 		s.Refusal = bad.Err.Error()
 	}
 	s.Leases, s.IdleLeases = c.holder.Leases()
-	for p := range c.owners {
+	for p, o := range c.owners {
 		s.Pools = append(s.Pools, p.String())
+		s.Owner.Add(o.Stats())
 	}
 	c.r.snapshot.status.Store(s)
 }
--- a/pkg/hold/event.go
+++ b/pkg/hold/event.go
@@ -72,8 +72,12 @@
 // served nowhere.
 type Homes struct{ Of map[string]Home }
 
-// Lenders names the present owner of every pool, by pool.
-type Lenders struct{ Of map[wire.Pool]Home }
+// Lenders names the present owner of every pool, by pool. Zone is the
+// router's own availability zone.
+type Lenders struct {
+	Zone string
+	Of   map[wire.Pool]Home
+}
 
 // Closed replaces the set of backend servers that take no new work.
 type Closed struct{ Backends map[string]bool }
--- a/pkg/hold/holder.go
+++ b/pkg/hold/holder.go
@@ -18,7 +18,7 @@
 	now      time.Duration
 	models   map[string]*model
 	requests map[uint64]*request
-	leases   map[wire.Key]*held
+	leases   map[key]*held
 	// byPool lists the leases of each pool, idle or running.
 	byPool   map[wire.Pool]*lent
 	lenders  map[wire.Pool]Home
@@ -48,13 +48,22 @@
 
 // lent is the leases of one pool and what is still to be told of them.
 type lent struct {
-	held  map[wire.Key]*held
-	ended []wire.Use
+	held  map[key]*held
+	ended map[wire.Source][]wire.Use
+}
+
+// key identifies a lease in the whole fleet.
+type key struct {
+	source wire.Source
+	id     uint64
 }
 
 // held is a lease at its holder.
 type held struct {
 	wire.Lease
+	source wire.Source
+	// ttl is how long a renewal lasts.
+	ttl time.Duration
 	// state follows the chart in pkg/chart/lease.yaml.
 	state chart.State
 	// expires is when no request may start on it any more.
@@ -73,7 +82,7 @@
 		opt:      defaults(),
 		models:   map[string]*model{},
 		requests: map[uint64]*request{},
-		leases:   map[wire.Key]*held{},
+		leases:   map[key]*held{},
 		byPool:   map[wire.Pool]*lent{},
 		lenders:  map[wire.Pool]Home{},
 		queued:   map[string]int{},
@@ -132,6 +141,14 @@
 	return len(h.leases), idle
 }
 
+func (x *lent) takeEnded(s wire.Source) []wire.Use {
+	e := x.ended[s]
+	delete(x.ended, s)
+	return e
+}
+
+func (l *held) key() key { return key{l.source, l.ID} }
+
 func (h *Holder) act(a Action) { h.out = append(h.out, a) }
 
 func (h *Holder) send(to string, msg any) {
--- a/pkg/hold/lease.go
+++ b/pkg/hold/lease.go
@@ -14,20 +14,23 @@
 		m.seen = max(m.seen, e.Msg.Seq)
 	}
 	for i := range e.Msg.Leases {
-		h.take(m, e.Msg.Leases[i], e.Msg.Stamp)
+		h.take(m, e.Msg, e.Msg.Leases[i])
 	}
 }
 
 // take uses a lease at once, keeps it if it is a standing one, or hands it
 // back if there is nothing it could run.
-func (h *Holder) take(m *model, l wire.Lease, stamp wire.Stamp) {
-	if _, twice := h.leases[l.Key()]; twice {
+func (h *Holder) take(m *model, g *wire.Grant, l wire.Lease) {
+	ttl := time.Duration(g.TTLMillis) * time.Millisecond
+	x := &held{
+		Lease: l, source: g.Source, ttl: ttl, state: chart.Granted,
+		expires: g.Stamp.At() + ttl, standing: l.Account == "", owner: g.Source.Owner,
+	}
+	if _, twice := h.leases[x.key()]; twice {
 		return
 	}
-	ttl := time.Duration(l.TTLMillis) * time.Millisecond
-	x := &held{Lease: l, state: chart.Granted, expires: stamp.At() + ttl, standing: l.Account == "", owner: l.Owner}
-	h.leases[l.Key()] = x
-	h.pool(l.Pool).held[l.Key()] = x
+	h.leases[x.key()] = x
+	h.pool(g.Source.Pool).held[x.key()] = x
 	r := h.nextFor(m, x)
 	switch {
 	case r != nil:
@@ -77,8 +80,7 @@
 	p := h.pool(e.Msg.Pool)
 	for _, l := range p.held {
 		if l.standing && l.owner == e.From {
-			ttl := time.Duration(l.TTLMillis) * time.Millisecond
-			l.expires = max(l.expires, e.Msg.Stamp.At()+ttl)
+			l.expires = max(l.expires, e.Msg.Stamp.At()+l.ttl)
 		}
 	}
 }
@@ -98,8 +100,8 @@
 // for each owner and pool.
 func (h *Holder) returnIdle(m *model, match func(*held) bool, on chart.Event) {
 	type to struct {
-		owner string
-		pool  wire.Pool
+		owner  string
+		source wire.Source
 	}
 	returns := map[to]*wire.Return{}
 	var order []to
@@ -109,11 +111,10 @@
 			kept = append(kept, l)
 			continue
 		}
-		k := to{l.owner, l.Pool}
+		k := to{l.owner, l.source}
 		if returns[k] == nil {
-			p := h.pool(l.Pool)
-			returns[k] = &wire.Return{Pool: l.Pool, Ended: p.ended}
-			p.ended = nil
+			p := h.pool(l.source.Pool)
+			returns[k] = &wire.Return{Pool: l.source.Pool, Epoch: l.source.Epoch, Ended: p.takeEnded(l.source)}
 			order = append(order, k)
 		}
 		returns[k].Unused = append(returns[k].Unused, h.use(l, "", 0))
@@ -165,6 +166,11 @@
 			h.moveLeases(p, old[p], now)
 		}
 	}
+	for _, p := range sortedPools(e.Of) {
+		if e.Of[p] != old[p] && (p.Zone == e.Zone || len(h.pool(p).held) > 0) {
+			h.adopt(p, e.Of[p].Owner)
+		}
+	}
 }
 
 // moveLeases gives the leases of a pool a new owner. Idle ones end, so that
@@ -174,20 +180,43 @@
 	if from.Owner == "" {
 		return
 	}
-	h.returnIdle(h.model(p.Model), func(l *held) bool { return l.Pool == p }, chart.Return)
-	x := h.pool(p)
-	report := &wire.Report{Pool: p, Adopt: true, Stamp: wire.StampOf(h.now)}
-	for _, l := range x.sorted() {
+	h.returnIdle(h.model(p.Model), func(l *held) bool { return l.source.Pool == p }, chart.Return)
+	for _, l := range h.pool(p).sorted() {
 		l.owner = to.Owner
 		l.standing = false
-		report.Held = append(report.Held, h.use(l, l.request.Account, l.tokens))
 	}
-	h.send(to.Owner, report)
 }
 
-func (h *Holder) pools() []wire.Pool {
-	pools := make([]wire.Pool, 0, len(h.byPool))
-	for p := range h.byPool {
+// adopt tells a new owner what runs on the leases of former ones. It tells
+// it even if nothing does, since the new owner waits to hear so.
+func (h *Holder) adopt(p wire.Pool, owner string) {
+	if owner == "" {
+		return
+	}
+	byEpoch := map[uint64]*wire.Report{0: {Pool: p, Adopt: true, Stamp: wire.StampOf(h.now)}}
+	order := []uint64{0}
+	for _, l := range h.pool(p).sorted() {
+		r, ok := byEpoch[l.source.Epoch]
+		if !ok {
+			r = &wire.Report{Pool: p, Epoch: l.source.Epoch, Adopt: true, Stamp: wire.StampOf(h.now)}
+			byEpoch[l.source.Epoch] = r
+			order = append(order, l.source.Epoch)
+		}
+		r.Held = append(r.Held, wire.Use{ID: l.ID, Account: l.account(), Tokens: l.tokens, Backend: l.Backend})
+	}
+	for _, epoch := range order[1:] {
+		h.send(owner, byEpoch[epoch])
+	}
+	if len(order) == 1 {
+		h.send(owner, byEpoch[0])
+	}
+}
+
+func (h *Holder) pools() []wire.Pool { return sortedPools(h.byPool) }
+
+func sortedPools[V any](m map[wire.Pool]V) []wire.Pool {
+	pools := make([]wire.Pool, 0, len(m))
+	for p := range m {
 		pools = append(pools, p)
 	}
 	sort.Slice(pools, func(i, j int) bool { return pools[i].String() < pools[j].String() })
@@ -200,8 +229,8 @@
 		all = append(all, l)
 	}
 	sort.Slice(all, func(i, j int) bool {
-		if all[i].Inc != all[j].Inc {
-			return all[i].Inc < all[j].Inc
+		if all[i].source.Epoch != all[j].source.Epoch {
+			return all[i].source.Epoch < all[j].source.Epoch
 		}
 		return all[i].ID < all[j].ID
 	})
--- a/pkg/hold/request.go
+++ b/pkg/hold/request.go
@@ -69,30 +69,32 @@
 // wants it back, nor while requests wait, whose order is the owner's to say.
 func (h *Holder) mayReuse(l *held) bool {
 	return l.standing && !l.recalled && !h.draining && h.now < l.expires &&
-		!h.closed[l.Backend] && !h.model(l.Pool.Model).waiting()
+		!h.closed[l.Backend] && !h.model(l.source.Pool.Model).waiting()
 }
 
 func (h *Holder) reuse(l *held, r *request, e Finished) {
 	if e.Sent {
-		p := h.pool(l.Pool)
-		p.ended = append(p.ended, h.use(l, r.Account, e.Tokens))
+		p := h.pool(l.source.Pool)
+		p.ended[l.source] = append(p.ended[l.source], h.use(l, r.Account, e.Tokens))
 	}
 	l.tokens = 0
-	m := h.model(l.Pool.Model)
+	m := h.model(l.source.Pool.Model)
 	m.idle = append(m.idle, l)
 }
 
 func (h *Holder) use(l *held, account string, tokens int64) wire.Use {
-	return wire.Use{Inc: l.Inc, ID: l.ID, Account: account, Tokens: tokens, Backend: l.Backend}
+	if l.Account != "" {
+		account = ""
+	}
+	return wire.Use{ID: l.ID, Account: account, Tokens: tokens}
 }
 
 // giveBack returns a lease to its owner at once, since work may wait for it.
 func (h *Holder) giveBack(l *held, u wire.Use, used bool) {
-	p := h.pool(l.Pool)
-	msg := &wire.Return{Pool: l.Pool}
+	p := h.pool(l.source.Pool)
+	msg := &wire.Return{Pool: l.source.Pool, Epoch: l.source.Epoch}
 	if l.standing {
-		msg.Ended = p.ended
-		p.ended = nil
+		msg.Ended = p.takeEnded(l.source)
 	}
 	if used {
 		msg.Done = []wire.Use{u}
@@ -104,14 +106,14 @@
 }
 
 func (h *Holder) forget(l *held) {
-	delete(h.leases, l.Key())
-	delete(h.pool(l.Pool).held, l.Key())
+	delete(h.leases, l.key())
+	delete(h.pool(l.source.Pool).held, l.key())
 }
 
 func (h *Holder) pool(p wire.Pool) *lent {
 	x, ok := h.byPool[p]
 	if !ok {
-		x = &lent{held: map[wire.Key]*held{}}
+		x = &lent{held: map[key]*held{}, ended: map[wire.Source][]wire.Use{}}
 		h.byPool[p] = x
 	}
 	return x
--- a/pkg/hold/tell.go
+++ b/pkg/hold/tell.go
@@ -112,45 +112,41 @@
 	return q.top()
 }
 
-// report tells the owner of a pool which leases are held here.
+// report tells the owners of a pool's leases which are held here.
 func (h *Holder) report(p wire.Pool) {
 	x := h.byPool[p]
 	if len(x.held) == 0 && len(x.ended) == 0 {
 		delete(h.byPool, p)
 		return
 	}
-	byOwner := map[string]*wire.Report{}
+	type to struct {
+		owner string
+		epoch uint64
+	}
+	reports := map[to]*wire.Report{}
+	var order []to
 	for _, l := range x.sorted() {
-		r, ok := byOwner[l.owner]
+		k := to{l.owner, l.source.Epoch}
+		r, ok := reports[k]
 		if !ok {
-			r = &wire.Report{Pool: p, Stamp: wire.StampOf(h.now)}
-			byOwner[l.owner] = r
+			r = &wire.Report{Pool: p, Epoch: l.source.Epoch, Stamp: wire.StampOf(h.now), Ended: x.takeEnded(l.source)}
+			reports[k] = r
+			order = append(order, k)
 		}
 		r.Held = append(r.Held, h.use(l, l.account(), l.tokens))
 	}
-	h.attachEnded(p, x, byOwner)
-	for _, owner := range sortedKeys(byOwner) {
-		h.send(owner, byOwner[owner])
+	for _, k := range order {
+		h.send(k.owner, reports[k])
 	}
+	h.reportEnded(p, x)
 }
 
-// attachEnded adds what ended on standing leases to the report that goes to
-// the pool's present owner.
-func (h *Holder) attachEnded(p wire.Pool, x *lent, byOwner map[string]*wire.Report) {
-	if len(x.ended) == 0 {
-		return
-	}
-	owner := h.lenders[p].Owner
-	if owner == "" {
-		return
-	}
-	r, ok := byOwner[owner]
-	if !ok {
-		r = &wire.Report{Pool: p, Stamp: wire.StampOf(h.now)}
-		byOwner[owner] = r
+// reportEnded tells of requests that ended on leases that are held no more.
+func (h *Holder) reportEnded(p wire.Pool, x *lent) {
+	for s, ended := range x.ended {
+		h.send(s.Owner, &wire.Report{Pool: p, Epoch: s.Epoch, Stamp: wire.StampOf(h.now), Ended: ended})
 	}
-	r.Ended = x.ended
-	x.ended = nil
+	clear(x.ended)
 }
 
 func (l *held) account() string {
--- a/pkg/pool/decide.go
+++ b/pkg/pool/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
@@ -83,36 +84,53 @@
 	l := o.newLease(s, c.who.node, a.name)
 	l.charged = o.estimate(a)
 	o.charge(a.name, l.charged)
-	g := o.batched(c.who)
+	if c.who.pool == o.pool {
+		o.stats.Granted++
+	} else {
+		o.stats.Lent++
+	}
+	g := o.batched(c.who, o.source(), o.opt.ttl)
 	c.unseen = append(c.unseen, g.Seq)
-	g.Leases = append(g.Leases, o.wireLease(l))
+	g.Leases = append(g.Leases, l.wire())
 }
 
 func (o *Owner) newLease(s *server, holder, account string) *lease {
 	o.nextID++
-	l := &lease{id: o.nextID, inc: o.inc, server: s, name: s.Name, holder: holder, account: account, heard: o.now}
+	l := &lease{id: o.nextID, epoch: o.epoch, server: s, name: s.Name, holder: holder, account: account, heard: o.now}
 	o.leases[l.id] = l
 	s.used++
 	s.peak = max(s.peak, s.used)
 	return l
 }
 
-func (o *Owner) wireLease(l *lease) wire.Lease {
-	return wire.Lease{
-		Owner: o.self, Inc: o.inc, ID: l.id, Pool: o.pool, Backend: l.name,
-		Account: l.account, TTLMillis: int(o.opt.ttl.Milliseconds()),
-	}
+func (l *lease) wire() wire.Lease {
+	return wire.Lease{ID: l.id, Backend: l.name, Account: l.account}
+}
+
+func (o *Owner) source() wire.Source {
+	return wire.Source{Owner: o.self, Pool: o.pool, Epoch: o.epoch}
 }
 
-// batched returns the grant that this step will send to the claimant.
-func (o *Owner) batched(who claimant) *wire.Grant {
-	g, ok := o.batch[who]
+// batchKey names one message of a step.
+type batchKey struct {
+	who    claimant
+	source wire.Source
+}
+
+// batched returns the grant of leases of the source that this step will send
+// to the claimant.
+func (o *Owner) batched(who claimant, source wire.Source, ttl time.Duration) *wire.Grant {
+	k := batchKey{who, source}
+	g, ok := o.batch[k]
 	if !ok {
 		c := o.claimer(who)
 		c.grantSeq++
-		g = &wire.Grant{For: who.pool, Lent: who.pool != o.pool, Seq: c.grantSeq, Stamp: o.stampOf(who)}
-		o.batch[who] = g
-		o.batchOrder = append(o.batchOrder, who)
+		g = &wire.Grant{
+			For: who.pool, Lent: who.pool != o.pool, Seq: c.grantSeq, Stamp: o.stampOf(who),
+			TTLMillis: int(ttl.Milliseconds()), Source: source,
+		}
+		o.batch[k] = g
+		o.batchOrder = append(o.batchOrder, k)
 	}
 	return g
 }
@@ -129,9 +147,9 @@
 }
 
 func (o *Owner) flushGrants() {
-	for _, who := range o.batchOrder {
-		o.send(who.node, o.batch[who])
-		delete(o.batch, who)
+	for _, k := range o.batchOrder {
+		o.send(k.who.node, o.batch[k])
+		delete(o.batch, k)
 	}
 	o.batchOrder = o.batchOrder[:0]
 }
@@ -209,7 +227,7 @@
 		l := o.newLease(s, name, "")
 		l.standing = true
 		h.standing++
-		g := o.batched(claimant{node: name, pool: o.pool})
-		g.Leases = append(g.Leases, o.wireLease(l))
+		g := o.batched(claimant{node: name, pool: o.pool}, o.source(), o.opt.ttl)
+		g.Leases = append(g.Leases, l.wire())
 	}
 }
--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -175,9 +175,9 @@
 }
 
 func (e Return) apply(o *Owner) {
-	o.ended(e.From, e.Msg.Ended)
+	o.ended(e.From, e.Msg.Epoch, e.Msg.Ended)
 	for _, u := range e.Msg.Done {
-		if l := o.find(u); l != nil {
+		if l := o.find(e.Msg.Epoch, u); l != nil {
 			l.server.down = l.server.down || u.Failed
 			o.bind(l, u.Account)
 			o.settle(l, u.Tokens, true)
@@ -185,8 +185,9 @@
 		}
 	}
 	for _, u := range e.Msg.Unused {
-		if l := o.find(u); l != nil {
+		if l := o.find(e.Msg.Epoch, u); l != nil {
 			l.server.down = l.server.down || u.Failed
+			o.stats.Unused++
 			o.charge(l.account, -l.charged)
 			o.free(l)
 		}
@@ -196,11 +197,11 @@
 func (e Report) apply(o *Owner) {
 	h := o.holder(e.From)
 	h.hear(o.now, e.Msg.Stamp)
-	o.ended(e.From, e.Msg.Ended)
+	o.ended(e.From, e.Msg.Epoch, e.Msg.Ended)
 	for _, u := range e.Msg.Held {
-		l := o.find(u)
+		l := o.find(e.Msg.Epoch, u)
 		if l == nil && e.Msg.Adopt {
-			l = o.adopt(e.From, u)
+			l = o.adopt(e.From, e.Msg.Epoch, u)
 		}
 		if l == nil {
 			continue
@@ -217,11 +218,11 @@
 
 // ended charges requests that ended on standing leases, less what earlier
 // reports of the same request charged.
-func (o *Owner) ended(from string, uses []wire.Use) {
+func (o *Owner) ended(from string, epoch uint64, uses []wire.Use) {
 	for _, u := range uses {
 		tokens := float64(u.Tokens)
 		charged := 0.0
-		if l := o.find(u); l != nil && l.account == u.Account {
+		if l := o.find(epoch, u); l != nil && l.account == u.Account {
 			charged = l.charged
 			l.account = ""
 			l.charged = 0
@@ -237,15 +238,12 @@
 func (e Lent) apply(o *Owner) { o.relay(e.From, e.Msg) }
 
 // find returns the lease that the use speaks of.
-func (o *Owner) find(u wire.Use) *lease {
-	l := o.leases[u.ID]
-	if l != nil && l.inc == u.Inc {
-		return l
+func (o *Owner) find(epoch uint64, u wire.Use) *lease {
+	id := u.ID
+	if epoch != o.epoch {
+		id = adoptedID(epoch, u.ID)
 	}
-	if l = o.leases[adoptedID(u)]; l != nil && l.inc == u.Inc {
-		return l
-	}
-	return nil
+	return o.leases[id]
 }
 
 // bind charges what runs on a standing lease to the account it runs for.
@@ -261,15 +259,21 @@
 // adoptedBit keeps the numbers of adopted leases apart from own ones.
 const adoptedBit = 1 << 63
 
-func adoptedID(u wire.Use) uint64 { return adoptedBit | u.ID ^ u.Inc<<20 }
+// adoptedID numbers a lease of a former owner. Epochs are nanoseconds and a
+// factor spreads them, so that numbers of two former owners do not meet.
+func adoptedID(epoch, id uint64) uint64 {
+	const spread = 0x9E3779B97F4A7C15
+	return adoptedBit | (epoch*spread ^ id)
+}
 
 // adopt takes over a lease that a former owner granted.
-func (o *Owner) adopt(holder string, u wire.Use) *lease {
+func (o *Owner) adopt(holder string, epoch uint64, u wire.Use) *lease {
 	s, ok := o.servers[u.Backend]
 	if !ok {
 		return nil
 	}
-	l := &lease{id: adoptedID(u), inc: u.Inc, server: s, name: s.Name, holder: holder, account: u.Account, heard: o.now}
+	id := adoptedID(epoch, u.ID)
+	l := &lease{id: id, epoch: epoch, server: s, name: s.Name, holder: holder, account: u.Account, heard: o.now}
 	o.leases[l.id] = l
 	s.used++
 	s.peak = max(s.peak, s.used)
@@ -280,6 +284,7 @@
 func (o *Owner) reclaimSilent() {
 	for _, l := range o.leases {
 		if o.now-l.heard >= o.opt.reclaim {
+			o.stats.Reclaimed++
 			o.free(l)
 		}
 	}
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -33,7 +33,7 @@
 type Owner struct {
 	opt     options
 	self    string
-	inc     uint64
+	epoch   uint64
 	pool    wire.Pool
 	now     time.Duration
 	started time.Duration
@@ -57,8 +57,36 @@
 	contended  time.Duration
 	out        []Send
 	quiet      bool
-	batch      map[claimant]*wire.Grant
-	batchOrder []claimant
+	batch      map[batchKey]*wire.Grant
+	batchOrder []batchKey
+	stats      Stats
+}
+
+// Stats counts what an owner did since its start.
+type Stats struct {
+	// Granted leases went to routers, Lent ones to other owners.
+	Granted int64 `json:"granted"`
+	Lent    int64 `json:"lent"`
+	// Relayed leases were lent by other owners and passed on here; Bounced
+	// ones found nobody waiting any more.
+	Relayed int64 `json:"relayed"`
+	Bounced int64 `json:"bounced"`
+	// Unused leases came back without a request, Reclaimed ones never came.
+	Unused    int64 `json:"unused"`
+	Reclaimed int64 `json:"reclaimed"`
+}
+
+// Stats returns the counts so far.
+func (o *Owner) Stats() Stats { return o.stats }
+
+// Add adds other counts.
+func (s *Stats) Add(t Stats) {
+	s.Granted += t.Granted
+	s.Lent += t.Lent
+	s.Relayed += t.Relayed
+	s.Bounced += t.Bounced
+	s.Unused += t.Unused
+	s.Reclaimed += t.Reclaimed
 }
 
 // claimant is who may be granted a lease: a router, or another pool's owner.
@@ -97,7 +125,7 @@
 	tokens   int64
 	heard    time.Duration
 	standing bool
-	inc      uint64
+	epoch    uint64
 }
 
 type account struct {
@@ -146,16 +174,16 @@
 
 // New returns the owner of a pool as it is at the time now. It stays quiet,
 // granting nothing, for one lease time unless the options say otherwise.
-func New(self string, inc uint64, pool wire.Pool, now time.Duration, opts ...Option) *Owner {
+func New(self string, pool wire.Pool, now time.Duration, opts ...Option) *Owner {
 	o := &Owner{
-		opt: defaults(), self: self, inc: inc, pool: pool, now: now, started: now,
+		opt: defaults(), self: self, epoch: uint64(now), pool: pool, now: now, started: now,
 		servers:  map[string]*server{},
 		claims:   map[claimant]*claimer{},
 		leases:   map[uint64]*lease{},
 		accounts: map[string]*account{},
 		siblings: map[wire.Pool]*sibling{},
 		holders:  map[string]*holder{},
-		batch:    map[claimant]*wire.Grant{},
+		batch:    map[batchKey]*wire.Grant{},
 		quiet:    true,
 	}
 	for _, f := range opts {
--- a/pkg/pool/share.go
+++ b/pkg/pool/share.go
@@ -10,7 +10,7 @@
 // sibling is the owner of another pool of the same model.
 type sibling struct {
 	node  string
-	inc   uint64
+	epoch uint64
 	seq   uint64
 	heard time.Duration
 	known bool
@@ -68,11 +68,11 @@
 	if !ok || s.node != e.From {
 		return
 	}
-	if s.inc == e.Msg.Inc && e.Msg.Seq <= s.seq {
+	if s.epoch == e.Msg.Epoch && e.Msg.Seq <= s.seq {
 		return
 	}
-	fresh := !s.known || s.inc != e.Msg.Inc
-	s.inc, s.seq, s.heard, s.known = e.Msg.Inc, e.Msg.Seq, o.now, true
+	fresh := !s.known || s.epoch != e.Msg.Epoch
+	s.epoch, s.seq, s.heard, s.known = e.Msg.Epoch, e.Msg.Seq, o.now, true
 	s.free, s.slots, s.stamp = e.Msg.Free, e.Msg.Slots, e.Msg.Stamp
 	o.learn(s, e.Msg.Served, fresh)
 	o.setClaims(claimant{node: e.From, pool: e.Msg.From}, e.Msg.Waiting, e.Msg.Seen, true)
@@ -199,7 +199,7 @@
 	for i, p := range pools {
 		s := o.siblings[p]
 		o.send(s.node, &wire.Share{
-			From: o.pool, To: p, Inc: o.inc, Seq: o.shareSeq, Stamp: wire.StampOf(o.now), Seen: s.seenGrant,
+			From: o.pool, To: p, Epoch: o.epoch, Seq: o.shareSeq, Stamp: wire.StampOf(o.now), Seen: s.seenGrant,
 			Served: served, Waiting: waiting[i], Free: free, Slots: slots,
 		})
 	}
@@ -285,35 +285,40 @@
 	return names
 }
 
-// relay hands leases lent by another owner to routers of this zone. What
-// nobody needs any more goes straight back.
+// relay hands leases lent by another owner to routers of this zone, for what
+// is left of their time, which the lender counts from the stamp of this
+// owner's share. What nobody needs any more goes straight back.
 func (o *Owner) relay(from string, g *wire.Grant) {
-	for i := range g.Leases {
-		l := &g.Leases[i]
-		if s, ok := o.siblings[l.Pool]; ok && s.node == from {
-			s.seenGrant = max(s.seenGrant, g.Seq)
+	if s, ok := o.siblings[g.Source.Pool]; ok && s.node == from {
+		s.seenGrant = max(s.seenGrant, g.Seq)
+	}
+	left := g.Stamp.At() + time.Duration(g.TTLMillis)*time.Millisecond - o.now
+	back := &wire.Return{Pool: g.Source.Pool, Epoch: g.Source.Epoch}
+	for _, l := range g.Leases {
+		if left <= 0 || !o.relayOne(l, g.Source, left) {
+			o.stats.Bounced++
+			back.Unused = append(back.Unused, wire.Use{ID: l.ID})
 		}
-		o.relayOne(l, g.Stamp)
 	}
 	o.flushGrants()
+	if len(back.Unused) > 0 {
+		o.send(g.Source.Owner, back)
+	}
 }
 
-// relayOne passes a lease on for what is left of its time, which the lender
-// counts from the stamp of this owner's share.
-func (o *Owner) relayOne(l *wire.Lease, stamp wire.Stamp) {
+// relayOne passes a lease on; it reports whether anyone here can use it.
+func (o *Owner) relayOne(l wire.Lease, source wire.Source, left time.Duration) bool {
 	a := o.account(l.Account)
 	c := o.bestLocal(a)
-	left := stamp.At() + time.Duration(l.TTLMillis)*time.Millisecond - o.now
-	l.TTLMillis = int(left.Milliseconds())
-	if c == nil || left <= 0 {
-		use := wire.Use{Inc: l.Inc, ID: l.ID, Backend: l.Backend}
-		o.send(l.Owner, &wire.Return{Pool: l.Pool, Unused: []wire.Use{use}})
-		return
+	if c == nil {
+		return false
 	}
-	g := o.batched(c.who)
+	o.stats.Relayed++
+	g := o.batched(c.who, source, left)
 	c.unseen = append(c.unseen, g.Seq)
-	g.Leases = append(g.Leases, *l)
+	g.Leases = append(g.Leases, l)
 	o.refresh(a)
+	return true
 }
 
 func (o *Owner) bestLocal(a *account) *claim {
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -59,32 +59,26 @@
 
 // Lease is the right to run one request at a time on one slot.
 type Lease struct {
-	// Owner is the router that granted the lease and gets it back.
-	Owner string
-	// Inc is the owner's incarnation; ID is unique within it.
-	Inc uint64
-	// ID numbers the lease.
+	// ID numbers the lease among those of its Grant's Source.
 	ID uint64
-	// Pool is the pool the slot belongs to.
-	Pool Pool
 	// Backend is the name of the backend server.
 	Backend string
 	// Account is whose request may run; "" means any (a standing lease).
 	Account string
-	// TTLMillis is for how long after the grant's Stamp a request may start.
-	TTLMillis int
 }
 
-// Key identifies a lease in the whole fleet.
-type Key struct {
+// Source is who granted a lease and gets it back.
+type Source struct {
+	// Owner is the router.
 	Owner string
-	Inc   uint64
-	ID    uint64
+	// Pool is the pool the slot belongs to.
+	Pool Pool
+	// Epoch is when the router became the pool's owner, on its own clock. A
+	// router that is owner twice numbers its leases twice, so the number
+	// alone would not do.
+	Epoch uint64
 }
 
-// Key returns the lease's identity.
-func (l *Lease) Key() Key { return Key{l.Owner, l.Inc, l.ID} }
-
 // Waiting is how many requests of an account wait.
 type Waiting struct {
 	// Account is the client account.
@@ -121,20 +115,24 @@
 	Seq  uint64
 	// Stamp is the last one received from the receiver. Leases count their
 	// time from it, on the receiver's own clock.
-	Stamp  Stamp
+	Stamp Stamp
+	// TTLMillis is for how long after Stamp a request may start.
+	TTLMillis int
+	// Source is where the leases go back to.
+	Source Source
 	Leases []Lease
 }
 
 // Use is what a lease has served.
 type Use struct {
-	// ID and Inc identify the lease at its owner.
-	Inc uint64
-	ID  uint64
-	// Account is whose request ran or runs; "" if none does.
-	Account string
+	// ID is the lease's number.
+	ID uint64
 	// Tokens is the count served so far to the running request.
 	Tokens int64
-	// Backend is needed by an owner that did not grant the lease itself.
+	// Account is whose request ran or runs on a standing lease; "" if none
+	// does, or if the lease is for one account.
+	Account string
+	// Backend is given where the receiver did not grant the lease itself.
 	Backend string
 	// Failed says that the backend server could not be reached.
 	Failed bool
@@ -142,7 +140,8 @@
 
 // Return gives leases back.
 type Return struct {
-	Pool Pool
+	Pool  Pool
+	Epoch uint64
 	// Ended lists requests that ended earlier on standing leases.
 	Ended []Use
 	// Done lists leases on which a request ended last.
@@ -151,10 +150,11 @@
 	Unused []Use
 }
 
-// Report lists every lease that a router holds of a pool, in use or idle.
-// It proves that the router still has them.
+// Report lists every lease of one Source that a router holds, in use or
+// idle. It proves that the router still has them.
 type Report struct {
-	Pool Pool
+	Pool  Pool
+	Epoch uint64
 	// Stamp is the sender's clock when it sent this; Renew echoes it.
 	Stamp Stamp
 	// Held lists the leases.
@@ -189,9 +189,9 @@
 	// From and To are pools of one model.
 	From Pool
 	To   Pool
-	// Inc and Seq order shares of a pool; a greater pair replaces a lesser.
-	Inc uint64
-	Seq uint64
+	// Epoch is when the sender became the owner; Seq orders its shares.
+	Epoch uint64
+	Seq   uint64
 	// Stamp is the sender's clock when it sent this. Grants echo it.
 	Stamp Stamp
 	// Seen is the Seq of the last Grant from To that Waiting counts.
