--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -82,11 +82,22 @@
 func (s *Server) schedule(ctx context.Context, a *ask, r *http.Request, out *answer, o *Outcome) *verdict.Error {
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
-	if a.key != "" {
-		if err := s.scheduler.Claim(ctx, Claim{Account: a.account.Name, Key: a.key, At: a.keyTime}); err != nil {
-			return asVerdict(err)
-		}
+	if a.key == "" {
+		return s.tryAll(ctx, a, r, out, o)
+	}
+	claim := Claim{Account: a.account.Name, Request: a.id, Key: a.key, At: a.keyTime}
+	if err := s.scheduler.Claim(ctx, claim); err != nil {
+		return acquireFailed(ctx, err)
+	}
+	err := s.tryAll(ctx, a, r, out, o)
+	if err != nil && err.Verdict == verdict.NotRun {
+		s.scheduler.Unclaim(claim)
 	}
+	return err
+}
+
+// tryAll attempts the request until it ends.
+func (s *Server) tryAll(ctx context.Context, a *ask, r *http.Request, out *answer, o *Outcome) *verdict.Error {
 	doubt := false
 	for {
 		result, err := s.attempt(ctx, a, r, out, o)
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -21,6 +21,8 @@
 	// Claim takes a caller's idempotency key for this request. Its error is
 	// a *verdict.Error that says what became of the request.
 	Claim(ctx context.Context, c Claim) error
+	// Unclaim takes a claim back, because its request did not run.
+	Unclaim(c Claim)
 }
 
 // Request is what the scheduler needs to know of a request.
@@ -62,6 +64,8 @@
 // Claim is a caller's idempotency key.
 type Claim struct {
 	Account string
+	// Request is the id of the request that uses the key.
+	Request string
 	Key     string
 	// At is when the caller first used the key, the zero time if not said.
 	At time.Time
--- a/internal/measure/baseline.go
+++ b/internal/measure/baseline.go
@@ -210,6 +210,9 @@
 // Claim implements front.Scheduler.
 func (x *baselineAt) Claim(context.Context, front.Claim) error { return nil }
 
+// Unclaim implements front.Scheduler.
+func (x *baselineAt) Unclaim(front.Claim) {}
+
 // Acquire implements front.Scheduler.
 func (x *baselineAt) Acquire(ctx context.Context, req front.Request) (front.Grant, error) {
 	b := x.b
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -29,14 +29,8 @@
 	PolicyFleet   = "fleet"
 	PolicyLocal   = "local"
 	PolicyCentral = "central"
-	// PolicyAsLastShared is the fleet with counters read as last shared.
-	PolicyAsLastShared = "fleet/as-last-shared"
 )
 
-func knownPolicy(p string) bool {
-	return p == PolicyFleet || p == PolicyLocal || p == PolicyCentral || p == PolicyAsLastShared
-}
-
 const (
 	anyPort = "127.0.0.1:0"
 	// engineStep is the time between two chunks of a stand-in.
@@ -152,14 +146,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.settings(zone, name)
-	estimator := pool.CountedByZones
-	if c.policy == PolicyAsLastShared {
-		estimator = pool.AsLastShared
+	fleet, err := parsePolicy(c.policy)
+	if err != nil {
+		return err
 	}
 	opts := []node.Option{
 		node.WithDialer(c.fabric.Dialer(zone, name)),
 		node.WithLogger(slog.New(slog.DiscardHandler)),
-		node.WithRouter(router.WithPool(pool.WithEstimator(estimator)), router.WithObserver(c.versions.of(name))),
+		node.WithRouter(router.WithPool(fleet.pool...), router.WithHold(fleet.hold...), router.WithObserver(c.versions.of(name))),
 	}
 	switch c.policy {
 	case PolicyCentral:
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -24,7 +24,8 @@
 	ZoneLatency time.Duration `yaml:"zone_latency"`
 	Accounts    []Account     `yaml:"accounts"`
 	Faults      []Fault       `yaml:"faults"`
-	// Policies are fleet, local, central, or fleet/as-last-shared.
+	// Policies are fleet, local, central, or variants of the fleet, such as
+	// fleet/share=100ms or fleet/as-last-shared.
 	Policies []string `yaml:"policies"`
 }
 
@@ -127,8 +128,8 @@
 		s.Policies = []string{PolicyFleet}
 	}
 	for i, p := range s.Policies {
-		if !knownPolicy(p) {
-			d.Add(fmt.Sprintf("%q is unknown; write fleet, local, central or fleet/as-last-shared", p), "policies", i)
+		if _, err := parsePolicy(p); err != nil {
+			d.Add(err.Error(), "policies", i)
 		}
 	}
 	models, routers := s.checkZones(d)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -47,7 +47,7 @@
 func writeHello(conn net.Conn, h wire.Hello) error {
 	var buf bytes.Buffer
 	buf.Write(make([]byte, headerSize))
-	if err := wire.Append(&buf, &h); err != nil {
+	if err := wire.NewEncoder(&buf).Append(&h); err != nil {
 		return err
 	}
 	frame := buf.Bytes()
@@ -69,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	msgs, err := wire.Decode(payload)
+	msgs, err := wire.NewDecoder().Decode(payload)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -50,13 +50,14 @@
 		return
 	}
 	r := bufio.NewReader(conn)
+	dec := wire.NewDecoder()
 	for {
 		payload, err := ReadFrame(r)
 		if err != nil {
 			return
 		}
 		begun := time.Now()
-		msgs, err := wire.Decode(payload)
+		msgs, err := dec.Decode(payload)
 		n.count.CodecNanos.Add(int64(time.Since(begun)))
 		if err != nil {
 			n.opt.log.Warn("peer_frame_refused", "peer", hello.Name, "error", err)
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -20,6 +20,7 @@
 	// failedAt is when the last dial failed; the zero time if it did not.
 	failedAt time.Time
 	buf      bytes.Buffer
+	enc      *wire.Encoder
 }
 
 func (o *outbox) run() {
@@ -37,13 +38,13 @@
 
 // deliver writes the message and all that wait behind it as one frame.
 func (o *outbox) deliver(first any) {
-	o.buf.Reset()
-	o.buf.Write(make([]byte, headerSize))
-	count := o.fill(first)
 	if err := o.connect(); err != nil {
-		o.lose(count, err)
+		o.lose(1, err)
 		return
 	}
+	o.buf.Reset()
+	o.buf.Write(make([]byte, headerSize))
+	count := o.fill(first)
 	if err := o.write(); err != nil {
 		o.lose(count, err)
 		o.drop()
@@ -57,7 +58,7 @@
 	count := 0
 	for msg := first; ; {
 		begun := time.Now()
-		if err := wire.Append(&o.buf, msg); err != nil {
+		if err := o.enc.Append(msg); err != nil {
 			o.net.opt.log.Error("peer_encode_failed", "peer", o.to, "error", err)
 		}
 		o.net.count.CodecNanos.Add(int64(time.Since(begun)))
@@ -109,6 +110,7 @@
 		return err
 	}
 	o.conn = conn
+	o.enc = wire.NewEncoder(&o.buf)
 	go o.watch(conn)
 	return nil
 }
--- a/internal/router/acquire.go
+++ b/internal/router/acquire.go
@@ -177,6 +177,3 @@
 	delete(c.served, e.id)
 	c.runHolder(hold.Finished{ID: e.id, Tokens: e.usage.Tokens, Sent: e.usage.Sent, Failed: e.usage.Failed})
 }
-
-// Claim implements front.Scheduler.
-func (r *Router) Claim(context.Context, front.Claim) error { return nil }
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -8,6 +8,7 @@
 	"github.com/yarrowmast/yarrowmast/internal/platform"
 	"github.com/yarrowmast/yarrowmast/pkg/hold"
 	"github.com/yarrowmast/yarrowmast/pkg/member"
+	"github.com/yarrowmast/yarrowmast/pkg/once"
 	"github.com/yarrowmast/yarrowmast/pkg/pool"
 	"github.com/yarrowmast/yarrowmast/pkg/retry"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
@@ -29,6 +30,7 @@
 	holder  *hold.Holder
 	owners  map[wire.Pool]*pool.Owner
 	budget  *retry.Budget
+	keys    *once.Homes
 
 	table     *table.Table
 	instances []platform.Instance
@@ -40,6 +42,8 @@
 	nextID  uint64
 	waiting map[uint64]chan<- acquired
 	served  map[uint64]*atomic.Int64
+	// claims are the keys that this router waits to hear of.
+	claims map[uint64]*claiming
 	// local is what this router sends to itself.
 	local    []any
 	started  bool
@@ -66,15 +70,17 @@
 		now:     r.now(),
 		members: member.New(r.id.Name, r.id.Inc, r.id.Inc),
 		sync:    tablesync.New(r.id.Name),
-		holder:  hold.New(),
+		holder:  hold.New(r.opt.hold...),
 		owners:  map[wire.Pool]*pool.Owner{},
 		budget:  retry.New(retry.DefaultShare, retry.DefaultBurst),
+		claims:  map[uint64]*claiming{},
 		pools:   map[wire.Pool][]table.Backend{},
 		named:   map[wire.Pool]naming{},
 		waiting: map[uint64]chan<- acquired{},
 		served:  map[uint64]*atomic.Int64{},
 		feeds:   map[string]*loadFeed{},
 	}
+	c.keys = once.New(r.id.Name, c.now)
 	c.lastRun = c.now
 	return c
 }
@@ -102,7 +108,8 @@
 func (c *core) wake() {
 	c.r.opt.log.Warn("router_was_paused", "gap_ms", (c.now - c.lastRun).Milliseconds())
 	c.sendAll(c.members.Step(c.now, member.Woke{}))
-	for p := range c.owners {
+	c.sendClaims(c.keys.Step(c.now, once.Woke{}))
+	for _, p := range wire.SortedPools(c.owners) {
 		c.dropOwner(p)
 	}
 	c.ownersAt = c.now + pool.DefaultTTL
@@ -137,9 +144,9 @@
 		c.ownersAt = 0
 		c.reown()
 	}
-	for _, o := range c.owners {
-		c.runOwner(o, pool.Tick{})
-	}
+	c.eachOwner(func(wire.Pool) pool.Event { return pool.Tick{} })
+	c.sendClaims(c.keys.Step(c.now, once.Tick{}))
+	c.expireClaims()
 	c.snapshotIfDue()
 }
 
@@ -157,6 +164,13 @@
 	}
 }
 
+// eachOwner gives every owned pool an event, in the pools' order.
+func (c *core) eachOwner(event func(wire.Pool) pool.Event) {
+	for _, p := range wire.SortedPools(c.owners) {
+		c.runOwner(c.owners[p], event(p))
+	}
+}
+
 func (c *core) runOwner(o *pool.Owner, ev pool.Event) {
 	for _, s := range o.Step(c.now, ev) {
 		if share, ok := s.Msg.(*wire.Share); ok {
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -11,6 +11,7 @@
 	"github.com/yarrowmast/yarrowmast/pkg/pool"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/tablesync"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 // TableName is the platform's name of the table's value.
@@ -169,11 +170,16 @@
 }
 
 func (e loadRead) apply(c *core) {
-	for p, o := range c.owners {
-		for _, b := range c.pools[p] {
-			if b.Name == e.backend {
-				c.runOwner(o, e.event())
-			}
+	if c.table == nil {
+		return
+	}
+	b, ok := c.table.Backend(e.backend)
+	if !ok {
+		return
+	}
+	for _, p := range wire.SortedPools(c.owners) {
+		if p.Model == b.Models[0] && p.Zone == b.Zone {
+			c.runOwner(c.owners[p], e.event())
 		}
 	}
 }
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -5,6 +5,7 @@
 
 	"github.com/yarrowmast/yarrowmast/pkg/hold"
 	"github.com/yarrowmast/yarrowmast/pkg/member"
+	"github.com/yarrowmast/yarrowmast/pkg/once"
 	"github.com/yarrowmast/yarrowmast/pkg/pool"
 	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
@@ -48,10 +49,9 @@
 	}
 	c.runHolder(hold.Closed{Backends: closed})
 	c.reown()
-	for p, o := range c.owners {
-		c.runOwner(o, pool.Servers{List: poolServers(c.pools[p])})
-		c.runOwner(o, pool.Weights{Of: c.weights()})
-	}
+	weights := c.weights()
+	c.eachOwner(func(p wire.Pool) pool.Event { return pool.Servers{List: poolServers(c.pools[p])} })
+	c.eachOwner(func(wire.Pool) pool.Event { return pool.Weights{Of: weights} })
 }
 
 func poolServers(backends []table.Backend) []pool.Server {
@@ -75,10 +75,9 @@
 	live := c.members.Live()
 	c.r.opt.log.Info("members", "live", len(live))
 	c.runSync(tablesync.Live{Names: live})
+	c.sendClaims(c.keys.Step(c.now, once.Live{Names: live, Known: c.members.Known()}))
 	c.reown()
-	for _, o := range c.owners {
-		c.runOwner(o, pool.Holders{Names: live})
-	}
+	c.eachOwner(func(wire.Pool) pool.Event { return pool.Holders{Names: live} })
 }
 
 // ownerOf returns the owner of a pool as this router sees it: by the live
@@ -120,13 +119,12 @@
 	}
 	c.runHolder(hold.Lenders{Zone: c.r.id.Zone, Of: lenders})
 	c.runHolder(hold.Homes{Of: c.homes(lenders)})
-	for p, o := range c.owners {
-		c.runOwner(o, pool.Siblings{Nodes: siblings(p, lenders)})
-	}
+	c.eachOwner(func(p wire.Pool) pool.Event { return pool.Siblings{Nodes: siblings(p, lenders)} })
 }
 
 func (c *core) takeOwnership(lenders map[wire.Pool]hold.Home) {
-	for p, home := range lenders {
+	for _, p := range wire.SortedPools(lenders) {
+		home := lenders[p]
 		_, have := c.owners[p]
 		mine := home.Owner == c.r.id.Name && p.Zone == c.r.id.Zone
 		if mine && !have {
@@ -136,7 +134,7 @@
 			c.dropOwner(p)
 		}
 	}
-	for p := range c.owners {
+	for _, p := range wire.SortedPools(c.owners) {
 		if _, ok := lenders[p]; !ok {
 			c.dropOwner(p)
 		}
@@ -210,6 +208,7 @@
 	}
 	c.r.net.SetAddresses(addrs)
 	c.sendAll(c.members.Step(c.now, member.List{Peers: peers}))
+	c.sendClaims(c.keys.Step(c.now, once.Live{Names: c.members.Live(), Known: c.members.Known()}))
 	if !c.started {
 		c.started = true
 		c.runSync(tablesync.Start{Peers: c.firstPeers(names)})
--- a/internal/router/receive.go
+++ b/internal/router/receive.go
@@ -39,6 +39,8 @@
 		c.runHolder(hold.Recalled{From: from, Msg: m})
 	case *wire.NotOwner:
 		c.receiveNotOwner(from, m)
+	default:
+		c.receiveClaim(from, msg)
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/peer"
 	"github.com/yarrowmast/yarrowmast/internal/platform"
+	"github.com/yarrowmast/yarrowmast/pkg/hold"
 	"github.com/yarrowmast/yarrowmast/pkg/pool"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 )
@@ -81,7 +82,9 @@
 type options struct {
 	log       *slog.Logger
 	pool      []pool.Option
+	hold      []hold.Option
 	loadEvery time.Duration
+	clock     func() time.Duration
 	observers []Observer
 }
 
@@ -100,9 +103,15 @@
 // WithPool passes options on to the owners of pools.
 func WithPool(opts ...pool.Option) Option { return func(o *options) { o.pool = opts } }
 
+// WithHold passes options on to the holder.
+func WithHold(opts ...hold.Option) Option { return func(o *options) { o.hold = opts } }
+
 // WithLoadEvery sets the interval of load reads.
 func WithLoadEvery(d time.Duration) Option { return func(o *options) { o.loadEvery = d } }
 
+// WithClock replaces the router's clock, for tests.
+func WithClock(clock func() time.Duration) Option { return func(o *options) { o.clock = clock } }
+
 // WithObserver adds one who is told of decisions.
 func WithObserver(ob Observer) Option {
 	return func(o *options) { o.observers = append(o.observers, ob) }
@@ -151,6 +160,9 @@
 // now is the router's clock: the wall time of its start, run on by the
 // monotonic clock. It never goes back and is unique to this start.
 func (r *Router) now() time.Duration {
+	if r.opt.clock != nil {
+		return r.opt.clock()
+	}
 	return time.Duration(r.started.UnixNano()) + time.Since(r.started)
 }
 
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -37,8 +37,10 @@
 	Draining     bool   `json:"draining"`
 	// Members is the zone as this router sees it.
 	Members []member.Status `json:"members"`
-	// Pools lists the owned pools.
-	Pools []string `json:"pools"`
+	// Pools lists the owned pools, Accounts what their owner knows of each
+	// account, by pool.
+	Pools    []string                        `json:"pools"`
+	Accounts map[string][]pool.AccountStatus `json:"accounts"`
 	// Owner counts what the owners of pools did here.
 	Owner pool.Stats `json:"owner"`
 	// Waiting counts waiting requests by model and account.
@@ -88,6 +90,7 @@
 		Name: c.r.id.Name, Zone: c.r.id.Zone, Incarnation: c.r.id.Inc,
 		Table: c.sync.Revision(), Reader: c.sync.Reader(), Draining: c.draining,
 		Members: c.members.All(), Waiting: c.holder.Waiting(), Running: c.holder.Running(), Counts: c.r.counts(),
+		Accounts: map[string][]pool.AccountStatus{},
 	}
 	if bad := c.sync.LastRefused(); bad != nil {
 		s.RefusedTable = bad.Revision
@@ -96,6 +99,7 @@
 	s.Leases, s.IdleLeases = c.holder.Leases()
 	for p, o := range c.owners {
 		s.Pools = append(s.Pools, p.String())
+		s.Accounts[p.String()] = o.Accounts()
 		s.Owner.Add(o.Stats())
 	}
 	c.r.snapshot.status.Store(s)
--- a/pkg/hold/holder.go
+++ b/pkg/hold/holder.go
@@ -4,7 +4,8 @@
 package hold
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/chart"
@@ -221,10 +222,5 @@
 }
 
 func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
+	return slices.Sorted(maps.Keys(m))
 }
--- a/pkg/hold/lease.go
+++ b/pkg/hold/lease.go
@@ -134,8 +134,8 @@
 }
 
 func (e Homes) apply(h *Holder) {
-	for name, home := range e.Of {
-		h.moveHome(h.model(name), home)
+	for _, name := range sortedKeys(e.Of) {
+		h.moveHome(h.model(name), e.Of[name])
 	}
 	for name, m := range h.models {
 		if _, ok := e.Of[name]; !ok {
@@ -166,7 +166,7 @@
 			h.moveLeases(p, old[p], now)
 		}
 	}
-	for _, p := range sortedPools(e.Of) {
+	for _, p := range wire.SortedPools(e.Of) {
 		if e.Of[p] != old[p] && (p.Zone == e.Zone || len(h.pool(p).held) > 0) {
 			h.adopt(p, e.Of[p].Owner)
 		}
@@ -212,16 +212,7 @@
 	}
 }
 
-func (h *Holder) pools() []wire.Pool { return sortedPools(h.byPool) }
-
-func sortedPools[V any](m map[wire.Pool]V) []wire.Pool {
-	pools := make([]wire.Pool, 0, len(m))
-	for p := range m {
-		pools = append(pools, p)
-	}
-	sort.Slice(pools, func(i, j int) bool { return pools[i].String() < pools[j].String() })
-	return pools
-}
+func (h *Holder) pools() []wire.Pool { return wire.SortedPools(h.byPool) }
 
 func (x *lent) sorted() []*held {
 	all := make([]*held, 0, len(x.held))
--- a/pkg/hold/tell.go
+++ b/pkg/hold/tell.go
@@ -1,6 +1,10 @@
 package hold
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/yarrowmast/yarrowmast/pkg/chart"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
@@ -143,8 +147,9 @@
 
 // reportEnded tells of requests that ended on leases that are held no more.
 func (h *Holder) reportEnded(p wire.Pool, x *lent) {
-	for s, ended := range x.ended {
-		h.send(s.Owner, &wire.Report{Pool: p, Epoch: s.Epoch, Stamp: wire.StampOf(h.now), Ended: ended})
+	sources := slices.SortedFunc(maps.Keys(x.ended), func(a, b wire.Source) int { return cmp.Compare(a.Epoch, b.Epoch) })
+	for _, s := range sources {
+		h.send(s.Owner, &wire.Report{Pool: p, Epoch: s.Epoch, Stamp: wire.StampOf(h.now), Ended: x.ended[s]})
 	}
 	clear(x.ended)
 }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -164,6 +164,18 @@
 	return names
 }
 
+// Known returns how many routers the zone has, dead ones that the platform
+// still lists among them.
+func (m *Members) Known() int {
+	n := 1
+	for _, p := range m.peers {
+		if p.listed || p.state <= wire.Suspect {
+			n++
+		}
+	}
+	return n
+}
+
 // Inc returns the incarnation of a member, 0 if it is not known.
 func (m *Members) Inc(name string) uint64 {
 	if name == m.self {
--- a/pkg/member/step.go
+++ b/pkg/member/step.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
@@ -150,8 +152,8 @@
 func (Leave) apply(m *Members) {
 	m.leaving = true
 	m.changed = true
-	for name, p := range m.peers {
-		if p.state <= wire.Suspect {
+	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
+		if m.peers[name].state <= wire.Suspect {
 			m.probe(name)
 		}
 	}
--- a/pkg/pool/claim.go
+++ b/pkg/pool/claim.go
@@ -1,6 +1,11 @@
 package pool
 
-import "github.com/yarrowmast/yarrowmast/pkg/wire"
+import (
+	"maps"
+	"slices"
+
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
 
 func (o *Owner) claimer(who claimant) *claimer {
 	c, ok := o.claims[who]
@@ -15,22 +20,38 @@
 // had not seen when it counted are taken off again.
 func (o *Owner) setClaims(who claimant, waiting []wire.Waiting, seen uint64, full bool) {
 	c := o.claimer(who)
-	named := make(map[string]bool, len(waiting))
+	touched := make(map[string]bool, len(waiting))
 	for _, w := range waiting {
-		named[w.Account] = true
+		touched[w.Account] = true
 		o.setClaim(who, c, w)
 	}
 	for name, cl := range c.claims {
-		cl.unseen = dropSeen(cl.unseen, seen)
-		if full && !named[name] {
+		if full && !touched[name] {
 			cl.reported = 0
+			touched[name] = true
 		}
-		o.refresh(o.account(name))
-		if cl.reported == 0 && len(cl.unseen) == 0 {
-			delete(c.claims, name)
-			delete(o.account(name).claims, who)
+		if len(cl.unseen) > 0 {
+			cl.unseen = dropSeen(cl.unseen, seen)
+			touched[name] = true
 		}
 	}
+	for _, name := range sorted(touched) {
+		o.settleClaim(who, c, name)
+	}
+}
+
+// settleClaim takes a changed claim into account, or forgets an empty one.
+func (o *Owner) settleClaim(who claimant, c *claimer, name string) {
+	a := o.account(name)
+	if cl, ok := c.claims[name]; ok && cl.reported == 0 && len(cl.unseen) == 0 {
+		delete(c.claims, name)
+		delete(a.claims, who)
+	}
+	o.refresh(a)
+}
+
+func sorted[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
 }
 
 func (o *Owner) setClaim(who claimant, c *claimer, w wire.Waiting) {
@@ -62,7 +83,7 @@
 	if !ok {
 		return
 	}
-	for name := range c.claims {
+	for _, name := range sorted(c.claims) {
 		a := o.account(name)
 		delete(a.claims, who)
 		o.refresh(a)
@@ -99,5 +120,5 @@
 	if c.who.node != d.who.node {
 		return c.who.node < d.who.node
 	}
-	return c.who.pool.Zone < d.who.pool.Zone
+	return c.who.pool.String() < d.who.pool.String()
 }
--- a/pkg/pool/decide.go
+++ b/pkg/pool/decide.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"sort"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
@@ -169,7 +168,7 @@
 // contend notes that work waits unmet and asks the standing leases back.
 func (o *Owner) contend() {
 	o.contended = o.now
-	for _, n := range o.holderNames() {
+	for _, n := range sorted(o.holders) {
 		h := o.holders[n]
 		if h.standing > 0 && !h.recalled {
 			h.recalled = true
@@ -179,20 +178,11 @@
 	o.wantShare()
 }
 
-func (o *Owner) holderNames() []string {
-	names := make([]string, 0, len(o.holders))
-	for n := range o.holders {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	return names
-}
-
 // spread gives idle slots, but for a reserve, to the routers that lately had
 // work, so that their next requests need no message.
 func (o *Owner) spread() {
 	var recent []string
-	for _, n := range o.holderNames() {
+	for _, n := range sorted(o.holders) {
 		h := o.holders[n]
 		if o.now-h.lastUse < o.opt.recent && o.now-h.heard < o.opt.ttl/2 {
 			recent = append(recent, n)
--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -102,8 +102,8 @@
 		live[n] = true
 		o.holder(n).member = true
 	}
-	for n, h := range o.holders {
-		if h.member && !live[n] {
+	for _, n := range sorted(o.holders) {
+		if o.holders[n].member && !live[n] {
 			o.dropHolder(n)
 		}
 	}
@@ -127,7 +127,8 @@
 
 // dropSilentHolders forgets routers of other zones that ask nothing more.
 func (o *Owner) dropSilentHolders() {
-	for n, h := range o.holders {
+	for _, n := range sorted(o.holders) {
+		h := o.holders[n]
 		if !h.member && o.now-h.heard >= o.opt.reclaim {
 			o.dropHolder(n)
 		}
@@ -280,12 +281,19 @@
 	return l
 }
 
-// reclaimSilent frees the leases that nobody spoke of for too long.
+// reclaimSilent takes back the leases that nobody spoke of for too long. Their
+// requests may still run, so the slots count as taken by strangers until the
+// backend server's own report says otherwise.
 func (o *Owner) reclaimSilent() {
 	for _, l := range o.leases {
-		if o.now-l.heard >= o.opt.reclaim {
-			o.stats.Reclaimed++
-			o.free(l)
+		if o.now-l.heard < o.opt.reclaim {
+			continue
 		}
+		o.stats.Reclaimed++
+		o.free(l)
+		s := l.server
+		s.foreign++
+		s.peak = max(0, s.peak-1)
+		s.lastPeak = max(0, s.lastPeak-1)
 	}
 }
--- a/pkg/pool/options.go
+++ b/pkg/pool/options.go
@@ -30,6 +30,9 @@
 	DefaultSiblingSilence = 2 * time.Second
 	// DefaultFirstEstimate is a request's cost in tokens before any is known.
 	DefaultFirstEstimate = 100
+	// DefaultAgree is the part of a difference in virtual time between two
+	// owners that one share takes away.
+	DefaultAgree = 0.25
 )
 
 type options struct {
@@ -45,6 +48,7 @@
 	debt           float64
 	estimator      Estimator
 	quiet          time.Duration
+	agree          float64
 }
 
 func defaults() options {
@@ -61,6 +65,7 @@
 		debt:           50_000,
 		estimator:      CountedByZones,
 		quiet:          DefaultTTL,
+		agree:          DefaultAgree,
 	}
 }
 
@@ -77,6 +82,12 @@
 	return func(o *options) { o.quiet = d }
 }
 
+// WithAgree sets how much of the difference between two owners' virtual times
+// each share takes away, from 0 to 1.
+func WithAgree(part float64) Option {
+	return func(o *options) { o.agree = part }
+}
+
 // WithEstimator sets how others' service is read between shares.
 func WithEstimator(e Estimator) Option {
 	return func(o *options) { o.estimator = e }
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -4,7 +4,6 @@
 package pool
 
 import (
-	"sort"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/fair"
@@ -76,6 +75,35 @@
 	Reclaimed int64 `json:"reclaimed"`
 }
 
+// AccountStatus is an account as a pool's owner sees it.
+type AccountStatus struct {
+	Account string `json:"account"`
+	// Virtual is its weighted service with all lifts, in tokens per weight.
+	Virtual float64 `json:"virtual"`
+	// Charged is the service that this owner charged, in tokens.
+	Charged float64 `json:"charged"`
+	// Waiting counts requests that the owner could grant to now.
+	Waiting int `json:"waiting"`
+	// Estimate is the cost expected of its next request, in tokens.
+	Estimate float64 `json:"estimate"`
+}
+
+// Accounts returns the accounts that the owner remembers, by name.
+func (o *Owner) Accounts() []AccountStatus {
+	var all []AccountStatus
+	for _, name := range sorted(o.accounts) {
+		a := o.accounts[name]
+		n := 0
+		for _, c := range a.claims {
+			n += c.count()
+		}
+		all = append(all, AccountStatus{
+			Account: name, Virtual: o.queue.Get(name).Virtual, Charged: a.own, Waiting: n, Estimate: o.estimate(a),
+		})
+	}
+	return all
+}
+
 // Stats returns the counts so far.
 func (o *Owner) Stats() Stats { return o.stats }
 
@@ -135,10 +163,10 @@
 	est     estimate
 	idle    time.Duration
 	changed bool
-	// sent says that the last share named the account, told that it named
-	// work of it that waits here.
+	// sent says that the last share named the account, told how much work of
+	// it that waits here.
 	sent bool
-	told bool
+	told int
 	// zones is how many siblings served the account in their last share.
 	zones int
 }
@@ -220,6 +248,10 @@
 	return a
 }
 
+// untoldFactor: work that waits here is news to the siblings when it has grown
+// by this factor since the last share.
+const untoldFactor = 2
+
 // refresh puts the account in or out of the queue by its waiting work.
 func (o *Owner) refresh(a *account) {
 	n, local := 0, 0
@@ -229,7 +261,7 @@
 			local += c.count()
 		}
 	}
-	o.untold = o.untold || (local > 0 && !a.told)
+	o.untold = o.untold || local >= untoldFactor*a.told+1
 	if n > 0 {
 		o.queue.Activate(a.name, o.now-a.idle >= o.opt.idleGrace)
 		return
@@ -302,10 +334,7 @@
 
 func (o *Owner) sortedNames() []string {
 	if o.names == nil {
-		for n := range o.servers {
-			o.names = append(o.names, n)
-		}
-		sort.Strings(o.names)
+		o.names = sorted(o.servers)
 	}
 	return o.names
 }
--- a/pkg/pool/share.go
+++ b/pkg/pool/share.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"sort"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
@@ -42,7 +41,8 @@
 }
 
 func (e Siblings) apply(o *Owner) {
-	for p, node := range e.Nodes {
+	for _, p := range wire.SortedPools(e.Nodes) {
+		node := e.Nodes[p]
 		s, ok := o.siblings[p]
 		if !ok {
 			s = &sibling{served: map[string]remote{}}
@@ -54,7 +54,8 @@
 			s.seenGrant = 0
 		}
 	}
-	for p, s := range o.siblings {
+	for _, p := range o.siblingPools() {
+		s := o.siblings[p]
 		if _, ok := e.Nodes[p]; !ok {
 			o.dropClaimer(claimant{node: s.node, pool: p})
 			o.unserve(s)
@@ -75,9 +76,54 @@
 	s.epoch, s.seq, s.heard, s.known = e.Msg.Epoch, e.Msg.Seq, o.now, true
 	s.free, s.slots, s.stamp = e.Msg.Free, e.Msg.Slots, e.Msg.Stamp
 	o.learn(s, e.Msg.Served, fresh)
+	o.agree(e.Msg.Served)
 	o.setClaims(claimant{node: e.From, pool: e.Msg.From}, e.Msg.Waiting, e.Msg.Seen, true)
 }
 
+// agree moves the virtual times of accounts that are active here towards the
+// sender's. Owners start and lift accounts at different moments; without this
+// each would hold on to its own idea of who is behind, and serve only those.
+func (o *Owner) agree(served []wire.Served) {
+	if o.opt.agree == 0 {
+		return
+	}
+	sum, n := 0.0, 0.0
+	for _, v := range served {
+		if o.queue.Get(v.Account).Active {
+			sum += v.Virtual - o.sure(o.account(v.Account))
+			n++
+		}
+	}
+	for _, v := range served {
+		if a := o.queue.Get(v.Account); a.Active {
+			off := v.Virtual - o.sure(o.account(v.Account)) - sum/n
+			o.queue.Charge(v.Account, o.opt.agree*off*a.Weight)
+		}
+	}
+}
+
+// sure returns an account's virtual time without the guesses of what other
+// zones gave it since their last shares.
+func (o *Owner) sure(a *account) float64 {
+	q := o.queue.Get(a.name)
+	return q.Virtual - o.guessed(a)/q.Weight
+}
+
+// guessed returns the tokens that charge added for other zones since their
+// last shares.
+func (o *Owner) guessed(a *account) float64 {
+	if o.opt.estimator != CountedByZones || a.zones == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, s := range o.siblings {
+		if r := s.served[a.name]; r.serving {
+			sum += a.own - r.ownAt
+		}
+	}
+	return sum
+}
+
 // learn takes over what a sibling served. What it served before it was first
 // heard, or while it was cut off, is forgiven.
 func (o *Owner) learn(s *sibling, served []wire.Served, fresh bool) {
@@ -90,7 +136,8 @@
 		named[v.Account] = true
 		o.learnOne(s, v)
 	}
-	for name, r := range s.served {
+	for _, name := range sorted(s.served) {
+		r := s.served[name]
 		if !named[name] && r.serving {
 			o.learnOne(s, wire.Served{Account: name, Tokens: r.tokens})
 		}
@@ -131,7 +178,8 @@
 
 // dropSilentSiblings forgets the demand of owners that are cut off.
 func (o *Owner) dropSilentSiblings() {
-	for p, s := range o.siblings {
+	for _, p := range o.siblingPools() {
+		s := o.siblings[p]
 		if s.known && o.now-s.heard >= o.opt.siblingSilence {
 			s.known = false
 			s.free = 0
@@ -179,7 +227,7 @@
 
 func (o *Owner) anyChanged() bool {
 	for _, a := range o.accounts {
-		if a.changed || a.told {
+		if a.changed || a.told > 0 {
 			return true
 		}
 	}
@@ -206,26 +254,21 @@
 }
 
 func (o *Owner) siblingPools() []wire.Pool {
-	pools := make([]wire.Pool, 0, len(o.siblings))
-	for p := range o.siblings {
-		pools = append(pools, p)
-	}
-	sort.Slice(pools, func(i, j int) bool { return pools[i].String() < pools[j].String() })
-	return pools
+	return wire.SortedPools(o.siblings)
 }
 
 // servedNews lists the accounts whose service changed since the last share,
 // and once more those that stopped changing.
 func (o *Owner) servedNews() []wire.Served {
 	var served []wire.Served
-	for name, a := range o.accounts {
-		if a.changed || a.sent {
-			served = append(served, wire.Served{Account: name, Tokens: a.own})
+	for _, name := range sorted(o.accounts) {
+		a := o.accounts[name]
+		if a.changed || a.sent || o.queue.Get(name).Active {
+			served = append(served, wire.Served{Account: name, Tokens: a.own, Virtual: o.sure(a)})
 		}
 		a.sent = a.changed
 		a.changed = false
 	}
-	sort.Slice(served, func(i, j int) bool { return served[i].Account < served[j].Account })
 	return served
 }
 
@@ -244,7 +287,7 @@
 	for _, name := range o.activeNames() {
 		a := o.accounts[name]
 		n := o.localWaiting(a)
-		a.told = n > 0
+		a.told = n
 		o.slice(a, n, free, parts)
 	}
 	return parts
@@ -274,14 +317,13 @@
 
 func (o *Owner) activeNames() []string {
 	var names []string
-	for name, a := range o.accounts {
+	for _, name := range sorted(o.accounts) {
 		if o.queue.Get(name).Active {
 			names = append(names, name)
 		} else {
-			a.told = false
+			o.accounts[name].told = 0
 		}
 	}
-	sort.Strings(names)
 	return names
 }
 
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -13,7 +13,9 @@
 // Kind numbers a message type. Numbers are never used again for another type.
 type Kind uint8
 
-// The message types.
+// The message types. A type added later must not intern strings, nor may a
+// field added later to any type: a router that does not know it passes over
+// it, and would then number the strings otherwise than the sender.
 const (
 	KindHello      Kind = 1
 	KindDemand     Kind = 2
@@ -29,6 +31,11 @@
 	KindTableAsk   Kind = 12
 	KindTableWhole Kind = 13
 	KindTableDelta Kind = 14
+	KindClaim      Kind = 15
+	KindAnswer     Kind = 16
+	KindCopy       Kind = 17
+	KindCopied     Kind = 18
+	KindVoid       Kind = 19
 )
 
 // Protocol is the version of the frames this program writes. A router talks
@@ -86,38 +93,64 @@
 	KindTableAsk:   func() any { return &TableAsk{} },
 	KindTableWhole: func() any { return &TableWhole{} },
 	KindTableDelta: func() any { return &TableDelta{} },
+	KindClaim:      func() any { return &Claim{} },
+	KindAnswer:     func() any { return &ClaimAnswer{} },
+	KindCopy:       func() any { return &ClaimCopy{} },
+	KindCopied:     func() any { return &ClaimCopied{} },
+	KindVoid:       func() any { return &ClaimVoid{} },
 }
 
-// Append encodes a message at the end of a frame's payload.
-func Append(payload *bytes.Buffer, msg any) error {
+// Encoder encodes the messages of one connection. A name that was sent before
+// on the connection is sent again as a number, so both ends start anew with
+// each connection, and every frame made must be sent.
+type Encoder struct {
+	buf *bytes.Buffer
+	enc *msgpack.Encoder
+}
+
+// NewEncoder returns an encoder that appends to buf.
+func NewEncoder(buf *bytes.Buffer) *Encoder {
+	enc := msgpack.NewEncoder(buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	enc.UseCompactFloats(true)
+	return &Encoder{buf: buf, enc: enc}
+}
+
+// Append encodes a message at the end of the buffer.
+func (e *Encoder) Append(msg any) error {
 	k, err := kindOf(msg)
 	if err != nil {
 		return err
 	}
-	enc := msgpack.GetEncoder()
-	defer msgpack.PutEncoder(enc)
-	enc.Reset(payload)
-	enc.UseArrayEncodedStructs(true)
-	enc.UseCompactInts(true)
-	enc.UseCompactFloats(true)
-	if err := enc.EncodeUint8(uint8(k)); err != nil {
+	if err := e.enc.EncodeUint8(uint8(k)); err != nil {
 		return fmt.Errorf("wire: encode kind %d: %w", k, err)
 	}
-	if err := enc.Encode(msg); err != nil {
+	if err := e.enc.Encode(msg); err != nil {
 		return fmt.Errorf("wire: encode %T: %w", msg, err)
 	}
 	return nil
 }
 
+// Decoder decodes the frames of one connection, in their order.
+type Decoder struct {
+	in  *bytes.Reader
+	dec *msgpack.Decoder
+}
+
+// NewDecoder returns a decoder for a new connection.
+func NewDecoder() *Decoder {
+	in := bytes.NewReader(nil)
+	return &Decoder{in: in, dec: msgpack.NewDecoder(in)}
+}
+
 // Decode reads all messages of a payload. Messages of kinds that a newer
 // router sent and this one does not know are passed over.
-func Decode(payload []byte) ([]any, error) {
-	dec := msgpack.GetDecoder()
-	defer msgpack.PutDecoder(dec)
-	dec.Reset(bytes.NewReader(payload))
+func (d *Decoder) Decode(payload []byte) ([]any, error) {
+	d.in.Reset(payload)
 	var msgs []any
 	for {
-		k, err := dec.DecodeUint8()
+		k, err := d.dec.DecodeUint8()
 		if errors.Is(err, io.EOF) {
 			return msgs, nil
 		}
@@ -126,13 +159,13 @@
 		}
 		f, known := factories[Kind(k)]
 		if !known {
-			if err := dec.Skip(); err != nil {
+			if err := d.dec.Skip(); err != nil {
 				return nil, fmt.Errorf("wire: skip kind %d: %w", k, err)
 			}
 			continue
 		}
 		msg := f()
-		if err := dec.Decode(msg); err != nil {
+		if err := d.dec.Decode(msg); err != nil {
 			return nil, fmt.Errorf("wire: decode kind %d: %w", k, err)
 		}
 		msgs = append(msgs, msg)
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,9 +16,9 @@
 // one availability zone, or a shard of them where they are many.
 type Pool struct {
 	// Model is the model that the pool's backend servers serve.
-	Model string
+	Model string `msgpack:",intern"`
 	// Zone is the availability zone they stand in.
-	Zone string
+	Zone string `msgpack:",intern"`
 	// Shard counts from 0.
 	Shard int
 }
@@ -32,6 +33,16 @@
 	return p.Model + "/" + p.Zone + "/" + strconv.Itoa(p.Shard)
 }
 
+// SortedPools returns the keys of a map by pool, in the order of String.
+func SortedPools[V any](m map[Pool]V) []Pool {
+	pools := make([]Pool, 0, len(m))
+	for p := range m {
+		pools = append(pools, p)
+	}
+	slices.SortFunc(pools, func(a, b Pool) int { return strings.Compare(a.String(), b.String()) })
+	return pools
+}
+
 // ParsePool reads what String writes.
 func ParsePool(s string) (Pool, error) {
 	parts := strings.Split(s, "/")
@@ -62,15 +73,15 @@
 	// ID numbers the lease among those of its Grant's Source.
 	ID uint64
 	// Backend is the name of the backend server.
-	Backend string
+	Backend string `msgpack:",intern"`
 	// Account is whose request may run; "" means any (a standing lease).
-	Account string
+	Account string `msgpack:",intern"`
 }
 
 // Source is who granted a lease and gets it back.
 type Source struct {
 	// Owner is the router.
-	Owner string
+	Owner string `msgpack:",intern"`
 	// Pool is the pool the slot belongs to.
 	Pool Pool
 	// Epoch is when the router became the pool's owner, on its own clock. A
@@ -82,7 +93,7 @@
 // Waiting is how many requests of an account wait.
 type Waiting struct {
 	// Account is the client account.
-	Account string
+	Account string `msgpack:",intern"`
 	// Count is never negative; 0 withdraws the demand.
 	Count int
 	// Priority is the highest among those waiting.
@@ -131,9 +142,9 @@
 	Tokens int64
 	// Account is whose request ran or runs on a standing lease; "" if none
 	// does, or if the lease is for one account.
-	Account string
+	Account string `msgpack:",intern"`
 	// Backend is given where the receiver did not grant the lease itself.
-	Backend string
+	Backend string `msgpack:",intern"`
 	// Failed says that the backend server could not be reached.
 	Failed bool
 }
@@ -179,9 +190,11 @@
 
 // Served is the service an owner has charged to an account.
 type Served struct {
-	Account string
+	Account string `msgpack:",intern"`
 	// Tokens includes the estimates of requests that still run.
 	Tokens float64
+	// Virtual is the account's virtual time at the sender, less its guesses.
+	Virtual float64
 }
 
 // Share is what owners of the same model tell each other.
@@ -196,7 +209,7 @@
 	Stamp Stamp
 	// Seen is the Seq of the last Grant from To that Waiting counts.
 	Seen uint64
-	// Served lists the accounts that were charged lately.
+	// Served lists the accounts that were charged lately or have work.
 	Served []Served
 	// Waiting lists all demand that From asks To to meet.
 	Waiting []Waiting
@@ -212,7 +225,7 @@
 type NotOwner struct {
 	Pool Pool
 	// Owner is who owns the pool as the sender sees it; "" if nobody.
-	Owner string
+	Owner string `msgpack:",intern"`
 }
 
 // MemberState is what a router believes of another one.
@@ -234,7 +247,7 @@
 
 // Rumour is what is said of a member of the zone.
 type Rumour struct {
-	Name string
+	Name string `msgpack:",intern"`
 	// Inc is the member's start, Ref its count of refutations since.
 	Inc   uint64
 	Ref   uint64
@@ -279,3 +292,64 @@
 type TableDelta struct {
 	Delta table.Delta
 }
+
+// ClaimState is what a home of keys knows of a key.
+type ClaimState uint8
+
+// The answers to a claim.
+const (
+	// ClaimGranted: nobody used the key before, and this is now recorded.
+	ClaimGranted ClaimState = iota
+	// ClaimTaken: the key was used before.
+	ClaimTaken
+	// ClaimUnknown: the homes have not existed long enough to know.
+	ClaimUnknown
+	// ClaimFull: the homes hold too many keys.
+	ClaimFull
+	// ClaimCutOff: the home does not reach most routers of its zone.
+	ClaimCutOff
+	// ClaimElsewhere: the receiver is no home of the key; Home may name one.
+	ClaimElsewhere
+)
+
+// Claim asks the first home of a key to record its use.
+type Claim struct {
+	// Seq is echoed in the answer.
+	Seq uint64
+	// Key is the account's name, a zero byte, and the caller's key.
+	Key string
+	// Request is the claiming request's id.
+	Request string
+	// At is when the caller first used the key, in wall milliseconds; 0 if
+	// the caller did not say.
+	At int64
+}
+
+// ClaimAnswer answers a Claim.
+type ClaimAnswer struct {
+	Seq   uint64
+	State ClaimState
+	// Home is the first home, given with ClaimElsewhere.
+	Home string
+}
+
+// ClaimCopy asks the second home to record what the first is about to grant.
+type ClaimCopy struct {
+	Seq     uint64
+	Key     string
+	Request string
+	At      int64
+}
+
+// ClaimCopied answers a ClaimCopy. State is ClaimUnknown if the sender has
+// recorded the key now but may have missed an earlier use.
+type ClaimCopied struct {
+	Seq   uint64
+	State ClaimState
+}
+
+// ClaimVoid takes a claim back, because its request provably did not run.
+type ClaimVoid struct {
+	Key     string
+	Request string
+}
