Hand pools over without an overlap, found by random sessions

Cause: random sessions found three ways to 3 requests on 2 slots when a router joins: a new owner ended its quiet time before a router had told it what runs (reports before its ownership were lost), a router took grants of the former owner after it had told the new one, and a new owner counted only routers it had heard of. Change: a new owner asks each router of the zone what it holds, ends its quiet time early only when all that may live have answered, and routers refuse the former owner's grants and withdraw their demand from it. Requests that outlast their estimate are charged between their reports.

--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -37,6 +37,10 @@
 
 func (v *variant) add(change string) error {
 	key, value, timed := strings.Cut(change, "=")
+	if change == "no-run-on" {
+		v.pool = append(v.pool, pool.WithRunOn(false))
+		return nil
+	}
 	if !timed {
 		v.pool = append(v.pool, pool.WithEstimator(pool.Estimator(change)))
 		if change != string(pool.AsLastShared) && change != string(pool.CountedByZones) {
--- a/internal/router/acquire.go
+++ b/internal/router/acquire.go
@@ -20,6 +20,8 @@
 		"this entry instance is stopping; send the request again")
 	errGone = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "stopped",
 		"this entry instance stopped while the request waited")
+	errNoTable = verdict.New(verdict.PhaseAdmit, http.StatusServiceUnavailable, "no-table",
+		"this entry instance has no table yet")
 	errNoAccount = verdict.New(verdict.PhaseAdmit, http.StatusForbidden, "wrong-key",
 		"the client account is no longer in the table")
 )
@@ -124,6 +126,9 @@
 	if c.draining {
 		return errStopping.After(time.Second)
 	}
+	if c.table == nil {
+		return errNoTable.After(time.Second)
+	}
 	a, ok := c.table.Account(e.req.Account)
 	if !ok {
 		return errNoAccount
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -117,6 +117,9 @@
 }
 
 func (c *core) send(to string, msg any) {
+	if to == "" {
+		return
+	}
 	if to == c.r.id.Name {
 		c.local = append(c.local, msg)
 		return
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -77,7 +77,7 @@
 	c.runSync(tablesync.Live{Names: live})
 	c.sendClaims(c.keys.Step(c.now, once.Live{Names: live, Known: c.members.Known()}))
 	c.reown()
-	c.eachOwner(func(wire.Pool) pool.Event { return pool.Holders{Names: live} })
+	c.eachOwner(func(wire.Pool) pool.Event { return c.zoneHolders() })
 }
 
 // ownerOf returns the owner of a pool as this router sees it: by the live
@@ -147,10 +147,14 @@
 	c.r.opt.log.Info("pool_owned", "pool", p.String())
 	c.runOwner(o, pool.Servers{List: poolServers(c.pools[p])})
 	c.runOwner(o, pool.Weights{Of: c.weights()})
-	c.runOwner(o, pool.Holders{Names: c.members.Live()})
+	c.runOwner(o, c.zoneHolders())
 	c.feedLoads()
 }
 
+func (c *core) zoneHolders() pool.Holders {
+	return pool.Holders{Names: c.members.Live(), Expected: c.members.Expected()}
+}
+
 func (c *core) dropOwner(p wire.Pool) {
 	delete(c.owners, p)
 	c.r.opt.log.Info("pool_left", "pool", p.String())
--- a/internal/router/session_test.go
+++ b/internal/router/session_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sort"
 	"strings"
 	"testing"
 	"time"
@@ -58,9 +59,13 @@
 	case "wake":
 		w.paused[s.On] = false
 	case "stop":
-		w.stop(s.On)
+		if w.routers[s.On].up {
+			w.stop(s.On)
+		}
 	case "start":
-		w.start(s.On)
+		if !w.routers[s.On].up {
+			w.start(s.On)
+		}
 	case "stale":
 		w.stale = true
 	case "fresh":
@@ -83,6 +88,7 @@
 // play runs a session and returns its world.
 func (s *session) play() *world {
 	w := newWorld(s.Zones, s.Servers, s.Accounts)
+	sort.SliceStable(s.Steps, func(i, j int) bool { return s.Steps[i].At < s.Steps[j].At })
 	next := 0
 	w.run(simStart+s.Until, func() {
 		for next < len(s.Steps) && simStart+s.Steps[next].At <= w.now {
--- a/pkg/hold/holder.go
+++ b/pkg/hold/holder.go
@@ -23,6 +23,7 @@
 	// byPool lists the leases of each pool, idle or running.
 	byPool   map[wire.Pool]*lent
 	lenders  map[wire.Pool]Home
+	zone     string
 	closed   map[string]bool
 	queued   map[string]int
 	lastTell time.Duration
--- a/pkg/hold/lease.go
+++ b/pkg/hold/lease.go
@@ -31,6 +31,10 @@
 	}
 	h.leases[x.key()] = x
 	h.pool(g.Source.Pool).held[x.key()] = x
+	if h.former(x) {
+		h.giveBack(x, h.use(x, "", 0), false)
+		return
+	}
 	r := h.nextFor(m, x)
 	switch {
 	case r != nil:
@@ -43,6 +47,14 @@
 	}
 }
 
+// former reports whether the lease comes from a router that this one no longer
+// takes for the pool's owner. Its successor was told what runs here, and must
+// be able to rely on that.
+func (h *Holder) former(l *held) bool {
+	owner := h.lenders[l.source.Pool].Owner
+	return l.source.Pool.Zone == h.zone && owner != "" && owner != l.source.Owner
+}
+
 // nextFor takes the request that the lease is for out of its queue.
 func (h *Holder) nextFor(m *model, l *held) *request {
 	if h.closed[l.Backend] || h.now+startMargin >= l.expires {
@@ -86,6 +98,13 @@
 }
 
 func (e Recalled) apply(h *Holder) {
+	if e.Msg.Tell {
+		if h.lenders[e.Msg.Pool].Owner == e.From {
+			h.moveLeases(e.Msg.Pool, Home{Owner: e.From}, Home{Owner: e.From})
+			h.adopt(e.Msg.Pool, e.From)
+		}
+		return
+	}
 	p := h.pool(e.Msg.Pool)
 	m := h.model(e.Msg.Pool.Model)
 	for _, l := range p.held {
@@ -144,12 +163,16 @@
 	}
 }
 
-// moveHome turns to another owner: idle leases of the former one go back to
-// it, and the new one is told all that waits.
+// moveHome turns to another owner: the former one hears that nothing waits
+// for it any more, and the new one is told all that waits.
 func (h *Holder) moveHome(m *model, home Home) {
 	if m.home == home {
 		return
 	}
+	if m.home.Owner != home.Owner {
+		withdrawn := &wire.Demand{Pool: m.home.Pool, Seq: m.seq + 1, Stamp: wire.StampOf(h.now), Full: true}
+		h.send(m.home.Owner, withdrawn)
+	}
 	m.home = home
 	m.seen = 0
 	m.seq = 0
@@ -160,6 +183,7 @@
 func (e Lenders) apply(h *Holder) {
 	old := h.lenders
 	h.lenders = e.Of
+	h.zone = e.Zone
 	for _, p := range h.pools() {
 		now, known := e.Of[p]
 		if known && now != old[p] && now.Owner != "" {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -176,6 +176,19 @@
 	return n
 }
 
+// Expected returns the names of all routers that may live, with this one:
+// also those on the platform's list that have not been heard of.
+func (m *Members) Expected() []string {
+	names := []string{m.self}
+	for name, p := range m.peers {
+		if p.state <= wire.Suspect {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // Inc returns the incarnation of a member, 0 if it is not known.
 func (m *Members) Inc(name string) uint64 {
 	if name == m.self {
--- a/pkg/pool/decide.go
+++ b/pkg/pool/decide.go
@@ -41,7 +41,7 @@
 }
 
 func (o *Owner) allKnown() bool {
-	if len(o.servers) == 0 || len(o.holders) == 0 {
+	if len(o.servers) == 0 || len(o.expected) == 0 {
 		return false
 	}
 	for _, s := range o.servers {
@@ -49,8 +49,8 @@
 			return false
 		}
 	}
-	for _, h := range o.holders {
-		if h.member && !h.reported {
+	for _, n := range o.expected {
+		if h, ok := o.holders[n]; !ok || !h.adopted {
 			return false
 		}
 	}
--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
@@ -18,8 +20,12 @@
 // Weights sets the weights of accounts.
 type Weights struct{ Of map[string]float64 }
 
-// Holders replaces the live routers of the zone.
-type Holders struct{ Names []string }
+// Holders replaces the live routers of the zone. Expected are all that may
+// live, among them those that have not been heard of yet.
+type Holders struct {
+	Names    []string
+	Expected []string
+}
 
 // Load is a backend server's own report of what runs there. It lags.
 type Load struct {
@@ -57,6 +63,7 @@
 
 func (Tick) apply(o *Owner) {
 	o.reclaimSilent()
+	o.runOn()
 	o.dropSilentHolders()
 	o.dropSilentSiblings()
 	o.shareIfDue()
@@ -97,10 +104,15 @@
 }
 
 func (e Holders) apply(o *Owner) {
+	o.expected = e.Expected
 	live := make(map[string]bool, len(e.Names))
 	for _, n := range e.Names {
 		live[n] = true
-		o.holder(n).member = true
+		h := o.holder(n)
+		if !h.member {
+			o.send(n, &wire.Recall{Pool: o.pool, Tell: true})
+		}
+		h.member = true
 	}
 	for _, n := range sorted(o.holders) {
 		if o.holders[n].member && !live[n] {
@@ -137,7 +149,6 @@
 
 // hear notes a router's sign of life.
 func (h *holder) hear(now time.Duration, stamp wire.Stamp) {
-	h.reported = true
 	h.heard = now
 	h.stamp = max(h.stamp, stamp)
 }
@@ -199,19 +210,26 @@
 	h := o.holder(e.From)
 	h.hear(o.now, e.Msg.Stamp)
 	o.ended(e.From, e.Msg.Epoch, e.Msg.Ended)
+	h.adopted = h.adopted || e.Msg.Adopt
+	unknown := false
 	for _, u := range e.Msg.Held {
 		l := o.find(e.Msg.Epoch, u)
 		if l == nil && e.Msg.Adopt {
 			l = o.adopt(e.From, e.Msg.Epoch, u)
 		}
 		if l == nil {
+			unknown = true
 			continue
 		}
+		l.measure(o.now, u.Tokens)
 		l.heard = o.now
 		l.holder = e.From
 		o.bind(l, u.Account)
 		o.settle(l, u.Tokens, false)
 	}
+	if unknown && !e.Msg.Adopt {
+		o.send(e.From, &wire.Recall{Pool: o.pool, Tell: true})
+	}
 	if !e.Msg.Adopt && len(e.Msg.Held) > 0 {
 		o.send(e.From, &wire.Renew{Pool: e.Msg.Pool, Stamp: e.Msg.Stamp})
 	}
@@ -238,6 +256,35 @@
 
 func (e Lent) apply(o *Owner) { o.relay(e.From, e.Msg) }
 
+// measure notes the rate at which a running request is served.
+func (l *lease) measure(now time.Duration, tokens int64) {
+	since := (now - l.heard).Seconds()
+	if since <= 0 || l.tokens == 0 || tokens <= l.tokens {
+		l.rate = 0
+		return
+	}
+	l.rate = float64(tokens-l.tokens) / since
+}
+
+// runOn charges requests that outlast their estimate for what they were
+// probably served since their last report. The next one puts it right.
+func (o *Owner) runOn() {
+	if !o.opt.runOn {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.leases)) {
+		l := o.leases[id]
+		if l.rate == 0 {
+			continue
+		}
+		served := float64(l.tokens) + l.rate*(o.now-l.heard).Seconds()
+		if served > l.charged {
+			o.charge(l.account, served-l.charged)
+			l.charged = served
+		}
+	}
+}
+
 // find returns the lease that the use speaks of.
 func (o *Owner) find(epoch uint64, u wire.Use) *lease {
 	id := u.ID
--- a/pkg/pool/options.go
+++ b/pkg/pool/options.go
@@ -49,6 +49,7 @@
 	estimator      Estimator
 	quiet          time.Duration
 	agree          float64
+	runOn          bool
 }
 
 func defaults() options {
@@ -66,6 +67,7 @@
 		estimator:      CountedByZones,
 		quiet:          DefaultTTL,
 		agree:          DefaultAgree,
+		runOn:          true,
 	}
 }
 
@@ -88,6 +90,11 @@
 	return func(o *options) { o.agree = part }
 }
 
+// WithRunOn says whether running requests are charged between their reports.
+func WithRunOn(on bool) Option {
+	return func(o *options) { o.runOn = on }
+}
+
 // WithEstimator sets how others' service is read between shares.
 func WithEstimator(e Estimator) Option {
 	return func(o *options) { o.estimator = e }
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -47,6 +47,7 @@
 	siblings map[wire.Pool]*sibling
 	holders  map[string]*holder
 	overall  estimate
+	expected []string
 
 	shareSeq   uint64
 	lastShare  time.Duration
@@ -154,6 +155,9 @@
 	heard    time.Duration
 	standing bool
 	epoch    uint64
+	// rate is the tokens a second between the last two reports of a running
+	// request, 0 before there were two.
+	rate float64
 }
 
 type account struct {
@@ -190,7 +194,8 @@
 type holder struct {
 	standing int
 	lastUse  time.Duration
-	reported bool
+	// adopted says that it told all that it holds from former owners.
+	adopted bool
 	// member says that the platform or the zone's routers know it as a
 	// router of this zone.
 	member bool
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -186,6 +186,8 @@
 // Recall asks for all standing leases of a pool back.
 type Recall struct {
 	Pool Pool
+	// Tell asks instead for a Report with Adopt of all that is held.
+	Tell bool
 }
 
 // Served is the service an owner has charged to an account.
