Check the core protocol with Spin, and mend what it found in the key homes

Cause: the protocol was not model-checked. Key homes are three by the platform's list, and a use counts when a majority recorded it and vouches for the key's past. Found: with two homes chosen among the live routers, a short split of a zone followed by one restart granted a key twice (counterexample of 46 steps).

--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/front"
 	"github.com/yarrowmast/yarrowmast/pkg/once"
-	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
@@ -36,8 +37,8 @@
 	msg    *wire.Claim
 	answer chan<- error
 	until  time.Duration
-	// moved counts how often the claim was sent on to another home.
-	moved int
+	homes  []string
+	ballot *once.Ballot
 }
 
 func keyOf(c front.Claim) string { return c.Account + "\x00" + c.Key }
@@ -73,21 +74,27 @@
 	c.nextID++
 	e.msg.Seq = c.nextID
 	e.until = c.now + claimWithin
+	e.homes = c.keyHomes(e.msg.Key)
+	e.ballot = once.NewBallot(len(e.homes))
 	c.claims[e.msg.Seq] = e.claiming
-	c.send(c.keyHome(e.msg.Key), e.msg)
+	for _, home := range e.homes {
+		c.send(home, e.msg)
+	}
 }
 
 type voidKey struct{ msg *wire.ClaimVoid }
 
-func (e voidKey) apply(c *core) { c.send(c.keyHome(e.msg.Key), e.msg) }
+func (e voidKey) apply(c *core) { c.void(c.keyHomes(e.msg.Key), e.msg) }
 
-// keyHome returns the first home of a key as this router sees it.
-func (c *core) keyHome(key string) string {
-	zone := once.Zone(key, c.zones())
-	if zone == c.r.id.Zone {
-		return rendezvous.Owner(key, c.members.Live())
+func (c *core) void(homes []string, msg *wire.ClaimVoid) {
+	for _, home := range homes {
+		c.send(home, msg)
 	}
-	return rendezvous.Owner(key, c.listed(zone))
+}
+
+// keyHomes returns the homes of a key by the platform's list.
+func (c *core) keyHomes(key string) []string {
+	return once.Of(key, c.allListed(once.Zone(key, c.zones())))
 }
 
 // zones returns the availability zones on the platform's list.
@@ -107,39 +114,33 @@
 func (c *core) receiveClaim(from string, msg any) {
 	switch m := msg.(type) {
 	case *wire.Claim:
-		c.sendClaims(c.keys.Step(c.now, once.Claim{From: from, Msg: m}))
-	case *wire.ClaimCopy:
-		c.sendClaims(c.keys.Step(c.now, once.Copy{From: from, Msg: m}))
-	case *wire.ClaimCopied:
-		c.sendClaims(c.keys.Step(c.now, once.Copied{From: from, Msg: m}))
+		c.send(from, c.keys.Claim(c.now, m))
 	case *wire.ClaimVoid:
-		c.sendClaims(c.keys.Step(c.now, once.Void{From: from, Msg: m}))
+		c.keys.Void(m)
 	case *wire.ClaimAnswer:
-		c.claimAnswered(m)
-	}
-}
-
-func (c *core) sendClaims(msgs []once.Send) {
-	for _, s := range msgs {
-		c.send(s.To, s.Msg)
+		c.claimAnswered(from, m)
 	}
 }
 
-// movesMost bounds how often a claim follows one home's word to another.
-const movesMost = 2
-
-func (c *core) claimAnswered(m *wire.ClaimAnswer) {
+func (c *core) claimAnswered(from string, m *wire.ClaimAnswer) {
 	cl, ok := c.claims[m.Seq]
 	if !ok {
 		return
 	}
-	if m.State == wire.ClaimElsewhere && m.Home != "" && cl.moved < movesMost {
-		cl.moved++
-		c.send(m.Home, cl.msg)
-		return
+	cl.ballot.Add(from, m.State)
+	if state, final := cl.ballot.Result(); final {
+		c.endClaim(cl, state)
+	}
+}
+
+// endClaim answers a claim. One that was not granted is taken back, so that
+// it does not stand in the way of the caller's next try.
+func (c *core) endClaim(cl *claiming, state wire.ClaimState) {
+	delete(c.claims, cl.msg.Seq)
+	if state != wire.ClaimGranted {
+		c.void(cl.homes, &wire.ClaimVoid{Key: cl.msg.Key, Request: cl.msg.Request})
 	}
-	delete(c.claims, m.Seq)
-	cl.answer <- claimError(m.State)
+	cl.answer <- claimError(state)
 }
 
 func claimError(s wire.ClaimState) error {
@@ -151,15 +152,16 @@
 	case wire.ClaimUnknown:
 		return errKeyUnknown
 	default:
-		return errKeyHome.After(time.Second)
+		return errKeyHome.After(retryAfter)
 	}
 }
 
 func (c *core) expireClaims() {
-	for seq, cl := range c.claims {
+	for _, seq := range slices.Sorted(maps.Keys(c.claims)) {
+		cl := c.claims[seq]
 		if c.now >= cl.until {
-			delete(c.claims, seq)
-			cl.answer <- errKeyHome.After(retryAfter)
+			state, _ := cl.ballot.Result()
+			c.endClaim(cl, state)
 		}
 	}
 }
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -6,6 +6,7 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/peer"
 	"github.com/yarrowmast/yarrowmast/internal/platform"
+	"github.com/yarrowmast/yarrowmast/pkg/chart"
 	"github.com/yarrowmast/yarrowmast/pkg/hold"
 	"github.com/yarrowmast/yarrowmast/pkg/member"
 	"github.com/yarrowmast/yarrowmast/pkg/once"
@@ -33,6 +34,7 @@
 	keys    *once.Homes
 
 	table     *table.Table
+	marks     map[string]chart.State
 	instances []platform.Instance
 	listRev   uint64
 	pools     map[wire.Pool][]table.Backend
@@ -108,7 +110,7 @@
 func (c *core) wake() {
 	c.r.opt.log.Warn("router_was_paused", "gap_ms", (c.now - c.lastRun).Milliseconds())
 	c.sendAll(c.members.Step(c.now, member.Woke{}))
-	c.sendClaims(c.keys.Step(c.now, once.Woke{}))
+	c.keys.Woke(c.now)
 	for _, p := range wire.SortedPools(c.owners) {
 		c.dropOwner(p)
 	}
@@ -148,7 +150,7 @@
 		c.reown()
 	}
 	c.eachOwner(func(wire.Pool) pool.Event { return pool.Tick{} })
-	c.sendClaims(c.keys.Step(c.now, once.Tick{}))
+	c.keys.Tick(c.now)
 	c.expireClaims()
 	c.snapshotIfDue()
 }
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -1,11 +1,12 @@
 package router
 
 import (
+	"log/slog"
 	"sort"
 
+	"github.com/yarrowmast/yarrowmast/pkg/chart"
 	"github.com/yarrowmast/yarrowmast/pkg/hold"
 	"github.com/yarrowmast/yarrowmast/pkg/member"
-	"github.com/yarrowmast/yarrowmast/pkg/once"
 	"github.com/yarrowmast/yarrowmast/pkg/pool"
 	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
@@ -41,6 +42,7 @@
 // tableChanged takes a new table to everyone who decides by it.
 func (c *core) tableChanged() {
 	c.pools = Pools(c.table)
+	c.noteMarks()
 	closed := map[string]bool{}
 	for _, b := range c.table.Backends {
 		if b.Mark != table.Serving {
@@ -54,6 +56,36 @@
 	c.eachOwner(func(wire.Pool) pool.Event { return pool.Weights{Of: weights} })
 }
 
+// marks gives the event of the chart that each mark stands for.
+var marks = map[table.Mark]chart.Event{
+	table.Serving: "serve", table.Leaving: "leave", table.Stopping: "stop", table.Joining: "join",
+}
+
+// noteMarks follows each backend server along its chart and logs every change
+// of its mark. A change that the chart lacks, such as back to joining, is
+// obeyed, since another router may know no former mark, but is a warning.
+func (c *core) noteMarks() {
+	now := make(map[string]chart.State, len(c.table.Backends))
+	for _, b := range c.table.Backends {
+		was, known := c.marks[b.Name]
+		now[b.Name] = chart.State(b.Mark)
+		if !known || was == now[b.Name] {
+			continue
+		}
+		level := slog.LevelInfo
+		if _, err := chart.Backend.Next(was, marks[b.Mark]); err != nil {
+			level = slog.LevelWarn
+		}
+		c.r.opt.log.Log(c.r.ctx, level, "backend_mark", "backend", b.Name, "before", was, "mark", b.Mark)
+	}
+	for name, was := range c.marks {
+		if _, listed := now[name]; !listed {
+			c.r.opt.log.Info("backend_removed", "backend", name, "before", was)
+		}
+	}
+	c.marks = now
+}
+
 func poolServers(backends []table.Backend) []pool.Server {
 	list := make([]pool.Server, 0, len(backends))
 	for _, b := range backends {
@@ -75,7 +107,6 @@
 	live := c.members.Live()
 	c.r.opt.log.Info("members", "live", len(live))
 	c.runSync(tablesync.Live{Names: live})
-	c.sendClaims(c.keys.Step(c.now, once.Live{Names: live, Known: c.members.Known()}))
 	c.reown()
 	c.eachOwner(func(wire.Pool) pool.Event { return c.zoneHolders() })
 }
@@ -105,6 +136,18 @@
 	return names
 }
 
+// allListed returns every router of a zone by the platform's list, sorted.
+func (c *core) allListed(zone string) []string {
+	var names []string
+	for _, i := range c.instances {
+		if i.Zone == zone {
+			names = append(names, i.Name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // reown finds anew who owns which pool and tells the holder and the owners.
 func (c *core) reown() {
 	if c.table == nil {
@@ -212,7 +255,7 @@
 	}
 	c.r.net.SetAddresses(addrs)
 	c.sendAll(c.members.Step(c.now, member.List{Peers: peers}))
-	c.sendClaims(c.keys.Step(c.now, once.Live{Names: c.members.Live(), Known: c.members.Known()}))
+	c.keys.SetRouters(c.now, c.allListed(c.r.id.Zone))
 	if !c.started {
 		c.started = true
 		c.runSync(tablesync.Start{Peers: c.firstPeers(names)})
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -164,18 +164,6 @@
 	return names
 }
 
-// Known returns how many routers the zone has, dead ones that the platform
-// still lists among them.
-func (m *Members) Known() int {
-	n := 1
-	for _, p := range m.peers {
-		if p.listed || p.state <= wire.Suspect {
-			n++
-		}
-	}
-	return n
-}
-
 // Expected returns the names of all routers that may live, with this one:
 // also those on the platform's list that have not been heard of.
 func (m *Members) Expected() []string {
--- a/pkg/once/homes.go
+++ b/pkg/once/homes.go
@@ -1,7 +1,9 @@
 // Package once lets a caller's idempotency key be used by one request only,
-// whichever routers its repeats come through. Each key has two homes in one
-// availability zone, both routers; a use counts only when both recorded it.
-// It is a pure state machine. docs/AT-MOST-ONCE.md says what is promised.
+// whichever routers its repeats come through. Each key has three homes in one
+// availability zone, all of them routers. A use counts when most homes
+// recorded it and remember the key's whole past; any two such majorities
+// share a home, which would refuse the second use. It is a pure state machine.
+// docs/AT-MOST-ONCE.md says what is promised.
 package once
 
 import (
@@ -20,61 +22,25 @@
 	DefaultKeep = 10 * time.Minute
 	// DefaultMost bounds the keys that one home remembers.
 	DefaultMost = 200_000
-	// DefaultCopyWithin is how long the second home may take.
-	DefaultCopyWithin = time.Second
-	// DefaultSkew is how far the callers' clocks may be off the homes'.
+	// DefaultSkew is how far the callers' clocks may be off the homes', and
+	// how long routers may differ on the list of the zone's routers.
 	DefaultSkew = 5 * time.Second
-	// homesEach is how many homes a key has.
-	homesEach = 2
-	// viewsKept bounds the history of the zone's members.
+	// HomesEach is how many homes a key has.
+	HomesEach = 3
+	// viewsKept bounds the history of the zone's routers.
 	viewsKept = 256
 )
 
-// Send is a message that the caller of Step delivers.
-type Send struct {
-	To  string
-	Msg any
+// Of returns the homes of a key among the routers of its zone.
+func Of(key string, routers []string) []string {
+	return rendezvous.Owners(key, routers, HomesEach)
 }
 
-// Event is what Homes takes in one Step.
-type Event interface{ apply(h *Homes) }
-
-// Live replaces the live routers of the zone. Known is how many routers the
-// zone has as far as the platform's list and the members tell.
-type Live struct {
-	Names []string
-	Known int
-}
-
-// Woke says that this router was paused: it may have missed uses of keys.
-type Woke struct{}
-
-// Tick lets time pass.
-type Tick struct{}
-
-// Claim is a Claim that came from a router.
-type Claim struct {
-	From string
-	Msg  *wire.Claim
-}
-
-// Copy is a ClaimCopy that came from a router.
-type Copy struct {
-	From string
-	Msg  *wire.ClaimCopy
-}
-
-// Copied is a ClaimCopied that came from a router.
-type Copied struct {
-	From string
-	Msg  *wire.ClaimCopied
-}
+// Zone returns the availability zone that is home to a key.
+func Zone(key string, zones []string) string { return rendezvous.Owner(key, zones) }
 
-// Void is a ClaimVoid that came from a router.
-type Void struct {
-	From string
-	Msg  *wire.ClaimVoid
-}
+// Most returns how many of n homes are needed for a use to count.
+func Most(n int) int { return n/2 + 1 }
 
 // Homes is one router's part as a home of keys. Times are on the router's
 // clock, which starts at the wall time, so that keys' times compare with it.
@@ -83,27 +49,18 @@
 	now  time.Duration
 	keep time.Duration
 	most int
-	// known is how many routers the zone has.
-	known int
-	// views are the zone's members over time, the newest last.
+	// views are the zone's routers over time, the newest last.
 	views []view
 	// keys are the used ones; order lists them by the time of use.
-	keys    map[string]*entry
-	order   *list.List
-	pending map[uint64]*pending
-	seq     uint64
-	out     []Send
+	keys  map[string]*entry
+	order *list.List
 }
 
 type view struct {
-	at   time.Duration
-	live []string
+	at      time.Duration
+	routers []string
 }
 
-// reachesMost reports whether this router reaches more than half of its zone. Two
-// parts of a split zone cannot both do so.
-func (h *Homes) reachesMost() bool { return 2*len(h.live()) > h.known }
-
 type entry struct {
 	key     string
 	request string
@@ -111,16 +68,6 @@
 	place   *list.Element
 }
 
-// pending is a claim that waits for the second home.
-type pending struct {
-	from   string
-	claim  *wire.Claim
-	second string
-	sentAt time.Duration
-	// covers says that this home knows the key's whole past.
-	covers bool
-}
-
 // Option changes new Homes.
 type Option func(*Homes)
 
@@ -134,47 +81,38 @@
 func New(self string, now time.Duration, opts ...Option) *Homes {
 	h := &Homes{
 		self: self, now: now, keep: DefaultKeep, most: DefaultMost,
-		keys: map[string]*entry{}, order: list.New(), pending: map[uint64]*pending{},
+		keys: map[string]*entry{}, order: list.New(),
 	}
 	for _, f := range opts {
 		f(h)
 	}
-	h.views = []view{{at: now, live: []string{self}}}
+	h.views = []view{{at: now}}
 	return h
 }
 
-// Step takes one event at the time now. The returned slice is valid until
-// the next Step.
-func (h *Homes) Step(now time.Duration, ev Event) []Send {
-	h.now = max(h.now, now)
-	h.out = h.out[:0]
-	ev.apply(h)
-	return h.out
-}
-
 // Keys returns how many keys are remembered.
 func (h *Homes) Keys() int { return h.order.Len() }
 
-// Zone returns the availability zone that is home to a key.
-func Zone(key string, zones []string) string { return rendezvous.Owner(key, zones) }
-
-func (h *Homes) send(to string, msg any) { h.out = append(h.out, Send{To: to, Msg: msg}) }
-
-func (h *Homes) live() []string { return h.views[len(h.views)-1].live }
+func (h *Homes) routers() []string { return h.views[len(h.views)-1].routers }
 
-func (e Live) apply(h *Homes) {
-	h.known = e.Known
-	if slices.Equal(h.live(), e.Names) {
+// SetRouters replaces the routers of the zone by the platform's list, which
+// says nothing of who lives: a home that is away keeps its place.
+func (h *Homes) SetRouters(now time.Duration, names []string) {
+	h.now = max(h.now, now)
+	if slices.Equal(h.routers(), names) {
 		return
 	}
-	h.views = append(h.views, view{at: h.now, live: slices.Clone(e.Names)})
+	h.views = append(h.views, view{at: h.now, routers: slices.Clone(names)})
 	if len(h.views) > viewsKept {
 		h.views = h.views[1:]
 	}
 }
 
-func (Woke) apply(h *Homes) {
-	h.views = []view{{at: h.now, live: h.live()}}
+// Woke says that this router was paused: others may have changed the list
+// meanwhile, so it no longer vouches for what it did not record.
+func (h *Homes) Woke(now time.Duration) {
+	h.now = max(h.now, now)
+	h.views = []view{{at: h.now, routers: h.routers()}}
 }
 
 // knowsSince returns since when this router has been a home of the key
@@ -182,7 +120,7 @@
 func (h *Homes) knowsSince(key string) time.Duration {
 	since := h.now
 	for i := len(h.views) - 1; i >= 0; i-- {
-		if !slices.Contains(rendezvous.Owners(key, h.views[i].live, homesEach), h.self) {
+		if !slices.Contains(Of(key, h.views[i].routers), h.self) {
 			break
 		}
 		since = h.views[i].at
@@ -201,97 +139,44 @@
 	return first-DefaultSkew >= since && h.now-first < h.keep
 }
 
-func (e Claim) apply(h *Homes) {
-	homes := rendezvous.Owners(e.Msg.Key, h.live(), homesEach)
-	if len(homes) == 0 || homes[0] != h.self {
-		first := ""
-		if len(homes) > 0 {
-			first = homes[0]
-		}
-		h.answer(e.From, e.Msg.Seq, wire.ClaimElsewhere, first)
-		return
-	}
-	if !h.reachesMost() {
-		h.answer(e.From, e.Msg.Seq, wire.ClaimCutOff, "")
-		return
-	}
-	if state := h.record(e.Msg.Key, e.Msg.Request); state != wire.ClaimGranted {
-		h.answer(e.From, e.Msg.Seq, state, "")
-		return
-	}
-	covers := h.covers(e.Msg.Key, e.Msg.At)
-	if len(homes) < homesEach {
-		h.decide(e.From, e.Msg, covers)
-		return
-	}
-	h.seq++
-	h.pending[h.seq] = &pending{from: e.From, claim: e.Msg, second: homes[1], sentAt: h.now, covers: covers}
-	h.send(homes[1], &wire.ClaimCopy{Seq: h.seq, Key: e.Msg.Key, Request: e.Msg.Request, At: e.Msg.At})
-}
-
-func (h *Homes) answer(to string, seq uint64, state wire.ClaimState, home string) {
-	h.send(to, &wire.ClaimAnswer{Seq: seq, State: state, Home: home})
-}
-
-// decide grants a claim that is recorded, if a home knows the key's past.
-func (h *Homes) decide(from string, c *wire.Claim, known bool) {
-	state := wire.ClaimGranted
-	if !known {
-		state = wire.ClaimUnknown
+// Claim records a use and answers what this home knows of the key.
+func (h *Homes) Claim(now time.Duration, c *wire.Claim) *wire.ClaimAnswer {
+	h.now = max(h.now, now)
+	state := wire.ClaimElsewhere
+	if slices.Contains(Of(c.Key, h.routers()), h.self) {
+		state = h.record(c)
 	}
-	h.answer(from, c.Seq, state, "")
+	return &wire.ClaimAnswer{Seq: c.Seq, State: state}
 }
 
 // record notes the use of a key. A request may record its own key again.
-func (h *Homes) record(key, request string) wire.ClaimState {
-	if e, used := h.keys[key]; used {
-		if e.request == request {
-			return wire.ClaimGranted
+func (h *Homes) record(c *wire.Claim) wire.ClaimState {
+	if e, used := h.keys[c.Key]; used {
+		if e.request != c.Request {
+			return wire.ClaimTaken
 		}
-		return wire.ClaimTaken
+		return h.vouch(c)
 	}
 	if h.order.Len() >= h.most {
 		return wire.ClaimFull
 	}
-	e := &entry{key: key, request: request, used: h.now}
+	e := &entry{key: c.Key, request: c.Request, used: h.now}
 	e.place = h.order.PushBack(e)
-	h.keys[key] = e
-	return wire.ClaimGranted
+	h.keys[c.Key] = e
+	return h.vouch(c)
 }
 
-func (e Copy) apply(h *Homes) {
-	state := h.record(e.Msg.Key, e.Msg.Request)
-	if state == wire.ClaimGranted && !h.covers(e.Msg.Key, e.Msg.At) {
-		state = wire.ClaimUnknown
+func (h *Homes) vouch(c *wire.Claim) wire.ClaimState {
+	if h.covers(c.Key, c.At) {
+		return wire.ClaimGranted
 	}
-	h.send(e.From, &wire.ClaimCopied{Seq: e.Msg.Seq, State: state})
+	return wire.ClaimUnknown
 }
 
-func (e Copied) apply(h *Homes) {
-	p, ok := h.pending[e.Msg.Seq]
-	if !ok || p.second != e.From {
-		return
-	}
-	delete(h.pending, e.Msg.Seq)
-	switch e.Msg.State {
-	case wire.ClaimGranted:
-		h.decide(p.from, p.claim, true)
-	case wire.ClaimUnknown:
-		h.decide(p.from, p.claim, p.covers)
-	default:
-		h.answer(p.from, p.claim.Seq, e.Msg.State, "")
-	}
-}
-
-func (e Void) apply(h *Homes) {
-	x, used := h.keys[e.Msg.Key]
-	if !used || x.request != e.Msg.Request {
-		return
-	}
-	h.drop(x)
-	homes := rendezvous.Owners(e.Msg.Key, h.live(), homesEach)
-	if len(homes) == homesEach && homes[0] == h.self && homes[1] != e.From {
-		h.send(homes[1], &wire.ClaimVoid{Key: e.Msg.Key, Request: e.Msg.Request})
+// Void takes back the use of a key by a request that did not run.
+func (h *Homes) Void(v *wire.ClaimVoid) {
+	if e, used := h.keys[v.Key]; used && e.request == v.Request {
+		h.drop(e)
 	}
 }
 
@@ -300,17 +185,14 @@
 	delete(h.keys, e.key)
 }
 
-func (Tick) apply(h *Homes) {
+// Tick forgets the keys whose time is over.
+func (h *Homes) Tick(now time.Duration) {
+	h.now = max(h.now, now)
 	for at := h.order.Front(); at != nil; at = h.order.Front() {
 		e := at.Value.(*entry)
 		if h.now-e.used < h.keep {
-			break
+			return
 		}
 		h.drop(e)
 	}
-	for seq, p := range h.pending {
-		if h.now-p.sentAt >= DefaultCopyWithin {
-			delete(h.pending, seq)
-		}
-	}
 }
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -33,9 +33,7 @@
 	KindTableDelta Kind = 14
 	KindClaim      Kind = 15
 	KindAnswer     Kind = 16
-	KindCopy       Kind = 17
-	KindCopied     Kind = 18
-	KindVoid       Kind = 19
+	KindVoid       Kind = 17
 )
 
 // Protocol is the version of the frames this program writes. A router talks
@@ -95,8 +93,6 @@
 	KindTableDelta: func() any { return &TableDelta{} },
 	KindClaim:      func() any { return &Claim{} },
 	KindAnswer:     func() any { return &ClaimAnswer{} },
-	KindCopy:       func() any { return &ClaimCopy{} },
-	KindCopied:     func() any { return &ClaimCopied{} },
 	KindVoid:       func() any { return &ClaimVoid{} },
 }
 
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -295,26 +295,27 @@
 	Delta table.Delta
 }
 
-// ClaimState is what a home of keys knows of a key.
+// ClaimState is what a home of keys answers to a claim.
 type ClaimState uint8
 
 // The answers to a claim.
 const (
-	// ClaimGranted: nobody used the key before, and this is now recorded.
+	// ClaimGranted: nobody used the key before, and this use is recorded.
 	ClaimGranted ClaimState = iota
-	// ClaimTaken: the key was used before.
+	// ClaimTaken: another request used the key.
 	ClaimTaken
-	// ClaimUnknown: the homes have not existed long enough to know.
+	// ClaimUnknown: this use is recorded, but the home has not existed long
+	// enough to know of an earlier one.
 	ClaimUnknown
-	// ClaimFull: the homes hold too many keys.
+	// ClaimFull: the home holds too many keys.
 	ClaimFull
-	// ClaimCutOff: the home does not reach most routers of its zone.
-	ClaimCutOff
-	// ClaimElsewhere: the receiver is no home of the key; Home may name one.
+	// ClaimElsewhere: the receiver is no home of the key.
 	ClaimElsewhere
+	// ClaimCutOff is never sent: too few homes answered.
+	ClaimCutOff
 )
 
-// Claim asks the first home of a key to record its use.
+// Claim asks a home of a key to record its use.
 type Claim struct {
 	// Seq is echoed in the answer.
 	Seq uint64
@@ -331,23 +332,6 @@
 type ClaimAnswer struct {
 	Seq   uint64
 	State ClaimState
-	// Home is the first home, given with ClaimElsewhere.
-	Home string
-}
-
-// ClaimCopy asks the second home to record what the first is about to grant.
-type ClaimCopy struct {
-	Seq     uint64
-	Key     string
-	Request string
-	At      int64
-}
-
-// ClaimCopied answers a ClaimCopy. State is ClaimUnknown if the sender has
-// recorded the key now but may have missed an earlier use.
-type ClaimCopied struct {
-	Seq   uint64
-	State ClaimState
 }
 
 // ClaimVoid takes a claim back, because its request provably did not run.
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -18,10 +18,10 @@
  *   -DBROKEN_CHECK    the clock is not looked at before the first byte
  *   -DBROKEN_QUIET    a new owner grants at once
  */
-#define TTL     2
-#define RECLAIM 4
-#define QUIET   2
-#define ENDTIME 9
+#define TTL     1
+#define RECLAIM 2
+#define QUIET   1
+#define ENDTIME 3
 
 #ifdef BROKEN_QUIET
 #define quiet_over(me) true
@@ -53,7 +53,7 @@
 /* the last stamp each holder sent to each owner */
 typedef Stamps { byte at[2] }
 Stamps stamp[2];
-#define GRANTS 3          /* leases numbered 1 to GRANTS, by owner */
+#define GRANTS 1          /* leases numbered 1 to GRANTS, by owner */
 
 inline return_lease(me, o) {
 	if
@@ -150,6 +150,9 @@
 		      the slot again: the one case of two on a slot */
 		   assert(runningNow <= 1 || books[from].takenBack > 0)
 	   }
+	:: atomic { /* reuse: the lease is free again, for no longer than before */
+		state == running && books[from].serial == serial && books[from].out -> runningNow--; state = granted
+	   }
 	:: atomic { /* finish */
 		state == running -> runningNow--; return_lease(me, from); state = returned
 	   }
--- a/spec/leaving.pml
+++ b/spec/leaving.pml
@@ -37,24 +37,49 @@
 	od
 }
 
-proctype Operator() {
-	atomic { mark = serving }                        /* admit */
+/* leave, stop: the time counts from the mark that ends the serving */
+inline close_with(m) {
 	if
-	:: atomic { mark = leaving; markedAt = now }     /* leave */
-	:: atomic { mark = stopping; markedAt = now }    /* stop */
+	:: mark == serving -> markedAt = now
+	:: else
 	fi;
+	mark = m
+}
+
+proctype Operator() {
+	byte changes = 0;
+	do
+	:: changes < 3 -> changes++;
+		if
+		:: atomic { mark == joining -> mark = serving }          /* admit */
+		:: atomic { mark == joining -> mark = gone; goto ended } /* abandon */
+		:: atomic { mark == joining -> mark = leaving }          /* leave-joining */
+		:: atomic { mark == joining -> mark = stopping }         /* stop-joining */
+		:: atomic { mark == serving -> close_with(leaving) }     /* leave */
+		:: atomic { mark == serving -> close_with(stopping) }    /* stop */
+		:: atomic { mark == leaving -> mark = stopping }         /* stop-leaving */
+		:: atomic { mark == stopping -> mark = leaving }         /* leave-stopping */
+		:: atomic { mark == leaving -> mark = serving }          /* return */
+		:: atomic { mark == stopping -> mark = serving }         /* unstop */
+		/* removed-serving: a row that vanishes closes the server as a
+		   leave does, and nothing more */
+		:: atomic { mark == serving -> close_with(leaving) }
+		fi
+	:: changes >= 3 -> break
+	od;
 	if
-	:: atomic { mark == leaving -> mark = stopping } /* stop-leaving */
-	:: skip
+	:: atomic { mark == joining || mark == serving -> close_with(stopping) }
+	:: else
 	fi;
 	/* drained-leaving, drained-stopping: safe to stop */
 #ifdef BROKEN_CUT
 	atomic { now >= markedAt + GRACE -> mark = gone; cutShort = (runningNow > 0) }
 #else
-	atomic { now >= markedAt + GRACE && runningNow == 0 && leases == 0 -> mark = gone }
+	atomic { (now >= markedAt + GRACE || now >= ENDTIME) && runningNow == 0 && (leases == 0 || now >= expires || now >= ENDTIME) -> mark = gone }
 #endif
 	assert(!cutShort);
-	assert(runningNow == 0)
+	assert(runningNow == 0);
+ended:	skip
 }
 
 proctype Owner() {
--- a/spec/table.pml
+++ b/spec/table.pml
@@ -101,6 +101,8 @@
 		fi;
 		v = 0
 	   }
+	/* keep-on-bad, wait-on-bad: a value that cannot be read changes nothing */
+	:: atomic { up[me] -> skip }
 	:: atomic { /* adopt-newer: from the peer */
 		up[me] && inForce[me] > 0 && up[peer] && !cut && inForce[peer] > inForce[me] ->
 		enforce(me, inForce[peer])
