--- a/cmd/yarrowctl/main.go
+++ b/cmd/yarrowctl/main.go
@@ -13,6 +13,9 @@
 	cmdDemo,
 	cmdMeasure,
 	cmdStatus,
+	cmdTable,
+	cmdDrain,
+	cmdBurn,
 }
 
 func main() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/admin"
 	"github.com/yarrowmast/yarrowmast/internal/backend"
+	"github.com/yarrowmast/yarrowmast/internal/burn"
 	"github.com/yarrowmast/yarrowmast/internal/config"
 	"github.com/yarrowmast/yarrowmast/internal/front"
 	"github.com/yarrowmast/yarrowmast/internal/metrics"
@@ -37,6 +38,7 @@
 
 	admin   *admin.Server
 	metrics *metrics.Metrics
+	burn    *burn.Window
 	backend *backend.Client
 	loads   *backend.Loads
 	log     *slog.Logger
@@ -113,6 +115,7 @@
 	if t.peers != nil {
 		peerOpts = append(peerOpts, peer.WithTLS(t.peers))
 	}
+	n.burn = burn.New(s.Name, s.Objectives)
 	n.Peers = peer.New(id.Name, id.Zone, id.Inc, ls.peers, peerOpts...)
 	n.Platform = platform.New(s.Platform, platform.WithTransport(&http.Transport{DialContext: o.dialer.DialContext}))
 	n.loads = backend.NewLoads(o.dialer)
@@ -123,10 +126,10 @@
 		front.WithMaxBody(s.Callers.MaxBodyBytes), front.WithMaxHeader(s.Callers.MaxHeaderBytes),
 		front.WithDeadline(s.Callers.DefaultDeadline), front.WithSlowCaller(s.Callers.SlowCaller),
 		front.WithMaxOpen(s.Callers.MaxOpen), front.WithTLS(t.callers), front.WithLogger(n.log),
-		front.WithObserver(observers{n.metrics, o.observer}),
+		front.WithObserver(observers{n.metrics, n.burn, o.observer}),
 	}
 	n.Front = front.New(s.Name, id.Inc, o.scheduler(n.Router), n.backend, fopts...)
-	n.admin = admin.New(n.Router, n.metrics.Handler(), func() any { return nil }, t.admin)
+	n.admin = admin.New(n.Router, n.metrics.Handler(), func() any { return n.burn.Snapshot() }, t.admin)
 	n.ls = ls
 	n.Router.Start()
 	n.serve(ls)
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -34,6 +34,7 @@
 	keys    *once.Homes
 
 	table     *table.Table
+	tableAt   time.Duration
 	marks     map[string]chart.State
 	instances []platform.Instance
 	listRev   uint64
@@ -210,6 +211,7 @@
 		old = c.table.Revision
 	}
 	c.table = t
+	c.tableAt = c.now
 	c.r.snapshot.table.Store(t)
 	c.r.opt.log.Info("table_in_force", "revision", t.Revision, "before", old, "accounts", len(t.Accounts), "backends", len(t.Backends))
 	for _, ob := range c.r.opt.observers {
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -45,8 +45,10 @@
 	Owner pool.Stats `json:"owner"`
 	// Waiting counts waiting requests by model and account.
 	Waiting map[string]map[string]int `json:"waiting"`
-	// Running counts running requests by backend server.
-	Running map[string]int `json:"running"`
+	// Backends is what is done on each backend server of the table.
+	Backends map[string]BackendStatus `json:"backends"`
+	// TableAgeMillis is how long the table has been in force here.
+	TableAgeMillis int64 `json:"table_age_ms"`
 	// Leases and IdleLeases count what is held.
 	Leases     int `json:"leases"`
 	IdleLeases int `json:"idle_leases"`
@@ -54,6 +56,31 @@
 	Counts map[string]int64 `json:"counts"`
 }
 
+// BackendStatus is one backend server as one router uses it.
+type BackendStatus struct {
+	Mark    string `json:"mark"`
+	Running int    `json:"running"`
+	// OldestMillis is how long the oldest request has run.
+	OldestMillis int64 `json:"oldest_ms"`
+	// Leases are held and not used.
+	Leases int `json:"leases"`
+}
+
+func (c *core) backendStatus() map[string]BackendStatus {
+	all := map[string]BackendStatus{}
+	if c.table != nil {
+		for _, b := range c.table.Backends {
+			all[b.Name] = BackendStatus{Mark: string(b.Mark)}
+		}
+	}
+	for name, u := range c.holder.Uses() {
+		b := all[name]
+		b.Running, b.Leases, b.OldestMillis = u.Running, u.Leases, u.Oldest.Milliseconds()
+		all[name] = b
+	}
+	return all
+}
+
 func (r *Router) count(name string) {
 	r.snapshot.mu.Lock()
 	defer r.snapshot.mu.Unlock()
@@ -89,13 +116,16 @@
 	s := &Status{
 		Name: c.r.id.Name, Zone: c.r.id.Zone, Incarnation: c.r.id.Inc,
 		Table: c.sync.Revision(), Reader: c.sync.Reader(), Draining: c.draining,
-		Members: c.members.All(), Waiting: c.holder.Waiting(), Running: c.holder.Running(), Counts: c.r.counts(),
+		Members: c.members.All(), Waiting: c.holder.Waiting(), Backends: c.backendStatus(), Counts: c.r.counts(),
 		Accounts: map[string][]pool.AccountStatus{},
 	}
 	if bad := c.sync.LastRefused(); bad != nil {
 		s.RefusedTable = bad.Revision
 		s.Refusal = bad.Err.Error()
 	}
+	if c.table != nil {
+		s.TableAgeMillis = (c.now - c.tableAt).Milliseconds()
+	}
 	s.Leases, s.IdleLeases = c.holder.Leases()
 	for p, o := range c.owners {
 		s.Pools = append(s.Pools, p.String())
@@ -132,8 +162,8 @@
 // AllRunning returns how many requests run.
 func (s *Status) AllRunning() int {
 	n := 0
-	for _, k := range s.Running {
-		n += k
+	for _, b := range s.Backends {
+		n += b.Running
 	}
 	return n
 }
--- a/pkg/hold/holder.go
+++ b/pkg/hold/holder.go
@@ -73,6 +73,7 @@
 	standing bool
 	recalled bool
 	request  *request
+	started  time.Duration
 	tokens   int64
 	// owner is who gets the lease back: the grantor, or its successor.
 	owner string
@@ -124,15 +125,29 @@
 	return all
 }
 
-// Running returns how many requests run on each backend server.
-func (h *Holder) Running() map[string]int {
-	n := map[string]int{}
+// Use is what this router does on one backend server.
+type Use struct {
+	// Running requests, and how long the oldest has run.
+	Running int
+	Oldest  time.Duration
+	// Leases that no request uses now.
+	Leases int
+}
+
+// Uses returns what this router does on each backend server.
+func (h *Holder) Uses() map[string]Use {
+	uses := map[string]Use{}
 	for _, l := range h.leases {
+		u := uses[l.Backend]
 		if l.state == chart.Running {
-			n[l.Backend]++
+			u.Running++
+			u.Oldest = max(u.Oldest, h.now-l.started)
+		} else {
+			u.Leases++
 		}
+		uses[l.Backend] = u
 	}
-	return n
+	return uses
 }
 
 // Leases returns how many leases are held, and how many of them are idle.
--- a/pkg/hold/request.go
+++ b/pkg/hold/request.go
@@ -141,6 +141,7 @@
 		return
 	}
 	l.request = r
+	l.started = h.now
 	l.tokens = 0
 	r.held = l
 	h.act(Start{ID: r.ID, Lease: l.Lease, Expires: l.expires, Waited: h.now - r.arrived})
