Work out each role's cost at the target size from measured slopes

Cause: the target size decides the design, and nothing said what it costs. Change: yarrowctl capacity measures the slopes of messages, steps and memory and works the roles out; shares grow rarer with the number of siblings.

--- /dev/null
+++ b/cmd/yarrowctl/cmd_capacity.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/integrii/flaggy"
+	"go.yaml.in/yaml/v4"
+
+	"github.com/yarrowmast/yarrowmast/internal/capacity"
+	"github.com/yarrowmast/yarrowmast/internal/command"
+)
+
+var capacityArgs struct {
+	slopes  string
+	measure bool
+}
+
+var cmdCapacity = &command.Command{
+	Name:        "capacity",
+	Description: "works out what each role costs at the target size, from measured slopes",
+	Flags: func(s *flaggy.Subcommand) {
+		capacityArgs.slopes = "docs/slopes.yaml"
+		s.String(&capacityArgs.slopes, "f", "slopes", "file of the slopes")
+		s.Bool(&capacityArgs.measure, "m", "measure", "measure the slopes on this machine and print them")
+	},
+	Run: runCapacity,
+}
+
+func runCapacity(c *command.Context) error {
+	if capacityArgs.measure {
+		data, err := yaml.Marshal(capacity.Measure())
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(c.Out, "%s", data)
+		return err
+	}
+	s, err := capacity.Load(capacityArgs.slopes)
+	if err != nil {
+		return err
+	}
+	return capacity.PrintTable(c.Out, capacity.Design(), s)
+}
--- a/cmd/yarrowctl/main.go
+++ b/cmd/yarrowctl/main.go
@@ -16,6 +16,7 @@
 	cmdTable,
 	cmdDrain,
 	cmdBurn,
+	cmdCapacity,
 }
 
 func main() {
--- a/pkg/pool/share.go
+++ b/pkg/pool/share.go
@@ -180,7 +180,7 @@
 func (o *Owner) dropSilentSiblings() {
 	for _, p := range o.siblingPools() {
 		s := o.siblings[p]
-		if s.known && o.now-s.heard >= o.opt.siblingSilence {
+		if s.known && o.now-s.heard >= o.silence() {
 			s.known = false
 			s.free = 0
 			o.unserve(s)
@@ -193,7 +193,7 @@
 // here that idle slots elsewhere could take.
 func (o *Owner) wantShare() {
 	o.shareDirty = true
-	if o.untold && o.now-o.lastShare >= o.opt.shareSoonest {
+	if o.untold && o.now-o.lastShare >= ShareInterval(o.opt.shareSoonest, len(o.siblings)) {
 		o.shareAll()
 	}
 }
@@ -212,15 +212,32 @@
 // a tenth of the rate, so that others know it is there.
 func (o *Owner) shareIfDue() {
 	since := o.now - o.lastShare
-	if since < o.opt.shareEvery {
+	every := ShareInterval(o.opt.shareEvery, len(o.siblings))
+	if since < every {
 		return
 	}
-	if !o.shareDirty && !o.anyChanged() && since < idleShares*o.opt.shareEvery {
+	if !o.shareDirty && !o.anyChanged() && since < idleShares*every {
 		return
 	}
 	o.shareAll()
 }
 
+// siblingsAtRate is up to how many siblings shares go out at the full rate.
+const siblingsAtRate = 2
+
+// ShareInterval returns the time between two shares of a pool with that many
+// siblings. It grows with them, so that a pool's traffic does not.
+func ShareInterval(every time.Duration, siblings int) time.Duration {
+	return every * time.Duration(max(siblings, siblingsAtRate)) / siblingsAtRate
+}
+
+// silence is after what time a sibling that says nothing counts as cut off:
+// as its own shares may be as far apart as this owner's, some more than that.
+func (o *Owner) silence() time.Duration {
+	every := ShareInterval(o.opt.shareEvery, len(o.siblings))
+	return max(o.opt.siblingSilence, (idleShares+2)*every)
+}
+
 // idleShares is how many intervals pass between shares with no news. It
 // keeps below DefaultSiblingSilence.
 const idleShares = 4
