Read the table by pages and pack the reports of running leases

Cause: at the target size a reader would fetch 9.7 KB/s of whole tables, and reports and unneeded renewals were half of a node's control traffic. Change: the table's value may list pages with their revisions, of which only changed ones are read; running leases take 5 bytes in a report instead of 10; renewals go only where standing leases are held.

--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -30,11 +30,16 @@
 // waitingEach is how many waiting requests a node is sized for.
 const waitingEach = 2000
 
+// tablePages is on how many pages operators should keep the table at the
+// target size: an edit makes the readers fetch one of them.
+const tablePages = 16
+
 // ticksPerSec is the rate of a router's own clock.
 const ticksPerSec = 20
 
 // Roles works the roles out. Every request counts as one on a contended pool,
-// which is the dear case: on others standing leases need no message.
+// which is the dear case: on others standing leases need no message for a
+// request, and a renewal with each report.
 func Roles(t Target, s Slopes) []Role {
 	frame := s.FrameBytes
 	codec := s.CodecMicros * micro / 2
@@ -50,7 +55,6 @@
 	holder.add(grants, s.GrantBytes+frame, codec)
 	holder.add(requests, s.ReturnBytes+frame, codec)
 	holder.add(models*t.ReportsPerSec, s.ReportBytes+frame, codec)
-	holder.add(models*t.ReportsPerSec, s.RenewBytes+frame, codec)
 	holder.BytesPerSec += t.inFlight() * t.ReportsPerSec * s.ReportRowBytes
 	waitingModels := min(models, t.Backlogged/t.nodesPerZone())
 	holder.add(waitingModels*t.ReportsPerSec, s.DemandBytes+frame+s.DemandRowBytes, codec)
@@ -64,7 +68,7 @@
 	}
 	owner.add(grants, s.GrantBytes+frame, codec)
 	owner.add(requests, s.ReturnBytes+frame, codec)
-	owner.add(models*t.ReportsPerSec, s.ReportBytes+s.RenewBytes+2*frame, 2*codec)
+	owner.add(models*t.ReportsPerSec, s.ReportBytes+frame, codec)
 	owner.BytesPerSec += t.inFlight() * t.ReportsPerSec * s.ReportRowBytes
 	owner.add(waitingModels*t.ReportsPerSec, s.DemandBytes+frame+s.DemandRowBytes, codec)
 	shares := 2 * t.ModelZonesPerNode * (t.Zones - 1) * t.SharesPerSec
@@ -85,12 +89,12 @@
 	reader := Role{
 		Name:      "table reader",
 		State:     fmt.Sprintf("%.0f rows, the last 64 changes", t.Accounts+t.Workers),
-		Mechanism: "two readers a zone watch; one changed row goes to each router",
+		Mechanism: "two readers a zone watch pages; one changed row goes to each router",
 	}
 	edits := dailyUpdates(t.ChangesPerDay)
 	whole := (t.Accounts + t.Workers) * s.TableRowBytes
 	reader.add(edits*2*t.nodesPerZone(), s.DeltaBytes+frame, codec)
-	reader.BytesPerSec += edits * whole
+	reader.BytesPerSec += edits * whole / tablePages
 	reader.BytesPerSec += dailyUpdates(t.RestartsPerDay) / t.Zones * whole
 	reader.Memory = 3 * (t.Accounts + t.Workers) * s.TableRowMemory
 
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -103,7 +103,13 @@
 	demand := func(n int) any {
 		return &wire.Demand{Pool: p, Seq: 1000, Stamp: stamp, Seen: 1000, Waiting: waiting(n)}
 	}
-	report := func(n int) any { return &wire.Report{Pool: p, Epoch: source.Epoch, Stamp: stamp, Held: uses(n)} }
+	report := func(n int) any {
+		r := &wire.Report{Pool: p, Epoch: source.Epoch, Stamp: stamp}
+		for i := range uint64(n) {
+			r.AddRunning(100*i, 100*(i+1), 300)
+		}
+		return r
+	}
 	share := func(n int) any {
 		return &wire.Share{From: p, To: p, Epoch: source.Epoch, Seq: 1000, Stamp: stamp, Served: served(n), Waiting: waiting(n), Free: 1, Slots: 64, Table: 1600}
 	}
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -79,6 +79,7 @@
 // watchTable is the task that reads the table while this router is a reader.
 func (r *Router) watchTable() {
 	wait := newBackoff()
+	pages := newPages(r.platform)
 	after := uint64(0)
 	for r.ctx.Err() == nil {
 		if !r.snapshot.reader.Load() {
@@ -99,20 +100,16 @@
 		if !ok {
 			continue
 		}
-		if v.Revision > after {
+		read, err := pages.read(r.ctx, v)
+		if v.Revision > after && err == nil {
 			after = v.Revision
-			r.post(readTable(v))
+			r.post(read)
 		} else if !r.pause(wait.NextBackOff()) {
 			return
 		}
 	}
 }
 
-func readTable(v platform.Value) tableRead {
-	t, err := table.Parse(TableName, v.Data)
-	return tableRead{tablesync.Platform{Revision: v.Revision, Table: t, Err: err}}
-}
-
 type tableRead struct{ tablesync.Platform }
 
 func (e tableRead) apply(c *core) { c.runSync(e.Platform) }
--- a/pkg/hold/tell.go
+++ b/pkg/hold/tell.go
@@ -128,6 +128,7 @@
 		epoch uint64
 	}
 	reports := map[to]*wire.Report{}
+	last := map[to]uint64{}
 	var order []to
 	for _, l := range x.sorted() {
 		k := to{l.owner, l.source.Epoch}
@@ -137,7 +138,12 @@
 			reports[k] = r
 			order = append(order, k)
 		}
-		r.Held = append(r.Held, h.use(l, l.account(), l.tokens))
+		if l.Account == "" {
+			r.Held = append(r.Held, h.use(l, l.account(), l.tokens))
+			continue
+		}
+		r.AddRunning(last[k], l.ID, l.tokens)
+		last[k] = l.ID
 	}
 	for _, k := range order {
 		h.send(k.owner, reports[k])
--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -211,30 +211,40 @@
 	h.hear(o.now, e.Msg.Stamp)
 	o.ended(e.From, e.Msg.Epoch, e.Msg.Ended)
 	h.adopted = h.adopted || e.Msg.Adopt
-	unknown := false
-	for _, u := range e.Msg.Held {
+	unknown, standing := false, false
+	take := func(u wire.Use) {
 		l := o.find(e.Msg.Epoch, u)
 		if l == nil && e.Msg.Adopt {
 			l = o.adopt(e.From, e.Msg.Epoch, u)
 		}
 		if l == nil {
 			unknown = true
-			continue
+			return
 		}
-		o.measure(l, u.Tokens)
-		l.heard = o.now
-		l.holder = e.From
-		o.bind(l, u.Account)
-		o.settle(l, u.Tokens, false)
+		standing = standing || l.standing
+		o.hearLease(l, e.From, u)
+	}
+	for _, u := range e.Msg.Held {
+		take(u)
 	}
+	e.Msg.EachRunning(func(id uint64, tokens int64) { take(wire.Use{ID: id, Tokens: tokens}) })
 	if unknown && !e.Msg.Adopt {
 		o.send(e.From, &wire.Recall{Pool: o.pool, Tell: true})
 	}
-	if !e.Msg.Adopt && len(e.Msg.Held) > 0 {
+	if standing {
 		o.send(e.From, &wire.Renew{Pool: e.Msg.Pool, Stamp: e.Msg.Stamp})
 	}
 }
 
+// hearLease takes a report of one lease.
+func (o *Owner) hearLease(l *lease, from string, u wire.Use) {
+	o.measure(l, u.Tokens)
+	l.heard = o.now
+	l.holder = from
+	o.bind(l, u.Account)
+	o.settle(l, u.Tokens, false)
+}
+
 // ended charges requests that ended on standing leases, less what earlier
 // reports of the same request charged.
 func (o *Owner) ended(from string, epoch uint64, uses []wire.Use) {
--- a/pkg/pool/share.go
+++ b/pkg/pool/share.go
@@ -90,13 +90,13 @@
 	sum, n := 0.0, 0.0
 	for _, v := range served {
 		if o.queue.Get(v.Account).Active {
-			sum += v.Virtual - o.sure(o.account(v.Account))
+			sum += float64(v.Virtual) - o.sure(o.account(v.Account))
 			n++
 		}
 	}
 	for _, v := range served {
 		if a := o.queue.Get(v.Account); a.Active {
-			off := v.Virtual - o.sure(o.account(v.Account)) - sum/n
+			off := float64(v.Virtual) - o.sure(o.account(v.Account)) - sum/n
 			o.queue.Charge(v.Account, o.opt.agree*off*a.Weight)
 		}
 	}
@@ -278,10 +278,11 @@
 // and once more those that stopped changing.
 func (o *Owner) servedNews() []wire.Served {
 	var served []wire.Served
+	least := o.queue.Least()
 	for _, name := range sorted(o.accounts) {
 		a := o.accounts[name]
 		if a.changed || a.sent || o.queue.Get(name).Active {
-			served = append(served, wire.Served{Account: name, Tokens: a.own, Virtual: o.sure(a)})
+			served = append(served, wire.Served{Account: name, Tokens: a.own, Virtual: float32(o.sure(a) - least)})
 		}
 		a.sent = a.changed
 		a.changed = false
--- a/pkg/table/parse.go
+++ b/pkg/table/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"math"
 	"net/netip"
@@ -18,31 +19,65 @@
 	hashBytes   = 32
 )
 
-// Parse reads a table and checks it whole. Its error is a
+// Page is one part of a table: a file, or a value of the platform.
+type Page struct {
+	// Name is the page's name in errors.
+	Name string
+	Data []byte
+}
+
+// Parse reads a table of one page and checks it whole. Its error is a
 // *strictyaml.Problems that lists everything wrong.
 func Parse(file string, data []byte) (*Table, error) {
+	return ParsePages([]Page{{Name: file, Data: data}})
+}
+
+// ParsePages reads a table whose rows stand on several pages, and checks it
+// whole: a name or key may stand on one page only. Its error joins the
+// *strictyaml.Problems of each bad page.
+func ParsePages(pages []Page) (*Table, error) {
 	t := &Table{}
-	d := strictyaml.Decode(file, data, t)
-	if d.Err() != nil {
-		return nil, d.Err()
-	}
-	c := checker{doc: d, names: map[string]bool{}, keys: map[string]string{}}
-	if len(t.Accounts) == 0 {
-		d.Add("no rows: a table without client accounts would refuse every request; add at least one", "accounts")
+	c := checker{names: map[string]bool{}, keys: map[string]string{}}
+	var errs []error
+	for _, p := range pages {
+		if err := c.page(t, p); err != nil {
+			errs = append(errs, err)
+		}
 	}
-	for i := range t.Accounts {
-		c.account(i, &t.Accounts[i])
+	if len(errs) == 0 && len(t.Accounts) == 0 {
+		errs = append(errs, noRows(pages))
 	}
-	for i := range t.Backends {
-		c.backend(i, &t.Backends[i])
-	}
-	if err := d.Err(); err != nil {
-		return nil, err
+	if len(errs) > 0 {
+		return nil, errors.Join(errs...)
 	}
 	t.Index()
 	return t, nil
 }
 
+func noRows(pages []Page) error {
+	d := strictyaml.Decode(pages[0].Name, pages[0].Data, &Table{})
+	d.Add("no rows: a table without client accounts would refuse every request; add at least one", "accounts")
+	return d.Err()
+}
+
+// page checks the rows of a page and adds them to the table.
+func (c *checker) page(t *Table, p Page) error {
+	part := &Table{}
+	c.doc = strictyaml.Decode(p.Name, p.Data, part)
+	if err := c.doc.Err(); err != nil {
+		return err
+	}
+	for i := range part.Accounts {
+		c.account(i, &part.Accounts[i])
+	}
+	for i := range part.Backends {
+		c.backend(i, &part.Backends[i])
+	}
+	t.Accounts = append(t.Accounts, part.Accounts...)
+	t.Backends = append(t.Backends, part.Backends...)
+	return c.doc.Err()
+}
+
 type checker struct {
 	doc   *strictyaml.Doc
 	names map[string]bool
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -168,8 +168,11 @@
 	Epoch uint64
 	// Stamp is the sender's clock when it sent this; Renew echoes it.
 	Stamp Stamp
-	// Held lists the leases.
+	// Held lists the standing leases, and all of them with Adopt.
 	Held []Use
+	// Running lists the other leases, packed: for each, what its ID exceeds
+	// the one before by, and its tokens. See AddRunning and EachRunning.
+	Running []int64
 	// Ended lists requests that ended on standing leases since the last
 	// Report, which the router keeps.
 	Ended []Use
@@ -177,6 +180,20 @@
 	Adopt bool
 }
 
+// AddRunning adds a running lease; IDs must rise from one to the next.
+func (r *Report) AddRunning(last, id uint64, tokens int64) {
+	r.Running = append(r.Running, int64(id-last), tokens)
+}
+
+// EachRunning calls f for every running lease.
+func (r *Report) EachRunning(f func(id uint64, tokens int64)) {
+	id := uint64(0)
+	for i := 0; i+1 < len(r.Running); i += 2 {
+		id += uint64(r.Running[i])
+		f(id, r.Running[i+1])
+	}
+}
+
 // Renew extends the standing leases that the Report with Stamp listed.
 type Renew struct {
 	Pool  Pool
@@ -195,8 +212,9 @@
 	Account string `msgpack:",intern"`
 	// Tokens includes the estimates of requests that still run.
 	Tokens float64
-	// Virtual is the account's virtual time at the sender, less its guesses.
-	Virtual float64
+	// Virtual is the account's virtual time at the sender, less its guesses,
+	// and less the sender's least one so that few digits do.
+	Virtual float32
 }
 
 // Share is what owners of the same model tell each other.
