Hold accounts to fleet-wide limits of rate, tokens and requests in flight

Cause: the table's limits were read and not kept, but for the queue. Change: each owner keeps the whole fleet's account of a limited account: its own use at once, the others' as they share it; cut off, it uses its part of the limit by slots only. Requests in flight are divided by slots, and what a sibling without demand leaves is used.

--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -54,6 +54,9 @@
 	weights := c.weights()
 	c.eachOwner(func(p wire.Pool) pool.Event { return pool.Servers{List: poolServers(c.pools[p])} })
 	c.eachOwner(func(wire.Pool) pool.Event { return pool.Weights{Of: weights} })
+	limits := c.limits()
+	c.eachOwner(func(wire.Pool) pool.Event { return pool.Limits{Of: limits} })
+	c.runHolder(hold.Limited{Accounts: limitedNames(limits)})
 }
 
 // marks gives the event of the chart that each mark stands for.
@@ -102,6 +105,26 @@
 	return w
 }
 
+// limits returns the accounts that have a limit over the whole fleet.
+func (c *core) limits() map[string]pool.Limit {
+	limits := map[string]pool.Limit{}
+	for _, a := range c.table.Accounts {
+		l := pool.Limit{Requests: a.Limits.RequestsPerSecond, Tokens: a.Limits.TokensPerSecond, InFlight: a.Limits.InFlight}
+		if l != (pool.Limit{}) {
+			limits[a.Name] = l
+		}
+	}
+	return limits
+}
+
+func limitedNames(limits map[string]pool.Limit) map[string]bool {
+	names := make(map[string]bool, len(limits))
+	for name := range limits {
+		names[name] = true
+	}
+	return names
+}
+
 // membersChanged takes a change of the zone's live routers to everyone.
 func (c *core) membersChanged() {
 	live := c.members.Live()
@@ -190,6 +213,7 @@
 	c.r.opt.log.Info("pool_owned", "pool", p.String())
 	c.runOwner(o, pool.Servers{List: poolServers(c.pools[p])})
 	c.runOwner(o, pool.Weights{Of: c.weights()})
+	c.runOwner(o, pool.Limits{Of: c.limits()})
 	c.runOwner(o, c.zoneHolders())
 	c.feedLoads()
 }
--- a/pkg/hold/event.go
+++ b/pkg/hold/event.go
@@ -82,6 +82,10 @@
 // Closed replaces the set of backend servers that take no new work.
 type Closed struct{ Backends map[string]bool }
 
+// Limited replaces the accounts that have limits over the whole fleet. Their
+// requests go by way of the owner, who counts them, and not on standing leases.
+type Limited struct{ Accounts map[string]bool }
+
 // Lost says that messages to or from a router may have been lost.
 type Lost struct{ Peer string }
 
--- a/pkg/hold/holder.go
+++ b/pkg/hold/holder.go
@@ -25,6 +25,7 @@
 	lenders  map[wire.Pool]Home
 	zone     string
 	closed   map[string]bool
+	limited  map[string]bool
 	queued   map[string]int
 	lastTell time.Duration
 	draining bool
--- a/pkg/hold/lease.go
+++ b/pkg/hold/lease.go
@@ -62,7 +62,7 @@
 	}
 	account := l.Account
 	if l.standing {
-		account = m.oldest()
+		account = m.oldest(h.limited)
 	}
 	q, ok := m.queues[account]
 	if !ok || len(*q) == 0 {
@@ -76,12 +76,13 @@
 	return r
 }
 
-// oldest returns the account whose next request has waited longest.
-func (m *model) oldest() string {
+// oldest returns the account whose next request has waited longest, of those
+// that may use a standing lease.
+func (m *model) oldest(limited map[string]bool) string {
 	best := ""
 	for _, name := range sortedKeys(m.queues) {
 		q := *m.queues[name]
-		if len(q) > 0 && (best == "" || q[0].turn < (*m.queues[best])[0].turn) {
+		if len(q) > 0 && !limited[name] && (best == "" || q[0].turn < (*m.queues[best])[0].turn) {
 			best = name
 		}
 	}
--- a/pkg/hold/request.go
+++ b/pkg/hold/request.go
@@ -26,14 +26,18 @@
 		return
 	}
 	m := h.model(e.Model)
-	if l := h.takeIdle(m); l != nil {
-		h.start(r, l)
-		return
+	if !h.limited[e.Account] {
+		if l := h.takeIdle(m); l != nil {
+			h.start(r, l)
+			return
+		}
 	}
 	h.enqueue(r)
 	h.tellSoon(m)
 }
 
+func (e Limited) apply(h *Holder) { h.limited = e.Accounts }
+
 func (e Cancel) apply(h *Holder) {
 	r, ok := h.requests[e.ID]
 	if !ok || r.index < 0 {
--- a/pkg/pool/decide.go
+++ b/pkg/pool/decide.go
@@ -82,6 +82,9 @@
 func (o *Owner) grant(a *account, c *claim, s *server) {
 	l := o.newLease(s, c.who.node, a.name)
 	l.charged = o.upfront(a)
+	a.running++
+	a.requests++
+	a.limit.spend(0, 1)
 	o.charge(a.name, l.charged)
 	if c.who.pool == o.pool {
 		o.stats.Granted++
--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -64,6 +64,7 @@
 func (Tick) apply(o *Owner) {
 	o.reclaimSilent()
 	o.runOn()
+	o.refill()
 	o.dropSilentHolders()
 	o.dropSilentSiblings()
 	o.shareIfDue()
@@ -336,6 +337,9 @@
 	o.leases[l.id] = l
 	s.used++
 	s.peak = max(s.peak, s.used)
+	if l.account != "" {
+		o.account(l.account).running++
+	}
 	return l
 }
 
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -175,6 +175,11 @@
 	told int
 	// zones is how many siblings served the account in their last share.
 	zones int
+	// requests and running count the account's leases here.
+	requests int64
+	running  int
+	// limit is nil for an account without limits.
+	limit *limiter
 }
 
 type claim struct {
@@ -269,6 +274,15 @@
 		}
 	}
 	o.untold = o.untold || local >= untoldFactor*a.told+1
+	if a.limit != nil && n == 0 && a.running == 0 {
+		a.limit.since = o.now
+	}
+	if n > 0 && a.limit != nil && o.over(a) {
+		// The account keeps its place in virtual time while it is held back.
+		o.queue.Deactivate(a.name)
+		a.idle = o.now
+		return
+	}
 	if n > 0 {
 		o.queue.Activate(a.name, o.now-a.idle >= o.opt.idleGrace)
 		return
@@ -288,6 +302,7 @@
 	a := o.account(name)
 	a.own += tokens
 	a.changed = true
+	a.limit.spend(tokens, 0)
 	factor := 1.0
 	if o.opt.estimator == CountedByZones {
 		factor += float64(a.zones)
@@ -340,6 +355,12 @@
 	}
 	l.server.used--
 	delete(o.leases, l.id)
+	if a, ok := o.accounts[l.account]; ok && !l.standing {
+		a.running--
+		if a.limit != nil {
+			o.refresh(a)
+		}
+	}
 }
 
 func (o *Owner) holder(name string) *holder {
--- a/pkg/pool/share.go
+++ b/pkg/pool/share.go
@@ -20,6 +20,9 @@
 	// seenGrant is the Seq of the last grant received from it.
 	seenGrant uint64
 	served    map[string]remote
+	limited   map[string]wire.Limited
+	// asks are the accounts with work waiting at the sibling.
+	asks map[string]bool
 }
 
 // remote is an account's service as a sibling last told it.
@@ -77,6 +80,11 @@
 	s.free, s.slots, s.stamp = e.Msg.Free, e.Msg.Slots, e.Msg.Stamp
 	o.learn(s, e.Msg.Served, fresh)
 	o.agree(e.Msg.Served)
+	o.learnLimited(s, e.Msg.Limited, fresh)
+	s.asks = make(map[string]bool, len(e.Msg.Waiting))
+	for _, v := range e.Msg.Waiting {
+		s.asks[v.Account] = true
+	}
 	o.setClaims(claimant{node: e.From, pool: e.Msg.From}, e.Msg.Waiting, e.Msg.Seen, true)
 }
 
@@ -148,6 +156,7 @@
 	a := o.account(v.Account)
 	r, known := s.served[v.Account]
 	if known {
+		a.limit.spend(v.Tokens-r.tokens, 0)
 		guessed := 0.0
 		if r.serving && o.opt.estimator == CountedByZones {
 			guessed = a.own - r.ownAt
@@ -257,6 +266,7 @@
 	o.untold = false
 	o.shareSeq++
 	served := o.servedNews()
+	limited := o.limitedNews()
 	pools := o.siblingPools()
 	waiting := o.slices(pools)
 	free := o.freeSlots()
@@ -265,7 +275,7 @@
 		s := o.siblings[p]
 		o.send(s.node, &wire.Share{
 			From: o.pool, To: p, Epoch: o.epoch, Seq: o.shareSeq, Stamp: wire.StampOf(o.now), Seen: s.seenGrant,
-			Served: served, Waiting: waiting[i], Free: free, Slots: slots,
+			Served: served, Limited: limited, Waiting: waiting[i], Free: free, Slots: slots,
 		})
 	}
 }
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -217,6 +217,14 @@
 	Virtual float32
 }
 
+// Limited is what an owner gave an account that has limits.
+type Limited struct {
+	Account string `msgpack:",intern"`
+	// Requests counts what was granted in all; Running what runs now.
+	Requests int64
+	Running  int
+}
+
 // Share is what owners of the same model tell each other.
 type Share struct {
 	// From and To are pools of one model.
@@ -231,6 +239,8 @@
 	Seen uint64
 	// Served lists the accounts that were charged lately or have work.
 	Served []Served
+	// Limited lists the accounts that have limits and were used.
+	Limited []Limited
 	// Waiting lists all demand that From asks To to meet.
 	Waiting []Waiting
 	// Free is how many slots of From are idle.
