--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -183,7 +183,9 @@
 	c.demandSeq = e.Msg.Seq
 	h := o.holder(e.From)
 	h.hear(o.now, e.Msg.Stamp)
-	h.lastUse = o.now
+	if len(e.Msg.Waiting) > 0 {
+		h.lastUse = o.now
+	}
 	o.setClaims(who, e.Msg.Waiting, e.Msg.Seen, e.Msg.Full)
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -41,6 +41,9 @@
 	Fault string `json:"load_fault"`
 }
 
+// defaultTokens is how long an answer is that the request does not size.
+const defaultTokens = 50
+
 // Engine is a running stand-in.
 type Engine struct {
 	cfg   Config
@@ -150,6 +153,9 @@
 func (e *Engine) produce(ctx context.Context, ask Ask, emit func(sum int) bool) {
 	begun := time.Now()
 	sum := 0
+	if ask.Tokens == 0 {
+		ask.Tokens = defaultTokens
+	}
 	for sum < ask.Tokens {
 		due := begun.Add(time.Duration(float64(sum+e.chunk(sum, ask.Tokens)) / e.cfg.TokensPerSecond * float64(time.Second)))
 		select {
--- a/standin/judge/judge.go
+++ b/standin/judge/judge.go
@@ -106,6 +106,9 @@
 	defer j.mu.Unlock()
 	j.advance()
 	s := j.servers[server]
+	if s.Closed {
+		return
+	}
 	s.Closed = true
 	s.ClosedAt = time.Now()
 	s.LastStart = s.ClosedAt
