Send requests to the server that holds their prefix; find dead owners sooner

Cause: prompts that share beginnings met cold caches; pools of dead and paused owners stood idle for seconds. Change: a holder chooses among an account's next requests one whose prefix it last sent to the lease's server. Silent leases are given up after 2 s where the load is reported, loads are read again half a second after a router is gone, and a woken owner owns again at once, quiet as any new one.

--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,69 @@
+package burn_test
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/burn"
+	"github.com/yarrowmast/yarrowmast/internal/config"
+	"github.com/yarrowmast/yarrowmast/internal/front"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+func outcome(status int, code, verdict string, first time.Duration) front.Outcome {
+	return front.Outcome{Account: "moka", Model: "form", Status: status, Code: code, Verdict: verdict, FirstByte: first, Total: first, Tokens: 1}
+}
+
+func find(t *testing.T, r *burn.Report, objective string) burn.Level {
+	t.Helper()
+	for _, l := range r.Levels {
+		if l.Objective == objective {
+			return l
+		}
+	}
+	t.Fatalf("no level %s in %+v", objective, r.Levels)
+	return burn.Level{}
+}
+
+func TestBurnOverTwoWindowsAndRouters(t *testing.T) {
+	c := &clock{now: time.Unix(1_700_000_000, 0)}
+	o := config.Defaults().Objectives
+	a, b := burn.New("a", o, burn.WithClock(c.read)), burn.New("b", o, burn.WithClock(c.read))
+	for range 95 {
+		a.Answered(outcome(200, "", "ran", time.Second))
+	}
+	for range 5 {
+		b.Answered(outcome(502, "answer-cut", "may-have-run", 0))
+		a.Answered(outcome(400, "bad-json", "not-run", 0))
+	}
+	merge := func() *burn.Report {
+		r, err := burn.Merge([]burn.Snapshot{a.Snapshot(), b.Snapshot()}, []string{"c"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	r := merge()
+	got := find(t, r, "availability")
+	if got.Requests != 100 || got.Long < 49.9 || got.Long > 50.1 || got.Alert != burn.AlertPage || got.BudgetLeft != 0 {
+		t.Errorf("availability %+v", got)
+	}
+	if r.Missing[0] != "c" || r.First[0].P50 < 990 || r.First[0].P50 > 1010 {
+		t.Errorf("report %+v", r)
+	}
+	if file := filepath.Join(t.TempDir(), "burn.svg"); r.Save(file) != nil {
+		t.Error("the picture was not drawn")
+	}
+	c.now = c.now.Add(10 * time.Minute)
+	if got = find(t, merge(), "availability"); got.Short != 0 || got.Long == 0 || got.Alert != burn.AlertNone {
+		t.Errorf("after 10 minutes %+v", got)
+	}
+	c.now = c.now.Add(time.Hour)
+	if r = merge(); len(r.Levels) != 0 {
+		t.Errorf("after an hour %+v", r.Levels)
+	}
+}
--- a/internal/front/ask.go
+++ b/internal/front/ask.go
@@ -33,7 +33,7 @@
 	maxKeyLength  = 256
 	maxPriority   = 9
 	// prefixBytes is how much of a body is hashed to find cached prompts.
-	prefixBytes = 1024
+	prefixBytes = 256
 )
 
 // ask is a caller's request as it was understood.
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -37,6 +37,10 @@
 
 func (v *variant) add(change string) error {
 	key, value, timed := strings.Cut(change, "=")
+	if change == "no-prefix" {
+		v.hold = append(v.hold, hold.WithPrefixes(false))
+		return nil
+	}
 	if change == "no-run-on" {
 		v.pool = append(v.pool, pool.WithRunOn(false))
 		return nil
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -57,6 +57,9 @@
 	Rate    float64 `yaml:"rate"`
 	Backlog int     `yaml:"backlog"`
 	Tokens  Tokens  `yaml:"tokens"`
+	// Prefixes is how many different beginnings its prompts have; 0 is one
+	// that is too short to be cached.
+	Prefixes int `yaml:"prefixes"`
 	// Repeatable is true unless it says otherwise.
 	Repeatable *bool `yaml:"repeatable"`
 }
--- a/internal/router/acquire.go
+++ b/internal/router/acquire.go
@@ -116,6 +116,7 @@
 	c.runHolder(hold.Arrive{
 		ID: e.id, Account: e.req.Account, Model: e.req.Model, Priority: e.req.Priority,
 		Deadline: e.deadline, Waited: e.req.Waited,
+		Prefix: uint32(e.req.Prefix),
 	})
 }
 
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// wake is called after a pause: the owners start again, quiet, since others
-// may have taken their pools over meanwhile.
+// wake is called after a pause: the owners start again with the next tick, and
+// quiet, since others may have taken their pools over meanwhile.
 func (c *core) wake() {
 	c.r.opt.log.Warn("router_was_paused", "gap_ms", (c.now - c.lastRun).Milliseconds())
 	c.sendAll(c.members.Step(c.now, member.Woke{}))
@@ -115,7 +115,7 @@
 	for _, p := range wire.SortedPools(c.owners) {
 		c.dropOwner(p)
 	}
-	c.ownersAt = c.now + pool.DefaultTTL
+	c.ownersAt = c.now
 	c.r.count("router_pauses")
 }
 
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -115,7 +115,22 @@
 func (e tableRead) apply(c *core) { c.runSync(e.Platform) }
 
 // loadFeed is the task that reads one backend server's load.
-type loadFeed struct{ cancel context.CancelFunc }
+type loadFeed struct {
+	cancel context.CancelFunc
+	// soon asks for a reading before the next regular one.
+	soon chan struct{}
+}
+
+// readSoon asks the readers of the owned pools for the loads as they will be
+// when a backend server has noticed that a router is gone.
+func (c *core) readSoon() {
+	for _, f := range c.feeds {
+		select {
+		case f.soon <- struct{}{}:
+		default:
+		}
+	}
+}
 
 // feedLoads starts and ends load readers so that there is one for each
 // backend server of the owned pools.
@@ -139,22 +154,32 @@
 
 func (r *Router) feedLoad(b table.Backend) *loadFeed {
 	ctx, cancel := context.WithCancel(r.ctx)
+	f := &loadFeed{cancel: cancel, soon: make(chan struct{}, 1)}
 	r.tasks.Add(1)
 	go func() {
 		defer r.tasks.Done()
-		r.readLoads(ctx, b)
+		r.readLoads(ctx, b, f.soon)
 	}()
-	return &loadFeed{cancel: cancel}
+	return f
 }
 
-func (r *Router) readLoads(ctx context.Context, b table.Backend) {
+// soonAfter is a little more than pool.LoadLag, after which a reading counts.
+const soonAfter = pool.LoadLag + 50*time.Millisecond
+
+func (r *Router) readLoads(ctx context.Context, b table.Backend, soon <-chan struct{}) {
 	for ctx.Err() == nil {
 		n, err := r.loads.Load(ctx, b)
 		if ctx.Err() != nil {
 			return
 		}
 		r.post(loadRead{backend: b.Name, inFlight: n, err: err})
-		if !r.pause(r.opt.loadEvery) {
+		select {
+		case <-time.After(r.opt.loadEvery):
+		case <-soon:
+			if !r.pause(soonAfter) {
+				return
+			}
+		case <-ctx.Done():
 			return
 		}
 	}
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -132,6 +132,7 @@
 	c.runSync(tablesync.Live{Names: live})
 	c.reown()
 	c.eachOwner(func(wire.Pool) pool.Event { return c.zoneHolders() })
+	c.readSoon()
 }
 
 // ownerOf returns the owner of a pool as this router sees it: by the live
--- a/pkg/hold/event.go
+++ b/pkg/hold/event.go
@@ -22,6 +22,8 @@
 	Deadline time.Duration
 	// Waited is how long the request waited before an earlier attempt.
 	Waited time.Duration
+	// Prefix is a hash of the prompt's beginning, 0 if there is none.
+	Prefix uint32
 }
 
 // Cancel takes a waiting request out, because its caller went away.
--- a/pkg/hold/holder.go
+++ b/pkg/hold/holder.go
@@ -26,6 +26,7 @@
 	zone     string
 	closed   map[string]bool
 	limited  map[string]bool
+	prefixes *prefixes
 	queued   map[string]int
 	lastTell time.Duration
 	draining bool
@@ -94,6 +95,7 @@
 	for _, f := range opts {
 		f(&h.opt)
 	}
+	h.prefixes = newPrefixes(h.opt.prefixes)
 	return h
 }
 
--- a/pkg/hold/lease.go
+++ b/pkg/hold/lease.go
@@ -68,7 +68,9 @@
 	if !ok || len(*q) == 0 {
 		return nil
 	}
-	r := q.next()
+	r := h.prefixes.pick(*q, l.Backend)
+	q.remove(r)
+	h.prefixes.put(r.Prefix, l.Backend)
 	h.dequeued(r)
 	if !l.standing {
 		m.note(account, max(0, m.told[account]-1))
--- a/pkg/hold/options.go
+++ b/pkg/hold/options.go
@@ -19,10 +19,17 @@
 
 type options struct {
 	reportEvery time.Duration
+	prefixes    bool
 }
 
 func defaults() options {
-	return options{reportEvery: DefaultReportEvery}
+	return options{reportEvery: DefaultReportEvery, prefixes: true}
+}
+
+// WithPrefixes says whether requests look for the server that holds their
+// prompt's prefix.
+func WithPrefixes(on bool) Option {
+	return func(o *options) { o.prefixes = on }
 }
 
 // Option changes a new Holder.
--- a/pkg/hold/queue.go
+++ b/pkg/hold/queue.go
@@ -62,11 +62,3 @@
 func (q *queue) remove(r *request) { heap.Remove(q, r.index) }
 
 func (q *queue) next() *request { return heap.Pop(q).(*request) }
-
-// top returns the highest priority near the head of the queue.
-func (q queue) top() int {
-	if len(q) == 0 {
-		return 0
-	}
-	return q[0].Priority
-}
--- a/pkg/hold/tell.go
+++ b/pkg/hold/tell.go
@@ -102,7 +102,11 @@
 	}
 	for _, account := range sortedKeys(m.dirty) {
 		n := m.count(account)
-		d.Waiting = append(d.Waiting, wire.Waiting{Account: account, Count: n, Priority: m.priority(account)})
+		w := wire.Waiting{Account: account, Count: n}
+		if next := m.head(account); next != nil {
+			w.Priority = next.Priority
+		}
+		d.Waiting = append(d.Waiting, w)
 		m.note(account, n)
 	}
 	clear(m.dirty)
@@ -123,12 +127,13 @@
 	m.told[account] = n
 }
 
-func (m *model) priority(account string) int {
+// head returns the account's next request, nil if none waits.
+func (m *model) head(account string) *request {
 	q, ok := m.queues[account]
-	if !ok {
-		return 0
+	if !ok || len(*q) == 0 {
+		return nil
 	}
-	return q.top()
+	return (*q)[0]
 }
 
 // report tells the owners of a pool's leases which are held here.
--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -159,13 +159,21 @@
 	h.stamp = max(h.stamp, stamp)
 }
 
+// LoadLag is how old a load may be that a backend server reports.
+const LoadLag = 500 * time.Millisecond
+
 func (e Load) apply(o *Owner) {
 	s, ok := o.servers[e.Backend]
 	if !ok {
 		return
 	}
 	known := max(s.peak, s.lastPeak, s.used)
-	s.foreign = max(0, e.InFlight-known)
+	foreign := max(0, e.InFlight-known)
+	if o.now-s.abandoned < LoadLag {
+		// The report may be older than the request that was given up.
+		foreign = max(foreign, s.foreign)
+	}
+	s.foreign = foreign
 	s.lastPeak = s.peak
 	s.peak = s.used
 	s.loaded = true
@@ -355,10 +363,13 @@
 // backend server's own report says otherwise.
 func (o *Owner) reclaimSilent() {
 	for _, l := range o.leases {
-		if o.now-l.heard < o.opt.reclaim {
-			continue
+		silence := o.opt.reclaim
+		if l.server.Reports {
+			silence = o.opt.reclaimReported
+		}
+		if o.now-l.heard >= silence {
+			o.abandon(l)
 		}
-		o.abandon(l)
 	}
 }
 
@@ -369,6 +380,7 @@
 	o.free(l)
 	s := l.server
 	s.foreign++
+	s.abandoned = o.now
 	s.peak = max(0, s.peak-1)
 	s.lastPeak = max(0, s.lastPeak-1)
 }
--- a/pkg/pool/options.go
+++ b/pkg/pool/options.go
@@ -22,6 +22,9 @@
 	// DefaultReclaim is after what silence an owner takes a lease back. It
 	// exceeds the TTL and the longest trip of a renewal.
 	DefaultReclaim = 4 * time.Second
+	// DefaultReclaimReported is the same where the backend server reports its
+	// load, which tells whether the request still runs. It exceeds the TTL.
+	DefaultReclaimReported = 2 * time.Second
 	// DefaultShareEvery is the interval between shares of one pool.
 	DefaultShareEvery = 250 * time.Millisecond
 	// DefaultShareSoonest is the least time between two urgent shares.
@@ -42,42 +45,45 @@
 )
 
 type options struct {
-	ttl            time.Duration
-	reclaim        time.Duration
-	shareEvery     time.Duration
-	shareSoonest   time.Duration
-	siblingSilence time.Duration
-	calm           time.Duration
-	recent         time.Duration
-	idleGrace      time.Duration
-	firstEstimate  float64
-	debt           float64
-	estimator      Estimator
-	quiet          time.Duration
-	agree          float64
-	runOn          bool
-	firstRate      float64
-	lookAhead      time.Duration
+	ttl     time.Duration
+	reclaim time.Duration
+	// reclaimReported is reclaim for servers that report their load.
+	reclaimReported time.Duration
+	shareEvery      time.Duration
+	shareSoonest    time.Duration
+	siblingSilence  time.Duration
+	calm            time.Duration
+	recent          time.Duration
+	idleGrace       time.Duration
+	firstEstimate   float64
+	debt            float64
+	estimator       Estimator
+	quiet           time.Duration
+	agree           float64
+	runOn           bool
+	firstRate       float64
+	lookAhead       time.Duration
 }
 
 func defaults() options {
 	return options{
-		ttl:            DefaultTTL,
-		reclaim:        DefaultReclaim,
-		shareEvery:     DefaultShareEvery,
-		shareSoonest:   DefaultShareSoonest,
-		siblingSilence: DefaultSiblingSilence,
-		calm:           500 * time.Millisecond,
-		recent:         30 * time.Second,
-		idleGrace:      250 * time.Millisecond,
-		firstEstimate:  DefaultFirstEstimate,
-		debt:           50_000,
-		estimator:      CountedByZones,
-		quiet:          DefaultTTL,
-		agree:          DefaultAgree,
-		runOn:          true,
-		firstRate:      DefaultFirstRate,
-		lookAhead:      DefaultLookAhead,
+		ttl:             DefaultTTL,
+		reclaim:         DefaultReclaim,
+		reclaimReported: DefaultReclaimReported,
+		shareEvery:      DefaultShareEvery,
+		shareSoonest:    DefaultShareSoonest,
+		siblingSilence:  DefaultSiblingSilence,
+		calm:            500 * time.Millisecond,
+		recent:          30 * time.Second,
+		idleGrace:       250 * time.Millisecond,
+		firstEstimate:   DefaultFirstEstimate,
+		debt:            50_000,
+		estimator:       CountedByZones,
+		quiet:           DefaultTTL,
+		agree:           DefaultAgree,
+		runOn:           true,
+		firstRate:       DefaultFirstRate,
+		lookAhead:       DefaultLookAhead,
 	}
 }
 
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -137,6 +137,8 @@
 	peak     int
 	lastPeak int
 	loaded   bool
+	// abandoned is when a lease on it was last given up.
+	abandoned time.Duration
 	// down says that the server could not be reached when last tried.
 	down bool
 }
--- a/pkg/tablesync/tablesync.go
+++ b/pkg/tablesync/tablesync.go
@@ -16,7 +16,7 @@
 // The defaults.
 const (
 	// DefaultAskFor is how long a router that starts waits for its peers.
-	DefaultAskFor = time.Second
+	DefaultAskFor = 500 * time.Millisecond
 	// DefaultAskEvery is the least time between two asks of one version.
 	DefaultAskEvery = 300 * time.Millisecond
 	// DefaultReaders is how many routers of a zone watch the platform.
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -96,7 +96,7 @@
 	Account string `msgpack:",intern"`
 	// Count is never negative; 0 withdraws the demand.
 	Count int
-	// Priority is the highest among those waiting.
+	// Priority is that of the next request.
 	Priority int
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -10,6 +10,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +38,8 @@
 	// Tokens is how long the answer is; the routers do not read it.
 	Tokens int  `json:"load_tokens"`
 	Stream bool `json:"stream"`
+	// Prefix names the prompt's beginning, 0 if it is not worth a cache.
+	Prefix int `json:"load_prefix"`
 	// Fault asks for a bad answer: garbage, cut, crossed, two, error500,
 	// refuse, or "".
 	Fault string `json:"load_fault"`
@@ -54,6 +58,41 @@
 	inFlight int
 	reported int
 	readAt   time.Time
+	// cached are the prefixes held, the newest last; hits and misses count.
+	cached []string
+	hits   int
+	misses int
+}
+
+// The stand-in's cache of prefixes: how many it holds, and what a miss costs.
+const (
+	cacheSize = 8
+	prefill   = 100 * time.Millisecond
+)
+
+// lookUp finds a prefix in the cache and puts it at its end.
+func (e *Engine) lookUp(prefix string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at := slices.Index(e.cached, prefix)
+	if at >= 0 {
+		e.cached = append(slices.Delete(e.cached, at, at+1), prefix)
+		e.hits++
+		return true
+	}
+	e.misses++
+	e.cached = append(e.cached, prefix)
+	if len(e.cached) > cacheSize {
+		e.cached = e.cached[1:]
+	}
+	return false
+}
+
+// Cache returns how many prefixes were found and how many were not.
+func (e *Engine) Cache() (hits, misses int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hits, e.misses
 }
 
 // Start serves on ln until Close.
@@ -135,6 +174,10 @@
 	defer func() { <-e.slots }()
 	e.cfg.Judge.Began(ask.ID)
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	account, _, _ := strings.Cut(ask.ID, ".")
+	if ask.Prefix > 0 && !e.lookUp(fmt.Sprint(account, ask.Prefix)) {
+		time.Sleep(prefill)
+	}
 	if ask.Fault == "error500" {
 		http.Error(w, `{"error":{"message":"made up"}}`, http.StatusInternalServerError)
 		return
--- a/standin/judge/judge.go
+++ b/standin/judge/judge.go
@@ -262,6 +262,14 @@
 	return 0
 }
 
+// Slots returns the busy and the available slot-seconds so far.
+func (j *Judge) Slots() (busy, available float64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.advance()
+	return j.busy, j.available
+}
+
 // Find returns what was seen so far.
 func (j *Judge) Find() Finding {
 	j.mu.Lock()
