Grant nothing to who has fallen silent; let lent leases live as long as shares are apart

Cause: after a cut, free slots went on to the other side for 2 s, and each such lease idled its slot for 3 s; at 14 zones shares are 3 s apart and a lent lease of 1.5 s would always have arrived dead. Change: a router is granted nothing 0.9 s after its last message, a sibling after a missed share; a lent lease lasts a share interval more and is taken back no sooner; members are suspected after 0.3 s and dead after 1.

--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -255,6 +255,10 @@
 	return func() {
 		now += time.Millisecond
 		id++
+		if id%100 == 1 {
+			// An owner grants nothing to a router that it does not hear.
+			o.Step(now, pool.Demand{From: "h", Msg: &wire.Demand{Pool: p, Seq: id + 1, Seen: id, Stamp: wire.StampOf(now)}})
+		}
 		o.Step(now, pool.Return{From: "h", Msg: &wire.Return{Pool: p, Epoch: 0, Done: []wire.Use{{ID: id, Tokens: 100}}}})
 	}
 }
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -42,30 +42,40 @@
 	}
 }
 
-// watchInstances is the task that follows the platform's list.
-func (r *Router) watchInstances() {
+// follow calls read again and again with the greatest revision read so far.
+// It pauses after an error, and after an older revision, which a stale
+// platform gives at once.
+func (r *Router) follow(read func(after uint64) (revision uint64, err error)) {
 	wait := newBackoff()
 	after := uint64(0)
 	for r.ctx.Err() == nil {
-		list, ok, err := r.platform.WatchInstances(r.ctx, after)
+		revision, err := read(after)
+		if err == nil && revision >= after {
+			wait.Reset()
+			after = revision
+			continue
+		}
 		if err != nil {
 			r.count("platform_errors")
-			if !r.pause(wait.NextBackOff()) {
-				return
-			}
-			continue
 		}
-		wait.Reset()
-		if !ok {
-			continue
+		if !r.pause(wait.NextBackOff()) {
+			return
+		}
+	}
+}
+
+// watchInstances is the task that follows the platform's list.
+func (r *Router) watchInstances() {
+	r.follow(func(after uint64) (uint64, error) {
+		list, news, err := r.platform.WatchInstances(r.ctx, after)
+		if err != nil || !news {
+			return after, err
 		}
 		if list.Revision > after {
-			after = list.Revision
 			r.post(instances{list})
-		} else if !r.pause(wait.NextBackOff()) {
-			return
 		}
-	}
+		return list.Revision, nil
+	})
 }
 
 type instances struct{ platform.Instances }
@@ -78,36 +88,26 @@
 
 // watchTable is the task that reads the table while this router is a reader.
 func (r *Router) watchTable() {
-	wait := newBackoff()
 	pages := newPages(r.platform)
-	after := uint64(0)
-	for r.ctx.Err() == nil {
+	r.follow(func(after uint64) (uint64, error) {
 		if !r.snapshot.reader.Load() {
-			if !r.pause(notReaderPause + rand.N(notReaderPause)) {
-				return
-			}
-			continue
+			r.pause(notReaderPause + rand.N(notReaderPause))
+			return after, nil
 		}
-		v, ok, err := r.platform.Watch(r.ctx, TableName, after)
-		if err != nil {
-			r.count("platform_errors")
-			if !r.pause(wait.NextBackOff()) {
-				return
-			}
-			continue
+		v, news, err := r.platform.Watch(r.ctx, TableName, after)
+		if err != nil || !news {
+			return after, err
 		}
-		wait.Reset()
-		if !ok {
-			continue
+		if v.Revision <= after {
+			return v.Revision, nil
 		}
 		read, err := pages.read(r.ctx, v)
-		if v.Revision > after && err == nil {
-			after = v.Revision
-			r.post(read)
-		} else if !r.pause(wait.NextBackOff()) {
-			return
+		if err != nil {
+			return after, err
 		}
-	}
+		r.post(read)
+		return v.Revision, nil
+	})
 }
 
 type tableRead struct{ tablesync.Platform }
--- a/pkg/hold/tell.go
+++ b/pkg/hold/tell.go
@@ -35,13 +35,13 @@
 // count from the last report or demand, would run out between two.
 const (
 	poolsAtRate = 16
-	slowest     = 2
+	slowest     = 1.5
 )
 
 // ReportInterval returns the time between two reports of a router that holds
 // leases of so many pools.
 func ReportInterval(every time.Duration, pools int) time.Duration {
-	return min(slowest*every, every*time.Duration(max(pools, poolsAtRate))/poolsAtRate)
+	return min(time.Duration(slowest*float64(every)), every*time.Duration(max(pools, poolsAtRate))/poolsAtRate)
 }
 
 func (h *Holder) expireIdle() {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -16,9 +16,9 @@
 	// DefaultProbeEvery is the interval between two probes of a router.
 	DefaultProbeEvery = 250 * time.Millisecond
 	// DefaultAckWithin is how long a probe may stay unanswered.
-	DefaultAckWithin = 500 * time.Millisecond
+	DefaultAckWithin = 300 * time.Millisecond
 	// DefaultSuspectFor is how long a suspect may take to refute.
-	DefaultSuspectFor = time.Second
+	DefaultSuspectFor = 700 * time.Millisecond
 	// DefaultForgetAfter is when a dead member is forgotten for good.
 	DefaultForgetAfter = 10 * time.Minute
 	// rumourSends is how often a change is passed on by each router, and
--- a/pkg/pool/claim.go
+++ b/pkg/pool/claim.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
@@ -91,12 +92,40 @@
 	delete(o.claims, who)
 }
 
+// staleHolder is how long after a router's last message it is granted nothing:
+// it may be paused or cut off, and a lease that it cannot use idles its slot.
+// It exceeds the longest time between two reports.
+const staleHolder = 900 * time.Millisecond
+
+// fresh reports whether the claimant was heard of lately enough to be granted
+// a lease: a router by its reports, a sibling by at most one missed share.
+func (o *Owner) fresh(who claimant) bool {
+	if who.pool == o.pool {
+		h, ok := o.holders[who.node]
+		return ok && o.now-h.heard < staleHolder
+	}
+	s, ok := o.siblings[who.pool]
+	return ok && s.known && o.now-s.heard < 2*o.shareInterval()+shareSlack
+}
+
+// shareSlack is what a share may be late.
+const shareSlack = 150 * time.Millisecond
+
+// refreshAll takes into account that claimants may have fallen silent.
+func (o *Owner) refreshAll() {
+	for _, name := range sorted(o.accounts) {
+		if a := o.accounts[name]; len(a.claims) > 0 {
+			o.refresh(a)
+		}
+	}
+}
+
 // best returns the claim of the account to meet first: a router of the own
 // zone before another owner, then the higher priority, then the longer queue.
 func (o *Owner) best(a *account) *claim {
 	var best *claim
 	for _, c := range a.claims {
-		if c.count() == 0 {
+		if c.count() == 0 || !o.fresh(c.who) {
 			continue
 		}
 		if best == nil || o.before(c, best) {
--- a/pkg/pool/decide.go
+++ b/pkg/pool/decide.go
@@ -16,11 +16,8 @@
 		return
 	}
 	free := o.freeSlots()
-	for free > 0 {
-		if !o.grantNext() {
-			break
-		}
-		free--
+	for free > 0 && o.grantNext() {
+		free = o.freeSlots()
 	}
 	o.flushGrants()
 	if _, waits := o.queue.Min(); waits {
@@ -57,8 +54,8 @@
 	return true
 }
 
-// grantNext grants one slot to the account that is next. It reports whether
-// anyone could take it.
+// grantNext grants one slot to the account that is next, or takes an account
+// out that nobody claims for any more. It reports whether it did anything.
 func (o *Owner) grantNext() bool {
 	next, ok := o.queue.Min()
 	if !ok {
@@ -68,7 +65,7 @@
 	c := o.best(a)
 	if c == nil {
 		o.refresh(a)
-		return false
+		return !next.Active
 	}
 	s := o.roomiest()
 	if s == nil {
@@ -91,11 +88,22 @@
 	} else {
 		o.stats.Lent++
 	}
-	g := o.batched(c.who, o.source(), o.opt.ttl)
+	ttl := o.ttlFor(c.who)
+	l.until = o.now + ttl
+	g := o.batched(c.who, o.source(), ttl)
 	c.unseen = append(c.unseen, g.Seq)
 	g.Leases = append(g.Leases, l.wire())
 }
 
+// ttlFor returns the time of a lease from the claimant's last stamp. A sibling
+// stamps its shares, which grow rarer with the number of siblings.
+func (o *Owner) ttlFor(who claimant) time.Duration {
+	if who.pool == o.pool {
+		return o.opt.ttl
+	}
+	return o.opt.ttl + o.shareInterval()
+}
+
 func (o *Owner) newLease(s *server, holder, account string) *lease {
 	o.nextID++
 	l := &lease{id: o.nextID, epoch: o.epoch, server: s, name: s.Name, holder: holder, account: account, heard: o.now}
--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -63,6 +63,7 @@
 
 func (Tick) apply(o *Owner) {
 	o.reclaimSilent()
+	o.refreshAll()
 	o.runOn()
 	o.refill()
 	o.dropSilentHolders()
@@ -312,15 +313,6 @@
 	}
 }
 
-// find returns the lease that the use speaks of.
-func (o *Owner) find(epoch uint64, u wire.Use) *lease {
-	id := u.ID
-	if epoch != o.epoch {
-		id = adoptedID(epoch, u.ID)
-	}
-	return o.leases[id]
-}
-
 // bind charges what runs on a standing lease to the account it runs for.
 func (o *Owner) bind(l *lease, account string) {
 	if !l.standing || account == l.account {
@@ -330,57 +322,3 @@
 	l.charged = 0
 	l.tokens = 0
 }
-
-// adoptedBit keeps the numbers of adopted leases apart from own ones.
-const adoptedBit = 1 << 63
-
-// adoptedID numbers a lease of a former owner. Epochs are nanoseconds and a
-// factor spreads them, so that numbers of two former owners do not meet.
-func adoptedID(epoch, id uint64) uint64 {
-	const spread = 0x9E3779B97F4A7C15
-	return adoptedBit | (epoch*spread ^ id)
-}
-
-// adopt takes over a lease that a former owner granted.
-func (o *Owner) adopt(holder string, epoch uint64, u wire.Use) *lease {
-	s, ok := o.servers[u.Backend]
-	if !ok {
-		return nil
-	}
-	id := adoptedID(epoch, u.ID)
-	l := &lease{id: id, epoch: epoch, server: s, name: s.Name, holder: holder, account: u.Account, heard: o.now}
-	o.leases[l.id] = l
-	s.used++
-	s.peak = max(s.peak, s.used)
-	if l.account != "" {
-		o.account(l.account).running++
-	}
-	return l
-}
-
-// reclaimSilent takes back the leases that nobody spoke of for too long. Their
-// requests may still run, so the slots count as taken by strangers until the
-// backend server's own report says otherwise.
-func (o *Owner) reclaimSilent() {
-	for _, l := range o.leases {
-		silence := o.opt.reclaim
-		if l.server.Reports {
-			silence = o.opt.reclaimReported
-		}
-		if o.now-l.heard >= silence {
-			o.abandon(l)
-		}
-	}
-}
-
-// abandon gives a lease up whose request may still run: its slot counts as
-// taken by a stranger until the next report of the load.
-func (o *Owner) abandon(l *lease) {
-	o.stats.Reclaimed++
-	o.free(l)
-	s := l.server
-	s.foreign++
-	s.abandoned = o.now
-	s.peak = max(0, s.peak-1)
-	s.lastPeak = max(0, s.lastPeak-1)
-}
--- a/pkg/pool/limit.go
+++ b/pkg/pool/limit.go
@@ -126,7 +126,7 @@
 	}
 	each := float64(l.InFlight) / all
 	mine := each * float64(o.slots())
-	if o.now-l.since < 2*ShareInterval(o.opt.shareEvery, len(o.siblings)) {
+	if o.now-l.since < 2*o.shareInterval() {
 		return mine
 	}
 	for _, s := range o.siblings {
--- /dev/null
+++ b/pkg/pool/relay.go
@@ -0,0 +1,51 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// relay hands leases lent by another owner to routers of this zone, for what
+// is left of their time, which the lender counts from the stamp of this
+// owner's share. What nobody needs any more goes straight back.
+func (o *Owner) relay(from string, g *wire.Grant) {
+	if s, ok := o.siblings[g.Source.Pool]; ok && s.node == from {
+		s.seenGrant = max(s.seenGrant, g.Seq)
+	}
+	left := g.Stamp.At() + time.Duration(g.TTLMillis)*time.Millisecond - o.now
+	back := &wire.Return{Pool: g.Source.Pool, Epoch: g.Source.Epoch}
+	for _, l := range g.Leases {
+		if left <= 0 || !o.relayOne(l, g.Source, left) {
+			o.stats.Bounced++
+			back.Unused = append(back.Unused, wire.Use{ID: l.ID})
+		}
+	}
+	o.flushGrants()
+	if len(back.Unused) > 0 {
+		o.send(g.Source.Owner, back)
+	}
+}
+
+// relayOne passes a lease on; it reports whether anyone here can use it.
+func (o *Owner) relayOne(l wire.Lease, source wire.Source, left time.Duration) bool {
+	a := o.account(l.Account)
+	c := o.bestLocal(a)
+	if c == nil {
+		return false
+	}
+	o.stats.Relayed++
+	g := o.batched(c.who, source, left)
+	c.unseen = append(c.unseen, g.Seq)
+	g.Leases = append(g.Leases, l)
+	o.refresh(a)
+	return true
+}
+
+func (o *Owner) bestLocal(a *account) *claim {
+	c := o.best(a)
+	if c == nil || c.who.pool != o.pool {
+		return nil
+	}
+	return c
+}
--- a/pkg/pool/share.go
+++ b/pkg/pool/share.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
@@ -132,59 +133,6 @@
 	return sum
 }
 
-// learn takes over what a sibling served. What it served before it was first
-// heard, or while it was cut off, is forgiven.
-func (o *Owner) learn(s *sibling, served []wire.Served, fresh bool) {
-	if fresh {
-		o.unserve(s)
-		s.served = map[string]remote{}
-	}
-	named := make(map[string]bool, len(served))
-	for _, v := range served {
-		named[v.Account] = true
-		o.learnOne(s, v)
-	}
-	for _, name := range sorted(s.served) {
-		r := s.served[name]
-		if !named[name] && r.serving {
-			o.learnOne(s, wire.Served{Account: name, Tokens: r.tokens})
-		}
-	}
-}
-
-func (o *Owner) learnOne(s *sibling, v wire.Served) {
-	a := o.account(v.Account)
-	r, known := s.served[v.Account]
-	if known {
-		a.limit.spend(v.Tokens-r.tokens, 0)
-		guessed := 0.0
-		if r.serving && o.opt.estimator == CountedByZones {
-			guessed = a.own - r.ownAt
-		}
-		o.queue.Charge(v.Account, v.Tokens-r.tokens-guessed)
-	}
-	serving := known && v.Tokens > r.tokens
-	a.zones += boolToInt(serving) - boolToInt(r.serving)
-	s.served[v.Account] = remote{tokens: v.Tokens, ownAt: a.own, serving: serving}
-}
-
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-func (o *Owner) unserve(s *sibling) {
-	for name, r := range s.served {
-		if r.serving {
-			o.account(name).zones--
-			r.serving = false
-			s.served[name] = r
-		}
-	}
-}
-
 // dropSilentSiblings forgets the demand of owners that are cut off.
 func (o *Owner) dropSilentSiblings() {
 	for _, p := range o.siblingPools() {
@@ -227,11 +175,11 @@
 		return
 	}
 	since := o.now - o.lastShare
-	every := ShareInterval(o.opt.shareEvery, len(o.siblings))
+	every := o.shareInterval()
 	if since < every {
 		return
 	}
-	if !o.shareDirty && !o.anyChanged() && since < idleShares*every {
+	if !o.asking && !o.shareDirty && !o.anyChanged() && since < idleShares*every {
 		return
 	}
 	o.shareAll()
@@ -243,10 +191,14 @@
 	return every * time.Duration(max(siblings-1, 1))
 }
 
+func (o *Owner) shareInterval() time.Duration {
+	return ShareInterval(o.opt.shareEvery, len(o.siblings))
+}
+
 // silence is after what time a sibling that says nothing counts as cut off:
 // as its own shares may be as far apart as this owner's, some more than that.
 func (o *Owner) silence() time.Duration {
-	every := ShareInterval(o.opt.shareEvery, len(o.siblings))
+	every := o.shareInterval()
 	return max(o.opt.siblingSilence, (idleShares+2)*every)
 }
 
@@ -272,6 +224,7 @@
 	limited := o.limitedNews()
 	pools := o.siblingPools()
 	waiting := o.slices(pools)
+	o.asking = slices.ContainsFunc(waiting, func(w []wire.Waiting) bool { return len(w) > 0 })
 	free := o.freeSlots()
 	slots := o.slots()
 	for i, p := range pools {
@@ -357,47 +310,3 @@
 	}
 	return names
 }
-
-// relay hands leases lent by another owner to routers of this zone, for what
-// is left of their time, which the lender counts from the stamp of this
-// owner's share. What nobody needs any more goes straight back.
-func (o *Owner) relay(from string, g *wire.Grant) {
-	if s, ok := o.siblings[g.Source.Pool]; ok && s.node == from {
-		s.seenGrant = max(s.seenGrant, g.Seq)
-	}
-	left := g.Stamp.At() + time.Duration(g.TTLMillis)*time.Millisecond - o.now
-	back := &wire.Return{Pool: g.Source.Pool, Epoch: g.Source.Epoch}
-	for _, l := range g.Leases {
-		if left <= 0 || !o.relayOne(l, g.Source, left) {
-			o.stats.Bounced++
-			back.Unused = append(back.Unused, wire.Use{ID: l.ID})
-		}
-	}
-	o.flushGrants()
-	if len(back.Unused) > 0 {
-		o.send(g.Source.Owner, back)
-	}
-}
-
-// relayOne passes a lease on; it reports whether anyone here can use it.
-func (o *Owner) relayOne(l wire.Lease, source wire.Source, left time.Duration) bool {
-	a := o.account(l.Account)
-	c := o.bestLocal(a)
-	if c == nil {
-		return false
-	}
-	o.stats.Relayed++
-	g := o.batched(c.who, source, left)
-	c.unseen = append(c.unseen, g.Seq)
-	g.Leases = append(g.Leases, l)
-	o.refresh(a)
-	return true
-}
-
-func (o *Owner) bestLocal(a *account) *claim {
-	c := o.best(a)
-	if c == nil || c.who.pool != o.pool {
-		return nil
-	}
-	return c
-}
