Free the slots of requests that a server's load shows are gone

Cause: after a cut, requests that ran across it ended unheard, and each slot stood idle for 3 s until silence and the next two load reports freed it. Change: a report that counts fewer requests than leases frees the most silent ones that can start nothing more; loads are read sooner while any is silent.

--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -153,6 +153,12 @@
 		c.reown()
 	}
 	c.eachOwner(func(wire.Pool) pool.Event { return pool.Tick{} })
+	for _, o := range c.owners {
+		if o.Doubtful() {
+			c.readSoon()
+			break
+		}
+	}
 	c.keys.Tick(c.now)
 	c.expireClaims()
 	c.snapshotIfDue()
--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -175,6 +175,7 @@
 		foreign = max(foreign, s.foreign)
 	}
 	s.foreign = foreign
+	o.dropVanished(s, e.InFlight)
 	s.lastPeak = s.peak
 	s.peak = s.used
 	s.loaded = true
--- a/pkg/pool/lease.go
+++ b/pkg/pool/lease.go
@@ -1,6 +1,12 @@
 package pool
 
-import "github.com/yarrowmast/yarrowmast/pkg/wire"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
 
 // find returns the lease that the use speaks of.
 func (o *Owner) find(epoch uint64, u wire.Use) *lease {
@@ -53,6 +59,49 @@
 	}
 }
 
+// dropVanished frees leases whose requests no longer run, as the server's own
+// report shows, though nobody gave them back: their holders are cut off. Only
+// silent ones that can start nothing more may be among them.
+func (o *Owner) dropVanished(s *server, inFlight int) {
+	old := 0
+	var silent []*lease
+	for _, l := range o.leases {
+		if l.server != s || l.standing || o.now-l.granted < vanishedAfter {
+			continue
+		}
+		old++
+		if o.silent(l) {
+			silent = append(silent, l)
+		}
+	}
+	slices.SortFunc(silent, func(a, b *lease) int {
+		return cmp.Or(cmp.Compare(a.heard, b.heard), cmp.Compare(a.id, b.id))
+	})
+	for _, l := range silent[:min(len(silent), max(0, old-inFlight))] {
+		o.stats.Reclaimed++
+		o.free(l)
+	}
+}
+
+// vanishedAfter is how long after its grant a lease's request surely counts
+// in a report, if it runs.
+const vanishedAfter = LoadLag + 200*time.Millisecond
+
+func (o *Owner) silent(l *lease) bool {
+	return o.now-l.heard >= staleHolder && o.now >= l.until
+}
+
+// Doubtful reports whether a lease on a server that reports its load is
+// silent, so that a reading of the load would tell more.
+func (o *Owner) Doubtful() bool {
+	for _, l := range o.leases {
+		if l.server.Reports && !l.standing && o.silent(l) {
+			return true
+		}
+	}
+	return false
+}
+
 // abandon gives a lease up whose request may still run: its slot counts as
 // taken by a stranger until the next report of the load.
 func (o *Owner) abandon(l *lease) {
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -109,7 +109,8 @@
 	epoch    uint64
 	// rate is the tokens a second between the last two reports of a running
 	// request, 0 before there were two.
-	rate float64
+	rate    float64
+	granted time.Duration
 	// until is when the holder can no more start anything on it.
 	until time.Duration
 }
