Use lent leases for whoever waits, and share urgently only where slots are idle

Cause: with 100 routers and 200 accounts a fifth of the lent leases found nobody waiting and idled their slots, and one node spent 84 KB/s, most of it on urgent shares to owners whose slots were all busy. A lease granted to an owner that passes leases on was given up when that router had long held none itself. Change: a lent lease whose account has nothing left goes to the account with the least service, and the lender charges that one; urgent shares go out only if a sibling may have idle slots; a silent router of another zone is forgotten without its leases.

--- a/pkg/hold/request.go
+++ b/pkg/hold/request.go
@@ -87,7 +87,7 @@
 }
 
 func (h *Holder) use(l *held, account string, tokens int64) wire.Use {
-	if l.Account != "" {
+	if l.Account != "" && !l.Swapped {
 		account = ""
 	}
 	return wire.Use{ID: l.ID, Account: account, Tokens: tokens}
--- a/pkg/hold/tell.go
+++ b/pkg/hold/tell.go
@@ -158,7 +158,7 @@
 			reports[k] = r
 			order = append(order, k)
 		}
-		if l.Account == "" {
+		if l.Account == "" || l.Swapped {
 			r.Held = append(r.Held, h.use(l, l.account(), l.tokens))
 			continue
 		}
--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -118,20 +118,26 @@
 	}
 	for _, n := range sorted(o.holders) {
 		if o.holders[n].member && !live[n] {
+			o.abandonAll(n)
 			o.dropHolder(n)
 		}
 	}
 }
 
-// dropHolder forgets a dead router's demand. What it started may still run, if
-// it is only cut off: its slots count as taken until the backend server's own
-// report, or until the leases' silence where it reports nothing.
+// dropHolder forgets a router's demand.
 func (o *Owner) dropHolder(name string) {
 	for who := range o.claims {
 		if who.node == name && who.pool == o.pool {
 			o.dropClaimer(who)
 		}
 	}
+	delete(o.holders, name)
+}
+
+// abandonAll gives up the leases of a dead router. What it started may still
+// run, if it is only cut off: its slots count as taken until the backend
+// server's own report, or until the leases' silence where it reports nothing.
+func (o *Owner) abandonAll(name string) {
 	for _, l := range o.leases {
 		if l.holder != name {
 			continue
@@ -141,7 +147,6 @@
 		}
 		l.standing = false
 	}
-	delete(o.holders, name)
 }
 
 // dropSilentHolders forgets routers of other zones that ask nothing more.
@@ -314,11 +319,17 @@
 	}
 }
 
-// bind charges what runs on a standing lease to the account it runs for.
+// bind charges what runs on a standing or swapped lease to the account it runs
+// for.
 func (o *Owner) bind(l *lease, account string) {
-	if !l.standing || account == l.account {
+	if account == l.account || !l.standing && account == "" {
 		return
 	}
+	if !l.standing {
+		o.charge(l.account, -l.charged)
+		o.account(l.account).running--
+		o.account(account).running++
+	}
 	l.account = account
 	l.charged = 0
 	l.tokens = 0
--- a/pkg/pool/relay.go
+++ b/pkg/pool/relay.go
@@ -27,12 +27,20 @@
 	}
 }
 
-// relayOne passes a lease on; it reports whether anyone here can use it.
+// relayOne passes a lease on; it reports whether anyone here can use it. If
+// the account it was lent for has nothing left to run, the one with the least
+// service gets it, and the lender hears so with the lease's use.
 func (o *Owner) relayOne(l wire.Lease, source wire.Source, left time.Duration) bool {
 	a := o.account(l.Account)
 	c := o.bestLocal(a)
 	if c == nil {
-		return false
+		a, c = o.nextLocal()
+		if c == nil {
+			return false
+		}
+		l.Account = a.name
+		l.Swapped = true
+		o.stats.Swapped++
 	}
 	o.stats.Relayed++
 	g := o.batched(c.who, source, left)
@@ -42,6 +50,17 @@
 	return true
 }
 
+// nextLocal returns the account with the least service if a router here
+// claims for it.
+func (o *Owner) nextLocal() (*account, *claim) {
+	next, ok := o.queue.Min()
+	if !ok {
+		return nil, nil
+	}
+	a := o.account(next.Name)
+	return a, o.bestLocal(a)
+}
+
 func (o *Owner) bestLocal(a *account) *claim {
 	c := o.best(a)
 	if c == nil || c.who.pool != o.pool {
--- a/pkg/pool/share.go
+++ b/pkg/pool/share.go
@@ -153,7 +153,7 @@
 		return
 	}
 	o.shareDirty = true
-	if o.untold && o.now-o.lastShare >= ShareInterval(o.opt.shareSoonest, len(o.siblings)) {
+	if o.untold && o.someIdle() && o.now-o.lastShare >= ShareInterval(o.opt.shareSoonest, len(o.siblings)) {
 		o.shareAll()
 	}
 }
@@ -168,6 +168,17 @@
 	return n
 }
 
+// someIdle reports whether a sibling may have idle slots; where all are busy,
+// news of work can wait for the regular share.
+func (o *Owner) someIdle() bool {
+	for _, s := range o.siblings {
+		if !s.known || s.free > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // shareIfDue sends the regular share. An owner with nothing to tell shares at
 // a tenth of the rate, so that others know it is there.
 func (o *Owner) shareIfDue() {
--- a/pkg/pool/status.go
+++ b/pkg/pool/status.go
@@ -9,6 +9,8 @@
 	// ones found nobody waiting any more.
 	Relayed int64 `json:"relayed"`
 	Bounced int64 `json:"bounced"`
+	// Swapped ones went to another account than they were lent for.
+	Swapped int64 `json:"swapped"`
 	// Unused leases came back without a request, Reclaimed ones never came.
 	Unused    int64 `json:"unused"`
 	Reclaimed int64 `json:"reclaimed"`
@@ -52,6 +54,7 @@
 	s.Lent += t.Lent
 	s.Relayed += t.Relayed
 	s.Bounced += t.Bounced
+	s.Swapped += t.Swapped
 	s.Unused += t.Unused
 	s.Reclaimed += t.Reclaimed
 }
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -76,6 +76,9 @@
 	Backend string `msgpack:",intern"`
 	// Account is whose request may run; "" means any (a standing lease).
 	Account string `msgpack:",intern"`
+	// Swapped says that an owner that passed the lease on gave it to another
+	// account than it was lent for; its uses name the account.
+	Swapped bool
 }
 
 // Source is who granted a lease and gets it back.
@@ -168,7 +171,7 @@
 	Epoch uint64
 	// Stamp is the sender's clock when it sent this; Renew echoes it.
 	Stamp Stamp
-	// Held lists the standing leases, and all of them with Adopt.
+	// Held lists the standing and swapped leases, and all of them with Adopt.
 	Held []Use
 	// Running lists the other leases, packed: for each, what its ID exceeds
 	// the one before by, and its tokens. See AddRunning and EachRunning.
