Measure what a request costs, and send on what has come in one piece

Cause: each event of a stream was flushed by itself though the next had come. Change: the router flushes when nothing more has come; benchmarks of a request, a chunk, a waiting request and requests in parallel.

--- a/cmd/yarrowctl/cmd_capacity.go
+++ b/cmd/yarrowctl/cmd_capacity.go
@@ -13,6 +13,7 @@
 var capacityArgs struct {
 	slopes  string
 	measure bool
+	open    float64
 }
 
 var cmdCapacity = &command.Command{
@@ -21,6 +22,7 @@
 	Flags: func(s *flaggy.Subcommand) {
 		capacityArgs.slopes = "docs/slopes.yaml"
 		s.String(&capacityArgs.slopes, "f", "slopes", "file of the slopes")
+		s.Float64(&capacityArgs.open, "w", "open-memory", "with --measure: bytes of an open request, from make bench")
 		s.Bool(&capacityArgs.measure, "m", "measure", "measure the slopes on this machine and print them")
 	},
 	Run: runCapacity,
@@ -28,7 +30,9 @@
 
 func runCapacity(c *command.Context) error {
 	if capacityArgs.measure {
-		data, err := yaml.Marshal(capacity.Measure())
+		slopes := capacity.Measure()
+		slopes.OpenMemory = capacityArgs.open
+		data, err := yaml.Marshal(slopes)
 		if err != nil {
 			return err
 		}
--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -77,7 +77,7 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		silence.Reset(x.client.opt.idle)
-		if n > 0 && !x.pass(buf[:n]) {
+		if n > 0 && !x.pass(buf[:n], true) {
 			return
 		}
 		if errors.Is(err, io.EOF) {
@@ -110,7 +110,7 @@
 		return
 	}
 	x.begin(resp)
-	if x.pass(body) {
+	if x.pass(body, true) {
 		x.sink.Trailer(resp.Trailer)
 	}
 }
@@ -143,13 +143,14 @@
 			return
 		}
 		x.call.Served.Store(events.Tokens())
-		if !x.pass(ev) {
+		if !x.pass(ev, !events.Waiting()) {
 			return
 		}
 	}
 }
 
 func (x *exchange) endEvents(resp *http.Response, events *Events, err error) {
+	_ = x.sink.Flush()
 	if !errors.Is(err, io.EOF) {
 		x.broken(err)
 		return
@@ -162,9 +163,9 @@
 }
 
 // pass hands bytes to the caller and reports whether it still listens.
-func (x *exchange) pass(p []byte) bool {
+func (x *exchange) pass(p []byte, flush bool) bool {
 	_, err := x.sink.Write(p)
-	if err == nil {
+	if err == nil && flush {
 		err = x.sink.Flush()
 	}
 	if err != nil {
--- a/internal/backend/events.go
+++ b/internal/backend/events.go
@@ -44,6 +44,10 @@
 // Done reports whether the answer's end was read.
 func (e *Events) Done() bool { return e.done }
 
+// Waiting reports whether more bytes have already come, so that what was read
+// so far need not be sent on by itself.
+func (e *Events) Waiting() bool { return e.r.Buffered() > 0 }
+
 // Next returns the bytes of the next event with its blank line; they are valid
 // until the next call. It returns io.EOF where the stream ends between events.
 func (e *Events) Next() ([]byte, error) {
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -59,7 +59,7 @@
 	waitingModels := min(models, t.Backlogged/t.nodesPerZone())
 	holder.add(waitingModels*t.ReportsPerSec, s.DemandBytes+frame+s.DemandRowBytes, codec)
 	holder.CPU += requests*s.RequestMicros*micro + ticksPerSec*s.TickMicros*micro
-	holder.Memory = s.WaitingMemory * waitingEach
+	holder.Memory = s.WaitingMemory*waitingEach + s.OpenMemory*(waitingEach+t.inFlight())
 
 	owner := Role{
 		Name:      "pool owner",
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -46,7 +46,10 @@
 	ClaimMicros   float64 `yaml:"claim_us"`
 	TickMicros    float64 `yaml:"tick_us"`
 	// Bytes of memory held for one of each.
-	WaitingMemory  float64 `yaml:"waiting_memory"`
+	WaitingMemory float64 `yaml:"waiting_memory"`
+	// OpenMemory is of a request's connection, buffers and task, as
+	// BenchmarkWaiting in internal/node prints it.
+	OpenMemory     float64 `yaml:"open_memory"`
 	AccountMemory  float64 `yaml:"account_memory"`
 	KeyMemory      float64 `yaml:"key_memory"`
 	TableRowMemory float64 `yaml:"table_row_memory"`
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	benchSlots = 64
 	// benchRate makes the stand-in as fast as it goes.
 	benchRate = 1e9
+	// stalled makes it produce nothing.
+	stalled = 1e-3
 )
 
 func listen(b *testing.B) (net.Listener, string) {
@@ -37,12 +40,12 @@
 }
 
 // bench starts one router before one stand-in and returns both addresses.
-func bench(b *testing.B) (routed, direct string) {
+func bench(b *testing.B, rate float64) (routed, direct string) {
 	b.Helper()
 	engineLn, direct := listen(b)
 	j := judge.New()
 	j.AddServer(judge.Server{Name: "s", Slots: benchSlots})
-	e := engine.Start(engine.Config{Name: "s", Slots: benchSlots, TokensPerSecond: benchRate, Step: time.Nanosecond, Judge: j}, engineLn)
+	e := engine.Start(engine.Config{Name: "s", Slots: benchSlots, TokensPerSecond: rate, Step: time.Nanosecond, Judge: j}, engineLn)
 	platformLn, platformAddress := listen(b)
 	p := platform.Start(platformLn)
 	sum := sha256.Sum256([]byte("key"))
@@ -64,7 +67,7 @@
 		p.Close()
 	})
 	routed = n.Listening().Callers
-	for send(routed, 1) != nil {
+	for rate == benchRate && send(routed, 1) != nil {
 		time.Sleep(10 * time.Millisecond)
 	}
 	return routed, direct
@@ -96,7 +99,7 @@
 // the stand-in, for answers of 1 and of 201 chunks: the difference of the
 // differences, over 200, is what the router adds to a chunk.
 func BenchmarkRequest(b *testing.B) {
-	routed, direct := bench(b)
+	routed, direct := bench(b, benchRate)
 	for _, way := range []struct{ name, address string }{{"direct", direct}, {"routed", routed}} {
 		for _, chunks := range []int{1, 201} {
 			b.Run(fmt.Sprintf("%s/chunks=%d", way.name, chunks), func(b *testing.B) {
@@ -113,7 +116,7 @@
 
 // BenchmarkParallel is how many requests a second one router passes on.
 func BenchmarkParallel(b *testing.B) {
-	routed, _ := bench(b)
+	routed, _ := bench(b, benchRate)
 	http.DefaultTransport.(*http.Transport).MaxIdleConnsPerHost = benchSlots
 	b.SetParallelism(4)
 	b.RunParallel(func(pb *testing.PB) {
@@ -124,3 +127,39 @@
 		}
 	})
 }
+
+// BenchmarkWaiting reports the memory that one waiting request holds at a
+// router, its connection with it. The callers' ends are bare sockets.
+func BenchmarkWaiting(b *testing.B) {
+	const waiting = 1000
+	routed, _ := bench(b, stalled)
+	time.Sleep(2 * time.Second)
+	body := `{"model":"m","stream":true,"load_id":"x","load_tokens":1000000000000}`
+	text := fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	for range b.N {
+		heap, stack := heldMemory()
+		conns := make([]net.Conn, waiting)
+		for i := range conns {
+			conn, err := net.Dial("tcp", routed)
+			if err != nil {
+				b.Fatal(err)
+			}
+			conns[i] = conn
+			_, _ = io.WriteString(conn, text)
+		}
+		time.Sleep(time.Second)
+		heapAfter, stackAfter := heldMemory()
+		b.ReportMetric(float64(heapAfter-heap)/waiting, "heap-B/waiting")
+		b.ReportMetric(float64(stackAfter-stack)/waiting, "stack-B/waiting")
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}
+}
+
+func heldMemory() (heap, stack uint64) {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc, m.StackInuse
+}
