Probe twice before suspecting, and refute to all at once

Cause: measured at 29 routers with 0.1% of messages lost, 624 live routers an hour were taken for dead: one lost probe made a suspect, and its refutation spread too slowly. Change: a second probe before suspicion; a refutation goes to all at once.

--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -78,6 +78,8 @@
 type probe struct {
 	to string
 	at time.Duration
+	// second says that an earlier one was not answered either.
+	second bool
 }
 
 // New returns the view of a router that knows nobody yet. The incarnation
--- a/pkg/member/step.go
+++ b/pkg/member/step.go
@@ -38,31 +38,37 @@
 	}
 	m.lastRun = m.now
 	if to := m.nextTarget(); to != "" {
-		m.probe(to)
+		m.probe(to, false)
 	}
 }
 
 func (m *Members) timeOutProbes() {
-	for seq, pr := range m.probes {
+	for _, seq := range slices.Sorted(maps.Keys(m.probes)) {
+		pr := m.probes[seq]
 		if m.now-pr.at < m.opt.ackWithin {
 			continue
 		}
 		delete(m.probes, seq)
 		p, ok := m.peers[pr.to]
 		if ok && p.heard < pr.at && p.state == wire.Alive {
-			m.suspect(p)
+			m.doubt(p, pr.second)
 		}
 	}
 }
 
-// suspect marks a silent member. One never heard of is only a name on the
-// platform's list, and needs no time to refute.
-func (m *Members) suspect(p *peer) {
-	if p.inc == 0 {
+// doubt probes a silent member once more, and suspects it after that. One
+// never heard of is only a name on the platform's list, and needs no time to
+// refute.
+func (m *Members) doubt(p *peer, second bool) {
+	switch {
+	case p.inc == 0:
 		m.set(p, wire.Dead)
-		return
+	case !second:
+		m.probe(p.name, true)
+	default:
+		m.set(p, wire.Suspect)
+		m.probe(p.name, true)
 	}
-	m.set(p, wire.Suspect)
 }
 
 func (m *Members) timeOutSuspects() {
@@ -99,9 +105,9 @@
 	m.next = 0
 }
 
-func (m *Members) probe(to string) {
+func (m *Members) probe(to string, second bool) {
 	m.seq++
-	m.probes[m.seq] = probe{to: to, at: m.now}
+	m.probes[m.seq] = probe{to: to, at: m.now, second: second}
 	m.send(to, &wire.Probe{Seq: m.seq, Inc: m.inc, Ref: m.ref, Table: m.table, Rumours: m.rumours(to)})
 }
 
@@ -161,7 +167,7 @@
 func (m *Members) probeAll() {
 	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
 		if m.peers[name].state <= wire.Suspect {
-			m.probe(name)
+			m.probe(name, false)
 		}
 	}
 }
@@ -226,12 +232,14 @@
 	}
 }
 
-// refute answers a rumour of this router's end with a greater count.
+// refute answers a rumour of this router's end with a greater count, and tells
+// all at once, since the time to do so is short.
 func (m *Members) refute(r wire.Rumour) {
 	if r.State == wire.Alive || r.Inc != m.inc || r.Ref < m.ref || m.leaving {
 		return
 	}
 	m.ref = r.Ref + 1
+	m.probeAll()
 }
 
 func (m *Members) learnOne(r wire.Rumour) {
