--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+
+	"github.com/yarrowmast/yarrowmast/pkg/once"
 )
 
 // Role is what one part that a router plays costs it at a size.
@@ -24,9 +26,6 @@
 // dailyUpdates spreads what happens a number of times a day over the second.
 func dailyUpdates(perDay float64) float64 { return perDay / day.Seconds() }
 
-// keysKept is how long a key is remembered, in seconds.
-const keysKept = 600
-
 // waitingEach is how many waiting requests a node is sized for.
 const waitingEach = 2000
 
@@ -37,78 +36,113 @@
 // ticksPerSec is the rate of a router's own clock.
 const ticksPerSec = 20
 
+// load is what one node has to do with requests, which several roles share.
+type load struct {
+	Target
+	Slopes
+	// codec is the seconds to encode or decode one message.
+	codec float64
+	// requests and grants are by the second, lent ones counted twice.
+	requests float64
+	grants   float64
+	// models are those with requests under way, waiting those with a queue.
+	models  float64
+	waiting float64
+}
+
+func newLoad(t Target, s Slopes) load {
+	models := min(t.Models, t.inFlight())
+	return load{
+		Target: t, Slopes: s, codec: s.CodecMicros * micro / 2,
+		requests: t.perNode(), grants: t.perNode() * (1 + t.LentShare),
+		models: models, waiting: min(models, t.Backlogged/t.nodesPerZone()),
+	}
+}
+
 // Roles works the roles out. Every request counts as one on a contended pool,
 // which is the dear case: on others standing leases need no message for a
 // request, and a renewal with each report.
 func Roles(t Target, s Slopes) []Role {
-	frame := s.FrameBytes
-	codec := s.CodecMicros * micro / 2
-	requests := t.perNode()
-	grants := requests * (1 + t.LentShare)
-	models := min(t.Models, t.inFlight())
+	l := newLoad(t, s)
+	return []Role{l.holder(), l.owner(), l.prober(), l.reader(), l.keyHome()}
+}
 
-	holder := Role{
+// leases adds the messages that a holder and an owner exchange.
+func (l load) leases(r *Role) {
+	r.add(l.grants, l.GrantBytes+l.FrameBytes, l.codec)
+	r.add(l.requests, l.ReturnBytes+l.FrameBytes, l.codec)
+	r.add(l.models*l.ReportsPerSec, l.ReportBytes+l.FrameBytes, l.codec)
+	r.BytesPerSec += l.inFlight() * l.ReportsPerSec * l.ReportRowBytes
+	r.add(l.waiting*l.ReportsPerSec, l.DemandBytes+l.FrameBytes+l.DemandRowBytes, l.codec)
+}
+
+func (l load) holder() Role {
+	r := Role{
 		Name:      "holder",
-		State:     fmt.Sprintf("%.0f running, up to %d waiting requests", t.inFlight(), waitingEach),
+		State:     fmt.Sprintf("%.0f running, up to %d waiting requests", l.inFlight(), waitingEach),
 		Mechanism: "counts, not requests, travel; reports twice a second; standing leases where nothing waits",
 	}
-	holder.add(grants, s.GrantBytes+frame, codec)
-	holder.add(requests, s.ReturnBytes+frame, codec)
-	holder.add(models*t.ReportsPerSec, s.ReportBytes+frame, codec)
-	holder.BytesPerSec += t.inFlight() * t.ReportsPerSec * s.ReportRowBytes
-	waitingModels := min(models, t.Backlogged/t.nodesPerZone())
-	holder.add(waitingModels*t.ReportsPerSec, s.DemandBytes+frame+s.DemandRowBytes, codec)
-	holder.CPU += requests*s.RequestMicros*micro + ticksPerSec*s.TickMicros*micro
-	holder.Memory = s.WaitingMemory*waitingEach + s.OpenMemory*(waitingEach+t.inFlight())
-
-	owner := Role{
+	l.leases(&r)
+	r.CPU += l.requests*l.RequestMicros*micro + ticksPerSec*l.TickMicros*micro
+	r.Memory = l.WaitingMemory*waitingEach + l.OpenMemory*(waitingEach+l.inFlight())
+	return r
+}
+
+func (l load) owner() Role {
+	r := Role{
 		Name:      "pool owner",
-		State:     fmt.Sprintf("%.2f pools, %.1f backlogged accounts each", t.ModelZonesPerNode, t.accountsPerModel()),
+		State:     fmt.Sprintf("%.2f pools, %.1f backlogged accounts each", l.ModelZonesPerNode, l.accountsPerModel()),
 		Mechanism: "owners by rendezvous hashing; at most 8 backend servers a pool; shares rarer with more siblings",
 	}
-	owner.add(grants, s.GrantBytes+frame, codec)
-	owner.add(requests, s.ReturnBytes+frame, codec)
-	owner.add(models*t.ReportsPerSec, s.ReportBytes+frame, codec)
-	owner.BytesPerSec += t.inFlight() * t.ReportsPerSec * s.ReportRowBytes
-	owner.add(waitingModels*t.ReportsPerSec, s.DemandBytes+frame+s.DemandRowBytes, codec)
-	shares := 2 * t.ModelZonesPerNode * (t.Zones - 1) * t.SharesPerSec
-	owner.add(shares, s.ShareBytes+frame+t.accountsPerModel()*s.ShareRowBytes, codec+s.ShareMicros*micro/2)
-	owner.CPU += requests * s.GrantMicros * micro
-	owner.Memory = t.ModelZonesPerNode * t.Accounts * s.AccountMemory
-
-	prober := Role{
+	l.leases(&r)
+	shares := 2 * l.ModelZonesPerNode * (l.Zones - 1) * l.SharesPerSec
+	r.add(shares, l.ShareBytes+l.FrameBytes+l.accountsPerModel()*l.ShareRowBytes, l.codec+l.ShareMicros*micro/2)
+	r.CPU += l.requests * l.GrantMicros * micro
+	r.Memory = l.ModelZonesPerNode * l.Accounts * l.AccountMemory
+	return r
+}
+
+func (l load) prober() Role {
+	r := Role{
 		Name:      "prober",
-		State:     fmt.Sprintf("%.0f members of the zone", t.nodesPerZone()),
+		State:     fmt.Sprintf("%.0f members of the zone", l.nodesPerZone()),
 		Mechanism: "four probes a second each, rumours ride on them",
 	}
-	changes := dailyUpdates(t.FailuresPerDay+2*t.RestartsPerDay) / t.Zones
-	prober.add(4*t.ProbesPerSec, s.ProbeBytes+frame, codec+s.ProbeMicros*micro)
-	prober.BytesPerSec += changes * 2 * rumourSends * s.RumourBytes
-	prober.Memory = t.nodesPerZone() * s.MemberMemory
+	changes := dailyUpdates(l.FailuresPerDay+2*l.RestartsPerDay) / l.Zones
+	r.add(4*l.ProbesPerSec, l.ProbeBytes+l.FrameBytes, l.codec+l.ProbeMicros*micro)
+	r.BytesPerSec += changes * 2 * rumourSends * l.RumourBytes
+	r.Memory = l.nodesPerZone() * l.MemberMemory
+	return r
+}
 
-	reader := Role{
+func (l load) reader() Role {
+	rows := l.Accounts + l.Workers
+	r := Role{
 		Name:      "table reader",
-		State:     fmt.Sprintf("%.0f rows, the last 64 changes", t.Accounts+t.Workers),
+		State:     fmt.Sprintf("%.0f rows, the last 64 changes", rows),
 		Mechanism: "two readers a zone watch pages; one changed row goes to each router",
 	}
-	edits := dailyUpdates(t.ChangesPerDay)
-	whole := (t.Accounts + t.Workers) * s.TableRowBytes
-	reader.add(edits*2*t.nodesPerZone(), s.DeltaBytes+frame, codec)
-	reader.BytesPerSec += edits * whole / tablePages
-	reader.BytesPerSec += dailyUpdates(t.RestartsPerDay) / t.Zones * whole
-	reader.Memory = 3 * (t.Accounts + t.Workers) * s.TableRowMemory
-
-	keys := Role{
+	edits := dailyUpdates(l.ChangesPerDay)
+	whole := rows * l.TableRowBytes
+	r.add(edits*2*l.nodesPerZone(), l.DeltaBytes+l.FrameBytes, l.codec)
+	r.BytesPerSec += edits * whole / tablePages
+	r.BytesPerSec += dailyUpdates(l.RestartsPerDay) / l.Zones * whole
+	r.Memory = 3 * rows * l.TableRowMemory
+	return r
+}
+
+func (l load) keyHome() Role {
+	claims := once.HomesEach * l.requests * l.KeyedShare
+	r := Role{
 		Name:      "key home",
-		State:     fmt.Sprintf("%.0f keys of the last 10 minutes", 3*requests*t.KeyedShare*keysKept),
+		State:     fmt.Sprintf("%.0f keys of the last 10 minutes", claims*once.DefaultKeep.Seconds()),
 		Mechanism: "three homes a key by the platform's list; at most 200000 keys a router",
 	}
-	keys.add(2*3*requests*t.KeyedShare, s.ClaimBytes+frame, codec)
-	keys.add(2*3*requests*t.KeyedShare, s.ClaimAnswerBytes+frame, codec)
-	keys.CPU += 3 * requests * t.KeyedShare * s.ClaimMicros * micro
-	keys.Memory = 3 * requests * t.KeyedShare * keysKept * s.KeyMemory
-
-	return []Role{holder, owner, prober, reader, keys}
+	r.add(2*claims, l.ClaimBytes+l.FrameBytes, l.codec)
+	r.add(2*claims, l.ClaimAnswerBytes+l.FrameBytes, l.codec)
+	r.CPU += claims * l.ClaimMicros * micro
+	r.Memory = claims * once.DefaultKeep.Seconds() * l.KeyMemory
+	return r
 }
 
 // rumourSends is how often a change is passed on by each router.
