--- a/cmd/yarrowctl/cmd_burn.go
+++ b/cmd/yarrowctl/cmd_burn.go
@@ -39,7 +39,11 @@
 	if err != nil {
 		return err
 	}
-	r, err := collectBurn(routers)
+	asker, err := burnArgs.asker()
+	if err != nil {
+		return err
+	}
+	r, err := collectBurn(asker, routers)
 	if err != nil {
 		return err
 	}
@@ -59,10 +63,10 @@
 	return err
 }
 
-func collectBurn(routers []fleet.Router) (*burn.Report, error) {
+func collectBurn(asker *fleet.Client, routers []fleet.Router) (*burn.Report, error) {
 	var snapshots []burn.Snapshot
 	var missing []string
-	for _, a := range fleet.Ask[burn.Snapshot](routers, admin.PathBurn) {
+	for _, a := range fleet.Ask[burn.Snapshot](asker, routers, admin.PathBurn) {
 		if a.Error != "" {
 			missing = append(missing, a.Router.Name)
 			continue
--- a/cmd/yarrowctl/cmd_drain.go
+++ b/cmd/yarrowctl/cmd_drain.go
@@ -53,7 +53,11 @@
 	if err != nil {
 		return err
 	}
-	p, known := drainProgress(drainArgs.name, fleet.Ask[router.Status](routers, admin.PathStatus))
+	asker, err := drainArgs.asker()
+	if err != nil {
+		return err
+	}
+	p, known := drainProgress(drainArgs.name, fleet.Ask[router.Status](asker, routers, admin.PathStatus))
 	if !known && len(p.Missing) == 0 {
 		return errUnknownBackend
 	}
--- a/cmd/yarrowctl/cmd_status.go
+++ b/cmd/yarrowctl/cmd_status.go
@@ -10,8 +10,10 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/admin"
 	"github.com/yarrowmast/yarrowmast/internal/command"
+	"github.com/yarrowmast/yarrowmast/internal/config"
 	"github.com/yarrowmast/yarrowmast/internal/fleet"
 	"github.com/yarrowmast/yarrowmast/internal/router"
+	"github.com/yarrowmast/yarrowmast/internal/tlsconf"
 )
 
 // fleetArgs are the flags of every command that asks routers.
@@ -19,12 +21,28 @@
 	admin    []string
 	platform string
 	json     bool
+	tls      config.TLS
 }
 
 func (a *fleetArgs) flags(s *flaggy.Subcommand) {
 	s.StringSlice(&a.admin, "a", "admin", "admin address of a router, IP number and port; may be given several times")
 	s.String(&a.platform, "p", "platform", "platform address, to find every router by its list")
 	s.Bool(&a.json, "j", "json", "print JSON")
+	s.String(&a.tls.CA, "", "ca", "authority of the routers' admin certificates; asks over TLS")
+	s.String(&a.tls.Cert, "", "cert", "own certificate, where routers ask for one")
+	s.String(&a.tls.Key, "", "key", "its key")
+}
+
+// asker returns the client that asks the routers.
+func (a *fleetArgs) asker() (*fleet.Client, error) {
+	if a.tls == (config.TLS{}) {
+		return fleet.New(nil), nil
+	}
+	c, err := tlsconf.NewClient(a.tls)
+	if err != nil {
+		return nil, err
+	}
+	return fleet.New(c), nil
 }
 
 var errNoRouters = errors.New("no routers; give --platform ADDRESS or --admin ADDRESS")
@@ -58,7 +76,11 @@
 	if err != nil {
 		return err
 	}
-	answers := fleet.Ask[router.Status](routers, admin.PathStatus)
+	asker, err := statusArgs.asker()
+	if err != nil {
+		return err
+	}
+	answers := fleet.Ask[router.Status](asker, routers, admin.PathStatus)
 	if statusArgs.json {
 		return json.NewEncoder(c.Out).Encode(answers)
 	}
--- a/cmd/yarrowctl/cmd_table.go
+++ b/cmd/yarrowctl/cmd_table.go
@@ -44,9 +44,16 @@
 	if err != nil {
 		return err
 	}
-	answers := fleet.Ask[router.Status](routers, admin.PathStatus)
+	asker, err := tableArgs.asker()
+	if err != nil {
+		return err
+	}
+	ask := func() []fleet.Answer[router.Status] {
+		return fleet.Ask[router.Status](asker, routers, admin.PathStatus)
+	}
+	answers := ask()
 	if tableArgs.wait > 0 {
-		answers, err = waitForTable(c, routers, answers)
+		answers, err = waitForTable(c, ask, answers)
 	}
 	if tableArgs.json {
 		return errors.Join(err, json.NewEncoder(c.Out).Encode(answers))
@@ -62,7 +69,7 @@
 
 // waitForTable asks again and again until the version is in force wherever
 // there is an answer.
-func waitForTable(c *command.Context, routers []fleet.Router, answers []fleet.Answer[router.Status]) ([]fleet.Answer[router.Status], error) {
+func waitForTable(c *command.Context, ask func() []fleet.Answer[router.Status], answers []fleet.Answer[router.Status]) ([]fleet.Answer[router.Status], error) {
 	deadline := time.Now().Add(tableArgs.timeout)
 	told := time.Now()
 	for {
@@ -78,7 +85,7 @@
 			_, _ = fmt.Fprintf(c.Err, "waiting for %s\n", strings.Join(behind, ", "))
 		}
 		time.Sleep(tableAskEvery)
-		answers = fleet.Ask[router.Status](routers, admin.PathStatus)
+		answers = ask()
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net/http"
 	"sort"
@@ -57,26 +58,40 @@
 	return all, nil
 }
 
+// Client asks admin listeners.
+type Client struct {
+	http   *http.Client
+	scheme string
+}
+
+// New returns a client that asks over TLS by the configuration, or without
+// TLS if it is nil.
+func New(c *tls.Config) *Client {
+	if c == nil {
+		return &Client{http: &http.Client{Timeout: askTimeout}, scheme: "http://"}
+	}
+	return &Client{http: &http.Client{Timeout: askTimeout, Transport: &http.Transport{TLSClientConfig: c}}, scheme: "https://"}
+}
+
 // Ask gets a path of every router's admin listener, in the routers' order.
-func Ask[V any](routers []Router, path string) []Answer[V] {
+func Ask[V any](c *Client, routers []Router, path string) []Answer[V] {
 	answers := make([]Answer[V], len(routers))
 	slots := make(chan struct{}, atOnce)
-	client := &http.Client{Timeout: askTimeout}
 	var all sync.WaitGroup
 	for i, r := range routers {
 		all.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			answers[i] = askOne[V](client, r, path)
+			answers[i] = askOne[V](c, r, path)
 		})
 	}
 	all.Wait()
 	return answers
 }
 
-func askOne[V any](client *http.Client, r Router, path string) Answer[V] {
+func askOne[V any](c *Client, r Router, path string) Answer[V] {
 	a := Answer[V]{Router: r}
-	resp, err := sling.New().Client(client).Get("http://" + r.Admin + path).ReceiveSuccess(&a.Value)
+	resp, err := sling.New().Client(c.http).Get(c.scheme + r.Admin + path).ReceiveSuccess(&a.Value)
 	switch {
 	case err != nil:
 		a.Error = err.Error()
--- a/internal/tlsconf/tlsconf.go
+++ b/internal/tlsconf/tlsconf.go
@@ -63,6 +63,19 @@
 	return c, nil
 }
 
+// NewClient returns a configuration for asking servers whose certificates the
+// authority signed. The own key pair may be left out.
+func NewClient(files config.TLS) (*tls.Config, error) {
+	if files.Cert != "" {
+		return New(files)
+	}
+	pool, err := authority(files.CA)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}, nil
+}
+
 func authority(file string) (*x509.CertPool, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
