--- a/pkg/pool/share.go
+++ b/pkg/pool/share.go
@@ -179,8 +179,8 @@
 	return false
 }
 
-// shareIfDue sends the regular share. An owner with nothing to tell shares at
-// a tenth of the rate, so that others know it is there.
+// shareIfDue sends the regular share. An owner with nothing to tell shares
+// idleShares times more rarely, so that others know it is there.
 func (o *Owner) shareIfDue() {
 	if len(o.siblings) == 0 {
 		return
@@ -213,8 +213,7 @@
 	return max(o.opt.siblingSilence, (idleShares+2)*every)
 }
 
-// idleShares is how many intervals pass between shares with no news. It
-// keeps below DefaultSiblingSilence.
+// idleShares is how many intervals pass between shares with no news.
 const idleShares = 4
 
 func (o *Owner) anyChanged() bool {
