Hand over a pool with all that is lent from it

Ruled out: the load's reading; it was right, and ambiguous. Change: a former owner tells its successor every lease that is out; who reports to a former owner is told who is the new one, and tells it; returns that come to a former owner are passed on.

--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -198,6 +198,7 @@
 			c.newOwner(p)
 		}
 		if !mine && have {
+			c.handOver(p, home.Owner)
 			c.dropOwner(p)
 		}
 	}
@@ -219,6 +220,13 @@
 	c.feedLoads()
 }
 
+// handOver tells the next owner of a pool which leases are out.
+func (c *core) handOver(p wire.Pool, to string) {
+	for _, r := range c.owners[p].HandOver() {
+		c.send(to, r)
+	}
+}
+
 func (c *core) zoneHolders() pool.Holders {
 	return pool.Holders{Names: c.members.Live(), Expected: c.members.Expected()}
 }
--- a/internal/router/receive.go
+++ b/internal/router/receive.go
@@ -31,9 +31,9 @@
 	case *wire.Demand:
 		c.toOwner(from, m.Pool, pool.Demand{From: from, Msg: m}, true)
 	case *wire.Return:
-		c.toOwner(from, m.Pool, pool.Return{From: from, Msg: m}, false)
+		c.receiveReturn(from, m)
 	case *wire.Report:
-		c.toOwner(from, m.Pool, pool.Report{From: from, Msg: m}, false)
+		c.toOwner(from, m.Pool, pool.Report{From: from, Msg: m}, !m.Adopt)
 	case *wire.Share:
 		c.receiveShare(from, inc, m)
 	case *wire.Grant:
@@ -49,8 +49,23 @@
 	}
 }
 
+// receiveReturn passes leases on that come back to a former owner, which has
+// told its successor of them.
+func (c *core) receiveReturn(from string, m *wire.Return) {
+	if _, mine := c.owners[m.Pool]; mine {
+		c.toOwner(from, m.Pool, pool.Return{From: from, Msg: m}, false)
+		return
+	}
+	next := c.ownerOf(m.Pool).Owner
+	if m.Pool.Zone == c.r.id.Zone && next != from && next != c.r.id.Name {
+		c.send(next, m)
+	}
+}
+
 // toOwner gives an event to the owner of a pool, if this router is it. Who
-// asks a router that is not the owner is told who is.
+// asks or reports to a router that is not the owner is told who is: a router
+// of another zone would not learn it otherwise, and the new owner would not
+// know what runs there.
 func (c *core) toOwner(from string, p wire.Pool, ev pool.Event, tell bool) {
 	if o, ok := c.owners[p]; ok {
 		c.runOwner(o, ev)
@@ -92,6 +107,7 @@
 	if c.ownerOf(m.Pool).Owner == from {
 		c.nameOwner(m.Pool, m.Owner, 0)
 	}
+	c.runHolder(hold.Moved{Pool: m.Pool, From: from, To: m.Owner})
 }
 
 // nameOwner notes who a peer says owns a pool of another zone.
--- a/pkg/hold/event.go
+++ b/pkg/hold/event.go
@@ -81,6 +81,13 @@
 	Of   map[wire.Pool]Home
 }
 
+// Moved says that a router is not the owner of a pool, and who is.
+type Moved struct {
+	Pool wire.Pool
+	From string
+	To   string
+}
+
 // Closed replaces the set of backend servers that take no new work.
 type Closed struct{ Backends map[string]bool }
 
--- a/pkg/hold/lease.go
+++ b/pkg/hold/lease.go
@@ -239,6 +239,17 @@
 	}
 }
 
+func (e Moved) apply(h *Holder) {
+	moved := false
+	for _, l := range h.pool(e.Pool).held {
+		moved = moved || l.owner == e.From
+	}
+	if moved {
+		h.moveLeases(e.Pool, Home{Owner: e.From}, Home{Owner: e.To})
+		h.adopt(e.Pool, e.To)
+	}
+}
+
 func (h *Holder) pools() []wire.Pool { return wire.SortedPools(h.byPool) }
 
 func (x *lent) sorted() []*held {
--- a/pkg/pool/decide.go
+++ b/pkg/pool/decide.go
@@ -106,7 +106,7 @@
 
 func (o *Owner) newLease(s *server, holder, account string) *lease {
 	o.nextID++
-	l := &lease{id: o.nextID, epoch: o.epoch, server: s, name: s.Name, holder: holder, account: account, heard: o.now, granted: o.now}
+	l := &lease{id: o.nextID, number: o.nextID, epoch: o.epoch, server: s, name: s.Name, holder: holder, account: account, heard: o.now, granted: o.now}
 	o.leases[l.id] = l
 	s.used++
 	s.peak = max(s.peak, s.used)
--- a/pkg/pool/lease.go
+++ b/pkg/pool/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -34,7 +35,7 @@
 		return nil
 	}
 	id := adoptedID(epoch, u.ID)
-	l := &lease{id: id, epoch: epoch, server: s, name: s.Name, holder: holder, account: u.Account, heard: o.now}
+	l := &lease{id: id, number: u.ID, epoch: epoch, server: s, name: s.Name, holder: holder, account: u.Account, heard: o.now}
 	o.leases[l.id] = l
 	s.used++
 	s.peak = max(s.peak, s.used)
@@ -59,6 +60,30 @@
 	}
 }
 
+// HandOver returns what the next owner must know: every lease that is out, by
+// the epoch that granted it. A router of another zone would not tell in time.
+func (o *Owner) HandOver() []*wire.Report {
+	byEpoch := map[uint64]*wire.Report{}
+	for _, id := range slices.Sorted(maps.Keys(o.leases)) {
+		l := o.leases[id]
+		if l.standing && l.account == "" {
+			// Its holder hands an idle one back by itself.
+			continue
+		}
+		r, ok := byEpoch[l.epoch]
+		if !ok {
+			r = &wire.Report{Pool: o.pool, Epoch: l.epoch, Stamp: wire.StampOf(o.now), Adopt: true}
+			byEpoch[l.epoch] = r
+		}
+		r.Held = append(r.Held, wire.Use{ID: l.number, Tokens: l.tokens, Account: l.account, Backend: l.name})
+	}
+	var all []*wire.Report
+	for _, epoch := range slices.Sorted(maps.Keys(byEpoch)) {
+		all = append(all, byEpoch[epoch])
+	}
+	return all
+}
+
 // dropVanished frees leases whose requests no longer run, as the server's own
 // report shows, though nobody gave them back: their holders are cut off. Only
 // silent ones that can start nothing more may be among them.
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -97,7 +97,9 @@
 }
 
 type lease struct {
-	id       uint64
+	id uint64
+	// number is the lease's ID at the owner of the epoch that granted it.
+	number   uint64
 	server   *server
 	name     string
 	holder   string
