--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -82,29 +82,8 @@
 	p := wire.NewPool("form-reader", "port-louis", 0)
 	source := wire.Source{Owner: "port-louis-0", Pool: p, Epoch: 1 << 60}
 	const stamp = 1_796_205_821_123
-	uses := func(n int) []wire.Use {
-		all := make([]wire.Use, n)
-		for i := range all {
-			all[i] = wire.Use{ID: uint64(i) + 1000, Tokens: 300}
-		}
-		return all
-	}
-	waiting := func(n int) []wire.Waiting {
-		all := make([]wire.Waiting, n)
-		for i := range all {
-			all[i] = wire.Waiting{Account: accountName(i), Count: 20}
-		}
-		return all
-	}
-	served := func(n int) []wire.Served {
-		all := make([]wire.Served, n)
-		for i := range all {
-			all[i] = wire.Served{Account: accountName(i), Tokens: 123456.5, Virtual: 23456.5}
-		}
-		return all
-	}
 	demand := func(n int) any {
-		return &wire.Demand{Pool: p, Seq: 1000, Stamp: stamp, Seen: 1000, Waiting: waiting(n)}
+		return &wire.Demand{Pool: p, Seq: 1000, Stamp: stamp, Seen: 1000, Waiting: sampleWaiting(n)}
 	}
 	report := func(n int) any {
 		r := &wire.Report{Pool: p, Epoch: source.Epoch, Stamp: stamp}
@@ -114,7 +93,7 @@
 		return r
 	}
 	share := func(n int) any {
-		return &wire.Share{From: p, To: p, Epoch: source.Epoch, Seq: 1000, Stamp: stamp, Served: served(n), Waiting: waiting(n), Free: 1, Slots: 64, Table: 1600}
+		return &wire.Share{From: p, To: p, Epoch: source.Epoch, Seq: 1000, Stamp: stamp, Served: sampleServed(n), Waiting: sampleWaiting(n), Free: 1, Slots: 64, Table: 1600}
 	}
 	probe := func(n int) any {
 		return &wire.Probe{Seq: 1000, Inc: source.Epoch, Table: 1600, Rumours: make([]wire.Rumour, n)}
@@ -122,7 +101,7 @@
 	s.FrameBytes = frameHeader
 	s.GrantBytes = size(&wire.Grant{For: p, Seq: 1000, Stamp: stamp, TTLMillis: 1500, Source: source,
 		Leases: []wire.Lease{{ID: 1000, Backend: "form-12", Account: accountName(1)}}})
-	s.ReturnBytes = size(&wire.Return{Pool: p, Epoch: source.Epoch, Done: uses(1)})
+	s.ReturnBytes = size(&wire.Return{Pool: p, Epoch: source.Epoch, Done: []wire.Use{{ID: 1000, Tokens: 300}}})
 	s.RenewBytes = size(&wire.Renew{Pool: p, Stamp: stamp})
 	s.DemandBytes, s.DemandRowBytes = slope(demand)
 	s.ReportBytes, s.ReportRowBytes = slope(report)
@@ -135,6 +114,22 @@
 	s.DeltaBytes = size(&wire.TableDelta{Delta: table.Delta{From: 1600, To: 1601, Digest: 1 << 60, Accounts: sampleTable(1).Accounts}})
 }
 
+func sampleWaiting(n int) []wire.Waiting {
+	all := make([]wire.Waiting, n)
+	for i := range all {
+		all[i] = wire.Waiting{Account: accountName(i), Count: 20}
+	}
+	return all
+}
+
+func sampleServed(n int) []wire.Served {
+	all := make([]wire.Served, n)
+	for i := range all {
+		all[i] = wire.Served{Account: accountName(i), Tokens: 123456.5, Virtual: 23456.5}
+	}
+	return all
+}
+
 func accountName(i int) string { return fmt.Sprintf("account-%04d", i) }
 
 func sampleTable(n int) *table.Table {
