--- a/cmd/yarrowctl/cmd_burn.go
+++ b/cmd/yarrowctl/cmd_burn.go
@@ -35,11 +35,7 @@
 }
 
 func runBurn(c *command.Context) error {
-	routers, err := burnArgs.routers()
-	if err != nil {
-		return err
-	}
-	asker, err := burnArgs.asker()
+	asker, routers, err := burnArgs.reach()
 	if err != nil {
 		return err
 	}
--- a/cmd/yarrowctl/cmd_drain.go
+++ b/cmd/yarrowctl/cmd_drain.go
@@ -49,11 +49,7 @@
 var errUnknownBackend = errors.New("no router's table lists this backend server; look at the name")
 
 func runDrain(c *command.Context) error {
-	routers, err := drainArgs.routers()
-	if err != nil {
-		return err
-	}
-	asker, err := drainArgs.asker()
+	asker, routers, err := drainArgs.reach()
 	if err != nil {
 		return err
 	}
--- a/cmd/yarrowctl/cmd_status.go
+++ b/cmd/yarrowctl/cmd_status.go
@@ -33,16 +33,14 @@
 	s.String(&a.tls.Key, "", "key", "its key")
 }
 
-// asker returns the client that asks the routers.
-func (a *fleetArgs) asker() (*fleet.Client, error) {
-	if a.tls == (config.TLS{}) {
-		return fleet.New(nil), nil
+// reach returns the routers to ask and the client that asks them.
+func (a *fleetArgs) reach() (*fleet.Client, []fleet.Router, error) {
+	routers, err := a.routers()
+	if err != nil || a.tls == (config.TLS{}) {
+		return fleet.New(nil), routers, err
 	}
 	c, err := tlsconf.NewClient(a.tls)
-	if err != nil {
-		return nil, err
-	}
-	return fleet.New(c), nil
+	return fleet.New(c), routers, err
 }
 
 var errNoRouters = errors.New("no routers; give --platform ADDRESS or --admin ADDRESS")
@@ -72,11 +70,7 @@
 }
 
 func runStatus(c *command.Context) error {
-	routers, err := statusArgs.routers()
-	if err != nil {
-		return err
-	}
-	asker, err := statusArgs.asker()
+	asker, routers, err := statusArgs.reach()
 	if err != nil {
 		return err
 	}
--- a/cmd/yarrowctl/cmd_table.go
+++ b/cmd/yarrowctl/cmd_table.go
@@ -40,11 +40,7 @@
 }
 
 func runTable(c *command.Context) error {
-	routers, err := tableArgs.routers()
-	if err != nil {
-		return err
-	}
-	asker, err := tableArgs.asker()
+	asker, routers, err := tableArgs.reach()
 	if err != nil {
 		return err
 	}
