Let routers that own pools and hold standing leases stop

Cause: four of eight example routers never ended after SIGTERM. A goroutine dump showed the core's task in one endless step: the router, draining, gave its standing leases back to itself as the pool's owner, which granted them to it again. Members' changes were looked at only after all that a step led to. Change: a router leaves and drops its pools before it hands leases back; changes of members count within a step; who returns a standing lease unused gets none until it has work.

--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -96,11 +96,17 @@
 	}
 	c.lastRun = now
 	ev.apply(c)
+	c.settleMembers()
 	for len(c.local) > 0 {
 		msg := c.local[0]
 		c.local = c.local[1:]
 		c.receive(c.r.id.Name, c.r.id.Inc, msg)
+		c.settleMembers()
 	}
+}
+
+// settleMembers takes a change of the members into account, if there was one.
+func (c *core) settleMembers() {
 	if c.members.TakeChanged() {
 		c.membersChanged()
 	}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -14,6 +14,8 @@
 	}
 	c.draining = true
 	c.r.opt.log.Info("router_draining")
-	c.runHolder(hold.Drain{})
+	// First the pools go, then the leases: an owner would grant them again.
 	c.sendAll(c.members.Step(c.now, member.Leave{}))
+	c.settleMembers()
+	c.runHolder(hold.Drain{})
 }
--- a/pkg/pool/event.go
+++ b/pkg/pool/event.go
@@ -223,6 +223,10 @@
 		if l := o.find(e.Msg.Epoch, u); l != nil {
 			l.server.down = l.server.down || u.Failed
 			o.stats.Unused++
+			if l.standing {
+				// Who gives one back unused gets none until it has work.
+				o.holder(l.holder).lastUse = o.now - o.opt.recent
+			}
 			o.charge(l.account, -l.charged)
 			o.free(l)
 		}
