Drop what nothing used, and choose table readers only when members change

Cause: a last reading found options, fields and methods that nothing set or called, a default that stood in two places, and readers chosen by hashing all members three times with every message and tick.

--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -37,7 +37,6 @@
 	tableAt   time.Duration
 	marks     map[string]chart.State
 	instances []platform.Instance
-	listRev   uint64
 	pools     map[wire.Pool][]table.Backend
 	// named is who peers say owns a pool of another zone.
 	named map[wire.Pool]naming
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -81,7 +81,6 @@
 type instances struct{ platform.Instances }
 
 func (e instances) apply(c *core) {
-	c.listRev = e.Revision
 	c.instances = e.Instances.Instances
 	c.instancesChanged()
 }
@@ -174,7 +173,7 @@
 		}
 		r.post(loadRead{backend: b.Name, inFlight: n, err: err})
 		select {
-		case <-time.After(r.opt.loadEvery):
+		case <-time.After(DefaultLoadEvery):
 		case <-soon:
 			if !r.pause(soonAfter) {
 				return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -83,7 +83,6 @@
 	log       *slog.Logger
 	pool      []pool.Option
 	hold      []hold.Option
-	loadEvery time.Duration
 	clock     func() time.Duration
 	observers []Observer
 }
@@ -106,9 +105,6 @@
 // WithHold passes options on to the holder.
 func WithHold(opts ...hold.Option) Option { return func(o *options) { o.hold = opts } }
 
-// WithLoadEvery sets the interval of load reads.
-func WithLoadEvery(d time.Duration) Option { return func(o *options) { o.loadEvery = d } }
-
 // WithClock replaces the router's clock, for tests.
 func WithClock(clock func() time.Duration) Option { return func(o *options) { o.clock = clock } }
 
@@ -122,7 +118,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Router{
 		id: id, net: n, platform: p, loads: loads,
-		opt:     options{log: slog.Default(), loadEvery: DefaultLoadEvery},
+		opt:     options{log: slog.Default()},
 		started: time.Now(),
 		events:  make(chan event, inboxSize),
 		ctx:     ctx, cancel: cancel,
--- a/pkg/fair/fair.go
+++ b/pkg/fair/fair.go
@@ -119,15 +119,6 @@
 	return q.heap[0], true
 }
 
-// Forgive lowers every active account to at most debt above the least.
-func (q *Queue) Forgive() {
-	top := q.Least() + q.debt
-	for _, a := range q.heap {
-		a.Virtual = min(a.Virtual, top)
-	}
-	heap.Init(&q.heap)
-}
-
 // Accounts returns how many accounts the queue remembers.
 func (q *Queue) Accounts() int { return len(q.accounts) }
 
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -47,7 +47,6 @@
 	inc     uint64
 	ref     uint64
 	leaving bool
-	opt     options
 	now     time.Duration
 	rng     *rand.Rand
 
@@ -84,17 +83,13 @@
 
 // New returns the view of a router that knows nobody yet. The incarnation
 // must be greater than at any earlier start of the same name.
-func New(self string, inc uint64, seed uint64, opts ...Option) *Members {
-	m := &Members{
-		self: self, inc: inc, opt: defaults(),
+func New(self string, inc uint64, seed uint64) *Members {
+	return &Members{
+		self: self, inc: inc,
 		rng:    rand.New(rand.NewPCG(seed, inc)),
 		peers:  map[string]*peer{},
 		probes: map[uint64]probe{},
 	}
-	for _, f := range opts {
-		f(&m.opt)
-	}
-	return m
 }
 
 // Event is what Members takes in one Step.
--- a/pkg/member/step.go
+++ b/pkg/member/step.go
@@ -23,7 +23,7 @@
 		}
 	}
 	for name, p := range m.peers {
-		if !p.listed && p.state >= wire.Dead && m.now-p.since >= m.opt.forgetAfter {
+		if !p.listed && p.state >= wire.Dead && m.now-p.since >= DefaultForgetAfter {
 			delete(m.peers, name)
 			m.order = nil
 		}
@@ -33,7 +33,7 @@
 func (Tick) apply(m *Members) {
 	m.timeOutProbes()
 	m.timeOutSuspects()
-	if m.now-m.lastRun < m.opt.probeEvery {
+	if m.now-m.lastRun < DefaultProbeEvery {
 		return
 	}
 	m.lastRun = m.now
@@ -45,7 +45,7 @@
 func (m *Members) timeOutProbes() {
 	for _, seq := range slices.Sorted(maps.Keys(m.probes)) {
 		pr := m.probes[seq]
-		if m.now-pr.at < m.opt.ackWithin {
+		if m.now-pr.at < DefaultAckWithin {
 			continue
 		}
 		delete(m.probes, seq)
@@ -73,7 +73,7 @@
 
 func (m *Members) timeOutSuspects() {
 	for _, p := range m.peers {
-		if p.state == wire.Suspect && m.now-p.since >= m.opt.suspectFor {
+		if p.state == wire.Suspect && m.now-p.since >= DefaultSuspectFor {
 			m.set(p, wire.Dead)
 		}
 	}
--- a/pkg/pool/options.go
+++ b/pkg/pool/options.go
@@ -56,7 +56,6 @@
 	recent          time.Duration
 	idleGrace       time.Duration
 	firstEstimate   float64
-	debt            float64
 	estimator       Estimator
 	quiet           time.Duration
 	agree           float64
@@ -77,7 +76,6 @@
 		recent:          30 * time.Second,
 		idleGrace:       250 * time.Millisecond,
 		firstEstimate:   DefaultFirstEstimate,
-		debt:            50_000,
 		estimator:       CountedByZones,
 		quiet:           DefaultTTL,
 		agree:           DefaultAgree,
@@ -90,11 +88,6 @@
 // Option changes a new Owner.
 type Option func(*options)
 
-// WithTTL sets the lease time and the quiet time of a new owner.
-func WithTTL(ttl time.Duration) Option {
-	return func(o *options) { o.ttl, o.quiet = ttl, ttl }
-}
-
 // WithQuiet sets how long a new owner grants nothing.
 func WithQuiet(d time.Duration) Option {
 	return func(o *options) { o.quiet = d }
@@ -125,8 +118,3 @@
 func WithShareEvery(d time.Duration) Option {
 	return func(o *options) { o.shareEvery = d }
 }
-
-// WithDebt bounds, in tokens per unit of weight, what a returning account owes.
-func WithDebt(tokens float64) Option {
-	return func(o *options) { o.debt = tokens }
-}
--- a/pkg/pool/owner.go
+++ b/pkg/pool/owner.go
@@ -184,7 +184,7 @@
 	for _, f := range opts {
 		f(&o.opt)
 	}
-	o.queue = fair.New(fair.WithDebt(o.opt.debt))
+	o.queue = fair.New()
 	o.contended = now - o.opt.calm
 	return o
 }
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -2,8 +2,6 @@
 // a row for each backend server. A table is refused whole or taken whole.
 package table
 
-import "time"
-
 // Mark is what operators say of a backend server. Its values are the states
 // of the chart in pkg/chart/backend.yaml.
 type Mark string
@@ -87,8 +85,6 @@
 	Accounts []Account `yaml:"accounts" json:"accounts"`
 	// Backends is in the order of the file.
 	Backends []Backend `yaml:"backends" json:"backends"`
-	// Published is when this router first saw the revision.
-	Published time.Time `yaml:"-" json:"published"`
 
 	accounts map[string]int
 	backends map[string]int
--- a/pkg/tablesync/tablesync.go
+++ b/pkg/tablesync/tablesync.go
@@ -5,6 +5,7 @@
 package tablesync
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/chart"
@@ -109,16 +110,18 @@
 	started    time.Duration
 	unanswered map[string]bool
 	live       []string
-	deltas     []table.Delta
-	askedAt    time.Duration
-	askedRev   uint64
-	refused    *Refused
-	out        []Action
+	// chosen says that this router is one of the zone's readers.
+	chosen   bool
+	deltas   []table.Delta
+	askedAt  time.Duration
+	askedRev uint64
+	refused  *Refused
+	out      []Action
 }
 
 // New returns the state of a router without memory.
 func New(self string) *Sync {
-	return &Sync{self: self, state: chart.Table.Initial, unanswered: map[string]bool{}, live: []string{self}}
+	return &Sync{self: self, state: chart.Table.Initial, unanswered: map[string]bool{}, live: []string{self}, chosen: true}
 }
 
 // Step takes one event at the time now. The returned slice is valid until
@@ -130,9 +133,6 @@
 	return s.out
 }
 
-// Current returns the table in force, nil before there is one.
-func (s *Sync) Current() *table.Table { return s.cur }
-
 // Revision returns the revision in force, 0 before there is one.
 func (s *Sync) Revision() uint64 {
 	if s.cur == nil {
@@ -150,12 +150,7 @@
 	if s.state == chart.Asking && s.best == nil && s.now-s.started >= DefaultAskFor/2 {
 		return true
 	}
-	for _, r := range rendezvous.Owners(readerKey, s.live, DefaultReaders) {
-		if r == s.self {
-			return true
-		}
-	}
-	return false
+	return s.chosen
 }
 
 func (s *Sync) act(a Action) { s.out = append(s.out, a) }
@@ -184,7 +179,10 @@
 	s.settle()
 }
 
-func (e Live) apply(s *Sync) { s.live = e.Names }
+func (e Live) apply(s *Sync) {
+	s.live = e.Names
+	s.chosen = slices.Contains(rendezvous.Owners(readerKey, s.live, DefaultReaders), s.self)
+}
 
 func (Tick) apply(s *Sync) { s.settle() }
 
