--- a/cmd/yarrowmast/main.go
+++ b/cmd/yarrowmast/main.go
@@ -13,7 +13,9 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/command"
 	"github.com/yarrowmast/yarrowmast/internal/config"
+	"github.com/yarrowmast/yarrowmast/internal/dispatch"
 	"github.com/yarrowmast/yarrowmast/internal/node"
+	"github.com/yarrowmast/yarrowmast/platform"
 )
 
 func main() {
@@ -36,7 +38,7 @@
 		return command.ExitUsage
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level(s.LogLevel)}))
-	n, err := node.Start(s, node.WithLogger(log))
+	n, err := node.Start(s, node.WithLogger(log), node.WithPlatforms(platforms()))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "yarrowmast:", err)
 		return command.ExitFailed
@@ -68,6 +70,14 @@
 	return command.ExitOK
 }
 
+// platforms are the operators' platforms that the program can be run on.
+func platforms() map[string]node.Platform {
+	return map[string]node.Platform{platform.Kind: {
+		Source:  func(address string, d node.Dialer) dispatch.Source { return platform.NewStore(address, d) },
+		Callers: platform.CallerDialect(), Backends: platform.BackendDialect(),
+	}}
+}
+
 func level(name string) slog.Level {
 	var l slog.Level
 	if err := l.UnmarshalText([]byte(name)); err != nil {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -10,20 +10,22 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
-	"github.com/yarrowmast/yarrowmast/internal/router"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 )
 
 // Paths of the admin listener.
 const (
-	PathHealth  = "/healthz"
-	PathReady   = "/readyz"
-	PathStatus  = "/v1/status"
-	PathTable   = "/v1/table"
-	PathBurn    = "/v1/burn"
-	PathMetrics = "/metrics"
+	PathHealth = "/healthz"
+	PathReady  = "/readyz"
+	// PathReadyShort is the same, for balancers that ask for no other.
+	PathReadyShort = "/ready"
+	PathStatus     = "/v1/status"
+	PathTable      = "/v1/table"
+	PathBurn       = "/v1/burn"
+	PathMetrics    = "/metrics"
 )
 
 const (
@@ -34,24 +36,37 @@
 
 // Source is what is shown.
 type Source interface {
-	// Status returns the router's state.
-	Status() router.Status
+	// State returns the router's state, which is written as JSON.
+	State() any
+	// Draining reports whether the router is stopping.
+	Draining() bool
 	// Table returns the table in force, nil before there is one.
 	Table() *table.Table
 }
 
 // Server is the admin listener.
-type Server struct{ http *http.Server }
+type Server struct {
+	http *http.Server
+	// tls says that the listeners speak TLS.
+	tls     bool
+	leaving atomic.Bool
+}
+
+// Leave says from now on that the router is not ready.
+func (s *Server) Leave() { s.leaving.Store(true) }
 
 // New returns a server that shows the source, the metrics and the burn.
 func New(s Source, metrics http.Handler, burn func() any, tlsConfig *tls.Config) *Server {
+	srv := &Server{tls: tlsConfig != nil}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, health{Healthy: true})
 	})
-	mux.HandleFunc("GET "+PathReady, func(w http.ResponseWriter, _ *http.Request) { ready(w, s) })
+	for _, path := range []string{PathReady, PathReadyShort} {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) { srv.ready(w, s) })
+	}
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, http.StatusOK, s.Status())
+		writeJSON(w, http.StatusOK, s.State())
 	})
 	mux.HandleFunc("GET "+PathTable, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, s.Table())
@@ -60,10 +75,11 @@
 		writeJSON(w, http.StatusOK, burn())
 	})
 	mux.Handle("GET "+PathMetrics, metrics)
-	return &Server{http: &http.Server{
+	srv.http = &http.Server{
 		Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout,
 		MaxHeaderBytes: maxHeader, TLSConfig: tlsConfig,
-	}}
+	}
+	return srv
 }
 
 type health struct {
@@ -72,11 +88,11 @@
 }
 
 // ready tells a balancer whether to send callers here.
-func ready(w http.ResponseWriter, s Source) {
+func (s *Server) ready(w http.ResponseWriter, source Source) {
 	switch {
-	case s.Table() == nil:
+	case source.Table() == nil:
 		writeJSON(w, http.StatusServiceUnavailable, health{Reason: "no table in force yet"})
-	case s.Status().Draining:
+	case s.leaving.Load() || source.Draining():
 		writeJSON(w, http.StatusServiceUnavailable, health{Reason: "stopping"})
 	default:
 		writeJSON(w, http.StatusOK, health{Healthy: true})
@@ -92,7 +108,7 @@
 // Serve answers operators on ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
 	var err error
-	if s.http.TLSConfig != nil {
+	if s.tls {
 		err = s.http.ServeTLS(ln, "", "")
 	} else {
 		err = s.http.Serve(ln)
--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -5,56 +5,45 @@
 	"io"
 	"mime"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
 
-// hopHeaders concern one connection only and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-func removeHopHeaders(h http.Header) {
-	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
-
 // answer passes a response on, by its kind.
 func (x *exchange) answer(resp *http.Response) {
-	if id := resp.Header.Get(HeaderRequestID); id != "" && id != x.call.RequestID {
+	d := &x.client.opt.dialect
+	if id := resp.Header.Get(d.RequestID); id != "" && id != x.call.RequestID {
 		x.fail(verdict.PhaseHeader, http.StatusBadGateway, "crossed-answer", "the backend server answered another request", nil)
 		return
 	}
-	if refusedByBackend(resp) {
-		x.result.Err = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "backend-refused",
-			"the backend server refused the request and did not run it")
+	if d.notRun(resp) {
+		x.refused(resp)
+		return
+	}
+	if !d.proven(resp) {
+		x.fail(verdict.PhaseStream, http.StatusBadGateway, "bad-answer", "the backend server's answer is not its own", errUnproven)
 		return
 	}
 	removeHopHeaders(resp.Header)
 	switch {
-	case !x.call.Events:
+	case !x.call.Events || x.call.Opaque && resp.StatusCode != http.StatusOK:
 		x.copyPlain(resp)
 	case isEventStream(resp):
 		x.copyEvents(resp)
+	case x.call.Opaque:
+		x.copyPlain(resp)
 	default:
 		x.copyWhole(resp)
 	}
 }
 
-// refusedByBackend reports whether the backend server itself says that it did
-// not run the request.
-func refusedByBackend(resp *http.Response) bool {
-	busy := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
-	return busy && resp.Header.Get(HeaderNotRun) == "true"
+func (x *exchange) refused(resp *http.Response) {
+	code, detail := "backend-refused", "the backend server refused the request and did not run it"
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		code, detail = "backend-replaced", "another backend server has the address; the request was not run"
+	}
+	x.result.Err = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, code, detail)
 }
 
 func isEventStream(resp *http.Response) bool {
@@ -63,39 +52,68 @@
 }
 
 func (x *exchange) begin(resp *http.Response) {
+	x.first()
 	x.result.Began = true
+	if !x.call.Resume {
+		x.sink.Begin(resp.StatusCode, resp.Header)
+	}
+}
+
+// first notes the first sign of an answer's body.
+func (x *exchange) first() {
+	if !x.result.FirstByte.IsZero() {
+		return
+	}
 	x.result.FirstByte = time.Now()
-	x.sink.Begin(resp.StatusCode, resp.Header)
+	if x.call.First != nil {
+		x.call.First()
+	}
 }
 
-// copyPlain passes the answer of a plain service on as it comes.
+// copyPlain passes the answer of a plain service on: one that is short as a
+// whole, a longer one as it comes.
 func (x *exchange) copyPlain(resp *http.Response) {
+	buf := make([]byte, max(copyBufSize, x.call.Buffer))
+	n, err := x.readUpTo(resp, buf[:x.call.Buffer])
+	if err != nil && !errors.Is(err, io.EOF) {
+		x.broken(err)
+		return
+	}
 	x.begin(resp)
-	silence := x.watchSilence()
-	defer silence.Stop()
-	buf := make([]byte, copyBufSize)
-	for {
-		n, err := resp.Body.Read(buf)
-		silence.Reset(x.client.opt.idle)
+	if n > 0 && !x.pass(buf[:n], true) {
+		return
+	}
+	for !errors.Is(err, io.EOF) {
+		n, err = resp.Body.Read(buf)
+		x.silence.heard()
 		if n > 0 && !x.pass(buf[:n], true) {
 			return
 		}
-		if errors.Is(err, io.EOF) {
-			x.sink.Trailer(resp.Trailer)
+		if err != nil && !errors.Is(err, io.EOF) {
+			x.broken(err)
 			return
 		}
+	}
+	x.sink.Trailer(resp.Trailer)
+}
+
+// readUpTo fills the buffer; io.EOF says that the answer ended within it.
+func (x *exchange) readUpTo(resp *http.Response, buf []byte) (int, error) {
+	n := 0
+	for n < len(buf) {
+		m, err := resp.Body.Read(buf[n:])
+		n += m
+		x.silence.heard()
 		if err != nil {
-			x.broken(err)
-			return
+			return n, err
 		}
 	}
+	return n, nil
 }
 
 // copyWhole takes an answer that is one piece of JSON, checks it, and passes
 // it on only if all of it came.
 func (x *exchange) copyWhole(resp *http.Response) {
-	silence := x.watchSilence()
-	defer silence.Stop()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, x.client.opt.maxAnswer+1))
 	if err != nil {
 		x.broken(err)
@@ -131,26 +149,34 @@
 
 // copyEvents passes a stream of events on, event by event.
 func (x *exchange) copyEvents(resp *http.Response) {
-	x.begin(resp)
-	silence := x.watchSilence()
-	defer silence.Stop()
-	events := NewEvents(resp.Body)
+	var events eventReader = NewEvents(resp.Body)
+	if x.call.Opaque {
+		events = newNumbered(resp.Body, x.call.LastEvent)
+	} else {
+		x.begin(resp)
+	}
 	for {
 		ev, err := events.Next()
-		silence.Reset(x.client.opt.idle)
+		x.silence.heard()
 		if err != nil {
 			x.endEvents(resp, events, err)
 			return
 		}
+		if !x.result.Began {
+			x.begin(resp)
+		}
 		x.call.Served.Store(events.Tokens())
 		if !x.pass(ev, !events.Waiting()) {
 			return
 		}
+		x.result.LastEvent = events.Last()
 	}
 }
 
-func (x *exchange) endEvents(resp *http.Response, events *Events, err error) {
-	_ = x.sink.Flush()
+func (x *exchange) endEvents(resp *http.Response, events eventReader, err error) {
+	if x.result.Began {
+		_ = x.sink.Flush()
+	}
 	if !errors.Is(err, io.EOF) {
 		x.broken(err)
 		return
@@ -159,6 +185,9 @@
 		x.broken(io.ErrUnexpectedEOF)
 		return
 	}
+	if !x.result.Began {
+		x.begin(resp)
+	}
 	x.sink.Trailer(resp.Trailer)
 }
 
@@ -180,10 +209,6 @@
 
 // broken notes an answer that ended before its end.
 func (x *exchange) broken(err error) {
+	x.result.Silent = x.silence.fired()
 	x.fail(verdict.PhaseStream, http.StatusBadGateway, "answer-cut", "the backend server's answer ended before its end", err)
 }
-
-// watchSilence ends a call whose backend server sends nothing for too long.
-func (x *exchange) watchSilence() *time.Timer {
-	return time.AfterFunc(x.client.opt.idle, x.cancel)
-}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -4,15 +4,9 @@
 package backend
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -25,24 +19,9 @@
 	DefaultMaxAnswer = 32 << 20
 	// DefaultIdle is how long a stream may stay silent.
 	DefaultIdle = 60 * time.Second
-	dialTimeout = time.Second
-	// idleConns bounds the idle connections kept to one backend server.
-	idleConns   = 256
-	idleFor     = 90 * time.Second
-	maxHeader   = 64 << 10
 	copyBufSize = 32 << 10
 )
 
-// Headers that are exchanged with backend servers.
-const (
-	// HeaderRequestID carries the request's id through the fleet.
-	HeaderRequestID = "X-Request-Id"
-	// HeaderPriority carries the priority to an engine that honours it.
-	HeaderPriority = "X-Priority"
-	// HeaderNotRun is how a backend server says that it did not run it.
-	HeaderNotRun = "X-Not-Run"
-)
-
 // Dialer opens a connection; net.Dialer is one.
 type Dialer interface {
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
@@ -53,23 +32,50 @@
 	Address string
 	Method  string
 	// Path is the path with its query, starting with a slash.
-	Path   string
+	Path string
+	// Host is the Host header; "" means the address.
+	Host   string
 	Header http.Header
 	Body   []byte
 	// RequestID is unique in the fleet; an answer to another is refused.
 	RequestID string
 	Priority  int
+	// Account is the client account.
+	Account string
+	// Instance is the start of the backend server that is meant, "" for any.
+	Instance string
+	// Deadline is when the answer is worth nothing any more; zero if the
+	// backend server is not told.
+	Deadline time.Time
 	// Once says that the request must not run twice.
 	Once bool
 	// Events says that the answer to copy may be a stream of events whose
 	// tokens are counted; a plain service's answer is copied as it is.
 	Events bool
+	// Opaque says that events are passed on without a look at their data.
+	Opaque bool
+	// Resume says that the sink has begun and the answer goes on after
+	// LastEvent.
+	Resume bool
+	// LastEvent is the number of the last event that the caller has, 0 if
+	// none.
+	LastEvent uint64
+	// Buffer is up to how many bytes a plain answer is taken whole before it
+	// is passed on, so that a broken one can be told or tried again.
+	Buffer int
 	// MayStart is asked just before the first byte is sent.
 	MayStart func() bool
-	// Served counts the tokens as they come.
+	// Served counts the tokens or events as they come.
 	Served *atomic.Int64
+	// First is called when the first event or byte of a body came; nil if
+	// nobody asks.
+	First func()
 }
 
+// connKey names the connections that may carry the call: one that was opened
+// to an earlier start of a backend server is no use.
+func (c *Call) connKey() string { return c.Address + " " + c.Instance }
+
 // Sink is where the answer goes.
 type Sink interface {
 	// Begin is called once, before any other call.
@@ -92,23 +98,27 @@
 	Began bool
 	// Failed says that the backend server could not be reached.
 	Failed bool
+	// Silent says that it sent nothing for too long.
+	Silent bool
 	// Status is the answer's status, 0 if there was none.
 	Status int
 	// FirstByte is when the first byte of the body came, zero if none did.
 	FirstByte time.Time
+	// LastEvent is the number of the last event that was passed on.
+	LastEvent uint64
 }
 
 // Client calls backend servers.
 type Client struct {
 	opt   options
-	many  *http.Transport
-	fresh *http.Transport
+	conns *conns
 }
 
 type options struct {
 	dialer    Dialer
 	maxAnswer int64
 	idle      time.Duration
+	dialect   Dialect
 }
 
 // Option changes a new Client.
@@ -123,135 +133,32 @@
 // WithIdle sets how long a stream may stay silent.
 func WithIdle(d time.Duration) Option { return func(o *options) { o.idle = d } }
 
+// WithDialect sets the headers that are exchanged.
+func WithDialect(d Dialect) Option { return func(o *options) { o.dialect = d } }
+
 // New returns a client.
 func New(opts ...Option) *Client {
 	c := &Client{opt: options{
-		dialer:    &net.Dialer{Timeout: dialTimeout},
+		dialer:    &net.Dialer{},
 		maxAnswer: DefaultMaxAnswer,
 		idle:      DefaultIdle,
+		dialect:   OwnDialect(),
 	}}
 	for _, f := range opts {
 		f(&c.opt)
 	}
-	c.many = c.transport(false)
-	c.fresh = c.transport(true)
+	c.conns = newConns(c.opt.dialer)
 	return c
 }
 
-// transport makes one of the two transports. Requests that must not run twice
-// take a fresh connection each, because net/http may send a request again by
-// itself when a kept connection turns out to be closed.
-func (c *Client) transport(fresh bool) *http.Transport {
-	return &http.Transport{
-		DialContext:            c.dial,
-		DisableCompression:     true,
-		DisableKeepAlives:      fresh,
-		MaxIdleConnsPerHost:    idleConns,
-		IdleConnTimeout:        idleFor,
-		MaxResponseHeaderBytes: maxHeader,
-	}
-}
-
-func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := c.opt.dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, fmt.Errorf("backend: dial: %w", err)
-	}
-	return &gatedConn{Conn: conn}, nil
-}
-
 // Close closes the idle connections.
-func (c *Client) Close() {
-	c.many.CloseIdleConnections()
-	c.fresh.CloseIdleConnections()
-}
+func (c *Client) Close() { c.conns.close() }
 
 // Do sends the call and copies the answer to the sink. It returns when the
 // answer ends, fails, or ctx is done.
 func (c *Client) Do(ctx context.Context, call Call, sink Sink) Result {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	x := &exchange{client: c, call: call, sink: sink, cancel: cancel, gate: &gate{may: call.MayStart}}
+	x := &exchange{client: c, call: call, sink: sink}
+	x.result.LastEvent = call.LastEvent
 	x.run(ctx)
-	x.result.Sent = x.gate.sent()
 	return x.result
 }
-
-// exchange is the state of one call.
-type exchange struct {
-	client *Client
-	call   Call
-	sink   Sink
-	cancel context.CancelFunc
-	gate   *gate
-	result Result
-	dialed atomic.Bool
-}
-
-func (x *exchange) run(ctx context.Context) {
-	req, err := x.request(ctx)
-	if err != nil {
-		x.fail(verdict.PhaseDial, http.StatusBadRequest, "bad-request", "the request cannot be passed on", err)
-		return
-	}
-	transport := x.client.many
-	if x.call.Once {
-		transport = x.client.fresh
-	}
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		x.failBeforeAnswer(ctx, err)
-		return
-	}
-	defer func() { _ = resp.Body.Close() }()
-	x.result.Status = resp.StatusCode
-	x.answer(resp)
-}
-
-func (x *exchange) request(ctx context.Context) (*http.Request, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		x.dialed.Store(true)
-		if g, ok := info.Conn.(*gatedConn); ok {
-			g.gate.Store(x.gate)
-		}
-	}}
-	url := "http://" + x.call.Address + x.call.Path
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), x.call.Method, url, nil)
-	if err != nil {
-		return nil, fmt.Errorf("backend: make request: %w", err)
-	}
-	if len(x.call.Body) > 0 {
-		// Without GetBody, net/http cannot send the body a second time.
-		req.Body = io.NopCloser(bytes.NewReader(x.call.Body))
-		req.ContentLength = int64(len(x.call.Body))
-	}
-	req.Header = x.call.Header.Clone()
-	if req.Header == nil {
-		req.Header = http.Header{}
-	}
-	removeHopHeaders(req.Header)
-	req.Header.Set(HeaderRequestID, x.call.RequestID)
-	if x.call.Events {
-		req.Header.Set(HeaderPriority, strconv.Itoa(x.call.Priority))
-	}
-	return req, nil
-}
-
-// failBeforeAnswer finds the verdict of a call that got no response header.
-func (x *exchange) failBeforeAnswer(ctx context.Context, err error) {
-	switch {
-	case x.gate.refused.Load() && !x.gate.sent():
-		x.fail(verdict.PhaseDial, http.StatusServiceUnavailable, "lease-expired", "the lease ran out before the request was sent", err)
-	case !x.gate.sent():
-		x.result.Failed = ctx.Err() == nil
-		x.fail(verdict.PhaseDial, http.StatusBadGateway, "backend-unreachable", "the backend server could not be reached", err)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		x.fail(verdict.PhaseHeader, http.StatusGatewayTimeout, "deadline", "the deadline passed before the backend server answered", err)
-	default:
-		x.fail(verdict.PhaseHeader, http.StatusBadGateway, "backend-broke", "the connection broke before the backend server answered", err)
-	}
-}
-
-func (x *exchange) fail(phase verdict.Phase, status int, code, detail string, err error) {
-	x.result.Err = verdict.New(phase, status, code, detail).Wrap(err)
-}
--- a/internal/backend/events.go
+++ b/internal/backend/events.go
@@ -55,7 +55,7 @@
 	for {
 		line, err := e.line()
 		if err != nil {
-			return nil, e.ended(err)
+			return nil, midEvent(err, &e.event)
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			if e.event.Len() > len(line) {
@@ -69,30 +69,16 @@
 	}
 }
 
-func (e *Events) ended(err error) error {
-	if errors.Is(err, io.EOF) && e.event.Len() > 0 && len(bytes.TrimSpace(e.event.Bytes())) > 0 {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
+// Last returns 0: these events have no numbers.
+func (e *Events) Last() uint64 { return 0 }
 
 // line reads one line into the event and returns it.
 func (e *Events) line() ([]byte, error) {
 	start := e.event.Len()
-	for {
-		part, err := e.r.ReadSlice('\n')
-		e.event.Write(part)
-		if e.event.Len() > maxEvent {
-			return nil, ErrTooLong
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		return e.event.Bytes()[start:], nil
+	if err := readLine(e.r, &e.event); err != nil {
+		return nil, err
 	}
+	return e.event.Bytes()[start:], nil
 }
 
 var (
--- /dev/null
+++ b/internal/backend/exchange.go
@@ -0,0 +1,215 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/verdict"
+)
+
+const (
+	// inlineBody is the largest body that is written before the answer is
+	// awaited; a longer one is written beside, since a backend server may
+	// answer before it has read it.
+	inlineBody = 4 << 10
+	// maxStray is how many answers to other requests are passed over.
+	maxStray = 3
+	// maxStrayBody bounds the body of such an answer.
+	maxStrayBody = 1 << 20
+)
+
+var (
+	errNotStarted = errors.New("backend: the lease ran out before the first byte")
+	errStray      = errors.New("backend: too many answers to other requests")
+	errUnproven   = errors.New("backend: the answer is not the backend server's own")
+)
+
+// exchange is the state of one call.
+type exchange struct {
+	client *Client
+	call   Call
+	sink   Sink
+	conn   *conn
+	result Result
+	// written delivers the end of the writing, once.
+	written chan error
+	// reuse says that the answer ended where the next one may begin.
+	reuse bool
+	// silent is set when the connection was closed for its silence.
+	silence *silence
+}
+
+func (x *exchange) run(ctx context.Context) {
+	if x.call.MayStart != nil && !x.call.MayStart() {
+		x.notStarted()
+		return
+	}
+	conn, err := x.client.conns.take(ctx, &x.call)
+	if err != nil {
+		x.result.Failed = ctx.Err() == nil
+		x.fail(verdict.PhaseDial, http.StatusBadGateway, "backend-unreachable", "the backend server could not be reached", err)
+		return
+	}
+	x.conn = conn
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer func() {
+		if stop() && x.reuse && x.writtenWhole() {
+			x.client.conns.put(x.call.connKey(), conn)
+			return
+		}
+		_ = conn.Close()
+	}()
+	x.exchange(ctx)
+}
+
+func (x *exchange) notStarted() {
+	x.fail(verdict.PhaseDial, http.StatusServiceUnavailable, "lease-expired", "the lease ran out before the request was sent", errNotStarted)
+}
+
+func (x *exchange) exchange(ctx context.Context) {
+	if x.call.MayStart != nil && !x.call.MayStart() {
+		x.notStarted()
+		return
+	}
+	if err := x.send(); err != nil && !x.result.Sent {
+		x.result.Failed = ctx.Err() == nil
+		x.fail(verdict.PhaseDial, http.StatusBadGateway, "backend-unreachable", "the connection was closed before the request was sent", err)
+		return
+	}
+	x.silence = watchSilence(x.conn, x.client.opt.idle)
+	defer x.silence.stop()
+	resp, err := x.receive()
+	if err != nil {
+		x.failBeforeAnswer(ctx, err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	x.result.Status = resp.StatusCode
+	x.answer(resp)
+	x.reuse = x.result.Err == nil && !resp.Close && x.conn.reader.Buffered() == 0
+	x.conn.learnKeepAlive(resp.Header)
+}
+
+// send writes the request. A long body is written by a task of its own.
+func (x *exchange) send() error {
+	head := x.head()
+	x.written = make(chan error, 1)
+	if len(x.call.Body) <= inlineBody {
+		err := x.write(append(head, x.call.Body...))
+		x.written <- err
+		return err
+	}
+	if err := x.write(head); err != nil {
+		x.written <- err
+		return err
+	}
+	go func() {
+		_, err := x.conn.Write(x.call.Body)
+		x.written <- err
+	}()
+	return nil
+}
+
+// write writes the first bytes. Only if the network took none of them is the
+// request known not to have been sent.
+func (x *exchange) write(p []byte) error {
+	n, err := x.conn.Write(p)
+	x.result.Sent = n > 0
+	return err
+}
+
+// writtenWhole reports whether the whole request was written. It does not
+// wait: after an early answer, the rest of the body is due on the connection.
+func (x *exchange) writtenWhole() bool {
+	select {
+	case err := <-x.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// head returns the request's first line and header.
+func (x *exchange) head() []byte {
+	h := x.call.Header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	removeHopHeaders(h)
+	h.Del("Content-Length")
+	h.Del("Host")
+	x.setHeaders(h)
+	var buf bytes.Buffer
+	host := x.call.Host
+	if host == "" {
+		host = x.call.Address
+	}
+	fmt.Fprintf(&buf, "%s %s HTTP/1.1\r\nHost: %s\r\n", x.call.Method, x.call.Path, host)
+	_ = h.Write(&buf)
+	if len(x.call.Body) > 0 || x.call.Method != http.MethodGet && x.call.Method != http.MethodHead {
+		fmt.Fprintf(&buf, "Content-Length: %d\r\n", len(x.call.Body))
+	}
+	buf.WriteString("\r\n")
+	return buf.Bytes()
+}
+
+func (x *exchange) setHeaders(h http.Header) {
+	d := &x.client.opt.dialect
+	set(h, d.RequestID, x.call.RequestID)
+	if x.call.Events && !x.call.Opaque {
+		set(h, d.Priority, formatPriority(x.call.Priority))
+	}
+	setOrDrop(h, d.Account, x.call.Account)
+	setOrDrop(h, d.Instance, x.call.Instance)
+	if !x.call.Deadline.IsZero() {
+		set(h, d.Deadline, strconv.FormatInt(max(1, time.Until(x.call.Deadline).Milliseconds()), 10))
+	}
+	if x.call.LastEvent > 0 {
+		set(h, d.LastEvent, strconv.FormatUint(x.call.LastEvent, 10))
+	}
+}
+
+// receive reads the answer's header. Late answers to other requests may come
+// first; the id tells.
+func (x *exchange) receive() (*http.Response, error) {
+	req := &http.Request{Method: x.call.Method}
+	for range maxStray {
+		resp, err := http.ReadResponse(x.conn.reader, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		id := resp.Header.Get(x.client.opt.dialect.RequestID)
+		if id == "" || id == x.call.RequestID || !x.conn.kept {
+			return resp, nil
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBody))
+		_ = resp.Body.Close()
+		if err != nil || n == maxStrayBody || resp.Close {
+			return nil, errors.Join(errStray, err)
+		}
+	}
+	return nil, errStray
+}
+
+// failBeforeAnswer finds the verdict of a call that got no response header.
+func (x *exchange) failBeforeAnswer(ctx context.Context, err error) {
+	x.result.Silent = x.silence.fired()
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		x.fail(verdict.PhaseHeader, http.StatusGatewayTimeout, "deadline", "the deadline passed before the backend server answered", err)
+		return
+	}
+	x.fail(verdict.PhaseHeader, http.StatusBadGateway, "backend-broke", "the connection broke before the backend server answered", err)
+}
+
+func (x *exchange) fail(phase verdict.Phase, status int, code, detail string, err error) {
+	x.result.Err = verdict.New(phase, status, code, detail).Wrap(err)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,6 +19,9 @@
 	Peers string `yaml:"peers"`
 	// Admin is the operators' listener. Required.
 	Admin string `yaml:"admin"`
+	// Readiness is a listener for balancers that ask whether the router is
+	// ready. Default none: they ask the operators' listener.
+	Readiness string `yaml:"readiness"`
 }
 
 // TLS names the files of one listener's keys. All empty means no TLS.
@@ -83,6 +86,9 @@
 	Zone string `yaml:"zone"`
 	// Platform is the IP number and port of the platform. Required.
 	Platform string `yaml:"platform"`
+	// PlatformKind is how the platform is spoken to: values, or the name of
+	// one that the program was built with. Default values.
+	PlatformKind string `yaml:"platform_kind"`
 	// Listen is where the router listens.
 	Listen Listen `yaml:"listen"`
 	// TLS is the keys of each listener. Default none.
@@ -95,13 +101,20 @@
 	Objectives Objectives `yaml:"objectives"`
 	// DrainFor is how long streams may run on at a stop. Default 10m.
 	DrainFor time.Duration `yaml:"drain_for"`
+	// DrainNotice is how long a router that was asked to stop goes on as
+	// before, while balancers notice that it is not ready. Default 0.
+	DrainNotice time.Duration `yaml:"drain_notice"`
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string `yaml:"log_level"`
 }
 
+// PlatformValues is the kind of platform that publishes named values.
+const PlatformValues = "values"
+
 // Defaults returns settings with every default and nothing else.
 func Defaults() Settings {
 	return Settings{
+		PlatformKind: PlatformValues,
 		Callers: Callers{
 			MaxBodyBytes: 8 << 20, MaxHeaderBytes: 64 << 10, DefaultDeadline: 5 * time.Minute,
 			SlowCaller: 30 * time.Second, MaxOpen: 20_000,
@@ -144,6 +157,12 @@
 	address(d, s.Listen.Callers, "listen", "callers")
 	address(d, s.Listen.Peers, "listen", "peers")
 	address(d, s.Listen.Admin, "listen", "admin")
+	if s.Listen.Readiness != "" {
+		address(d, s.Listen.Readiness, "listen", "readiness")
+	}
+	if s.DrainNotice < 0 {
+		d.Add("must not be below zero", "drain_notice")
+	}
 	s.TLS.Callers.check(d, "callers")
 	s.TLS.Peers.check(d, "peers")
 	s.TLS.Admin.check(d, "admin")
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -12,29 +12,48 @@
 
 // answer writes to one caller. It implements backend.Sink.
 type answer struct {
-	w     http.ResponseWriter
-	id    string
-	slow  time.Duration
-	began bool
+	w       http.ResponseWriter
+	dialect *Dialect
+	id      string
+	// routed answers are passed on as they came.
+	routed bool
+	slow   time.Duration
+	began  bool
 	// events says that the answer is a stream of events.
 	events  bool
 	control *http.ResponseController
 }
 
+func (s *Server) answerTo(w http.ResponseWriter, a *ask) *answer {
+	return &answer{w: w, dialect: &s.opt.dialect, id: a.id, routed: a.route != nil, slow: s.opt.slowCaller}
+}
+
 // Begin implements backend.Sink.
 func (a *answer) Begin(status int, header http.Header) {
 	h := a.w.Header()
 	for name, values := range header {
 		h[name] = values
 	}
-	h.Set(verdict.Header, verdict.Ran.String())
-	h.Set(backend.HeaderRequestID, a.id)
+	if a.routed {
+		keepAsItCame(h, a.dialect.RequestID, a.id)
+	} else {
+		h.Set(verdict.Header, verdict.Ran.String())
+		h.Set(backend.HeaderRequestID, a.id)
+	}
 	a.events = h.Get("Content-Type") == "text/event-stream"
 	a.control = http.NewResponseController(a.w)
 	a.began = true
 	a.w.WriteHeader(status)
 }
 
+// keepAsItCame keeps the server from adding a content type by its own guess.
+func keepAsItCame(h http.Header, idHeader, id string) {
+	if _, given := h["Content-Type"]; !given {
+		h["Content-Type"] = nil
+	}
+	h.Set(idHeader, id)
+}
+
 // Write implements backend.Sink. A caller that does not read is cut off.
 func (a *answer) Write(p []byte) (int, error) {
 	_ = a.control.SetWriteDeadline(time.Now().Add(a.slow))
@@ -65,11 +84,11 @@
 func (a *answer) fail(e *verdict.Error) {
 	if !a.began {
 		if e.Status != statusClientGone {
-			writeProblem(a.w, a.id, e)
+			writeProblem(a.w, a.dialect, a.id, e)
 		}
 		return
 	}
-	if !a.events || e.Status == statusClientGone {
+	if a.routed || !a.events || e.Status == statusClientGone {
 		return
 	}
 	data, err := json.Marshal(problemOf(a.id, e))
--- a/internal/front/ask.go
+++ b/internal/front/ask.go
@@ -50,6 +50,8 @@
 	deadline time.Time
 	key      string
 	keyTime  time.Time
+	// route is nil for the own interfaces.
+	route *routing
 }
 
 // authenticate finds the account by the key's hash. Keys are compared by a
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -15,44 +15,64 @@
 // retryAfter is when a caller may come back to another entry instance.
 const retryAfter = time.Second
 
-// admit does what every request needs first: an id, an account, its headers.
-func (s *Server) admit(r *http.Request) (*ask, *verdict.Error) {
-	a := &ask{id: s.requestID(), arrived: time.Now()}
-	if s.draining.Load() {
-		return a, errDraining.After(retryAfter)
-	}
-	t := s.scheduler.Table()
-	if t == nil {
-		return a, errNotReady.After(retryAfter)
+// admit does what every request needs first: an account and its headers.
+func (s *Server) admit(a *ask, r *http.Request) *verdict.Error {
+	t, err := s.tableFor(r)
+	if err != nil {
+		return err
 	}
 	account, err := authenticate(r, t)
 	if err != nil {
-		return a, err
+		return err
 	}
 	a.account = account
 	a.path = r.URL.RequestURI()
-	return a, s.readHeaders(a, r)
+	return s.readHeaders(a, r)
 }
 
-// handle runs one request from its admission to its end.
-func (s *Server) handle(w http.ResponseWriter, r *http.Request, read func(*ask) *verdict.Error) {
-	a, err := s.admit(r)
-	if s.open.Add(1) > s.opt.maxOpen && err == nil {
-		err = errTooManyOpen.After(retryAfter)
+// tableFor returns the table to decide a new request by.
+func (s *Server) tableFor(*http.Request) (*table.Table, *verdict.Error) {
+	if s.draining.Load() {
+		return nil, errDraining.After(retryAfter)
 	}
-	defer s.open.Add(-1)
-	if err == nil {
-		err = read(a)
+	t := s.scheduler.Table()
+	if t == nil {
+		return nil, errNotReady.After(retryAfter)
 	}
-	if err == nil && !s.serves(a.model) {
-		err = errNoModel
+	return t, nil
+}
+
+// handle runs one request of the own interfaces from its admission to its end.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request, read func(*ask) *verdict.Error) {
+	a := &ask{id: s.requestID(), arrived: time.Now()}
+	s.serve(w, r, a, func() *verdict.Error {
+		err := s.admit(a, r)
+		if err == nil {
+			err = read(a)
+		}
+		if err == nil && !s.serves(a.model) {
+			err = errNoModel
+		}
+		return err
+	})
+}
+
+// serve runs one request, which read makes out, to its end.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, a *ask, read func() *verdict.Error) {
+	defer s.open.Add(-1)
+	var err *verdict.Error
+	if s.open.Add(1) > s.opt.maxOpen {
+		err = errTooManyOpen.After(retryAfter)
+	} else {
+		err = read()
 	}
-	out := &answer{w: w, id: a.id, slow: s.opt.slowCaller}
+	out := s.answerTo(w, a)
 	outcome := Outcome{Account: a.account.Name, Model: a.model}
 	if err == nil {
 		err = s.schedule(r.Context(), a, r, out, &outcome)
 	}
 	if err != nil {
+		err = a.final(err)
 		out.fail(err)
 		outcome.Code = err.Code
 		outcome.Status = err.Status
@@ -124,13 +144,16 @@
 
 // again reports whether the request is tried once more.
 func (s *Server) again(ctx context.Context, a *ask, result backend.Result, err *verdict.Error) bool {
-	if result.Began || ctx.Err() != nil || err.Phase == verdict.PhaseAdmit || err.Code == "" {
+	if ctx.Err() != nil || err.Phase == verdict.PhaseAdmit || err.Code == "" {
 		return false
 	}
-	if !verdict.MayRetry(err.Verdict, !a.once) || !retryable(err.Code) {
+	if a.route != nil {
+		return s.againRouted(a, result, err)
+	}
+	if result.Began || !verdict.MayRetry(err.Verdict, !a.once) || !retryable(err.Code) {
 		return false
 	}
-	return s.scheduler.MayRetry()
+	return s.scheduler.MayRetry(a.request())
 }
 
 // retryable lists the causes that another attempt may mend.
@@ -140,10 +163,9 @@
 
 func (s *Server) attempt(ctx context.Context, a *ask, r *http.Request, out *answer, o *Outcome) (backend.Result, *verdict.Error) {
 	o.Attempts++
-	g, err := s.scheduler.Acquire(ctx, Request{
-		Account: a.account.Name, Model: a.model, Priority: a.priority, Deadline: a.deadline,
-		Waited: o.Waited, Attempt: o.Attempts - 1, Prefix: prefixOf(a.body),
-	})
+	req := a.request()
+	req.Waited, req.Attempt = o.Waited, o.Attempts-1
+	g, err := s.scheduler.Acquire(ctx, req)
 	if err != nil {
 		return backend.Result{}, acquireFailed(ctx, err)
 	}
@@ -151,7 +173,13 @@
 	started := time.Now()
 	result := s.backend.Do(ctx, s.call(a, r, g), out)
 	o.Tokens = s.tokens(a, g, started)
-	s.scheduler.Release(g, Usage{Tokens: o.Tokens, Sent: result.Sent, Failed: result.Failed})
+	s.scheduler.Release(g, Usage{
+		Tokens: o.Tokens, Sent: result.Sent, Failed: result.Failed,
+		Status: result.Status, Error: result.Err, Silent: result.Silent,
+	})
+	if a.route != nil {
+		a.route.tried(g, result)
+	}
 	s.opt.log.Debug("attempt_end", "request", a.id, "backend", g.Backend, "attempt", o.Attempts, "sent", result.Sent, "error", result.Err)
 	if result.Err != nil {
 		return result, result.Err
@@ -185,7 +213,23 @@
 // statusClientGone is logged for callers that left; nobody receives it.
 const statusClientGone = 499
 
+// request is what the scheduler needs to know.
+func (a *ask) request() Request {
+	req := Request{
+		ID: a.id, Account: a.account.Name, Model: a.model, Priority: a.priority, Deadline: a.deadline,
+	}
+	if a.route != nil {
+		a.route.describe(&req)
+		return req
+	}
+	req.Prefix = prefixOf(a.body)
+	return req
+}
+
 func (s *Server) call(a *ask, r *http.Request, g Grant) backend.Call {
+	if a.route != nil {
+		return s.routedCall(a, r, g)
+	}
 	header := r.Header.Clone()
 	header.Del("Authorization")
 	return backend.Call{
@@ -232,9 +276,9 @@
 
 // models lists the models that the table's backend servers serve.
 func (s *Server) models(w http.ResponseWriter, r *http.Request) {
-	a, err := s.admit(r)
-	if err != nil {
-		writeProblem(w, a.id, err)
+	a := &ask{id: s.requestID(), arrived: time.Now()}
+	if err := s.admit(a, r); err != nil {
+		s.answerTo(w, a).fail(err)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -271,5 +315,9 @@
 }
 
 func (s *Server) notFound(w http.ResponseWriter, _ *http.Request) {
-	writeProblem(w, s.requestID(), errNotFound)
+	s.answerTo(w, &ask{id: s.requestID()}).fail(errNotFound)
+}
+
+func (s *Server) notReady(w http.ResponseWriter, _ *http.Request) {
+	s.answerTo(w, &ask{id: s.requestID()}).fail(errNotReady.After(retryAfter))
 }
--- a/internal/front/problem.go
+++ b/internal/front/problem.go
@@ -3,11 +3,8 @@
 import (
 	"encoding/json"
 	"errors"
-	"math"
 	"net/http"
-	"strconv"
 
-	"github.com/yarrowmast/yarrowmast/internal/backend"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
 
@@ -50,14 +47,14 @@
 	return verdict.New(verdict.PhaseStream, http.StatusInternalServerError, "internal", "the entry instance failed").Wrap(err)
 }
 
-func writeProblem(w http.ResponseWriter, id string, e *verdict.Error) {
+func writeProblem(w http.ResponseWriter, d *Dialect, id string, e *verdict.Error) {
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set(verdict.Header, e.Verdict.String())
-	h.Set(backend.HeaderRequestID, id)
+	h.Set(d.RequestID, id)
 	h.Set("Cache-Control", "no-store")
 	if e.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+		h.Set("Retry-After", d.retryAfter(e.RetryAfter))
 	}
 	w.WriteHeader(e.Status)
 	_ = json.NewEncoder(w).Encode(problemOf(id, e))
--- /dev/null
+++ b/internal/front/routed.go
@@ -0,0 +1,200 @@
+package front
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/backend"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/verdict"
+)
+
+const (
+	// wholeAnswer is up to how many bytes a plain answer is taken whole
+	// before it is passed on.
+	wholeAnswer = 64 << 10
+	// patiencePart of the target is how long a request may wait that may yet
+	// be refused: a refusal is of use only while another try can be in time.
+	patiencePart = 4
+	// maxUnsent bounds the attempts that did not reach a backend server.
+	maxUnsent = 8
+)
+
+// Refusals of routed requests.
+var (
+	errUnknownKey = verdict.New(verdict.PhaseAdmit, http.StatusUnauthorized, "unknown-key", "no client account has this key")
+	errNoID       = verdict.New(verdict.PhaseAdmit, http.StatusBadRequest, "no-request-id", "the header with the request's id is missing")
+)
+
+// routing is what a request's route adds to it.
+type routing struct {
+	*table.Route
+	prompt
+	// sent counts the backend servers that were sent the request, unsent the
+	// attempts that reached none.
+	sent, unsent int
+	avoid        []string
+	// lastEvent is the last event that the caller has.
+	lastEvent uint64
+	began     bool
+}
+
+// pathOf returns the path as the caller wrote it, without the query.
+func pathOf(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
+// routed serves a request by its route.
+func (s *Server) routed(w http.ResponseWriter, r *http.Request, t *table.Table, route *table.Route) {
+	a := &ask{
+		id: r.Header.Get(s.opt.dialect.RequestID), arrived: time.Now(), path: r.RequestURI,
+		route: &routing{Route: route}, model: route.Pick(rand.Float64()),
+		events: route.Stream, once: route.Repeat == table.RepeatNever,
+	}
+	s.serve(w, r, a, func() *verdict.Error { return s.readRouted(w, r, t, a) })
+}
+
+func (s *Server) readRouted(w http.ResponseWriter, r *http.Request, t *table.Table, a *ask) *verdict.Error {
+	if _, err := s.tableFor(r); err != nil {
+		return err
+	}
+	if a.id == "" {
+		return errNoID
+	}
+	if err := s.readAccount(a, r, t); err != nil {
+		return err
+	}
+	if err := s.readStated(a, r); err != nil {
+		return err
+	}
+	body, err := s.readBody(w, r)
+	a.body = body
+	return err
+}
+
+func (s *Server) readAccount(a *ask, r *http.Request, t *table.Table) *verdict.Error {
+	if a.route.Public {
+		return nil
+	}
+	d := &s.opt.dialect
+	key, ok := strings.CutPrefix(r.Header.Get(d.Key), d.KeyPrefix)
+	if !ok || key == "" {
+		return errUnknownKey
+	}
+	sum := sha256.Sum256([]byte(key))
+	account, ok := t.AccountByKeyHash(hex.EncodeToString(sum[:]))
+	if !ok {
+		return errUnknownKey
+	}
+	a.account = account
+	return nil
+}
+
+// readStated reads what the headers state: deadline, prompt, last event.
+func (s *Server) readStated(a *ask, r *http.Request) *verdict.Error {
+	d := &s.opt.dialect
+	wait := s.opt.deadline
+	if v := r.Header.Get(d.Deadline); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms <= 0 {
+			return badHeader(d.Deadline)
+		}
+		wait = time.Duration(min(ms, MaxDeadline.Milliseconds())) * time.Millisecond
+	}
+	a.deadline = a.arrived.Add(wait)
+	if held := a.arrived.Add(a.route.Timeout); a.route.Timeout > 0 && held.Before(a.deadline) {
+		a.deadline = held
+	}
+	if v := r.Header.Get(d.LastEvent); v != "" {
+		n, err := strconv.ParseUint(v, 10, 64)
+		if err != nil {
+			return badHeader(d.LastEvent)
+		}
+		a.route.lastEvent = n
+	}
+	p, err := d.readPrompt(r.Header)
+	a.route.prompt = p
+	return err
+}
+
+// describe tells the scheduler what the route says of the request.
+func (x *routing) describe(req *Request) {
+	req.Prefix = x.prefix
+	req.Rank = x.Rank
+	req.Prompt, req.Shared, req.Output = x.tokens, x.shared, x.output
+	req.Target = x.Target
+	req.Patience = x.Target / patiencePart
+	req.Avoid = x.avoid
+}
+
+// tried notes how an attempt ended.
+func (x *routing) tried(g Grant, result backend.Result) {
+	if result.Sent {
+		x.sent++
+	} else {
+		x.unsent++
+	}
+	x.lastEvent = result.LastEvent
+	x.began = x.began || result.Began
+	if result.Err != nil {
+		x.avoid = append(x.avoid, g.Backend)
+	}
+}
+
+// againRouted reports whether a routed request is tried once more.
+func (s *Server) againRouted(a *ask, result backend.Result, err *verdict.Error) bool {
+	x := a.route
+	if err.Code == "caller-gone" || x.sent >= x.MaxAttempts() || x.unsent >= maxUnsent {
+		return false
+	}
+	if x.began && x.Repeat != table.RepeatResume {
+		return false
+	}
+	if err.Verdict != verdict.NotRun && x.Repeat == table.RepeatNever {
+		return false
+	}
+	return !result.Sent || s.scheduler.MayRetry(a.request())
+}
+
+func (s *Server) routedCall(a *ask, r *http.Request, g Grant) backend.Call {
+	header := r.Header.Clone()
+	header.Del(s.opt.dialect.Key)
+	return backend.Call{
+		Address: g.Address, Instance: g.Backend, Host: r.Host, Method: r.Method, Path: a.path, Header: header, Body: a.body,
+		RequestID: a.id, Account: a.account.Name, Deadline: a.deadline, Once: a.once, Events: a.events, Opaque: true,
+		Resume: a.route.began, LastEvent: a.route.lastEvent, Buffer: wholeAnswer,
+		MayStart: g.MayStart, Served: g.Served, First: g.First,
+	}
+}
+
+// final turns an error into what the caller is told: a request that did not
+// run gets a promise that it will not, and a time to come back.
+func (a *ask) final(e *verdict.Error) *verdict.Error {
+	if a.route == nil || e.Status < http.StatusInternalServerError {
+		return e
+	}
+	c := *e
+	if e.Verdict != verdict.NotRun {
+		c.Status = max(c.Status, http.StatusBadGateway)
+		if c.Status == http.StatusServiceUnavailable {
+			c.Status = http.StatusBadGateway
+		}
+		c.RetryAfter = 0
+		return &c
+	}
+	c.Status = http.StatusServiceUnavailable
+	if c.RetryAfter == 0 {
+		c.RetryAfter = comeBack
+	}
+	return &c
+}
+
+// comeBack is when the caller of a request that did not run may try again
+// where nothing better is known.
+const comeBack = 250 * time.Millisecond
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
 
 // Scheduler says when and where a request runs.
@@ -16,8 +17,8 @@
 	Acquire(ctx context.Context, r Request) (Grant, error)
 	// Release gives the slot back.
 	Release(g Grant, u Usage)
-	// MayRetry takes one retry out of the budget.
-	MayRetry() bool
+	// MayRetry takes one retry of the request out of the budget.
+	MayRetry(r Request) bool
 	// Claim takes a caller's idempotency key for this request. Its error is
 	// a *verdict.Error that says what became of the request.
 	Claim(ctx context.Context, c Claim) error
@@ -37,6 +38,21 @@
 	Attempt int
 	// Prefix is a hash of the prompt's beginning, 0 if there is none.
 	Prefix uint64
+	// ID is the request's id, for logs.
+	ID string
+	// Rank orders waiting requests, account before route: lower goes first.
+	AccountRank, Rank int
+	// Prompt and Output are the stated sizes in tokens, 0 if not stated;
+	// Shared is the part of the prompt that other requests share.
+	Prompt, Shared, Output int64
+	// Target is the time within which the first event, or the whole answer of
+	// a plain service, is worth most; 0 if not stated.
+	Target time.Duration
+	// Patience is how long the request may wait before it is refused; 0 means
+	// until its deadline.
+	Patience time.Duration
+	// Avoid lists backend servers that failed the request.
+	Avoid []string
 }
 
 // Grant is a slot of a backend server.
@@ -50,6 +66,8 @@
 	Served *atomic.Int64
 	// Waited is how long the request has waited in all.
 	Waited time.Duration
+	// First is called when the first event came; nil if nobody asks.
+	First func()
 }
 
 // Usage is how a slot was used.
@@ -59,6 +77,12 @@
 	Sent bool
 	// Failed says that the backend server could not be reached.
 	Failed bool
+	// Status is the answer's status, 0 if none came.
+	Status int
+	// Error is how the attempt failed, nil if the answer was passed on.
+	Error *verdict.Error
+	// Silent says that the backend server said nothing for too long.
+	Silent bool
 }
 
 // Claim is a caller's idempotency key.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -97,6 +97,8 @@
 	tls        *tls.Config
 	log        *slog.Logger
 	observer   Observer
+	dialect    Dialect
+	routesOnly bool
 }
 
 // Option changes a new Server.
@@ -126,6 +128,12 @@
 // WithObserver sets who is told of outcomes.
 func WithObserver(ob Observer) Option { return func(o *options) { o.observer = ob } }
 
+// WithDialect sets the headers that callers of routes speak.
+func WithDialect(d Dialect) Option { return func(o *options) { o.dialect = d } }
+
+// WithRoutesOnly leaves out the interfaces that need no route.
+func WithRoutesOnly() Option { return func(o *options) { o.routesOnly = true } }
+
 type noObserver struct{}
 
 func (noObserver) Answered(Outcome) {}
@@ -136,6 +144,7 @@
 		opt: options{
 			maxBody: DefaultMaxBody, maxHeader: DefaultMaxHeader, deadline: DefaultDeadline,
 			slowCaller: DefaultSlowCaller, maxOpen: DefaultMaxOpen, log: slog.Default(), observer: noObserver{},
+			dialect: OwnDialect(),
 		},
 		scheduler: s, backend: b, name: name,
 		idBase: name + "-" + strconv.FormatUint(inc, 36) + "-",
@@ -144,7 +153,7 @@
 		f(&srv.opt)
 	}
 	srv.http = &http.Server{
-		Handler:           srv.routes(),
+		Handler:           srv.handler(),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    srv.opt.maxHeader,
@@ -164,7 +173,27 @@
 	return p
 }
 
-func (s *Server) routes() http.Handler {
+// handler serves the routes of the table first, then the own interfaces.
+func (s *Server) handler() http.Handler {
+	own := http.HandlerFunc(s.notFound)
+	if !s.opt.routesOnly {
+		own = s.ownInterfaces().ServeHTTP
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		t := s.scheduler.Table()
+		if t == nil {
+			s.notReady(w, r)
+			return
+		}
+		if route, ok := t.RouteFor(r.Host, pathOf(r)); ok {
+			s.routed(w, r, t, route)
+			return
+		}
+		own(w, r)
+	})
+}
+
+func (s *Server) ownInterfaces() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+PathCompletions, s.completions)
 	mux.HandleFunc("POST "+PathChat, s.completions)
@@ -188,6 +217,9 @@
 	return fmt.Errorf("front: serve callers: %w", err)
 }
 
+// Leave ends each kept connection with its next answer.
+func (s *Server) Leave() { s.http.SetKeepAlivesEnabled(false) }
+
 // Drain refuses new requests as not run; those that wait or run go on.
 func (s *Server) Drain() { s.draining.Store(true) }
 
--- a/internal/measure/baseline.go
+++ b/internal/measure/baseline.go
@@ -205,7 +205,7 @@
 func (x *baselineAt) Table() *table.Table { return x.router.Table() }
 
 // MayRetry implements front.Scheduler.
-func (x *baselineAt) MayRetry() bool { return true }
+func (x *baselineAt) MayRetry(front.Request) bool { return true }
 
 // Claim implements front.Scheduler.
 func (x *baselineAt) Claim(context.Context, front.Claim) error { return nil }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,14 +7,17 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/admin"
 	"github.com/yarrowmast/yarrowmast/internal/backend"
 	"github.com/yarrowmast/yarrowmast/internal/burn"
 	"github.com/yarrowmast/yarrowmast/internal/config"
+	"github.com/yarrowmast/yarrowmast/internal/dispatch"
 	"github.com/yarrowmast/yarrowmast/internal/front"
 	"github.com/yarrowmast/yarrowmast/internal/metrics"
 	"github.com/yarrowmast/yarrowmast/internal/peer"
@@ -36,6 +39,10 @@
 	Front    *front.Server
 	Platform *platform.Client
 
+	// Dispatch decides where a platform is followed; Router does elsewhere.
+	Dispatch *dispatch.Dispatcher
+
+	core    core
 	admin   *admin.Server
 	metrics *metrics.Metrics
 	burn    *burn.Window
@@ -47,7 +54,25 @@
 	ls      *listeners
 }
 
+// core decides which request goes where.
+type core interface {
+	front.Scheduler
+	Start()
+	Drain()
+	Close()
+}
+
+// Platform is an operators' platform that a router can be run on.
+type Platform struct {
+	// Source reads what it publishes at an IP number and port.
+	Source func(address string, d Dialer) dispatch.Source
+	// Callers and Backends are the headers spoken there.
+	Callers  front.Dialect
+	Backends backend.Dialect
+}
+
 type options struct {
+	platforms map[string]Platform
 	dialer    Dialer
 	log       *slog.Logger
 	router    []router.Option
@@ -64,6 +89,9 @@
 // WithLogger sets where events are logged.
 func WithLogger(l *slog.Logger) Option { return func(o *options) { o.log = l } }
 
+// WithPlatforms adds platforms by the names that settings give them.
+func WithPlatforms(p map[string]Platform) Option { return func(o *options) { o.platforms = p } }
+
 // WithRouter passes options on to the router.
 func WithRouter(opts ...router.Option) Option {
 	return func(o *options) { o.router = append(o.router, opts...) }
@@ -110,38 +138,67 @@
 	if err != nil {
 		return errors.Join(err, ls.close())
 	}
-	id := router.Identity{Name: s.Name, Zone: s.Zone, Inc: uint64(time.Now().UnixNano())}
-	peerOpts := []peer.Option{peer.WithDialer(o.dialer), peer.WithLogger(n.log)}
-	if t.peers != nil {
-		peerOpts = append(peerOpts, peer.WithTLS(t.peers))
-	}
+	n.ls = ls
 	n.burn = burn.New(s.Name, s.Objectives)
-	n.Peers = peer.New(id.Name, id.Zone, id.Inc, ls.peers, peerOpts...)
-	n.Platform = platform.New(s.Platform, platform.WithTransport(&http.Transport{DialContext: o.dialer.DialContext}))
-	n.loads = backend.NewLoads(o.dialer)
-	ropts := append([]router.Option{router.WithLogger(n.log), router.WithObserver(n.metrics)}, o.router...)
-	n.Router = router.New(id, n.Peers, n.Platform, n.loads, ropts...)
-	n.backend = backend.New(backend.WithDialer(o.dialer), backend.WithIdle(s.Backends.Idle), backend.WithMaxAnswer(s.Backends.MaxAnswerBytes))
-	fopts := []front.Option{
+	inc := uint64(time.Now().UnixNano())
+	backendOpts := []backend.Option{
+		backend.WithDialer(o.dialer), backend.WithIdle(s.Backends.Idle), backend.WithMaxAnswer(s.Backends.MaxAnswerBytes),
+	}
+	frontOpts := []front.Option{
 		front.WithMaxBody(s.Callers.MaxBodyBytes), front.WithMaxHeader(s.Callers.MaxHeaderBytes),
 		front.WithDeadline(s.Callers.DefaultDeadline), front.WithSlowCaller(s.Callers.SlowCaller),
 		front.WithMaxOpen(s.Callers.MaxOpen), front.WithTLS(t.callers), front.WithLogger(n.log),
 		front.WithObserver(observers{n.metrics, n.burn, o.observer}),
 	}
-	n.Front = front.New(s.Name, id.Inc, o.scheduler(n.Router), n.backend, fopts...)
-	n.admin = admin.New(n.Router, n.metrics.Handler(), func() any { return n.burn.Snapshot() }, t.admin)
-	n.ls = ls
-	n.Router.Start()
+	var scheduler front.Scheduler
+	var source admin.Source
+	if s.PlatformKind == config.PlatformValues {
+		n.startRouter(s, o, t, inc)
+		n.core, scheduler, source = n.Router, o.scheduler(n.Router), n.Router
+	} else {
+		p, ok := o.platforms[s.PlatformKind]
+		if !ok {
+			return errors.Join(fmt.Errorf("platform_kind %q is unknown; write one of %v", s.PlatformKind, slices.Sorted(maps.Keys(o.platforms))), ls.close())
+		}
+		d := dispatch.New(dispatch.Identity{Name: s.Name, Zone: s.Zone, Inc: inc}, p.Source(s.Platform, o.dialer), dispatch.WithLogger(n.log))
+		n.Dispatch = d
+		n.core, scheduler, source = d, d, d
+		backendOpts = append(backendOpts, backend.WithDialect(p.Backends))
+		frontOpts = append(frontOpts, front.WithDialect(p.Callers), front.WithRoutesOnly())
+	}
+	n.backend = backend.New(backendOpts...)
+	n.Front = front.New(s.Name, inc, scheduler, n.backend, frontOpts...)
+	n.admin = admin.New(source, n.metrics.Handler(), func() any { return n.burn.Snapshot() }, t.admin)
+	n.core.Start()
 	n.serve(ls)
 	return nil
 }
 
+// startRouter makes the router that owns pools of backend servers.
+func (n *Node) startRouter(s config.Settings, o options, t tlsAll, inc uint64) {
+	id := router.Identity{Name: s.Name, Zone: s.Zone, Inc: inc}
+	peerOpts := []peer.Option{peer.WithDialer(o.dialer), peer.WithLogger(n.log)}
+	if t.peers != nil {
+		peerOpts = append(peerOpts, peer.WithTLS(t.peers))
+	}
+	n.Peers = peer.New(id.Name, id.Zone, id.Inc, n.ls.peers, peerOpts...)
+	n.Platform = platform.New(s.Platform, platform.WithTransport(&http.Transport{DialContext: o.dialer.DialContext}))
+	n.loads = backend.NewLoads(o.dialer)
+	opts := append([]router.Option{router.WithLogger(n.log), router.WithObserver(n.metrics)}, o.router...)
+	n.Router = router.New(id, n.Peers, n.Platform, n.loads, opts...)
+}
+
 func (n *Node) serve(ls *listeners) {
 	go func() { n.failed <- n.Front.Serve(ls.callers) }()
 	go func() { n.failed <- n.admin.Serve(ls.admin) }()
+	if ls.readiness != nil {
+		go func() { n.failed <- n.admin.Serve(ls.readiness) }()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	go n.gauge(ctx)
+	if n.Router != nil {
+		go n.gauge(ctx)
+	}
 	n.log.Info("router_started", "zone", n.Settings.Zone, "callers", ls.callers.Addr().String(),
 		"peers", ls.peers.Addr().String(), "admin", ls.admin.Addr().String())
 }
@@ -157,11 +214,21 @@
 // Failed delivers an error if a listener fails; nil means that it was closed.
 func (n *Node) Failed() <-chan error { return n.failed }
 
-// Stop ends the router as a planned stop does: nothing new is taken, leases
-// go back, streams run to their end or until ctx is done.
+// Stop ends the router as a planned stop does: for a while it goes on and only
+// says that it is stopping, so that balancers notice; then nothing new is
+// taken, leases go back, streams run to their end or until ctx is done.
 func (n *Node) Stop(ctx context.Context) error {
+	n.admin.Leave()
+	n.Front.Leave()
+	n.log.Info("router_leaving", "notice_ms", n.Settings.DrainNotice.Milliseconds())
+	notice := time.NewTimer(n.Settings.DrainNotice)
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
 	n.Front.Drain()
-	n.Router.Drain()
+	n.core.Drain()
 	err := n.Front.Shutdown(ctx)
 	n.log.Info("router_stopped", "cut", n.Front.Open())
 	n.close()
@@ -180,9 +247,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = n.admin.Shutdown(ctx)
-	n.Router.Close()
-	_ = n.Peers.Close()
+	n.core.Close()
+	if n.Peers != nil {
+		_ = n.Peers.Close()
+	}
 	n.backend.Close()
-	n.loads.Close()
+	if n.loads != nil {
+		n.loads.Close()
+	}
 	_ = n.metrics.Close()
 }
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -14,14 +14,19 @@
 	"github.com/yarrowmast/yarrowmast/internal/tlsconf"
 )
 
-type listeners struct{ callers, peers, admin net.Listener }
+// listeners are the sockets of a router. Readiness is nil unless the settings
+// give it an address of its own.
+type listeners struct{ callers, peers, admin, readiness net.Listener }
 
 func listenAll(l config.Listen) (*listeners, error) {
 	ls := &listeners{}
 	for _, x := range []struct {
 		what, address string
 		ln            *net.Listener
-	}{{"callers", l.Callers, &ls.callers}, {"peers", l.Peers, &ls.peers}, {"admin", l.Admin, &ls.admin}} {
+	}{{"callers", l.Callers, &ls.callers}, {"peers", l.Peers, &ls.peers}, {"admin", l.Admin, &ls.admin}, {"readiness", l.Readiness, &ls.readiness}} {
+		if x.address == "" {
+			continue
+		}
 		ln, err := net.Listen("tcp", x.address)
 		if err != nil {
 			return nil, errors.Join(fmt.Errorf("listen for %s: %w", x.what, err), ls.close())
@@ -33,7 +38,7 @@
 
 func (ls *listeners) close() error {
 	var errs []error
-	for _, ln := range []net.Listener{ls.callers, ls.peers, ls.admin} {
+	for _, ln := range []net.Listener{ls.callers, ls.peers, ls.admin, ls.readiness} {
 		if ln != nil {
 			errs = append(errs, ln.Close())
 		}
--- a/internal/router/acquire.go
+++ b/internal/router/acquire.go
@@ -78,7 +78,7 @@
 }
 
 // MayRetry implements front.Scheduler.
-func (r *Router) MayRetry() bool {
+func (r *Router) MayRetry(front.Request) bool {
 	answer := make(chan bool, 1)
 	if !r.post(spendRetry{answer}) {
 		return false
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -108,6 +108,12 @@
 	return Status{Name: r.id.Name, Zone: r.id.Zone, Incarnation: r.id.Inc}
 }
 
+// State is Status for the admin listener.
+func (r *Router) State() any { return r.Status() }
+
+// Draining reports whether the router is stopping.
+func (r *Router) Draining() bool { return r.Status().Draining }
+
 func (c *core) snapshotIfDue() {
 	if c.now-c.snapped < statusEvery {
 		return
--- /dev/null
+++ b/pkg/catalog/catalog.go
@@ -0,0 +1,168 @@
+// Package catalog keeps what the platform publishes: the operators' table and
+// the directory of backend servers. Whatever a router hears, from the platform
+// or from other routers, early, late or twice, merges to the same state: of
+// each entry the highest revision wins, so nothing older comes back.
+package catalog
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+)
+
+// ErrForgotten says that the platform no longer remembers the changes after a
+// revision, so that everything must be read anew.
+var ErrForgotten = errors.New("catalog: the changes since that revision are forgotten")
+
+// Server is one entry of the directory of backend servers.
+type Server struct {
+	// Revision is the entry's last change; it only grows.
+	Revision uint64
+	// Gone says that the entry was removed at Revision.
+	Gone bool
+	// Backend is the entry; only its name counts if it is gone.
+	Backend table.Backend
+}
+
+// News is a part of what the platform publishes.
+type News struct {
+	// After is the revision since which the news are complete; 0 means that
+	// they hold everything.
+	After uint64
+	// AsOf is the revision up to which they are complete.
+	AsOf uint64
+	// Table is the operators' table, nil if it did not change.
+	Table *table.Table
+	// Servers are the directory's entries that changed. If After is 0, those
+	// that are not listed are gone.
+	Servers []Server
+}
+
+// Empty reports whether the news say nothing but how far they reach.
+func (n *News) Empty() bool { return n.Table == nil && len(n.Servers) == 0 && n.After > 0 }
+
+// Catalog is the merged state. Its zero value is not ready; use New.
+type Catalog struct {
+	asOf    uint64
+	table   *table.Table
+	servers map[string]Server
+	// goneAt is when an entry was heard to be gone, by name.
+	goneAt map[string]time.Duration
+	view   *table.Table
+}
+
+// New returns a catalog that knows nothing.
+func New() *Catalog {
+	return &Catalog{servers: map[string]Server{}, goneAt: map[string]time.Duration{}}
+}
+
+// forgetAfter is how long an entry that is gone is remembered, so that news
+// which were under way all the while cannot bring it back.
+const forgetAfter = 5 * time.Minute
+
+// AsOf returns the revision up to which the catalog is complete.
+func (c *Catalog) AsOf() uint64 { return c.asOf }
+
+// View returns the table in force with all backend servers of the directory,
+// nil before there is a table. It is never changed once returned.
+func (c *Catalog) View() *table.Table { return c.view }
+
+// Merge takes news in at the time now and reports whether the view changed.
+func (c *Catalog) Merge(now time.Duration, n News) bool {
+	changed := false
+	if n.Table != nil && (c.table == nil || n.Table.Revision > c.table.Revision) {
+		c.table = n.Table
+		changed = true
+	}
+	for _, s := range n.Servers {
+		changed = c.mergeServer(now, s) || changed
+	}
+	if n.After == 0 && n.AsOf > 0 {
+		changed = c.dropUnlisted(now, &n) || changed
+	}
+	if n.After <= c.asOf {
+		c.asOf = max(c.asOf, n.AsOf)
+	}
+	c.forget(now)
+	if changed && c.table != nil {
+		c.view = c.join()
+	}
+	return changed
+}
+
+func (c *Catalog) mergeServer(now time.Duration, s Server) bool {
+	name := s.Backend.Name
+	old, known := c.servers[name]
+	if known && old.Revision >= s.Revision {
+		return false
+	}
+	c.servers[name] = s
+	if s.Gone {
+		c.goneAt[name] = now
+	} else {
+		delete(c.goneAt, name)
+	}
+	return !s.Gone || known && !old.Gone
+}
+
+// dropUnlisted takes away the entries that complete news do not hold.
+func (c *Catalog) dropUnlisted(now time.Duration, n *News) bool {
+	listed := make(map[string]bool, len(n.Servers))
+	for _, s := range n.Servers {
+		listed[s.Backend.Name] = true
+	}
+	changed := false
+	for name, s := range c.servers {
+		if listed[name] || s.Gone || s.Revision > n.AsOf {
+			continue
+		}
+		c.servers[name] = Server{Revision: n.AsOf, Gone: true, Backend: table.Backend{Name: name}}
+		c.goneAt[name] = now
+		changed = true
+	}
+	return changed
+}
+
+func (c *Catalog) forget(now time.Duration) {
+	for name, at := range c.goneAt {
+		if now-at >= forgetAfter {
+			delete(c.goneAt, name)
+			delete(c.servers, name)
+		}
+	}
+}
+
+// join returns the table's rows and the directory's entries in one table.
+func (c *Catalog) join() *table.Table {
+	t := *c.table
+	t.Backends = slices.Clone(c.table.Backends)
+	for _, name := range slices.Sorted(maps.Keys(c.servers)) {
+		if s := c.servers[name]; !s.Gone {
+			t.Backends = append(t.Backends, s.Backend)
+		}
+	}
+	t.Index()
+	return &t
+}
+
+// Since returns what changed after a revision, everything for 0.
+func (c *Catalog) Since(after uint64) News {
+	n := News{After: after, AsOf: c.asOf}
+	if after >= c.asOf {
+		n.After = c.asOf
+		return n
+	}
+	if c.table != nil && c.table.Revision > after {
+		n.Table = c.table
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.servers)) {
+		s := c.servers[name]
+		if s.Revision > after && (after > 0 || !s.Gone) {
+			n.Servers = append(n.Servers, s)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/catalog/catalog_test.go
@@ -0,0 +1,113 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/yarrowmast/yarrowmast/pkg/catalog"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+)
+
+func tableAt(revision uint64) *table.Table {
+	return &table.Table{Revision: revision, Accounts: []table.Account{{Name: "moka", Weight: 1}}}
+}
+
+func server(name string, revision uint64) catalog.Server {
+	return catalog.Server{Revision: revision, Backend: table.Backend{Name: name}}
+}
+
+func gone(name string, revision uint64) catalog.Server {
+	s := server(name, revision)
+	s.Gone = true
+	return s
+}
+
+// state is what a catalog shows.
+type state struct {
+	AsOf     uint64
+	Table    uint64
+	Backends []string
+}
+
+func stateOf(c *catalog.Catalog) state {
+	s := state{AsOf: c.AsOf()}
+	if v := c.View(); v != nil {
+		s.Table = v.Revision
+		for _, b := range v.Backends {
+			s.Backends = append(s.Backends, b.Name)
+		}
+	}
+	return s
+}
+
+func TestMerge(t *testing.T) {
+	whole := catalog.News{AsOf: 10, Table: tableAt(4), Servers: []catalog.Server{server("a", 7), server("b", 9)}}
+	tests := map[string]struct {
+		news []catalog.News
+		want state
+	}{
+		"whole":         {[]catalog.News{whole}, state{10, 4, []string{"a", "b"}}},
+		"older table":   {[]catalog.News{whole, {After: 10, AsOf: 11, Table: tableAt(3)}}, state{11, 4, []string{"a", "b"}}},
+		"entry removed": {[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 12)}}}, state{12, 4, []string{"b"}}},
+		"late news do not bring an entry back": {
+			[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 12)}}, whole}, state{12, 4, []string{"b"}}},
+		"an entry written anew comes back": {
+			[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 12)}}, {After: 12, AsOf: 13, Servers: []catalog.Server{server("a", 13)}}},
+			state{13, 4, []string{"a", "b"}}},
+		"unlisted entries of a whole read are gone": {
+			[]catalog.News{whole, {AsOf: 20, Table: tableAt(4), Servers: []catalog.Server{server("b", 9)}}}, state{20, 4, []string{"b"}}},
+		"a whole read says nothing of what came after it": {
+			[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{server("c", 12)}}, {AsOf: 11, Servers: []catalog.Server{server("a", 7), server("b", 9)}}},
+			state{12, 4, []string{"a", "b", "c"}}},
+		"news with a gap before them do not complete": {
+			[]catalog.News{whole, {After: 14, AsOf: 15, Servers: []catalog.Server{server("c", 15)}}}, state{10, 4, []string{"a", "b", "c"}}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := catalog.New()
+			for _, n := range tc.news {
+				c.Merge(0, n)
+			}
+			if diff := cmp.Diff(tc.want, stateOf(c)); diff != "" {
+				t.Errorf("catalog (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestAnyOrder lets two catalogs hear the same history in different orders,
+// with repetitions and through each other, and compares where they end.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []catalog.News
+		last := uint64(1)
+		history = append(history, catalog.News{AsOf: 1, Table: tableAt(1)})
+		for range rapid.IntRange(1, 12).Draw(t, "changes") {
+			n := catalog.News{After: last, AsOf: last + 1}
+			last++
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				n.Table = tableAt(last)
+			case 1:
+				n.Servers = []catalog.Server{server(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server"), last)}
+			case 2:
+				n.Servers = []catalog.Server{gone(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server"), last)}
+			}
+			history = append(history, n)
+		}
+		straight, shuffled := catalog.New(), catalog.New()
+		for _, n := range history {
+			straight.Merge(0, n)
+		}
+		for _, n := range rapid.Permutation(history).Draw(t, "order") {
+			shuffled.Merge(time.Second, n)
+		}
+		shuffled.Merge(time.Second, straight.Since(shuffled.AsOf()))
+		if diff := cmp.Diff(stateOf(straight), stateOf(shuffled)); diff != "" {
+			t.Errorf("catalogs differ (-straight +shuffled):\n%s", diff)
+		}
+	})
+}
--- a/pkg/table/delta.go
+++ b/pkg/table/delta.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"reflect"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,13 +23,26 @@
 	// GoneAccounts and GoneBackends are the names of removed rows.
 	GoneAccounts []string
 	GoneBackends []string
+	// Routing is what else the table holds, whole; nil if it is as before.
+	Routing *Routing
+}
+
+// Routing is the part of a table besides accounts and backend servers.
+type Routing struct {
+	Routes   []Route
+	Services []ServiceRow
+	Bounds   Bounds
+}
+
+func (t *Table) routing() *Routing {
+	return &Routing{Routes: t.Routes, Services: t.Services, Bounds: t.Bounds}
 }
 
 // Diff returns the rows that differ between two versions.
 func Diff(from, to *Table) Delta {
 	d := Delta{From: from.Revision, To: to.Revision, Digest: to.Digest()}
 	for _, a := range to.Accounts {
-		if old, ok := from.Account(a.Name); !ok || old != a {
+		if old, ok := from.Account(a.Name); !ok || !reflect.DeepEqual(old, a) {
 			d.Accounts = append(d.Accounts, a)
 		}
 	}
@@ -47,6 +61,9 @@
 			d.GoneBackends = append(d.GoneBackends, b.Name)
 		}
 	}
+	if old, now := from.routing(), to.routing(); rowDigest(old) != rowDigest(now) {
+		d.Routing = now
+	}
 	return d
 }
 
@@ -71,7 +88,14 @@
 	}
 	accounts := merge(t.Accounts, d.Accounts, d.GoneAccounts, func(a Account) string { return a.Name })
 	backends := merge(t.Backends, d.Backends, d.GoneBackends, func(b Backend) string { return b.Name })
-	next := &Table{Revision: d.To, Accounts: accounts, Backends: backends}
+	routing := d.Routing
+	if routing == nil {
+		routing = t.routing()
+	}
+	next := &Table{
+		Revision: d.To, Accounts: accounts, Backends: backends,
+		Routes: routing.Routes, Services: routing.Services, Bounds: routing.Bounds,
+	}
 	next.Index()
 	if next.Digest() != d.Digest {
 		return nil, fmt.Errorf("table delta to revision %d gives another table than its sender has", d.To)
@@ -107,7 +131,7 @@
 	for i := range t.Backends {
 		sum += rowDigest(&t.Backends[i])
 	}
-	return sum
+	return sum + rowDigest(t.routing())
 }
 
 func rowDigest(row any) uint64 {
--- a/pkg/table/parse.go
+++ b/pkg/table/parse.go
@@ -73,7 +73,16 @@
 	for i := range part.Backends {
 		c.backend(i, &part.Backends[i])
 	}
+	for i := range part.Routes {
+		c.route(i, &part.Routes[i])
+	}
+	for i := range part.Services {
+		c.service(i, &part.Services[i])
+	}
+	c.bounds(t, &part.Bounds)
 	t.Accounts = append(t.Accounts, part.Accounts...)
+	t.Routes = append(t.Routes, part.Routes...)
+	t.Services = append(t.Services, part.Services...)
 	t.Backends = append(t.Backends, part.Backends...)
 	return c.doc.Err()
 }
@@ -113,16 +122,23 @@
 		c.doc.Add("is missing; write the hex SHA-256 of the account's key", "accounts", i, "key_sha256")
 		return
 	}
-	raw, err := hex.DecodeString(a.KeySHA256)
+	c.oneKey(a, &a.KeySHA256, "accounts", i, "key_sha256")
+	for k := range a.MoreKeys {
+		c.oneKey(a, &a.MoreKeys[k], "accounts", i, "more_keys_sha256", k)
+	}
+}
+
+func (c *checker) oneKey(a *Account, key *string, path ...any) {
+	raw, err := hex.DecodeString(*key)
 	if err != nil || len(raw) != hashBytes {
-		c.doc.Add("is not 64 hex digits; write the SHA-256 of the account's key", "accounts", i, "key_sha256")
+		c.doc.Add("is not 64 hex digits; write the SHA-256 of the account's key", path...)
 		return
 	}
-	a.KeySHA256 = hex.EncodeToString(raw)
-	if other, twice := c.keys[a.KeySHA256]; twice {
-		c.doc.Add(fmt.Sprintf("is the key of account %q too; give each account its own", other), "accounts", i, "key_sha256")
+	*key = hex.EncodeToString(raw)
+	if other, twice := c.keys[*key]; twice {
+		c.doc.Add(fmt.Sprintf("is the key of account %q too; give each account its own", other), path...)
 	}
-	c.keys[a.KeySHA256] = a.Name
+	c.keys[*key] = a.Name
 }
 
 func (c *checker) limits(i int, l *Limits) {
--- /dev/null
+++ b/pkg/table/parse_route.go
@@ -0,0 +1,75 @@
+package table
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+func (c *checker) route(i int, r *Route) {
+	c.name("route", r.Name, "routes", i, "name")
+	if r.Host == "" {
+		c.doc.Add("is missing; write the callers' host name", "routes", i, "host")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		c.doc.Add(fmt.Sprintf("%q must begin and end with a slash", r.Prefix), "routes", i, "prefix")
+	}
+	if len(r.Targets) == 0 {
+		c.doc.Add("is empty; list at least one service", "routes", i, "targets")
+	}
+	for k, t := range r.Targets {
+		if t.Service == "" || !(t.Weight > 0) || t.Weight > maxWeight {
+			c.doc.Add(fmt.Sprintf("needs a service and a weight above 0 and up to %v", float64(maxWeight)), "routes", i, "targets", k)
+		}
+	}
+	c.repeat(i, r)
+	for _, d := range []struct {
+		field string
+		value time.Duration
+	}{{"timeout", r.Timeout}, {"target", r.Target}, {"pause", r.Pause}, {"attempts", time.Duration(r.Attempts)}} {
+		if d.value < 0 {
+			c.doc.Add("must not be below zero", "routes", i, d.field)
+		}
+	}
+}
+
+func (c *checker) repeat(i int, r *Route) {
+	switch r.Repeat {
+	case "":
+		r.Repeat = RepeatNever
+	case RepeatNever, RepeatSafe:
+	case RepeatResume:
+		if !r.Stream {
+			c.doc.Add("only streams can be resumed; set stream too, or write never or safe", "routes", i, "repeat")
+		}
+	default:
+		c.doc.Add(fmt.Sprintf("%q is unknown; write never, safe or resume", r.Repeat), "routes", i, "repeat")
+	}
+}
+
+func (c *checker) service(i int, s *ServiceRow) {
+	c.name("service", s.Name, "services", i, "name")
+	if s.Health != "" && !strings.HasPrefix(s.Health, "/") {
+		c.doc.Add(fmt.Sprintf("%q must begin with a slash", s.Health), "services", i, "health")
+	}
+	if s.MaxConnections < 0 {
+		c.doc.Add("must not be below zero", "services", i, "max_connections")
+	}
+	if s.CacheTokens < 0 {
+		c.doc.Add("must not be below zero", "services", i, "cache_tokens")
+	}
+}
+
+// bounds takes a page's bounds; they may stand on one page only.
+func (c *checker) bounds(t *Table, b *Bounds) {
+	if *b == (Bounds{}) {
+		return
+	}
+	if t.Bounds != (Bounds{}) {
+		c.doc.Add("stand on another page too; keep them on one", "bounds")
+	}
+	if b.HeaderBytes < 0 || b.BodyBytes < 0 || b.HeaderTime < 0 || b.IdleTime < 0 || !(b.TokensPerSecond >= 0) {
+		c.doc.Add("must not be below zero", "bounds")
+	}
+	t.Bounds = *b
+}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -52,6 +52,11 @@
 	Priority int `yaml:"priority" json:"priority"`
 	// KeySHA256 is the hex SHA-256 of the account's key; unique.
 	KeySHA256 string `yaml:"key_sha256" json:"-"`
+	// MoreKeys are the hex SHA-256 of further keys; unique.
+	MoreKeys []string `yaml:"more_keys_sha256" json:"-"`
+	// Rank orders waiting requests before their route's rank: lower goes
+	// first.
+	Rank int `yaml:"rank" json:"rank"`
 	// Limits bound the account's use of the fleet.
 	Limits Limits `yaml:"limits" json:"limits"`
 }
@@ -81,14 +86,25 @@
 type Table struct {
 	// Revision is the platform's revision of the value; it only grows.
 	Revision uint64 `yaml:"-" json:"revision"`
+	// Edition is the operators' own number of the version, for logs; 0 if
+	// they give none.
+	Edition uint64 `yaml:"-" json:"edition,omitempty"`
 	// Accounts is in the order of the file.
 	Accounts []Account `yaml:"accounts" json:"accounts"`
 	// Backends is in the order of the file.
 	Backends []Backend `yaml:"backends" json:"backends"`
+	// Routes is in the order of the file.
+	Routes []Route `yaml:"routes" json:"routes"`
+	// Services is in the order of the file.
+	Services []ServiceRow `yaml:"services" json:"services"`
+	// Bounds limit what callers may send.
+	Bounds Bounds `yaml:"bounds" json:"bounds"`
 
 	accounts map[string]int
 	backends map[string]int
 	keys     map[string]int
+	hosts    map[string][]int
+	services map[string]int
 }
 
 // Account returns the row of the named account.
@@ -148,9 +164,13 @@
 		if a.KeySHA256 != "" {
 			t.keys[a.KeySHA256] = i
 		}
+		for _, key := range a.MoreKeys {
+			t.keys[key] = i
+		}
 	}
 	t.backends = make(map[string]int, len(t.Backends))
 	for i, b := range t.Backends {
 		t.backends[b.Name] = i
 	}
+	t.indexRoutes()
 }
--- a/test/docs_test.go
+++ b/test/docs_test.go
@@ -128,6 +128,7 @@
 	for source, page := range map[string]string{
 		"internal/config/config.go":    "man/yarrowmast-settings.5.md",
 		"pkg/table/table.go":           "man/yarrowmast-table.5.md",
+		"pkg/table/route.go":           "man/yarrowmast-table.5.md",
 		"internal/measure/scenario.go": "man/yarrowmast-scenario.5.md",
 	} {
 		t.Run(page, func(t *testing.T) {
