Continue a stream only by a stream, and hold back failures that may be mended

Ruled out: numbers of events out of order; those are checked.

Change: where a stream is to be continued, anything but a stream is a failure of the attempt; a failure of the backend server's own is held back while a request that may be repeated has an attempt left. Found by the new tests: the time that a backend server keeps a connection was never learned, because the header was removed before it was read.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -25,6 +25,10 @@
 		x.fail(verdict.PhaseStream, http.StatusBadGateway, "bad-answer", "the backend server's answer is not its own", errUnproven)
 		return
 	}
+	if x.holds(resp) {
+		x.fail(verdict.PhaseDone, http.StatusBadGateway, "backend-failed", "the backend server failed", nil)
+		return
+	}
 	removeHopHeaders(resp.Header)
 	switch {
 	case !x.call.Events || x.call.Opaque && resp.StatusCode != http.StatusOK:
@@ -38,6 +42,15 @@
 	}
 }
 
+// holds reports whether an answer must not be passed on: a failure that may
+// yet be mended, or anything but a stream where one is to be continued.
+func (x *exchange) holds(resp *http.Response) bool {
+	if x.call.Resume {
+		return resp.StatusCode != http.StatusOK || !isEventStream(resp)
+	}
+	return x.call.HoldFailure && resp.StatusCode >= http.StatusInternalServerError
+}
+
 func (x *exchange) refused(resp *http.Response) {
 	code, detail := "backend-refused", "the backend server refused the request and did not run it"
 	if resp.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -60,6 +60,9 @@
 	// LastEvent is the number of the last event that the caller has, 0 if
 	// none.
 	LastEvent uint64
+	// HoldFailure says that a failure of the backend server's own is not
+	// passed on, because the request may be tried again.
+	HoldFailure bool
 	// Buffer is up to how many bytes a plain answer is taken whole before it
 	// is passed on, so that a broken one can be told or tried again.
 	Buffer int
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -91,9 +91,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	x.result.Status = resp.StatusCode
+	x.conn.learnKeepAlive(resp.Header)
 	x.answer(resp)
 	x.reuse = x.result.Err == nil && !resp.Close && x.conn.reader.Buffered() == 0
-	x.conn.learnKeepAlive(resp.Header)
 }
 
 // send writes the request. A long body is written by a task of its own.
--- /dev/null
+++ b/internal/backend/routed_test.go
@@ -0,0 +1,244 @@
+package backend_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/yarrowmast/yarrowmast/internal/backend"
+	"github.com/yarrowmast/yarrowmast/pkg/verdict"
+)
+
+// testDialect has a name for every header.
+func testDialect() backend.Dialect {
+	return backend.Dialect{
+		RequestID: "X-Id", NotRun: "X-Unrun", Deadline: "X-Left", Instance: "X-Meant", Account: "X-Account", Proof: "X-Proof", LastEvent: "Last-Event-Id",
+	}
+}
+
+// routedCall is a call of a route whose answers are passed on unread.
+func routedCall(address string) backend.Call {
+	call := newCall(address)
+	call.Opaque = true
+	call.Body = []byte("body")
+	call.Buffer = 1 << 10
+	call.Once = false
+	return call
+}
+
+func doRouted(call backend.Call, sink backend.Sink) backend.Result {
+	c := backend.New(backend.WithDialect(testDialect()))
+	defer c.Close()
+	return c.Do(context.Background(), call, sink)
+}
+
+const (
+	streamHead = "HTTP/1.1 200 OK\r\nX-Id: req-1\r\nX-Proof: p\r\nContent-Type: text/event-stream\r\n"
+	unframed   = streamHead + "\r\n"
+)
+
+func numbered(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func chunked(head, body string, end bool) string {
+	text := head + "Transfer-Encoding: chunked\r\n\r\n"
+	if body != "" {
+		text += fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+	}
+	if end {
+		text += "0\r\n\r\n"
+	}
+	return text
+}
+
+// outcome is what became of a routed call.
+type outcome struct {
+	Code    string
+	Verdict verdict.Verdict
+	Began   bool
+	Last    uint64
+	Body    string
+}
+
+func TestRoutedAnswers(t *testing.T) {
+	const plain = "HTTP/1.1 200 OK\r\nX-Id: req-1\r\nX-Proof: p\r\n"
+	tests := map[string]struct {
+		answer string
+		change func(*backend.Call)
+		want   outcome
+	}{
+		"whole stream":                  {chunked(streamHead, numbered(1, 3), true), nil, outcome{Verdict: verdict.Ran, Began: true, Last: 3, Body: numbered(1, 3)}},
+		"stream without a length":       {unframed + numbered(1, 2), nil, outcome{Verdict: verdict.Ran, Began: true, Last: 2, Body: numbered(1, 2)}},
+		"stream cut between events":     {chunked(streamHead, numbered(1, 2), false), nil, outcome{Code: "answer-cut", Began: true, Last: 2, Body: numbered(1, 2)}},
+		"stream cut within an event":    {chunked(streamHead, numbered(1, 2)+"id: 3\nda", true), nil, outcome{Code: "answer-cut", Began: true, Last: 2, Body: numbered(1, 2)}},
+		"event missing":                 {chunked(streamHead, numbered(1, 1)+numbered(3, 3), true), nil, outcome{Code: "answer-cut", Began: true, Last: 1, Body: numbered(1, 1)}},
+		"event twice":                   {chunked(streamHead, numbered(1, 2)+numbered(2, 3), true), nil, outcome{Code: "answer-cut", Began: true, Last: 2, Body: numbered(1, 2)}},
+		"nothing of a stream came":      {chunked(streamHead, "", false), nil, outcome{Code: "answer-cut"}},
+		"no proof":                      {chunked(strings.Replace(streamHead, "X-Proof: p\r\n", "", 1), numbered(1, 1), true), nil, outcome{Code: "bad-answer"}},
+		"encoded":                       {chunked(streamHead+"Content-Encoding: gzip\r\n", numbered(1, 1), true), nil, outcome{Code: "bad-answer"}},
+		"another's answer":              {chunked(strings.Replace(streamHead, "req-1", "req-2", 1), numbered(1, 1), true), nil, outcome{Code: "crossed-answer"}},
+		"no answer of the protocol":     {"garbage\r\n\r\n", nil, outcome{Code: "backend-broke"}},
+		"not run":                       {"HTTP/1.1 503 Busy\r\nX-Id: req-1\r\nX-Unrun: 1\r\nContent-Length: 0\r\n\r\n", nil, outcome{Code: "backend-refused", Verdict: verdict.NotRun}},
+		"replaced":                      {"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", nil, outcome{Code: "backend-replaced", Verdict: verdict.NotRun}},
+		"busy without a word of it":     {"HTTP/1.1 503 Busy\r\nX-Id: req-1\r\nX-Proof: p\r\nContent-Length: 2\r\n\r\nno", nil, outcome{Verdict: verdict.Ran, Began: true, Body: "no"}},
+		"a failure that may be mended":  {"HTTP/1.1 500 Oops\r\nX-Id: req-1\r\nX-Proof: p\r\nContent-Length: 2\r\n\r\nno", func(c *backend.Call) { c.HoldFailure = true }, outcome{Code: "backend-failed", Verdict: verdict.Ran}},
+		"plain":                         {plain + "Content-Length: 4\r\n\r\nbody", func(c *backend.Call) { c.Events = false }, outcome{Verdict: verdict.Ran, Began: true, Body: "body"}},
+		"plain, cut while it is short":  {plain + "Content-Length: 40\r\n\r\nbody", func(c *backend.Call) { c.Events = false }, outcome{Code: "answer-cut"}},
+		"plain, cut when it is long":    {plain + "Content-Length: 4000\r\n\r\n" + strings.Repeat("x", 2000), func(c *backend.Call) { c.Events = false }, outcome{Code: "answer-cut", Began: true, Body: strings.Repeat("x", 2000)}},
+		"continued":                     {chunked(streamHead, numbered(3, 4), true), resume, outcome{Verdict: verdict.Ran, Began: true, Last: 4, Body: numbered(3, 4)}},
+		"continued from the beginning":  {chunked(streamHead, numbered(1, 4), true), resume, outcome{Code: "answer-cut", Last: 2}},
+		"continued by a failure":        {"HTTP/1.1 500 Oops\r\nX-Id: req-1\r\nX-Proof: p\r\nContent-Length: 2\r\n\r\nno", resume, outcome{Code: "backend-failed", Verdict: verdict.Ran, Last: 2}},
+		"continued by something else":   {plain + "Content-Length: 2\r\n\r\nno", resume, outcome{Code: "backend-failed", Verdict: verdict.Ran, Last: 2}},
+		"interim answers passed over":   {"HTTP/1.1 100 Continue\r\n\r\n" + chunked(streamHead, numbered(1, 1), true), nil, outcome{Verdict: verdict.Ran, Began: true, Last: 1, Body: numbered(1, 1)}},
+		"an empty stream is a complete": {chunked(streamHead, "", true), nil, outcome{Verdict: verdict.Ran, Began: true}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, write(tc.answer))
+			call := routedCall(s.ln.Addr().String())
+			if tc.change != nil {
+				tc.change(&call)
+			}
+			sink := &recorder{}
+			r := doRouted(call, sink)
+			got := outcome{Verdict: verdict.Ran, Began: r.Began, Last: r.LastEvent, Body: sink.body.String()}
+			if r.Err != nil {
+				got.Code, got.Verdict = r.Err.Code, r.Err.Verdict
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+			if call.Resume && sink.status != 0 {
+				t.Error("the head was sent a second time")
+			}
+		})
+	}
+}
+
+func resume(c *backend.Call) {
+	c.Resume = true
+	c.LastEvent = 2
+}
+
+// conversation answers several requests on one connection, each as told.
+func conversation(answers ...string) func(*server, net.Conn) {
+	return func(s *server, conn net.Conn) {
+		for _, text := range answers {
+			if !s.readRequest(conn) {
+				return
+			}
+			_, _ = io.WriteString(conn, text)
+		}
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
+// TestConnectionsAreKeptWhileSound sends two requests and counts connections.
+func TestConnectionsAreKeptWhileSound(t *testing.T) {
+	answer := func(id, extra string) string {
+		return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Proof: p\r\n" + extra + "Content-Length: 2\r\n\r\nok"
+	}
+	tests := map[string]struct {
+		answers []string
+		once    bool
+		conns   int64
+	}{
+		"kept":                    {[]string{answer("req-1", ""), answer("req-1", "")}, false, 1},
+		"closed as told":          {[]string{answer("req-1", "Connection: close\r\n")}, false, 2},
+		"a time too short":        {[]string{answer("req-1", "Keep-Alive: timeout=0\r\n")}, false, 2},
+		"bytes after the answer":  {[]string{answer("req-1", "") + "more"}, false, 2},
+		"a late answer is passed": {[]string{answer("req-1", ""), answer("req-0", "") + answer("req-1", "")}, false, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var conns atomic.Int64
+			s := serve(t, func(s *server, conn net.Conn) {
+				if conns.Add(1) == 1 {
+					conversation(tc.answers...)(s, conn)
+					return
+				}
+				conversation(answer("req-1", ""))(s, conn)
+			})
+			c := backend.New(backend.WithDialect(testDialect()))
+			defer c.Close()
+			for i := range 2 {
+				call := routedCall(s.ln.Addr().String())
+				call.Events = false
+				sink := &recorder{}
+				if r := c.Do(context.Background(), call, sink); r.Err != nil || sink.body.String() != "ok" {
+					t.Fatalf("request %d: %v, %q", i, r.Err, sink.body.String())
+				}
+			}
+			if got := conns.Load(); got != tc.conns {
+				t.Errorf("%d connections, want %d", got, tc.conns)
+			}
+		})
+	}
+}
+
+// TestEarlyAnswerEndsTheConnection lets a backend server answer before it has
+// read the body: what it reads later on that connection must not be the next
+// request.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	requests := make(chan string, 4)
+	s := serve(t, func(_ *server, conn net.Conn) {
+		head := make([]byte, 4)
+		if _, err := io.ReadFull(conn, head); err != nil {
+			return
+		}
+		requests <- string(head)
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nX-Id: req-1\r\nX-Unrun: 1\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	c := backend.New(backend.WithDialect(testDialect()))
+	defer c.Close()
+	for range 2 {
+		call := routedCall(s.ln.Addr().String())
+		call.Body = make([]byte, 64<<20)
+		if r := c.Do(context.Background(), call, &recorder{}); r.Err == nil || r.Err.Verdict != verdict.NotRun {
+			t.Fatalf("result %v", r.Err)
+		}
+	}
+	for range 2 {
+		if got := <-requests; got != "POST" {
+			t.Errorf("a connection began with %q", got)
+		}
+	}
+}
+
+func TestRequestIsPassedOn(t *testing.T) {
+	got := make(chan string, 1)
+	s := serve(t, func(_ *server, conn net.Conn) {
+		buf := make([]byte, 4096)
+		n, _ := conn.Read(buf)
+		got <- string(buf[:n])
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: req-1\r\nX-Proof: p\r\nContent-Length: 0\r\n\r\n")
+	})
+	call := routedCall(s.ln.Addr().String())
+	call.Path, call.Host = "/a/../b?x=%20", "forms.example"
+	call.Account, call.Instance = "moka", "i-7"
+	call.Header = http.Header{
+		"X-Account": {"forged"}, "X-Kept": {"1", "2"}, "Connection": {"X-Dropped, close"}, "X-Dropped": {"1"},
+		"Transfer-Encoding": {"chunked"}, "Content-Length": {"999"}, "Te": {"x"},
+	}
+	if r := doRouted(call, &recorder{}); r.Err != nil {
+		t.Fatal(r.Err)
+	}
+	want := "POST /a/../b?x=%20 HTTP/1.1\r\nHost: forms.example\r\n" +
+		"X-Account: moka\r\nX-Id: req-1\r\nX-Kept: 1\r\nX-Kept: 2\r\nX-Meant: i-7\r\nContent-Length: 4\r\n\r\nbody"
+	if diff := cmp.Diff(want, <-got); diff != "" {
+		t.Errorf("request (-want +got):\n%s", diff)
+	}
+}
