Give places by the owners of backend servers, asked for each request

Cause: each router decided by counts that were up to 100 ms old.

Ruled out: telling counts more often.

Change: a backend server has an owner among the routers of its zone (rendezvous). The holder of a request asks it for a place; the owner knows all that is under way there, queues in the order of rank, account and time, and learns the line of first events. What a router has under way is told to a new owner at once and to all each second, so a lost message does no lasting harm. An owner that does not answer within 40 ms is done without.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,7 +20,7 @@
 
 const (
 	// tickEvery is the interval of the core's own clock.
-	tickEvery = 20 * time.Millisecond
+	tickEvery = 10 * time.Millisecond
 	inboxSize = 4096
 )
 
@@ -211,6 +211,9 @@
 	gossiped  time.Duration
 	askedNews time.Duration
 	status    time.Duration
+	// routers are those that the core was last told of.
+	routers []admit.Router
+	left    bool
 }
 
 func newState(d *Dispatcher) *state {
@@ -218,7 +221,7 @@
 	now := d.now()
 	return &state{
 		d: d, now: now, lastRun: now,
-		core:      admit.New(admit.WithZone(d.id.Zone), admit.WithSeed(d.id.Inc)),
+		core:      admit.New(admit.Router{Address: d.id.Address, Zone: d.id.Zone}, admit.WithSeed(d.id.Inc)),
 		catalog:   catalog.New(),
 		roster:    roster.New(self, d.opt.seeds),
 		allowance: allowance.New(d.opt.rule, now),
@@ -247,6 +250,8 @@
 			s.reply(a.ID, decision{start: a, waited: a.Waited})
 		case admit.Refuse:
 			s.reply(a.ID, decision{err: a.Err, waited: a.Waited})
+		case admit.Send:
+			s.d.net.Send(a.To, a.Msg)
 		}
 	}
 }
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -37,11 +37,13 @@
 	if s.roster.Heard(s.now, member) {
 		s.d.opt.log.Info("member_heard", "peer", e.Name, "address", e.From, "zone", e.Zone, "incarnation", e.Inc)
 		s.d.net.Send(e.From, s.tellRoster(true))
-		s.takeTurn()
+		s.membersChanged()
 	}
 	switch m := e.Msg.(type) {
 	case *wire.State:
 		s.hear(e.From, e.Inc, m)
+	case *wire.Ask, *wire.Reply, *wire.Note, *wire.Sync:
+		s.step(admit.Message{From: e.From, Msg: m})
 	case *wire.Roster:
 		s.learn(e.From, m)
 	case *wire.NewsAsk:
@@ -69,7 +71,7 @@
 	if m.Leaving {
 		s.roster.Leaving(from)
 	}
-	s.step(admit.Heard{From: from, Told: admit.Told{Servers: m.Servers, Accounts: m.Accounts, Copies: m.Copies}})
+	s.step(admit.Message{From: from, Msg: m})
 	asOf := s.catalog.AsOf()
 	if m.AsOf > asOf {
 		s.askNews(from, asOf)
@@ -108,7 +110,7 @@
 	}
 	s.roster.Gone(e.Peer)
 	s.step(admit.PeerGone{From: e.Peer})
-	s.takeTurn()
+	s.membersChanged()
 }
 
 // talk tells other routers what is due to be told.
@@ -117,11 +119,11 @@
 		return
 	}
 	s.told = s.now
-	s.takeTurn()
-	told := s.core.Tell(s.now)
+	s.membersChanged()
+	accounts, copies := s.core.Tell(s.now)
 	live := s.roster.Live(s.now)
 	for _, to := range live {
-		s.d.net.Send(to, s.stateFor(to, told))
+		s.d.net.Send(to, s.stateFor(to, accounts, copies))
 	}
 	for _, to := range s.roster.Tries(s.now) {
 		s.d.net.Send(to, s.tellRoster(true))
@@ -130,10 +132,10 @@
 	s.gossip(live)
 }
 
-func (s *state) stateFor(to string, told admit.Told) *wire.State {
+func (s *state) stateFor(to string, accounts []wire.AccountFlow, copies []wire.Copy) *wire.State {
 	m := &wire.State{
 		Stamp: wire.StampOf(s.now), AsOf: s.catalog.AsOf(), Age: -1, Leaving: s.d.Draining(),
-		Servers: told.Servers, Accounts: told.Accounts, Copies: told.Copies,
+		Accounts: accounts, Copies: copies,
 	}
 	if l, ok := s.peers[to]; ok {
 		m.Echo = l.stamp
@@ -174,6 +176,25 @@
 	}
 }
 
+// membersChanged tells those who decide by the routers that are heard, if
+// these changed.
+func (s *state) membersChanged() {
+	s.takeTurn()
+	var routers []admit.Router
+	for _, address := range s.roster.Staying(s.now) {
+		if m, ok := s.roster.Get(address); ok {
+			routers = append(routers, admit.Router{Address: address, Zone: m.Zone})
+		}
+	}
+	leaving := s.d.Draining()
+	if slices.Equal(routers, s.routers) && leaving == s.left {
+		return
+	}
+	s.routers, s.left = routers, leaving
+	s.d.opt.log.Info("members", "live", len(routers)+1, "leaving", leaving)
+	s.step(admit.Routers{List: routers, Leaving: leaving})
+}
+
 // takeTurn finds this router's place among those that read the platform.
 func (s *state) takeTurn() {
 	turn := 0
--- a/pkg/admit/account.go
+++ b/pkg/admit/account.go
@@ -1,9 +1,12 @@
 package admit
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 // rate is a flow of tokens, faded over a time constant.
@@ -50,19 +53,19 @@
 // accounts shares out the engines' tokens among accounts, each as much as it
 // asks up to a level that is the same for all.
 type accounts struct {
-	by       map[string]*account
+	by       map[wire.Key]*account
 	capacity float64
 	level    float64
 	leveled  time.Duration
 }
 
-func newAccounts() *accounts { return &accounts{by: map[string]*account{}, level: math.Inf(1)} }
+func newAccounts() *accounts { return &accounts{by: map[wire.Key]*account{}, level: math.Inf(1)} }
 
-func (as *accounts) get(name string) *account {
-	a, ok := as.by[name]
+func (as *accounts) get(key wire.Key) *account {
+	a, ok := as.by[key]
 	if !ok {
 		a = &account{}
-		as.by[name] = a
+		as.by[key] = a
 	}
 	return a
 }
@@ -74,16 +77,38 @@
 	}
 }
 
+// count adds what a router told to the sums, or takes it away.
+func (as *accounts) count(flows map[wire.Key]flow, sign float64) {
+	for key, f := range flows {
+		a := as.get(key)
+		a.others.asked = max(0, a.others.asked+sign*f.asked)
+		a.others.begun = max(0, a.others.begun+sign*f.begun)
+	}
+}
+
+// tell returns this router's own flows that are not zero.
+func (as *accounts) tell(now time.Duration) []wire.AccountFlow {
+	var flows []wire.AccountFlow
+	for _, key := range slices.Sorted(maps.Keys(as.by)) {
+		a := as.by[key]
+		asked, begun := a.asked.get(now), a.begun.get(now)
+		if asked >= 1 || begun >= 1 {
+			flows = append(flows, wire.AccountFlow{Account: key, Asked: uint32(max(0, asked)), Begun: uint32(max(0, begun))})
+		}
+	}
+	return flows
+}
+
 // levelEvery is how often the level is worked out anew.
 const levelEvery = 50 * time.Millisecond
 
 // over returns by how many times an account's service exceeds the level.
-func (as *accounts) over(name string, now time.Duration) float64 {
+func (as *accounts) over(key wire.Key, now time.Duration) float64 {
 	if now-as.leveled >= levelEvery {
 		as.leveled = now
 		as.level = as.workOut(now)
 	}
-	begun := as.get(name).flow(now).begun
+	begun := as.get(key).flow(now).begun
 	if math.IsInf(as.level, 1) || as.level <= 0 {
 		return 0
 	}
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -1,8 +1,15 @@
-// Package admit decides, in one router, which request goes to which backend
-// server and when, and which is refused. It is a pure state machine: events
-// and the time go in, actions come out. What other routers have under way is
-// told to it every now and then; between two tellings, and when nothing is
-// heard, it decides by what it knows.
+// Package admit decides which request goes to which backend server and when,
+// and which is refused.
+//
+// Each backend server has an owner: one of the routers of its availability
+// zone, chosen by rendezvous hashing over those that are heard. The router that
+// holds a request asks the owner of the backend server it prefers for a place;
+// the owner knows all that is under way there, and gives places so that first
+// events come in time, to the account first that had least. An owner that does
+// not answer is done without: the holder decides by itself from what it knows.
+//
+// The package is a pure state machine: events and the time go in, actions come
+// out.
 package admit
 
 import (
@@ -44,46 +51,67 @@
 	Waited time.Duration
 }
 
+// Send is a message for another router.
+type Send struct {
+	To  string
+	Msg any
+}
+
 func (Start) action()  {}
 func (Refuse) action() {}
+func (Send) action()   {}
 
 // Core is one router's decisions.
 type Core struct {
 	opt      options
 	now      time.Duration
 	rng      *rand.Rand
-	servers  map[string]*server
+	routers  []Router
+	servers  map[wire.Key]*server
 	services map[string]*service
 	requests map[uint64]*request
+	// waiting are the requests that have no place yet, by age.
+	waiting  []*request
 	accounts *accounts
 	peers    map[string]*peer
+	// mute are the owners that left a question unanswered, since when.
+	mute map[string]time.Duration
 	// copies are those made since the others were told.
 	copies []wire.Copy
-	out    []Action
+	synced time.Duration
+	// local is what this router sends to itself.
+	local []any
+	out   []Action
+}
+
+// Router is a router that may own backend servers.
+type Router struct {
+	Address string
+	Zone    string
 }
 
 type options struct {
-	zone string
+	self Router
 	seed uint64
 }
 
 // Option changes a new Core.
 type Option func(*options)
 
-// WithZone names the router's availability zone.
-func WithZone(zone string) Option { return func(o *options) { o.zone = zone } }
-
 // WithSeed sets the seed of the choices among equals.
 func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
 
-// New returns a core that knows nothing.
-func New(opts ...Option) *Core {
+// New returns the core of a router that knows nothing.
+func New(self Router, opts ...Option) *Core {
 	c := &Core{
-		servers:  map[string]*server{},
+		opt:      options{self: self},
+		routers:  []Router{self},
+		servers:  map[wire.Key]*server{},
 		services: map[string]*service{},
 		requests: map[uint64]*request{},
 		accounts: newAccounts(),
 		peers:    map[string]*peer{},
+		mute:     map[string]time.Duration{},
 	}
 	for _, f := range opts {
 		f(&c.opt)
@@ -98,26 +126,71 @@
 	c.now = max(c.now, now)
 	c.out = c.out[:0]
 	ev.apply(c)
+	for len(c.local) > 0 {
+		msg := c.local[0]
+		c.local = c.local[1:]
+		c.receive(c.opt.self.Address, msg)
+	}
 	return c.out
 }
 
 func (c *Core) act(a Action) { c.out = append(c.out, a) }
 
+// send sends a message to a router, which may be this one.
+func (c *Core) send(to string, msg any) {
+	if to == c.opt.self.Address {
+		c.local = append(c.local, msg)
+		return
+	}
+	c.act(Send{To: to, Msg: msg})
+}
+
+// Message is a message of another router.
+type Message struct {
+	From string
+	Msg  any
+}
+
+func (e Message) apply(c *Core) {
+	delete(c.mute, e.From)
+	c.receive(e.From, e.Msg)
+}
+
+func (c *Core) receive(from string, msg any) {
+	switch m := msg.(type) {
+	case *wire.Ask:
+		c.asked(from, m)
+	case *wire.Reply:
+		c.replied(from, m)
+	case *wire.Note:
+		c.noted(from, m)
+	case *wire.Sync:
+		c.toldHeld(from, m)
+	case *wire.State:
+		c.toldState(from, m)
+	}
+}
+
 // Tick lets time pass. It is due every few milliseconds while requests wait.
 type Tick struct{}
 
 func (Tick) apply(c *Core) {
 	c.dropSilentPeers()
-	for _, s := range c.services {
-		c.serveWaiting(s)
-	}
+	c.serveOwned()
+	c.advanceWaiting()
+	c.syncIfDue()
 }
 
-// Waiting returns how many requests wait.
-func (c *Core) Waiting() int {
-	n := 0
-	for _, s := range c.services {
-		n += len(s.queue)
+// Waiting returns how many requests wait for a place.
+func (c *Core) Waiting() int { return len(c.waiting) }
+
+// Owned returns the names of the backend servers that this router owns.
+func (c *Core) Owned() []string {
+	var names []string
+	for _, s := range c.sortedServers() {
+		if s.owner == c.opt.self.Address {
+			names = append(names, s.Name)
+		}
 	}
-	return n
+	return names
 }
--- /dev/null
+++ b/pkg/admit/owned.go
@@ -0,0 +1,283 @@
+package admit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// owned is what the owner of a backend server knows of it.
+type owned struct {
+	use
+	entries map[entryKey]*entry
+	// queue is what waits for a place, in no order.
+	queue []*asking
+	// known are the prompts' beginnings that were read there lately.
+	known recent
+}
+
+// entryKey names a request among those of all routers.
+type entryKey struct {
+	holder string
+	id     uint64
+}
+
+// entry is a request that is under way.
+type entry struct {
+	unread int64
+	// ahead is the tokens to be read before its first event as known when it
+	// was granted its place.
+	ahead int64
+	since time.Duration
+	// heard is when its holder last told of it.
+	heard time.Duration
+}
+
+// asking is a request that waits for a place.
+type asking struct {
+	*wire.Ask
+	from string
+	// until is when its holder waits no more, due when its first event is.
+	until, due time.Duration
+}
+
+// entryLostAfter is when a request is taken to have ended whose holder does
+// not tell of it any more.
+const entryLostAfter = 3 * time.Second
+
+// ownedOf returns what this router knows of a backend server as its owner. It
+// acts as one for whoever takes it for the owner.
+func (s *server) ownedOf() *owned {
+	if s.owned == nil {
+		s.owned = &owned{entries: map[entryKey]*entry{}}
+	}
+	return s.owned
+}
+
+func (o *owned) add(key entryKey, e *entry) {
+	o.remove(key)
+	o.entries[key] = e
+	o.running++
+	o.unread += e.unread
+}
+
+func (o *owned) remove(key entryKey) {
+	e, ok := o.entries[key]
+	if !ok {
+		return
+	}
+	delete(o.entries, key)
+	o.running--
+	o.unread -= e.unread
+}
+
+// read notes that an entry's prompt has been read.
+func (o *owned) read(e *entry) {
+	o.unread -= e.unread
+	e.unread = 0
+	e.ahead = 0
+}
+
+// asked answers a router that asks for a place.
+func (c *Core) asked(from string, m *wire.Ask) {
+	s, ok := c.servers[m.Server]
+	if !ok || !s.open() {
+		c.send(from, &wire.Reply{ID: m.ID, Server: m.Server, State: wire.PlaceDenied})
+		return
+	}
+	o := s.ownedOf()
+	a := &asking{
+		Ask: m, from: from,
+		until: c.now + time.Duration(m.WaitMillis)*time.Millisecond,
+		due:   c.now + time.Duration(m.TargetMillis)*time.Millisecond,
+	}
+	switch {
+	case (len(o.queue) == 0 || !m.Spill) && c.grant(s, a):
+	case m.Spill || c.now >= a.until:
+		c.answer(s, a, wire.PlaceDenied)
+	default:
+		o.queue = append(o.queue, a)
+		c.answer(s, a, wire.PlaceQueued)
+	}
+}
+
+func (c *Core) answer(s *server, a *asking, state wire.PlaceState) {
+	o := s.ownedOf()
+	c.send(a.from, &wire.Reply{ID: a.ID, Server: s.key, State: state, Running: o.running, Unread: o.unread})
+}
+
+// grant gives a request a place if there is one for it.
+func (c *Core) grant(s *server, a *asking) bool {
+	o := s.ownedOf()
+	sv := c.serviceOf(s)
+	toRead := o.toRead(a.Ask, c.now)
+	if !c.hasPlace(sv, s, a, toRead) {
+		return false
+	}
+	e := &entry{unread: toRead, ahead: o.unread + toRead, since: c.now, heard: c.now}
+	o.add(entryKey{a.from, a.ID}, e)
+	if a.Prefix != 0 {
+		o.known.note(a.Prefix, c.now)
+	}
+	c.send(a.from, &wire.Reply{
+		ID: a.ID, Server: s.key, State: wire.PlaceGranted, Running: o.running, Unread: o.unread,
+		Own: toRead, Ahead: e.ahead, ExpectedMillis: sv.line.predict(e.ahead).Milliseconds(),
+	})
+	return true
+}
+
+// toRead returns how many tokens of a prompt are not kept.
+func (o *owned) toRead(m *wire.Ask, now time.Duration) int64 {
+	if m.Prefix != 0 && o.known.has(m.Prefix, now) {
+		return m.Prompt - m.Shared
+	}
+	return m.Prompt
+}
+
+// serveOwned gives what places there are at this router's backend servers.
+func (c *Core) serveOwned() {
+	for _, s := range c.sortedServers() {
+		if s.owned != nil {
+			c.serveQueue(s)
+		}
+	}
+}
+
+// serveQueue gives places to what waits, in order, and drops what waits no
+// more.
+func (c *Core) serveQueue(s *server) {
+	o := s.owned
+	if len(o.queue) == 0 {
+		return
+	}
+	c.order(o.queue)
+	left := o.queue[:0]
+	for _, a := range o.queue {
+		switch {
+		case c.now >= a.until || !s.open():
+			c.answer(s, a, wire.PlaceDenied)
+		case !c.grant(s, a):
+			left = append(left, a)
+		}
+	}
+	clear(o.queue[len(left):])
+	o.queue = left
+}
+
+// order sorts what waits: by rank, by what the account has had, by when the
+// first event is due.
+func (c *Core) order(queue []*asking) {
+	over := make(map[wire.Key]float64, len(queue))
+	for _, a := range queue {
+		if _, ok := over[a.Account]; !ok {
+			over[a.Account] = c.accounts.over(a.Account, c.now)
+		}
+	}
+	slices.SortStableFunc(queue, func(a, b *asking) int {
+		return cmp.Or(
+			cmp.Compare(a.AccountRank, b.AccountRank), cmp.Compare(a.Rank, b.Rank),
+			cmp.Compare(over[a.Account], over[b.Account]), cmp.Compare(a.due, b.due),
+		)
+	})
+}
+
+// noted takes in what a router tells of one of its requests.
+func (c *Core) noted(from string, m *wire.Note) {
+	s, ok := c.servers[m.Server]
+	if !ok {
+		return
+	}
+	o := s.ownedOf()
+	key := entryKey{from, m.ID}
+	switch m.Kind {
+	case wire.NoteStarted:
+		o.add(key, &entry{unread: m.Unread, since: c.now, heard: c.now})
+		return
+	case wire.NoteFirst:
+		if e, ok := o.entries[key]; ok {
+			c.firstCame(s, e, time.Duration(m.Millis)*time.Millisecond)
+		}
+	case wire.NoteEnded:
+		o.remove(key)
+	case wire.NoteCancel:
+		o.queue = slices.DeleteFunc(o.queue, func(a *asking) bool { return a.from == from && a.ID == m.ID })
+	}
+	c.serveQueue(s)
+}
+
+// firstCame learns from the time to a first event.
+func (c *Core) firstCame(s *server, e *entry, took time.Duration) {
+	if e.ahead > 0 {
+		line := &c.serviceOf(s).line
+		s.health.first(took, line.predict(e.ahead))
+		line.see(e.ahead, took)
+	}
+	s.owned.read(e)
+}
+
+// heldGrace is how long ago a place must have been given to be taken back when
+// its holder does not list it: the list may have been under way meanwhile.
+const heldGrace = 200 * time.Millisecond
+
+// toldHeld takes in all that a router has under way at some backend servers.
+func (c *Core) toldHeld(from string, m *wire.Sync) {
+	for _, h := range m.Held {
+		if s, ok := c.servers[h.Server]; ok {
+			c.replaceHeld(s, from, h)
+			c.serveQueue(s)
+		}
+	}
+}
+
+func (c *Core) replaceHeld(s *server, from string, h wire.Held) {
+	o := s.ownedOf()
+	listed := make(map[uint64]bool, len(h.IDs))
+	for i, id := range h.IDs {
+		listed[id] = true
+		key := entryKey{from, id}
+		if e, ok := o.entries[key]; ok {
+			e.heard = c.now
+			continue
+		}
+		if i < len(h.Unread) {
+			o.add(key, &entry{unread: h.Unread[i], since: c.now, heard: c.now})
+		}
+	}
+	for key, e := range o.entries {
+		if key.holder == from && !listed[key.id] && c.now-e.since >= heldGrace {
+			o.remove(key)
+		}
+	}
+}
+
+// dropHolder forgets all that a router had under way and asked for.
+func (c *Core) dropHolder(from string) {
+	for _, s := range c.sortedServers() {
+		if s.owned == nil {
+			continue
+		}
+		for key := range s.owned.entries {
+			if key.holder == from {
+				s.owned.remove(key)
+			}
+		}
+		s.owned.queue = slices.DeleteFunc(s.owned.queue, func(a *asking) bool { return a.from == from })
+		c.serveQueue(s)
+	}
+}
+
+// dropLost forgets requests whose holders do not tell of them any more.
+func (o *owned) dropLost(now time.Duration) {
+	for _, key := range slices.SortedFunc(maps.Keys(o.entries), compareEntries) {
+		if now-o.entries[key].heard >= entryLostAfter {
+			o.remove(key)
+		}
+	}
+}
+
+func compareEntries(a, b entryKey) int {
+	return cmp.Or(cmp.Compare(a.holder, b.holder), cmp.Compare(a.id, b.id))
+}
--- a/pkg/admit/peer.go
+++ b/pkg/admit/peer.go
@@ -8,146 +8,76 @@
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
-// Told is what a router tells the others.
-type Told struct {
-	Servers  []wire.ServerUse
-	Accounts []wire.AccountUse
-	Copies   []wire.Copy
-}
-
-// peer is what another router last told.
+// peer is what another router last told of accounts.
 type peer struct {
-	heard    time.Duration
-	servers  map[wire.Key]use
-	accounts map[wire.Key]flow
+	heard time.Duration
+	flows map[wire.Key]flow
 }
 
 // silentAfter is when what a router told counts no more: its requests have
 // most likely ended with it, or cannot be seen from here.
 const silentAfter = time.Second
 
-// Heard is what another router tells.
-type Heard struct {
-	From string
-	Told Told
-}
-
 // PeerGone says that a router has ended.
 type PeerGone struct{ From string }
 
-func (e Heard) apply(c *Core) {
-	c.forgetPeer(e.From)
-	p := &peer{heard: c.now, servers: make(map[wire.Key]use, len(e.Told.Servers)), accounts: make(map[wire.Key]flow, len(e.Told.Accounts))}
-	for _, u := range e.Told.Servers {
-		p.servers[u.Server] = use{running: u.Running, unread: u.Unread}
-	}
-	for _, u := range e.Told.Accounts {
-		p.accounts[u.Account] = flow{asked: float64(u.Asked), begun: float64(u.Begun)}
-	}
-	c.peers[e.From] = p
-	c.countPeer(p, 1)
-	c.learnCopies(e.Told.Copies)
-	for _, s := range c.services {
-		c.serveWaiting(s)
+func (e PeerGone) apply(c *Core) {
+	c.forgetFlows(e.From)
+	c.dropHolder(e.From)
+	for _, r := range slices.Clone(c.waiting) {
+		c.ownerGone(r, e.From)
 	}
 }
 
-func (e PeerGone) apply(c *Core) { c.forgetPeer(e.From) }
-
-func (c *Core) forgetPeer(name string) {
-	if p, ok := c.peers[name]; ok {
-		delete(c.peers, name)
-		c.countPeer(p, -1)
+// ownerGone has a request that asked an owner which has ended ask anew.
+func (c *Core) ownerGone(r *request, owner string) {
+	before := len(r.asks)
+	r.asks = slices.DeleteFunc(r.asks, func(a *ask) bool { return a.owner == owner })
+	if len(r.asks) != before {
+		c.advance(r)
 	}
 }
 
-// countPeer adds what a router told to the sums, or takes it away.
-func (c *Core) countPeer(p *peer, sign int) {
-	for _, s := range c.servers {
-		u, ok := p.servers[wire.KeyOf(s.Name)]
-		if !ok {
-			continue
-		}
-		if sign > 0 {
-			s.others.add(u)
-		} else {
-			s.others.subtract(u)
-		}
+// toldState takes in what another router tells of accounts and copies.
+func (c *Core) toldState(from string, m *wire.State) {
+	c.forgetFlows(from)
+	p := &peer{heard: c.now, flows: make(map[wire.Key]flow, len(m.Accounts))}
+	for _, f := range m.Accounts {
+		p.flows[f.Account] = flow{asked: float64(f.Asked), begun: float64(f.Begun)}
+		c.accounts.get(f.Account)
 	}
-	for name, a := range c.accounts.by {
-		if f, ok := p.accounts[wire.KeyOf(name)]; ok {
-			a.others.asked = max(0, a.others.asked+float64(sign)*f.asked)
-			a.others.begun = max(0, a.others.begun+float64(sign)*f.begun)
+	c.peers[from] = p
+	c.accounts.count(p.flows, 1)
+	for _, x := range m.Copies {
+		if s, ok := c.servers[x.Server]; ok {
+			s.copies.note(x.Prefix, c.now)
 		}
 	}
 }
 
-// usedByPeers sums what the routers heard of have under way at a backend
-// server that is new in the view.
-func (c *Core) usedByPeers(name string) use {
-	var sum use
-	key := wire.KeyOf(name)
-	for _, p := range c.peers {
-		sum.add(p.servers[key])
-	}
-	return sum
-}
-
-// account returns an account, with what was told of it before it was seen
-// here.
-func (c *Core) account(name string) *account {
-	if a, ok := c.accounts.by[name]; ok {
-		return a
-	}
-	a := c.accounts.get(name)
-	key := wire.KeyOf(name)
-	for _, p := range c.peers {
-		f := p.accounts[key]
-		a.others.asked += f.asked
-		a.others.begun += f.begun
+func (c *Core) forgetFlows(name string) {
+	if p, ok := c.peers[name]; ok {
+		delete(c.peers, name)
+		c.accounts.count(p.flows, -1)
 	}
-	return a
 }
 
 func (c *Core) dropSilentPeers() {
 	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
 		if c.now-c.peers[name].heard >= silentAfter {
-			c.forgetPeer(name)
+			c.forgetFlows(name)
 		}
 	}
-}
-
-// learnCopies notes where other routers had prompts read.
-func (c *Core) learnCopies(copies []wire.Copy) {
-	if len(copies) == 0 {
-		return
-	}
-	byKey := make(map[wire.Key]*server, len(c.servers))
-	for name, s := range c.servers {
-		byKey[wire.KeyOf(name)] = s
-	}
-	for _, x := range copies {
-		if s, ok := byKey[x.Server]; ok {
-			s.known.note(x.Prefix, c.now)
+	for _, s := range c.sortedServers() {
+		if s.owned != nil {
+			s.owned.dropLost(c.now)
 		}
 	}
 }
 
-// Tell returns what this router tells the others.
-func (c *Core) Tell(now time.Duration) Told {
-	t := Told{Copies: c.copies}
+// Tell returns what this router tells the others of accounts and copies.
+func (c *Core) Tell(now time.Duration) ([]wire.AccountFlow, []wire.Copy) {
+	copies := c.copies
 	c.copies = nil
-	for _, name := range slices.Sorted(maps.Keys(c.servers)) {
-		s := c.servers[name]
-		if s.own.running > 0 {
-			t.Servers = append(t.Servers, wire.ServerUse{Server: wire.KeyOf(name), Running: s.own.running, Unread: max(0, s.own.unread)})
-		}
-	}
-	for _, name := range slices.Sorted(maps.Keys(c.accounts.by)) {
-		a := c.accounts.by[name]
-		if asked := a.asked.get(now); asked >= 1 {
-			t.Accounts = append(t.Accounts, wire.AccountUse{Account: wire.KeyOf(name), Asked: float32(asked), Begun: float32(a.begun.get(now))})
-		}
-	}
-	return t
+	return c.accounts.tell(now), copies
 }
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -1,12 +1,12 @@
 package admit
 
 import (
-	"cmp"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 // Request is a request that waits for its place.
@@ -38,19 +38,38 @@
 // request is one that this router holds.
 type request struct {
 	Request
+	account wire.Key
 	arrived time.Duration
 	// cost is what it is counted as for its account, in tokens.
 	cost float64
+	// asks are the owners that were asked for a place.
+	asks []*ask
 	// at is the backend server it was sent to, nil while it waits.
 	at *server
-	// started is when it was sent, ahead the tokens to be read before its
-	// first event as known then, its own included.
+	// started is when it was sent.
 	started time.Duration
-	ahead   int64
-	// unread is its own tokens to be read; 0 once its first event came.
+	// unread is its tokens to be read; 0 once its first event came.
 	unread int64
 }
 
+// ask is a question to the owner of a backend server.
+type ask struct {
+	server *server
+	owner  string
+	at     time.Duration
+	why    string
+	state  askState
+}
+
+type askState uint8
+
+const (
+	askSent askState = iota
+	askQueued
+	askDenied
+	askUnanswered
+)
+
 // outputCost is how many tokens read a token made counts as.
 const outputCost = 2
 
@@ -83,16 +102,15 @@
 func (e Arrive) apply(c *Core) {
 	r := &request{Request: e.Request, arrived: c.now}
 	r.cost = float64(r.Prompt + outputCost*r.Output)
-	if r.Account != "" && !r.Again {
-		c.account(r.Account).asked.add(c.now, r.cost)
+	if r.Account != "" {
+		r.account = wire.KeyOf(r.Account)
+		if !r.Again {
+			c.accounts.get(r.account).asked.add(c.now, r.cost)
+		}
 	}
 	c.requests[r.ID] = r
-	s := c.service(r.Service)
-	if c.tryStart(s, r) {
-		return
-	}
-	s.queue = append(s.queue, r)
-	c.refuseLate(s)
+	c.waiting = append(c.waiting, r)
+	c.advance(r)
 }
 
 func (e Cancel) apply(c *Core) {
@@ -100,117 +118,83 @@
 	if !ok {
 		return
 	}
-	delete(c.requests, e.ID)
-	s := c.service(r.Service)
 	if r.at == nil {
-		s.queue = slices.DeleteFunc(s.queue, func(q *request) bool { return q == r })
+		c.forget(r)
 		return
 	}
-	c.leave(r)
-	c.serveWaiting(s)
+	c.end(r, Unknown)
 }
 
 func (e First) apply(c *Core) {
 	r, ok := c.requests[e.ID]
-	if !ok || r.at == nil || r.unread == 0 && r.ahead == 0 {
+	if !ok || r.at == nil || r.unread == 0 {
 		return
 	}
-	s := c.service(r.Service)
-	took := c.now - r.started
-	s.line.see(r.ahead, took)
-	r.at.health.first(took, s.line.predict(r.ahead))
-	r.at.own.unread -= r.unread
-	r.unread, r.ahead = 0, 0
-	c.serveWaiting(s)
+	r.unread = 0
+	c.note(r, &wire.Note{Kind: wire.NoteFirst, Millis: (c.now - r.started).Milliseconds()})
 }
 
 func (e End) apply(c *Core) {
 	r, ok := c.requests[e.ID]
-	if !ok {
-		return
-	}
-	delete(c.requests, e.ID)
-	if r.at == nil {
+	if !ok || r.at == nil {
 		return
 	}
 	r.at.health.ended(c.now, e.Result)
-	if r.Account != "" && (e.Result == Refused || e.Result == Unreached) {
-		c.account(r.Account).begun.add(c.now, -r.cost)
+	if r.account != 0 && (e.Result == Refused || e.Result == Unreached) {
+		c.accounts.get(r.account).begun.add(c.now, -r.cost)
 	}
-	c.leave(r)
-	c.serveWaiting(c.service(r.Service))
+	c.end(r, e.Result)
 }
 
-// leave takes a request's share of its backend server back.
-func (c *Core) leave(r *request) {
-	r.at.own.running--
-	r.at.own.unread -= r.unread
-	r.unread = 0
+// end gives a request's place back.
+func (c *Core) end(r *request, result Result) {
+	delete(c.requests, r.ID)
+	delete(r.at.own, r.ID)
+	c.note(r, &wire.Note{Kind: wire.NoteEnded, Result: uint8(result)})
 }
 
-// serveWaiting starts what can be started of the service's queue, the account
-// that had least first, and refuses what has waited too long.
-func (c *Core) serveWaiting(s *service) {
-	if len(s.queue) == 0 {
-		return
-	}
-	c.order(s)
-	left := s.queue[:0]
-	for _, r := range s.queue {
-		if !c.tryStart(s, r) {
-			left = append(left, r)
-		}
+// note tells the owner of a request's backend server what became of it.
+func (c *Core) note(r *request, n *wire.Note) {
+	n.ID, n.Server = r.ID, r.at.key
+	c.send(r.at.owner, n)
+}
+
+// start sends a request to a backend server.
+func (c *Core) start(r *request, s *server, a Start) {
+	r.at = s
+	r.started = c.now
+	s.own[r.ID] = r
+	c.unwait(r)
+	c.withdraw(r, s)
+	if r.account != 0 {
+		c.accounts.get(r.account).begun.add(c.now, r.cost)
 	}
-	clear(s.queue[len(left):])
-	s.queue = left
-	c.refuseLate(s)
+	s.health.started(c.now)
+	a.ID, a.Backend, a.Waited = r.ID, s.Backend, c.now-r.arrived
+	c.act(a)
 }
 
-// order sorts the queue: by rank, by what the account has had, by the time at
-// which the answer is due.
-func (c *Core) order(s *service) {
-	over := make(map[string]float64, len(s.queue))
-	for _, r := range s.queue {
-		if _, ok := over[r.Account]; !ok {
-			over[r.Account] = c.accounts.over(r.Account, c.now)
+// withdraw takes back the questions to other owners.
+func (c *Core) withdraw(r *request, chosen *server) {
+	for _, q := range r.asks {
+		if q.server != chosen && (q.state == askQueued || q.state == askSent) {
+			c.send(q.owner, &wire.Note{ID: r.ID, Server: q.server.key, Kind: wire.NoteCancel})
 		}
 	}
-	slices.SortStableFunc(s.queue, func(a, b *request) int {
-		return cmp.Or(
-			cmp.Compare(a.AccountRank, b.AccountRank), cmp.Compare(a.Rank, b.Rank),
-			cmp.Compare(over[a.Account], over[b.Account]), cmp.Compare(a.due(), b.due()),
-		)
-	})
 }
 
-func (r *request) due() time.Duration { return r.arrived + r.Target }
+func (c *Core) unwait(r *request) {
+	c.waiting = slices.DeleteFunc(c.waiting, func(w *request) bool { return w == r })
+}
 
-// refuseLate refuses what has waited for as long as it may.
-func (c *Core) refuseLate(s *service) {
-	left := s.queue[:0]
-	for _, r := range s.queue {
-		err := c.refusal(s, r)
-		if err == nil {
-			left = append(left, r)
-			continue
-		}
-		delete(c.requests, r.ID)
-		c.act(Refuse{ID: r.ID, Err: err, Waited: c.now - r.arrived})
-	}
-	clear(s.queue[len(left):])
-	s.queue = left
+// forget drops a request that waits.
+func (c *Core) forget(r *request) {
+	delete(c.requests, r.ID)
+	c.unwait(r)
+	c.withdraw(r, nil)
 }
 
-func (c *Core) refusal(s *service, r *request) *verdict.Error {
-	switch {
-	case c.now >= r.Deadline:
-		return errDeadline
-	case r.Patience > 0 && c.now-r.arrived >= r.Patience:
-		if len(s.servers) == 0 {
-			return errNoServer.After(comeBackSoon)
-		}
-		return errBusy.After(c.comeBack(s, r))
-	default:
-		return nil
-	}
+func (c *Core) refuse(r *request, err *verdict.Error) {
+	c.forget(r)
+	c.act(Refuse{ID: r.ID, Err: err, Waited: c.now - r.arrived})
 }
--- /dev/null
+++ b/pkg/admit/seek.go
@@ -0,0 +1,328 @@
+package admit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
+	"github.com/yarrowmast/yarrowmast/pkg/verdict"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+const (
+	// replyWithin is how long an owner may leave a question unanswered before
+	// it is done without.
+	replyWithin = 40 * time.Millisecond
+	// muteFor is how long such an owner is not asked, unless it is heard.
+	muteFor = 500 * time.Millisecond
+	// spillAfter is the part of its patience after which a request may go
+	// where its shared parts must be read again.
+	spillAfter = 0.7
+	// smallShared is the part of a prompt up to which reading its shared
+	// parts again matters little.
+	smallShared = 0.25
+	// mostAsks bounds how many owners are asked for one request.
+	mostAsks = 4
+	// busyFor is how long a backend server without a place is passed over
+	// where another will do.
+	busyFor = 30 * time.Millisecond
+	// defaultTarget is used where none is stated.
+	defaultTarget = time.Second
+	// comeBackSoon is when to come back where nothing is known.
+	comeBackSoon = 250 * time.Millisecond
+	// aloneSlots is the part of its slots that a router uses at a backend
+	// server whose owner it cannot ask.
+	aloneSlots = 0.75
+)
+
+// Why a backend server was chosen.
+const (
+	whyFirst = "prefix"
+	whyCopy  = "copy"
+	whySpill = "spill"
+	whyIdle  = "less-busy"
+	// whyAlone: its owner did not answer.
+	whyAlone = "alone"
+)
+
+// advanceWaiting goes on with every request that waits.
+func (c *Core) advanceWaiting() {
+	for _, r := range slices.Clone(c.waiting) {
+		if r.at == nil {
+			c.advance(r)
+		}
+	}
+}
+
+// advance asks for a place where that is due, and refuses a request that has
+// waited for as long as it may.
+func (c *Core) advance(r *request) {
+	if err := c.refusal(r); err != nil {
+		c.refuse(r, err)
+		return
+	}
+	if c.giveUpOnMute(r) || r.pending() {
+		return
+	}
+	if r.queued() && !c.maySpill(r) || len(r.asks) >= mostAsks {
+		return
+	}
+	if s, why := c.candidate(r); s != nil {
+		c.ask(r, s, why)
+	}
+}
+
+func (c *Core) refusal(r *request) *verdict.Error {
+	switch {
+	case c.now >= r.Deadline:
+		return errDeadline
+	case r.Patience > 0 && c.now-r.arrived >= r.Patience:
+		if len(c.service(r.Service).servers) == 0 {
+			return errNoServer.After(comeBackSoon)
+		}
+		return errBusy.After(c.comeBack())
+	default:
+		return nil
+	}
+}
+
+// comeBack returns when a request that was refused may find a place.
+func (c *Core) comeBack() time.Duration {
+	return comeBackSoon + time.Duration(c.rng.Int64N(int64(comeBackSoon)))
+}
+
+// pending reports whether a question waits for its first answer.
+func (r *request) pending() bool {
+	return slices.ContainsFunc(r.asks, func(a *ask) bool { return a.state == askSent })
+}
+
+func (r *request) queued() bool {
+	return slices.ContainsFunc(r.asks, func(a *ask) bool { return a.state == askQueued })
+}
+
+// giveUpOnMute does without an owner that does not answer. It reports whether
+// the request was started so.
+func (c *Core) giveUpOnMute(r *request) bool {
+	for _, a := range r.asks {
+		if a.state != askSent || c.now-a.at < replyWithin {
+			continue
+		}
+		a.state = askUnanswered
+		c.mute[a.owner] = c.now
+		if c.startAlone(r, a.server) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) isMute(owner string) bool {
+	at, ok := c.mute[owner]
+	return ok && c.now-at < muteFor
+}
+
+// startAlone sends a request without having been given a place, by what this
+// router has under way itself and last heard.
+func (c *Core) startAlone(r *request, s *server) bool {
+	if !s.open() || float64(s.running(c.now)) >= aloneSlots*float64(s.Slots) {
+		return false
+	}
+	r.unread = r.Prompt - r.Shared
+	c.start(r, s, Start{Why: whyAlone, Running: s.running(c.now)})
+	c.note(r, &wire.Note{Kind: wire.NoteStarted, Unread: r.unread})
+	return true
+}
+
+// ask asks the owner of a backend server for a place.
+func (c *Core) ask(r *request, s *server, why string) {
+	if c.isMute(s.owner) {
+		r.asks = append(r.asks, &ask{server: s, owner: s.owner, at: c.now, why: why, state: askUnanswered})
+		c.startAlone(r, s)
+		return
+	}
+	r.asks = append(r.asks, &ask{server: s, owner: s.owner, at: c.now, why: why})
+	target := r.Target
+	if target == 0 {
+		target = defaultTarget
+	}
+	wait := r.Deadline - c.now
+	if r.Patience > 0 {
+		wait = min(wait, r.arrived+r.Patience-c.now)
+	}
+	c.send(s.owner, &wire.Ask{
+		ID: r.ID, Server: s.key, Account: r.account, AccountRank: r.AccountRank, Rank: r.Rank,
+		Prefix: r.Prefix, Prompt: r.Prompt, Shared: r.Shared,
+		TargetMillis: (r.arrived + target - c.now).Milliseconds(), WaitMillis: wait.Milliseconds(), Spill: why == whySpill,
+	})
+}
+
+// replied takes in an owner's answer.
+func (c *Core) replied(from string, m *wire.Reply) {
+	if s, ok := c.servers[m.Server]; ok {
+		s.seen, s.seenAt = use{running: m.Running, unread: m.Unread}, c.now
+		if m.State != wire.PlaceGranted {
+			s.busyUntil = c.now + busyFor
+		}
+	}
+	r, ok := c.requests[m.ID]
+	a := r.askOf(m.Server)
+	if !ok || r.at != nil || a == nil {
+		if m.State == wire.PlaceGranted && (r == nil || r.at == nil || r.at.key != m.Server) {
+			c.send(from, &wire.Note{ID: m.ID, Server: m.Server, Kind: wire.NoteEnded, Result: uint8(Unknown)})
+		}
+		return
+	}
+	switch m.State {
+	case wire.PlaceGranted:
+		c.granted(r, a, m)
+	case wire.PlaceQueued:
+		a.state = askQueued
+		c.advance(r)
+	case wire.PlaceDenied:
+		a.state = askDenied
+		c.advance(r)
+	}
+}
+
+func (r *request) askOf(server wire.Key) *ask {
+	if r == nil {
+		return nil
+	}
+	for _, a := range r.asks {
+		if a.server.key == server {
+			return a
+		}
+	}
+	return nil
+}
+
+// granted starts a request that was given a place.
+func (c *Core) granted(r *request, a *ask, m *wire.Reply) {
+	r.unread = m.Own
+	if r.Prefix != 0 && a.why != whyFirst {
+		c.noteCopy(a.server, r.Prefix)
+	}
+	c.start(r, a.server, Start{
+		Why: a.why, Ahead: m.Ahead, Expected: time.Duration(m.ExpectedMillis) * time.Millisecond, Running: m.Running,
+	})
+}
+
+// mostCopies bounds what is told of copies at once.
+const mostCopies = 64
+
+// noteCopy remembers where a prompt's beginning was read beside its first
+// place, and has the others told.
+func (c *Core) noteCopy(s *server, prefix uint64) {
+	s.copies.note(prefix, c.now)
+	if len(c.copies) < mostCopies {
+		c.copies = append(c.copies, wire.Copy{Prefix: prefix, Server: s.key})
+	}
+}
+
+// candidate returns the next backend server to ask for a place, nil if there
+// is none for now.
+func (c *Core) candidate(r *request) (*server, string) {
+	sv := c.service(r.Service)
+	open := c.healthy(sv, sv.openServers(r))
+	open = slices.DeleteFunc(open, func(s *server) bool { return r.askOf(s.key) != nil })
+	if len(open) == 0 {
+		return nil, ""
+	}
+	if r.Prefix == 0 {
+		return c.leastBusy(open), whyIdle
+	}
+	return c.byPrefix(sv, r, open)
+}
+
+// byPrefix takes the backend servers in the order that the prompt's beginning
+// gives, which is the same at every router: the first, or else another that
+// has read it, or else, when the request can wait no longer, the next. So a
+// prompt that is asked for rarely is read at one, and one that is asked for
+// often at as many as it takes.
+func (c *Core) byPrefix(sv *service, r *request, open []*server) (*server, string) {
+	byWeight(open, r.Prefix)
+	first := firstFor(sv, r.Prefix)
+	if open[0] == first && c.now >= first.busyUntil {
+		return first, whyFirst
+	}
+	for _, s := range open {
+		if s != first && s.copies.has(r.Prefix, c.now) && c.now >= s.busyUntil {
+			return s, whyCopy
+		}
+	}
+	if open[0] == first {
+		return first, whyFirst
+	}
+	if r.queued() && !c.maySpill(r) {
+		return nil, ""
+	}
+	return open[0], whySpill
+}
+
+func byWeight(list []*server, prefix uint64) {
+	slices.SortFunc(list, func(a, b *server) int {
+		return cmp.Compare(rendezvous.WeightOf(prefix, b.Name), rendezvous.WeightOf(prefix, a.Name))
+	})
+}
+
+// firstFor returns the backend server that is first for a prompt's beginning.
+func firstFor(sv *service, prefix uint64) *server {
+	var first *server
+	most := uint64(0)
+	for _, s := range sv.servers {
+		if w := rendezvous.WeightOf(prefix, s.Name); s.open() && (first == nil || w > most) {
+			first, most = s, w
+		}
+	}
+	return first
+}
+
+// maySpill reports whether a request may go to a backend server that has to
+// read its shared parts anew: if they are a small part of the prompt, or if it
+// has waited for nearly as long as it may.
+func (c *Core) maySpill(r *request) bool {
+	if float64(r.Shared) <= smallShared*float64(r.Prompt) {
+		return true
+	}
+	return r.Patience > 0 && c.now-r.arrived >= time.Duration(spillAfter*float64(r.Patience))
+}
+
+// leastBusy takes the less busy of two that are drawn, so that routers which
+// know the same do not all choose the same; one of the own zone wins a tie.
+func (c *Core) leastBusy(open []*server) *server {
+	a, b := open[c.rng.IntN(len(open))], open[c.rng.IntN(len(open))]
+	if c.busier(a, b) {
+		return b
+	}
+	return a
+}
+
+// busier reports whether a is busier than b.
+func (c *Core) busier(a, b *server) bool {
+	x := float64(a.running(c.now)) / float64(a.Slots)
+	y := float64(b.running(c.now)) / float64(b.Slots)
+	if x != y {
+		return x > y
+	}
+	return a.Zone != c.opt.self.Zone && b.Zone == c.opt.self.Zone
+}
+
+// openServers returns the backend servers that may get the request: without
+// those that failed it, unless no other is left.
+func (sv *service) openServers(r *request) []*server {
+	var open, others []*server
+	for _, s := range sv.servers {
+		if !s.open() {
+			continue
+		}
+		open = append(open, s)
+		if !slices.Contains(r.Avoid, s.Name) {
+			others = append(others, s)
+		}
+	}
+	if len(others) > 0 {
+		return others
+	}
+	return open
+}
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -1,55 +1,63 @@
 package admit
 
 import (
+	"cmp"
+	"maps"
 	"slices"
+	"time"
 
+	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
+// server is a backend server as this router knows it.
+type server struct {
+	table.Backend
+	key wire.Key
+	// owner is the router that gives places there.
+	owner string
+	// own are the requests that this router has under way there.
+	own map[uint64]*request
+	// seen is what its owner last told is under way there, and when.
+	seen   use
+	seenAt time.Duration
+	// busyUntil is until when it is taken to have no place.
+	busyUntil time.Duration
+	health    health
+	// copies are the prompts' beginnings that are read there without it being
+	// the first for them.
+	copies recent
+	// owned is what this router knows as the owner, nil if it is not.
+	owned *owned
+}
+
 // use is what is under way at a backend server.
 type use struct {
 	// running is how many requests were sent there and have not ended.
 	running int
-	// unread is the tokens of their prompts that are still to be read: of
-	// those whose first event has not come.
+	// unread is the tokens of their prompts that are still to be read.
 	unread int64
 }
 
-func (u *use) add(v use) {
-	u.running += v.running
-	u.unread += v.unread
-}
-
-func (u *use) subtract(v use) {
-	u.running -= v.running
-	u.unread -= v.unread
-}
-
-// server is a backend server as this router knows it.
-type server struct {
-	table.Backend
-	// own is what this router has under way there, others what the other
-	// routers last told.
-	own, others use
-	health      health
-	// known are the prompts' beginnings that this router sent there.
-	known recent
-}
-
 // open reports whether new work may go there.
 func (s *server) open() bool { return s.Mark == table.Serving }
 
-func (s *server) running() int { return s.own.running + s.others.running }
+// seenFor is how long what an owner told of a backend server is believed.
+const seenFor = time.Second
 
-func (s *server) unread() int64 { return max(0, s.own.unread+s.others.unread) }
+// running returns how many requests are believed to be there.
+func (s *server) running(now time.Duration) int {
+	if now-s.seenAt > seenFor {
+		return len(s.own)
+	}
+	return max(s.seen.running, len(s.own))
+}
 
-// service is the backend servers of a service or model, and what waits for
-// them here.
+// service is the backend servers of a service or model.
 type service struct {
 	name    string
 	servers []*server
-	// queue is what waits, in no order.
-	queue []*request
 	// line predicts the time to the first event.
 	line line
 	// engine says that answers are generated.
@@ -61,17 +69,18 @@
 
 func (e View) apply(c *Core) {
 	old := c.servers
-	c.servers = make(map[string]*server, len(e.Table.Backends))
+	c.servers = make(map[wire.Key]*server, len(e.Table.Backends))
 	for _, s := range c.services {
-		s.servers = s.servers[:0]
+		s.servers = nil
 	}
 	for _, b := range e.Table.Backends {
-		s, ok := old[b.Name]
+		key := wire.KeyOf(b.Name)
+		s, ok := old[key]
 		if !ok {
-			s = &server{others: c.usedByPeers(b.Name)}
+			s = &server{key: key, own: map[uint64]*request{}}
 		}
 		s.Backend = b
-		c.servers[b.Name] = s
+		c.servers[key] = s
 		for _, m := range b.Models {
 			sv := c.service(m)
 			sv.servers = append(sv.servers, s)
@@ -80,14 +89,21 @@
 	for _, row := range e.Table.Services {
 		c.service(row.Name).engine = row.Engine
 	}
-	for name, s := range c.services {
-		if len(s.servers) == 0 && len(s.queue) == 0 {
-			delete(c.services, name)
-		}
-	}
 	c.accounts.capacity = e.Table.Bounds.TokensPerSecond
-	for _, s := range c.services {
-		c.serveWaiting(s)
+	c.keepRunning(old)
+	c.assignOwners()
+	c.serveOwned()
+	c.advanceWaiting()
+}
+
+// keepRunning keeps the backend servers that are gone from the directory while
+// requests of this router run there.
+func (c *Core) keepRunning(old map[wire.Key]*server) {
+	for key, s := range old {
+		if _, ok := c.servers[key]; !ok && len(s.own) > 0 {
+			s.Mark = table.Leaving
+			c.servers[key] = s
+		}
 	}
 }
 
@@ -100,31 +116,91 @@
 	return s
 }
 
-// openServers returns the backend servers that may get the request.
-func (s *service) openServers(r *request) []*server {
-	open := make([]*server, 0, len(s.servers))
-	for _, sv := range s.servers {
-		if sv.open() {
-			open = append(open, sv)
+// serviceOf returns the service of a backend server.
+func (c *Core) serviceOf(s *server) *service { return c.service(s.Models[0]) }
+
+// Routers replaces the routers that are heard and do not leave, without this
+// one.
+type Routers struct {
+	List []Router
+	// Leaving says that this router leaves.
+	Leaving bool
+}
+
+func (e Routers) apply(c *Core) {
+	c.routers = slices.Clone(e.List)
+	if !e.Leaving || len(c.routers) == 0 {
+		c.routers = append(c.routers, c.opt.self)
+	}
+	c.assignOwners()
+	c.advanceWaiting()
+}
+
+// assignOwners finds the owner of each backend server, and tells a new one what
+// is under way there.
+func (c *Core) assignOwners() {
+	byZone := map[string][]string{}
+	var all []string
+	for _, r := range c.routers {
+		byZone[r.Zone] = append(byZone[r.Zone], r.Address)
+		all = append(all, r.Address)
+	}
+	for _, s := range c.sortedServers() {
+		from := byZone[s.Zone]
+		if len(from) == 0 {
+			from = all
+		}
+		owner := rendezvous.Owner(s.Name, from)
+		if owner == s.owner {
+			continue
 		}
+		s.owner = owner
+		c.tellHeld(s)
 	}
-	return without(open, r)
 }
 
-// without leaves out the backend servers that failed the request, unless no
-// other is left.
-func without(open []*server, r *request) []*server {
-	if len(r.Avoid) == 0 {
-		return open
+// tellHeld tells the owner of a backend server what this router has there.
+func (c *Core) tellHeld(s *server) {
+	if len(s.own) > 0 || s.owner == c.opt.self.Address {
+		c.send(s.owner, &wire.Sync{Held: []wire.Held{s.held()}})
 	}
-	var others []*server
-	for _, sv := range open {
-		if !slices.Contains(r.Avoid, sv.Name) {
-			others = append(others, sv)
+}
+
+// held lists what this router has under way at a backend server.
+func (s *server) held() wire.Held {
+	h := wire.Held{Server: s.key}
+	for _, id := range slices.Sorted(maps.Keys(s.own)) {
+		h.IDs = append(h.IDs, id)
+		h.Unread = append(h.Unread, s.own[id].unread)
+	}
+	return h
+}
+
+func (c *Core) sortedServers() []*server {
+	return slices.SortedFunc(maps.Values(c.servers), func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// syncEvery is the interval at which owners are told all that is under way.
+const syncEvery = time.Second
+
+// syncIfDue tells each owner what this router has at its backend servers, so
+// that messages which were lost do no lasting harm.
+func (c *Core) syncIfDue() {
+	if c.now-c.synced < syncEvery {
+		return
+	}
+	c.synced = c.now
+	held := map[string]*wire.Sync{}
+	for _, s := range c.sortedServers() {
+		if len(s.own) == 0 {
+			continue
+		}
+		if held[s.owner] == nil {
+			held[s.owner] = &wire.Sync{}
 		}
+		held[s.owner].Held = append(held[s.owner].Held, s.held())
 	}
-	if len(others) == 0 {
-		return open
+	for _, owner := range slices.Sorted(maps.Keys(held)) {
+		c.send(owner, held[owner])
 	}
-	return others
 }
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -39,6 +39,10 @@
 	KindRoster     Kind = 19
 	KindNewsAsk    Kind = 20
 	KindNews       Kind = 21
+	KindAsk        Kind = 22
+	KindReply      Kind = 23
+	KindNote       Kind = 24
+	KindSync       Kind = 25
 )
 
 // Protocol is the version of the frames this program writes. A router talks
@@ -106,6 +110,10 @@
 	KindRoster:     func() any { return &Roster{} },
 	KindNewsAsk:    func() any { return &NewsAsk{} },
 	KindNews:       func() any { return &News{} },
+	KindAsk:        func() any { return &Ask{} },
+	KindReply:      func() any { return &Reply{} },
+	KindNote:       func() any { return &Note{} },
+	KindSync:       func() any { return &Sync{} },
 }
 
 // Encoder encodes the messages of one connection. A name that was sent before
