--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -194,3 +194,15 @@
 	}
 	return names
 }
+
+// Counted returns how many requests this router counts at each backend server
+// that it owns or has owned, by name.
+func (c *Core) Counted() map[string]int {
+	counted := map[string]int{}
+	for _, s := range c.servers {
+		if s.owned != nil {
+			counted[s.Name] = s.owned.running
+		}
+	}
+	return counted
+}
