Bound connections by the table's limits, reload settings, keep within the machine

Cause: the platform changes limits of headers and idle time while routers run, and settings files with or without a signal; the process took what it liked of processor and memory.

Change: connections are served by generations, each with the limits that held when it came; a new limit begins a new one and the old end with their next answer. internal/daemon takes over what a running router can, logs what needs a start, and refuses bad settings.

--- a/cmd/yarrowmast/main.go
+++ b/cmd/yarrowmast/main.go
@@ -2,17 +2,13 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/integrii/flaggy"
 
 	"github.com/yarrowmast/yarrowmast/internal/command"
-	"github.com/yarrowmast/yarrowmast/internal/config"
+	"github.com/yarrowmast/yarrowmast/internal/daemon"
 	"github.com/yarrowmast/yarrowmast/internal/dispatch"
 	"github.com/yarrowmast/yarrowmast/internal/node"
 	"github.com/yarrowmast/yarrowmast/platform"
@@ -32,42 +28,12 @@
 		fmt.Fprintln(os.Stderr, "yarrowmast: give --settings FILE; see yarrowmast --help")
 		return command.ExitUsage
 	}
-	s, err := config.Load(file)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return command.ExitUsage
-	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level(s.LogLevel)}))
-	n, err := node.Start(s, node.WithLogger(log), node.WithPlatforms(platforms()))
+	d, err := daemon.New(file, os.Stderr, node.WithPlatforms(platforms()))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "yarrowmast:", err)
 		return command.ExitFailed
 	}
-	return wait(n, s, log)
-}
-
-// wait runs until a signal or a failure. A second signal cuts the drain.
-func wait(n *node.Node, s config.Settings, log *slog.Logger) int {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	select {
-	case err := <-n.Failed():
-		log.Error("router_failed", "error", err)
-		n.Kill()
-		return command.ExitFailed
-	case <-signals:
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), s.DrainFor)
-	defer cancel()
-	go func() {
-		<-signals
-		cancel()
-	}()
-	if err := n.Stop(ctx); err != nil {
-		log.Error("router_cut", "error", err)
-		return command.ExitFailed
-	}
-	return command.ExitOK
+	return d.Run()
 }
 
 // platforms are the operators' platforms that the program can be run on.
@@ -77,11 +43,3 @@
 		Callers: platform.CallerDialect(), Backends: platform.BackendDialect(),
 	}}
 }
-
-func level(name string) slog.Level {
-	var l slog.Level
-	if err := l.UnmarshalText([]byte(name)); err != nil {
-		return slog.LevelInfo
-	}
-	return l
-}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -89,6 +89,16 @@
 	Window time.Duration `yaml:"window"`
 }
 
+// Machine is what the router may use of its machine. Zero means not stated.
+type Machine struct {
+	// Processors is the share of processors, such as 0.4.
+	Processors float64 `yaml:"processors"`
+	// MemoryMB is the memory in megabytes.
+	MemoryMB int64 `yaml:"memory_mb"`
+	// Descriptors is how many files and sockets may be open.
+	Descriptors int64 `yaml:"descriptors"`
+}
+
 // Settings are one router's settings.
 type Settings struct {
 	// Name is unique in the fleet. Required.
@@ -108,6 +118,8 @@
 	ApplyWithin time.Duration `yaml:"apply_within"`
 	// Retries are the fleet's allowance of repeats.
 	Retries Retries `yaml:"retries"`
+	// Machine is what the router may use. Default: what there is.
+	Machine Machine `yaml:"machine"`
 	// Listen is where the router listens.
 	Listen Listen `yaml:"listen"`
 	// TLS is the keys of each listener. Default none.
@@ -181,6 +193,9 @@
 	for i, seed := range s.Seeds {
 		address(d, seed, "seeds", i)
 	}
+	if !(s.Machine.Processors >= 0) || s.Machine.MemoryMB < 0 || s.Machine.Descriptors < 0 {
+		d.Add("must not be below zero", "machine")
+	}
 	positive(d, int64(s.ApplyWithin), "apply_within")
 	positive(d, int64(s.Retries.Window), "retries", "window")
 	if !(s.Retries.Ratio >= 0) || !(s.Retries.Extra >= 0) {
--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -106,7 +106,7 @@
 }
 
 func (e spend) apply(s *state) {
-	routers := s.roster.Lately(s.now, s.d.opt.rule.Window)
+	routers := s.roster.Lately(s.now, s.rule.Window)
 	e.answer <- s.allowance.Spend(s.now, e.service, routers)
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -78,6 +78,8 @@
 	// verified is when that was last known to be the newest, on the
 	// dispatcher's clock; 0 if never.
 	verified atomic.Int64
+	// applyWithin is the option of that name, in nanoseconds.
+	applyWithin atomic.Int64
 	// turn is this router's place among those that read the platform.
 	turn atomic.Int64
 }
@@ -119,9 +121,24 @@
 	for _, f := range opts {
 		f(&d.opt)
 	}
+	d.shared.applyWithin.Store(int64(d.opt.applyWithin))
 	return d
 }
 
+// SetRule changes the fleet's allowance of repeats, and within what time
+// changes are to be in force.
+func (d *Dispatcher) SetRule(r allowance.Rule, applyWithin time.Duration) {
+	d.shared.applyWithin.Store(int64(applyWithin))
+	d.post(setRule{r})
+}
+
+type setRule struct{ allowance.Rule }
+
+func (e setRule) apply(s *state) {
+	s.rule = e.Rule
+	s.allowance.SetRule(e.Rule)
+}
+
 // Start starts the tasks.
 func (d *Dispatcher) Start() {
 	for _, task := range []func(){d.run, d.watch, d.verify} {
@@ -204,6 +221,7 @@
 	catalog   *catalog.Catalog
 	roster    *roster.Roster
 	allowance *allowance.Allowance
+	rule      allowance.Rule
 	peers     map[string]*link
 	nextID    uint64
 	waiting   map[uint64]*attempt
@@ -225,6 +243,7 @@
 		catalog:   catalog.New(),
 		roster:    roster.New(self, d.opt.seeds),
 		allowance: allowance.New(d.opt.rule, now),
+		rule:      d.opt.rule,
 		peers:     map[string]*link{},
 		waiting:   map[uint64]*attempt{},
 	}
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -97,7 +97,7 @@
 	if turn := d.shared.turn.Load(); turn > 0 {
 		part = min(nextPart+turnPart*float64(turn), lastPart)
 	}
-	return d.now()-verified >= time.Duration(part*float64(d.opt.applyWithin))
+	return d.now()-verified >= time.Duration(part*float64(d.shared.applyWithin.Load()))
 }
 
 func (d *Dispatcher) verifyOnce(begun time.Duration) error {
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -25,7 +25,7 @@
 }
 
 func (s *Server) answerTo(w http.ResponseWriter, a *ask) *answer {
-	return &answer{w: w, dialect: &s.opt.dialect, id: a.id, routed: a.route != nil, slow: s.opt.slowCaller}
+	return &answer{w: w, dialect: &s.opt.dialect, id: a.id, routed: a.route != nil, slow: s.callers.Load().SlowCaller}
 }
 
 // Begin implements backend.Sink.
--- a/internal/front/ask.go
+++ b/internal/front/ask.go
@@ -71,7 +71,7 @@
 
 // readHeaders reads what the caller's headers say of the request.
 func (s *Server) readHeaders(a *ask, r *http.Request) *verdict.Error {
-	wait := s.opt.deadline
+	wait := s.callers.Load().Deadline
 	if v := r.Header.Get(HeaderDeadline); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
 		if err != nil || ms <= 0 {
@@ -122,17 +122,18 @@
 
 // readBody reads the whole body, since only a whole one may be passed on.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
-	if r.ContentLength > s.opt.maxBody {
+	limit := s.maxBody()
+	if r.ContentLength > limit {
 		return nil, errBodyTooLong
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(s.opt.slowCaller))
+	_ = control.SetReadDeadline(time.Now().Add(s.callers.Load().SlowCaller))
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	var buf bytes.Buffer
 	if r.ContentLength > 0 {
 		buf.Grow(int(r.ContentLength) + bytes.MinRead)
 	}
-	_, err := buf.ReadFrom(http.MaxBytesReader(w, r.Body, s.opt.maxBody))
+	_, err := buf.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
 	if err == nil {
 		return buf.Bytes(), nil
 	}
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -61,7 +61,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, a *ask, read func() *verdict.Error) {
 	defer s.open.Add(-1)
 	var err *verdict.Error
-	if s.open.Add(1) > s.opt.maxOpen {
+	if s.open.Add(1) > s.callers.Load().MaxOpen {
 		err = errTooManyOpen.After(retryAfter)
 	} else {
 		err = read()
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -99,7 +99,7 @@
 // readStated reads what the headers state: deadline, prompt, last event.
 func (s *Server) readStated(a *ask, r *http.Request) *verdict.Error {
 	d := &s.opt.dialect
-	wait := s.opt.deadline
+	wait := s.callers.Load().Deadline
 	if v := r.Header.Get(d.Deadline); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
 		if err != nil || ms <= 0 {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -8,10 +8,12 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,19 +83,24 @@
 	backend   Backend
 	name      string
 	// idBase makes request ids unique to this start of the router.
-	idBase   string
-	nextID   atomic.Uint64
-	open     atomic.Int64
-	draining atomic.Bool
-	http     *http.Server
+	idBase  string
+	nextID  atomic.Uint64
+	open    atomic.Int64
+	callers atomic.Pointer[Callers]
+	// connected counts callers' connections.
+	connected atomic.Int64
+	draining  atomic.Bool
+	// leaving says that each connection ends with its next answer, ended that
+	// no more are accepted.
+	leaving, ended atomic.Bool
+
+	mu          sync.Mutex
+	ln          net.Listener
+	generations []*generation
 }
 
 type options struct {
-	maxBody    int64
-	maxHeader  int
-	deadline   time.Duration
-	slowCaller time.Duration
-	maxOpen    int64
+	callers    Callers
 	tls        *tls.Config
 	log        *slog.Logger
 	observer   Observer
@@ -104,20 +111,42 @@
 // Option changes a new Server.
 type Option func(*options)
 
-// WithMaxBody sets the largest request body, in bytes.
-func WithMaxBody(n int64) Option { return func(o *options) { o.maxBody = n } }
+// Callers bounds what callers may do.
+type Callers struct {
+	// MaxBody is the largest request body, MaxHeader the largest header, in
+	// bytes.
+	MaxBody   int64
+	MaxHeader int
+	// Deadline is for requests that state none.
+	Deadline time.Duration
+	// SlowCaller bounds one read from or write to a caller.
+	SlowCaller time.Duration
+	// MaxOpen bounds the requests open at once, MaxConnections the
+	// connections; 0 means any number of these.
+	MaxOpen        int64
+	MaxConnections int
+}
+
+// DefaultCallers is what callers may do unless settings say otherwise.
+func DefaultCallers() Callers {
+	return Callers{
+		MaxBody: DefaultMaxBody, MaxHeader: DefaultMaxHeader, Deadline: DefaultDeadline,
+		SlowCaller: DefaultSlowCaller, MaxOpen: DefaultMaxOpen,
+	}
+}
 
-// WithMaxHeader sets the largest request header, in bytes.
-func WithMaxHeader(n int) Option { return func(o *options) { o.maxHeader = n } }
+// WithCallers sets what callers may do.
+func WithCallers(c Callers) Option { return func(o *options) { o.callers = c } }
 
-// WithDeadline sets the deadline of requests that state none.
-func WithDeadline(d time.Duration) Option { return func(o *options) { o.deadline = d } }
+// WithMaxBody sets the largest request body, in bytes.
+func WithMaxBody(n int64) Option { return func(o *options) { o.callers.MaxBody = n } }
 
 // WithSlowCaller bounds one read from or write to a caller.
-func WithSlowCaller(d time.Duration) Option { return func(o *options) { o.slowCaller = d } }
+func WithSlowCaller(d time.Duration) Option { return func(o *options) { o.callers.SlowCaller = d } }
 
-// WithMaxOpen bounds the requests open at once.
-func WithMaxOpen(n int64) Option { return func(o *options) { o.maxOpen = n } }
+// SetCallers changes what callers may do from now on; what bounds a
+// connection holds for new ones.
+func (s *Server) SetCallers(c Callers) { s.callers.Store(&c) }
 
 // WithTLS serves callers over TLS.
 func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
@@ -142,9 +171,7 @@
 func New(name string, inc uint64, s Scheduler, b Backend, opts ...Option) *Server {
 	srv := &Server{
 		opt: options{
-			maxBody: DefaultMaxBody, maxHeader: DefaultMaxHeader, deadline: DefaultDeadline,
-			slowCaller: DefaultSlowCaller, maxOpen: DefaultMaxOpen, log: slog.Default(), observer: noObserver{},
-			dialect: OwnDialect(),
+			callers: DefaultCallers(), log: slog.Default(), observer: noObserver{}, dialect: OwnDialect(),
 		},
 		scheduler: s, backend: b, name: name,
 		idBase: name + "-" + strconv.FormatUint(inc, 36) + "-",
@@ -152,15 +179,7 @@
 	for _, f := range opts {
 		f(&srv.opt)
 	}
-	srv.http = &http.Server{
-		Handler:           srv.handler(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    srv.opt.maxHeader,
-		TLSConfig:         srv.opt.tls,
-		Protocols:         protocols(),
-		ErrorLog:          slog.NewLogLogger(srv.opt.log.Handler(), slog.LevelDebug),
-	}
+	srv.SetCallers(srv.opt.callers)
 	return srv
 }
 
@@ -203,22 +222,8 @@
 	return mux
 }
 
-// Serve answers callers on ln until Shutdown.
-func (s *Server) Serve(ln net.Listener) error {
-	var err error
-	if s.opt.tls != nil {
-		err = s.http.ServeTLS(ln, "", "")
-	} else {
-		err = s.http.Serve(ln)
-	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return fmt.Errorf("front: serve callers: %w", err)
-}
-
 // Leave ends each kept connection with its next answer.
-func (s *Server) Leave() { s.http.SetKeepAlivesEnabled(false) }
+func (s *Server) Leave() { s.leaving.Store(true) }
 
 // Drain refuses new requests as not run; those that wait or run go on.
 func (s *Server) Drain() { s.draining.Store(true) }
@@ -229,14 +234,30 @@
 // Shutdown waits until every request has ended or ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
-	if err := s.http.Shutdown(ctx); err != nil {
+	s.stopListening()
+	var errs []error
+	for _, g := range s.all() {
+		errs = append(errs, g.http.Shutdown(ctx))
+	}
+	if err := errors.Join(errs...); err != nil {
 		return fmt.Errorf("front: shutdown: %w", err)
 	}
 	return nil
 }
 
 // Close cuts every connection.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	s.stopListening()
+	var errs []error
+	for _, g := range s.all() {
+		errs = append(errs, g.http.Close())
+	}
+	return errors.Join(errs...)
+}
+
+func (s *Server) httpLog() *log.Logger {
+	return slog.NewLogLogger(s.opt.log.Handler(), slog.LevelDebug)
+}
 
 func (s *Server) requestID() string {
 	return s.idBase + strconv.FormatUint(s.nextID.Add(1), 10)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/admin"
@@ -53,6 +54,9 @@
 	failed  chan error
 	stop    context.CancelFunc
 	ls      *listeners
+
+	mu          sync.Mutex
+	drainNotice time.Duration
 }
 
 // core decides which request goes where.
@@ -119,7 +123,7 @@
 	for _, f := range opts {
 		f(&o)
 	}
-	n := &Node{Settings: s, log: o.log.With("router", s.Name), failed: make(chan error, 2)}
+	n := &Node{Settings: s, log: o.log.With("router", s.Name), failed: make(chan error, 3), drainNotice: s.DrainNotice}
 	if err := n.start(s, o); err != nil {
 		return nil, fmt.Errorf("node %s: %w", s.Name, err)
 	}
@@ -146,9 +150,7 @@
 		backend.WithDialer(o.dialer), backend.WithIdle(s.Backends.Idle), backend.WithMaxAnswer(s.Backends.MaxAnswerBytes),
 	}
 	frontOpts := []front.Option{
-		front.WithMaxBody(s.Callers.MaxBodyBytes), front.WithMaxHeader(s.Callers.MaxHeaderBytes),
-		front.WithDeadline(s.Callers.DefaultDeadline), front.WithSlowCaller(s.Callers.SlowCaller),
-		front.WithMaxOpen(s.Callers.MaxOpen), front.WithTLS(t.callers), front.WithLogger(n.log),
+		front.WithCallers(callersOf(s)), front.WithTLS(t.callers), front.WithLogger(n.log),
 		front.WithObserver(observers{n.metrics, n.burn, o.observer}),
 	}
 	var scheduler front.Scheduler
@@ -181,7 +183,7 @@
 	n.Peers = peer.New(id.Name, id.Zone, id.Inc, n.ls.peers, append(n.peerOptions(o, t), peer.WithAddress(id.Address))...)
 	n.Dispatch = dispatch.New(id, p.Source(s.Platform, o.dialer), n.Peers,
 		dispatch.WithLogger(n.log), dispatch.WithSeeds(s.Seeds), dispatch.WithApplyWithin(s.ApplyWithin),
-		dispatch.WithRule(allowance.Rule{Ratio: s.Retries.Ratio, Extra: s.Retries.Extra, Window: s.Retries.Window}))
+		dispatch.WithRule(ruleOf(s.Retries)))
 }
 
 func (n *Node) peerOptions(o options, t tlsAll) []peer.Option {
@@ -225,6 +227,51 @@
 	}
 }
 
+// Reload takes over settings that a running router can.
+func (n *Node) Reload(s config.Settings) {
+	n.mu.Lock()
+	n.drainNotice = s.DrainNotice
+	n.mu.Unlock()
+	n.Front.SetCallers(callersOf(s))
+	if n.Dispatch != nil {
+		n.Dispatch.SetRule(ruleOf(s.Retries), s.ApplyWithin)
+	}
+}
+
+func (n *Node) notice() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.drainNotice
+}
+
+func ruleOf(r config.Retries) allowance.Rule {
+	return allowance.Rule{Ratio: r.Ratio, Extra: r.Extra, Window: r.Window}
+}
+
+// callersOf returns what callers may do by the settings.
+func callersOf(s config.Settings) front.Callers {
+	return front.Callers{
+		MaxBody: s.Callers.MaxBodyBytes, MaxHeader: s.Callers.MaxHeaderBytes, Deadline: s.Callers.DefaultDeadline,
+		SlowCaller: s.Callers.SlowCaller, MaxOpen: s.Callers.MaxOpen, MaxConnections: connectionsOf(s.Machine),
+	}
+}
+
+// Parts of the descriptors: callers' connections may take this one, the rest
+// is for backend servers, peers and files.
+const (
+	callersPart      = 0.6
+	otherDescriptors = 200
+)
+
+// connectionsOf returns how many connections callers may have open, 0 for any
+// number.
+func connectionsOf(m config.Machine) int {
+	if m.Descriptors <= otherDescriptors {
+		return 0
+	}
+	return int(callersPart * float64(m.Descriptors-otherDescriptors))
+}
+
 // Failed delivers an error if a listener fails; nil means that it was closed.
 func (n *Node) Failed() <-chan error { return n.failed }
 
@@ -234,8 +281,8 @@
 func (n *Node) Stop(ctx context.Context) error {
 	n.admin.Leave()
 	n.Front.Leave()
-	n.log.Info("router_leaving", "notice_ms", n.Settings.DrainNotice.Milliseconds())
-	notice := time.NewTimer(n.Settings.DrainNotice)
+	n.log.Info("router_leaving", "notice_ms", n.notice().Milliseconds())
+	notice := time.NewTimer(n.notice())
 	defer notice.Stop()
 	select {
 	case <-notice.C:
