Let relays talk for their zones in fleets of more than twelve routers

Change: pkg/roster chooses two relays a zone (rendezvous, weighted by the share of processors); a router tells its zone's relays its own flows and hears the rest of the fleet's from the first of them; relays tell each other their zones' sums, vouch for whom they hear, and pass news on. The interval grows with those that a relay tells. Owners of backend servers are chosen by capacity too.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -52,6 +52,8 @@
 	Zone string
 	// Inc is the incarnation: the wall time of the start in nanoseconds.
 	Inc uint64
+	// Capacity is the share of processors, 0 if it is not stated.
+	Capacity float64
 }
 
 // Dispatcher is one router's scheduler.
@@ -222,29 +224,32 @@
 	roster    *roster.Roster
 	allowance *allowance.Allowance
 	rule      allowance.Rule
-	peers     map[string]*link
+	links     map[string]*link
 	nextID    uint64
 	waiting   map[uint64]*attempt
-	told      time.Duration
+	toldAt    time.Duration
 	gossiped  time.Duration
 	askedNews time.Duration
 	status    time.Duration
+	// talk is whom this router tells what, digest that of its roster.
+	talk   roster.Talk
+	digest uint64
 	// routers are those that the core was last told of.
 	routers []admit.Router
 	left    bool
 }
 
 func newState(d *Dispatcher) *state {
-	self := roster.Member{Address: d.id.Address, Name: d.id.Name, Zone: d.id.Zone, Inc: d.id.Inc}
+	self := roster.Member{Address: d.id.Address, Name: d.id.Name, Zone: d.id.Zone, Inc: d.id.Inc, Capacity: d.id.Capacity}
 	now := d.now()
 	return &state{
 		d: d, now: now, lastRun: now,
-		core:      admit.New(admit.Router{Address: d.id.Address, Zone: d.id.Zone}, admit.WithSeed(d.id.Inc)),
+		core:      admit.New(admit.Router{Address: d.id.Address, Zone: d.id.Zone, Capacity: d.id.Capacity}, admit.WithSeed(d.id.Inc)),
 		catalog:   catalog.New(),
 		roster:    roster.New(self, d.opt.seeds),
 		allowance: allowance.New(d.opt.rule, now),
 		rule:      d.opt.rule,
-		peers:     map[string]*link{},
+		links:     map[string]*link{},
 		waiting:   map[uint64]*attempt{},
 	}
 }
@@ -279,6 +284,6 @@
 
 func (ticked) apply(s *state) {
 	s.step(admit.Tick{})
-	s.talk()
+	s.tellOthers()
 	s.publish()
 }
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -152,8 +152,9 @@
 // heard is news of the platform, read by this router or told by another.
 type heard struct {
 	catalog.News
-	// from is the router that told them, "" if read here.
-	from string
+	// from is the name of the router that told them, sender its address; ""
+	// if read here.
+	from, sender string
 	// at is when they were the newest, 0 if that is not known.
 	at time.Duration
 	// applied is closed when they are in force.
@@ -174,8 +175,8 @@
 	if changed {
 		s.inForce(e.from)
 	}
-	if e.from == "" && asOf > before {
-		s.spread(before)
+	if asOf > before {
+		s.spread(before, e.sender)
 	}
 }
 
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -12,21 +12,25 @@
 )
 
 const (
-	// tellEvery is the interval at which a router tells what it has under way.
-	tellEvery = 100 * time.Millisecond
-	// gossipEvery is the interval at which it tells one other whom it knows.
+	// gossipEvery is the interval at which a router tells one other whom it
+	// knows, where nobody vouches for anyone.
 	gossipEvery = 2 * time.Second
 	// askNewsEvery bounds how often news are asked for.
 	askNewsEvery = 100 * time.Millisecond
+	// silentTellings is how many tellings may be missed before what was told
+	// counts no more.
+	silentTellings = 4
 	// readerKey is hashed to order the routers that read the platform.
 	readerKey = "reader"
 )
 
 // link is what is remembered of the talk with another router.
 type link struct {
+	inc uint64
 	// stamp is the last one received from it.
 	stamp wire.Stamp
-	inc   uint64
+	// digest is that of the roster that it was last told.
+	digest uint64
 }
 
 // inbound is a message of another router.
@@ -41,7 +45,7 @@
 	}
 	switch m := e.Msg.(type) {
 	case *wire.State:
-		s.hear(e.From, e.Inc, m)
+		s.hear(e.Inbound, m)
 	case *wire.Ask, *wire.Reply, *wire.Note, *wire.Sync:
 		s.step(admit.Message{From: e.From, Msg: m})
 	case *wire.Roster:
@@ -52,29 +56,38 @@
 		if m.Table != nil {
 			m.Table.Index()
 		}
-		heard{News: m.News, from: e.Name}.apply(s)
+		heard{News: m.News, from: e.Name, sender: e.From}.apply(s)
 	}
 }
 
-func (s *state) link(from string, inc uint64) *link {
-	l, ok := s.peers[from]
-	if !ok || l.inc < inc {
-		l = &link{inc: inc}
-		s.peers[from] = l
+func (s *state) link(to string) *link {
+	l, ok := s.links[to]
+	if !ok {
+		l = &link{}
+		s.links[to] = l
 	}
 	return l
 }
 
 // hear takes in what another router has under way and how much it knows.
-func (s *state) hear(from string, inc uint64, m *wire.State) {
-	s.link(from, inc).stamp = m.Stamp
+func (s *state) hear(from peer.Inbound, m *wire.State) {
+	l := s.link(from.From)
+	if l.inc < from.Inc {
+		*l = link{inc: from.Inc}
+	}
+	l.stamp = m.Stamp
 	if m.Leaving {
-		s.roster.Leaving(from)
+		s.roster.Leaving(from.From)
+	}
+	if m.Roster != 0 {
+		s.roster.StandsBy(s.now, from.From, m.Roster)
+	}
+	if s.accepts(from, m.Scope) {
+		s.step(admit.State{From: from.From, Zone: from.Zone, Msg: m, Silent: silentTellings * s.talk.Interval})
 	}
-	s.step(admit.Message{From: from, Msg: m})
 	asOf := s.catalog.AsOf()
 	if m.AsOf > asOf {
-		s.askNews(from, asOf)
+		s.askNews(from.From, asOf)
 		return
 	}
 	if m.AsOf == asOf && m.Age >= 0 && m.Echo > 0 {
@@ -82,6 +95,21 @@
 	}
 }
 
+// accepts reports whether flows of a scope are counted here: all flows must be
+// counted, and none twice.
+func (s *state) accepts(from peer.Inbound, scope wire.Scope) bool {
+	switch scope {
+	case wire.ScopeOwn:
+		return s.talk.Mesh || s.talk.Relay
+	case wire.ScopeZone:
+		return s.talk.Relay && from.From == s.roster.FirstRelay(s.now, from.Zone)
+	case wire.ScopeRest:
+		return !s.talk.Mesh && !s.talk.Relay && from.From == s.roster.FirstRelay(s.now, s.d.id.Zone)
+	default:
+		return true
+	}
+}
+
 func (s *state) askNews(from string, after uint64) {
 	if s.now-s.askedNews < askNewsEvery {
 		return
@@ -90,14 +118,22 @@
 	s.d.net.Send(from, &wire.NewsAsk{After: after})
 }
 
-// spread tells all routers at once what was read after a revision.
-func (s *state) spread(after uint64) {
+// spread tells others at once what came after a revision: what this router has
+// read itself to all it talks with, and a relay passes on what it was told.
+func (s *state) spread(after uint64, sender string) {
+	if sender != "" && !s.talk.Relay {
+		return
+	}
 	news := s.catalog.Since(after)
 	if news.Empty() {
 		return
 	}
-	for _, to := range s.roster.Live(s.now) {
-		s.d.net.Send(to, &wire.News{News: news})
+	for _, list := range [][]string{s.talk.Members, s.talk.Served, s.talk.Others} {
+		for _, to := range list {
+			if to != sender {
+				s.d.net.Send(to, &wire.News{News: news})
+			}
+		}
 	}
 }
 
@@ -105,6 +141,7 @@
 type lost struct{ peer.Lost }
 
 func (e lost) apply(s *state) {
+	s.link(e.Peer).digest = 0
 	if !e.Refused {
 		return
 	}
@@ -113,77 +150,100 @@
 	s.membersChanged()
 }
 
-// talk tells other routers what is due to be told.
-func (s *state) talk() {
-	if s.now-s.told < tellEvery {
+// tellOthers tells other routers what is due to be told.
+func (s *state) tellOthers() {
+	if s.now-s.toldAt < s.talk.Interval {
 		return
 	}
-	s.told = s.now
+	s.toldAt = s.now
 	s.membersChanged()
-	accounts, copies := s.core.Tell(s.now)
-	live := s.roster.Live(s.now)
-	for _, to := range live {
-		s.d.net.Send(to, s.stateFor(to, accounts, copies))
+	t := s.core.Tell(s.now)
+	for _, to := range s.talk.Members {
+		s.tell(to, t, wire.ScopeOwn)
+	}
+	served, others := wire.ScopeNone, wire.ScopeNone
+	if s.talk.First {
+		served, others = wire.ScopeRest, wire.ScopeZone
+	}
+	for _, to := range s.talk.Served {
+		s.tell(to, t, served)
+	}
+	for _, to := range s.talk.Others {
+		s.tell(to, t, others)
 	}
-	for _, to := range s.roster.Tries(s.now) {
+	for _, to := range s.roster.Tries(s.now, s.talk) {
 		s.d.net.Send(to, s.tellRoster(true))
 	}
 	s.roster.Forget(s.now)
-	s.gossip(live)
+	s.gossip()
 }
 
-func (s *state) stateFor(to string, accounts []wire.AccountFlow, copies []wire.Copy) *wire.State {
+// tell sends one router what it is to know.
+func (s *state) tell(to string, t *admit.Telling, scope wire.Scope) {
+	l := s.link(to)
 	m := &wire.State{
-		Stamp: wire.StampOf(s.now), AsOf: s.catalog.AsOf(), Age: -1, Leaving: s.d.Draining(),
-		Accounts: accounts, Copies: copies,
-	}
-	if l, ok := s.peers[to]; ok {
-		m.Echo = l.stamp
+		Stamp: wire.StampOf(s.now), Echo: l.stamp, AsOf: s.catalog.AsOf(), Age: -1, Leaving: s.d.Draining(),
+		Scope: scope, Accounts: t.For(scope, to), Copies: t.Copies(s.talk.Relay),
 	}
 	if verified := time.Duration(s.d.shared.verified.Load()); verified > 0 {
 		m.Age = (s.now - verified).Milliseconds() + 1
 	}
-	return m
+	if s.talk.Relay {
+		m.Roster = s.digest
+		if l.digest != s.digest {
+			l.digest = s.digest
+			s.d.net.Send(to, s.tellRoster(false))
+		}
+	}
+	s.d.net.Send(to, m)
 }
 
 // gossip tells one router in turn whom this one knows.
-func (s *state) gossip(live []string) {
-	if s.now-s.gossiped < gossipEvery || len(live) == 0 {
+func (s *state) gossip() {
+	all := slices.Concat(s.talk.Members, s.talk.Others)
+	if s.now-s.gossiped < gossipEvery || len(all) == 0 {
 		return
 	}
 	s.gossiped = s.now
-	to := live[int(s.now/gossipEvery)%len(live)]
-	s.d.net.Send(to, s.tellRoster(false))
+	s.d.net.Send(all[int(s.now/gossipEvery)%len(all)], s.tellRoster(false))
 }
 
 func (s *state) tellRoster(answer bool) *wire.Roster {
-	m := &wire.Roster{Answer: answer}
+	m := &wire.Roster{Answer: answer, Digest: s.digest}
 	for _, k := range s.roster.All(s.now) {
 		m.Entries = append(m.Entries, wire.RosterEntry{
-			Address: k.Address, Name: k.Name, Zone: k.Zone, Inc: k.Inc, Heard: k.Ago.Milliseconds(),
+			Address: k.Address, Name: k.Name, Zone: k.Zone, Inc: k.Inc, Capacity: float32(k.Capacity),
+			Heard: k.Ago.Milliseconds(), Lives: k.Lives, Hears: k.Heard, Leaving: k.Leaving,
 		})
 	}
 	return m
 }
 
 func (s *state) learn(from string, m *wire.Roster) {
+	list := make([]roster.Known, 0, len(m.Entries))
 	for _, e := range m.Entries {
-		member := roster.Member{Address: e.Address, Name: e.Name, Zone: e.Zone, Inc: e.Inc}
-		s.roster.Learn(s.now, member, s.now-time.Duration(e.Heard)*time.Millisecond)
+		list = append(list, roster.Known{
+			Member: roster.Member{Address: e.Address, Name: e.Name, Zone: e.Zone, Inc: e.Inc, Capacity: float64(e.Capacity)},
+			Ago:    time.Duration(e.Heard) * time.Millisecond, Lives: e.Lives, Heard: e.Hears, Leaving: e.Leaving,
+		})
 	}
+	s.roster.Learn(s.now, from, m.Digest, list)
 	if m.Answer {
 		s.d.net.Send(from, s.tellRoster(false))
 	}
+	s.membersChanged()
 }
 
-// membersChanged tells those who decide by the routers that are heard, if
-// these changed.
+// membersChanged tells those who decide by the routers that live, if these
+// changed.
 func (s *state) membersChanged() {
+	s.talk = s.roster.Talk(s.now)
+	s.digest = s.roster.Digest(s.now)
 	s.takeTurn()
 	var routers []admit.Router
 	for _, address := range s.roster.Staying(s.now) {
 		if m, ok := s.roster.Get(address); ok {
-			routers = append(routers, admit.Router{Address: address, Zone: m.Zone})
+			routers = append(routers, admit.Router{Address: address, Zone: m.Zone, Capacity: m.Capacity})
 		}
 	}
 	leaving := s.d.Draining()
@@ -191,18 +251,19 @@
 		return
 	}
 	s.routers, s.left = routers, leaving
-	s.d.opt.log.Info("members", "live", len(routers)+1, "leaving", leaving)
+	s.d.opt.log.Info("members", "live", len(routers)+1, "relay", s.talk.Relay, "mesh", s.talk.Mesh, "leaving", leaving)
 	s.step(admit.Routers{List: routers, Leaving: leaving})
 }
 
 // takeTurn finds this router's place among those that read the platform.
 func (s *state) takeTurn() {
+	staying := s.roster.Staying(s.now)
 	turn := 0
 	if s.d.Draining() {
-		turn = len(s.peers) + watchers
+		turn = len(staying) + watchers
 	}
 	own := rendezvous.Weight(readerKey, s.d.id.Address)
-	for _, address := range s.roster.Staying(s.now) {
+	for _, address := range staying {
 		if rendezvous.Weight(readerKey, address) > own {
 			turn++
 		}
@@ -211,51 +272,3 @@
 		s.d.opt.log.Debug("reader_turn", "turn", turn, "before", old)
 	}
 }
-
-// statusEvery is the interval at which the status for operators is renewed.
-const statusEvery = 250 * time.Millisecond
-
-// Status is one router's state, for operators.
-type Status struct {
-	Name        string `json:"name"`
-	Zone        string `json:"zone"`
-	Incarnation uint64 `json:"incarnation"`
-	// Table is the revision in force, 0 before there is one.
-	Table uint64 `json:"table"`
-	// AsOf is the platform's revision up to which all is known, and
-	// VerifiedMillisAgo how long ago that was known to be the newest.
-	AsOf              uint64 `json:"as_of"`
-	VerifiedMillisAgo int64  `json:"verified_ms_ago"`
-	// Turn is the place among the readers of the platform.
-	Turn     int64    `json:"reader_turn"`
-	Draining bool     `json:"draining"`
-	Live     []string `json:"live"`
-	// Waiting is how many requests wait.
-	Waiting int `json:"waiting"`
-}
-
-func (s *state) publish() {
-	if s.now-s.status < statusEvery {
-		return
-	}
-	s.status = s.now
-	st := &Status{
-		Name: s.d.id.Name, Zone: s.d.id.Zone, Incarnation: s.d.id.Inc, AsOf: s.catalog.AsOf(), Turn: s.d.shared.turn.Load(),
-		VerifiedMillisAgo: (s.now - time.Duration(s.d.shared.verified.Load())).Milliseconds(),
-		Live:              slices.Clone(s.roster.Live(s.now)), Waiting: s.core.Waiting(),
-	}
-	if v := s.catalog.View(); v != nil {
-		st.Table = v.Revision
-	}
-	s.d.shared.status.Store(st)
-}
-
-// State is the router's state for operators.
-func (d *Dispatcher) State() any {
-	st := Status{Name: d.id.Name, Zone: d.id.Zone, Incarnation: d.id.Inc}
-	if p := d.shared.status.Load(); p != nil {
-		st = *p
-	}
-	st.Draining = d.Draining()
-	return st
-}
--- /dev/null
+++ b/internal/dispatch/status.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import "time"
+
+// statusEvery is the interval at which the status for operators is renewed.
+const statusEvery = 250 * time.Millisecond
+
+// Status is one router's state, for operators.
+type Status struct {
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	Incarnation uint64 `json:"incarnation"`
+	// Table is the revision in force, 0 before there is one.
+	Table uint64 `json:"table"`
+	// AsOf is the platform's revision up to which all is known, and
+	// VerifiedMillisAgo how long ago that was known to be the newest.
+	AsOf              uint64 `json:"as_of"`
+	VerifiedMillisAgo int64  `json:"verified_ms_ago"`
+	// Turn is the place among the readers of the platform.
+	Turn     int64 `json:"reader_turn"`
+	Draining bool  `json:"draining"`
+	// Live are the routers that live, Relay says that this one is a relay of
+	// its zone.
+	Live  []string `json:"live"`
+	Relay bool     `json:"relay"`
+	// Owned are the backend servers that this router owns.
+	Owned []string `json:"owned"`
+	// Waiting is how many requests wait.
+	Waiting int `json:"waiting"`
+}
+
+func (s *state) publish() {
+	if s.now-s.status < statusEvery {
+		return
+	}
+	s.status = s.now
+	st := &Status{
+		Name: s.d.id.Name, Zone: s.d.id.Zone, Incarnation: s.d.id.Inc, AsOf: s.catalog.AsOf(), Turn: s.d.shared.turn.Load(),
+		VerifiedMillisAgo: (s.now - time.Duration(s.d.shared.verified.Load())).Milliseconds(),
+		Live:              s.roster.Live(s.now), Relay: s.talk.Relay, Owned: s.core.Owned(), Waiting: s.core.Waiting(),
+	}
+	if v := s.catalog.View(); v != nil {
+		st.Table = v.Revision
+	}
+	s.d.shared.status.Store(st)
+}
+
+// State is the router's state for operators.
+func (d *Dispatcher) State() any {
+	st := Status{Name: d.id.Name, Zone: d.id.Zone, Incarnation: d.id.Inc}
+	if p := d.shared.status.Load(); p != nil {
+		st = *p
+	}
+	st.Draining = d.Draining()
+	return st
+}
--- a/pkg/admit/account.go
+++ b/pkg/admit/account.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -86,14 +85,13 @@
 	}
 }
 
-// tell returns this router's own flows that are not zero.
-func (as *accounts) tell(now time.Duration) []wire.AccountFlow {
-	var flows []wire.AccountFlow
-	for _, key := range slices.Sorted(maps.Keys(as.by)) {
-		a := as.by[key]
-		asked, begun := a.asked.get(now), a.begun.get(now)
-		if asked >= 1 || begun >= 1 {
-			flows = append(flows, wire.AccountFlow{Account: key, Asked: uint32(max(0, asked)), Begun: uint32(max(0, begun))})
+// own returns this router's own flows.
+func (as *accounts) own(now time.Duration) map[wire.Key]flow {
+	flows := make(map[wire.Key]flow, len(as.by))
+	for key, a := range as.by {
+		f := flow{asked: a.asked.get(now), begun: a.begun.get(now)}
+		if f.asked >= 1 || f.begun >= 1 {
+			flows[key] = f
 		}
 	}
 	return flows
@@ -119,17 +117,22 @@
 // they are given all together.
 func (as *accounts) workOut(now time.Duration) float64 {
 	asks := make([]float64, 0, len(as.by))
-	total := 0.0
-	for _, a := range as.by {
+	total, small := 0.0, 0.0
+	for key, a := range as.by {
 		f := a.flow(now)
 		total += f.begun
+		if key == 0 {
+			// Many accounts told as one: each asks less than those told singly.
+			small = f.asked
+			continue
+		}
 		if f.asked > 0 {
 			asks = append(asks, max(f.asked, f.begun))
 		}
 	}
 	total = max(total, as.capacity)
 	slices.Sort(asks)
-	left := total
+	left := max(0, total-small)
 	for i, ask := range asks {
 		each := left / float64(len(asks)-i)
 		if ask >= each {
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -73,12 +73,16 @@
 	// waiting are the requests that have no place yet, by age.
 	waiting  []*request
 	accounts *accounts
-	peers    map[string]*peer
+	told     map[teller]*told
+	// silentAfter is when what was told counts no more.
+	silentAfter time.Duration
 	// mute are the owners that left a question unanswered, since when.
 	mute map[string]time.Duration
 	// copies are those made since the others were told.
 	copies []wire.Copy
-	synced time.Duration
+	// heardCopies are those that others of the zone told of since then.
+	heardCopies []wire.Copy
+	synced      time.Duration
 	// local is what this router sends to itself.
 	local []any
 	out   []Action
@@ -88,6 +92,8 @@
 type Router struct {
 	Address string
 	Zone    string
+	// Capacity is its share of processors, above 0.
+	Capacity float64
 }
 
 type options struct {
@@ -110,12 +116,13 @@
 		services: map[string]*service{},
 		requests: map[uint64]*request{},
 		accounts: newAccounts(),
-		peers:    map[string]*peer{},
+		told:     map[teller]*told{},
 		mute:     map[string]time.Duration{},
 	}
 	for _, f := range opts {
 		f(&c.opt)
 	}
+	c.silentAfter = DefaultSilentAfter
 	c.rng = rand.New(rand.NewPCG(c.opt.seed, 0))
 	return c
 }
@@ -166,8 +173,6 @@
 		c.noted(from, m)
 	case *wire.Sync:
 		c.toldHeld(from, m)
-	case *wire.State:
-		c.toldState(from, m)
 	}
 }
 
@@ -175,7 +180,7 @@
 type Tick struct{}
 
 func (Tick) apply(c *Core) {
-	c.dropSilentPeers()
+	c.dropSilent()
 	c.serveOwned()
 	c.advanceWaiting()
 	c.syncIfDue()
--- a/pkg/admit/peer.go
+++ b/pkg/admit/peer.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -8,21 +9,27 @@
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
-// peer is what another router last told of accounts.
-type peer struct {
+// teller names whose flows were told: a router's, a zone's, or all others'.
+type teller struct {
+	scope wire.Scope
+	name  string
+}
+
+// told is what was last told of accounts.
+type told struct {
 	heard time.Duration
 	flows map[wire.Key]flow
 }
 
-// silentAfter is when what a router told counts no more: its requests have
-// most likely ended with it, or cannot be seen from here.
-const silentAfter = time.Second
+// DefaultSilentAfter is when what was told counts no more: its requests have
+// most likely ended with their router, or cannot be seen from here.
+const DefaultSilentAfter = time.Second
 
 // PeerGone says that a router has ended.
 type PeerGone struct{ From string }
 
 func (e PeerGone) apply(c *Core) {
-	c.forgetFlows(e.From)
+	c.forgetFlows(teller{wire.ScopeOwn, e.From})
 	c.dropHolder(e.From)
 	for _, r := range slices.Clone(c.waiting) {
 		c.ownerGone(r, e.From)
@@ -38,34 +45,62 @@
 	}
 }
 
-// toldState takes in what another router tells of accounts and copies.
-func (c *Core) toldState(from string, m *wire.State) {
+// State is what another router tells of accounts and copies.
+type State struct {
+	From string
+	// Zone is the sender's zone.
+	Zone string
+	Msg  *wire.State
+	// Silent is when what it tells counts no more, 0 for the default.
+	Silent time.Duration
+}
+
+func (e State) apply(c *Core) {
+	c.learnCopies(e.Zone, e.Msg.Copies)
+	if e.Msg.Scope == wire.ScopeNone {
+		return
+	}
+	from := teller{scope: e.Msg.Scope}
+	switch e.Msg.Scope {
+	case wire.ScopeOwn:
+		from.name = e.From
+	case wire.ScopeZone:
+		from.name = e.Zone
+	}
+	c.silentAfter = max(DefaultSilentAfter, e.Silent)
 	c.forgetFlows(from)
-	p := &peer{heard: c.now, flows: make(map[wire.Key]flow, len(m.Accounts))}
-	for _, f := range m.Accounts {
-		p.flows[f.Account] = flow{asked: float64(f.Asked), begun: float64(f.Begun)}
-		c.accounts.get(f.Account)
-	}
-	c.peers[from] = p
-	c.accounts.count(p.flows, 1)
-	for _, x := range m.Copies {
+	t := &told{heard: c.now, flows: make(map[wire.Key]flow, len(e.Msg.Accounts))}
+	for _, f := range e.Msg.Accounts {
+		t.flows[f.Account] = flow{asked: float64(f.Asked), begun: float64(f.Begun)}
+	}
+	c.told[from] = t
+	c.accounts.count(t.flows, 1)
+}
+
+// learnCopies notes where other routers had prompts read, and passes on what
+// was told by those of the own zone.
+func (c *Core) learnCopies(zone string, copies []wire.Copy) {
+	for _, x := range copies {
 		if s, ok := c.servers[x.Server]; ok {
 			s.copies.note(x.Prefix, c.now)
 		}
+		if zone == c.opt.self.Zone && len(c.heardCopies) < mostCopies {
+			c.heardCopies = append(c.heardCopies, x)
+		}
 	}
 }
 
-func (c *Core) forgetFlows(name string) {
-	if p, ok := c.peers[name]; ok {
-		delete(c.peers, name)
-		c.accounts.count(p.flows, -1)
+func (c *Core) forgetFlows(from teller) {
+	if t, ok := c.told[from]; ok {
+		delete(c.told, from)
+		c.accounts.count(t.flows, -1)
 	}
 }
 
-func (c *Core) dropSilentPeers() {
-	for _, name := range slices.Sorted(maps.Keys(c.peers)) {
-		if c.now-c.peers[name].heard >= silentAfter {
-			c.forgetFlows(name)
+func (c *Core) dropSilent() {
+	for from, t := range c.told {
+		if c.now-t.heard >= c.silentAfter {
+			c.forgetFlows(from)
 		}
 	}
 	for _, s := range c.sortedServers() {
@@ -75,9 +110,98 @@
 	}
 }
 
-// Tell returns what this router tells the others of accounts and copies.
-func (c *Core) Tell(now time.Duration) ([]wire.AccountFlow, []wire.Copy) {
-	copies := c.copies
-	c.copies = nil
-	return c.accounts.tell(now), copies
+// Telling is what a router tells others, made once for all of them.
+type Telling struct {
+	now         time.Duration
+	core        *Core
+	own, zone   map[wire.Key]flow
+	rest        map[wire.Key]flow
+	copies      []wire.Copy
+	heardCopies []wire.Copy
+}
+
+// Tell collects what this router tells the others now.
+func (c *Core) Tell(now time.Duration) *Telling {
+	t := &Telling{now: now, core: c, own: c.accounts.own(now), copies: c.copies, heardCopies: c.heardCopies}
+	c.copies, c.heardCopies = nil, nil
+	t.zone, t.rest = maps.Clone(t.own), map[wire.Key]flow{}
+	for from, x := range c.told {
+		switch {
+		case from.scope == wire.ScopeOwn:
+			addFlows(t.zone, x.flows, 1)
+		case from.scope == wire.ScopeZone && from.name != c.opt.self.Zone:
+			addFlows(t.rest, x.flows, 1)
+		}
+	}
+	addFlows(t.rest, t.zone, 1)
+	return t
+}
+
+func addFlows(sum, flows map[wire.Key]flow, sign float64) {
+	for key, f := range flows {
+		s := sum[key]
+		s.asked += sign * f.asked
+		s.begun += sign * f.begun
+		sum[key] = s
+	}
+}
+
+// For returns the flows of a scope for a receiver.
+func (t *Telling) For(scope wire.Scope, receiver string) []wire.AccountFlow {
+	switch scope {
+	case wire.ScopeOwn:
+		return largest(t.own)
+	case wire.ScopeZone:
+		return largest(t.zone)
+	case wire.ScopeRest:
+		rest := maps.Clone(t.rest)
+		if x, ok := t.core.told[teller{wire.ScopeOwn, receiver}]; ok {
+			addFlows(rest, x.flows, -1)
+		}
+		return largest(rest)
+	default:
+		return nil
+	}
+}
+
+// Copies returns the copies that were made; with all, those that others of
+// the zone told of too.
+func (t *Telling) Copies(all bool) []wire.Copy {
+	if !all {
+		return t.copies
+	}
+	return append(slices.Clone(t.copies), t.heardCopies...)
 }
+
+// mostFlows bounds how many accounts are told of; the rest is told as a sum,
+// under account 0.
+const mostFlows = 64
+
+// largest returns the largest flows and the sum of the rest.
+func largest(flows map[wire.Key]flow) []wire.AccountFlow {
+	list := make([]wire.AccountFlow, 0, len(flows))
+	var rest flow
+	for key, f := range flows {
+		switch {
+		case key == 0:
+			rest.asked += f.asked
+			rest.begun += f.begun
+		case f.asked >= 1 || f.begun >= 1:
+			list = append(list, wire.AccountFlow{Account: key, Asked: rounded(f.asked), Begun: rounded(f.begun)})
+		}
+	}
+	slices.SortFunc(list, func(a, b wire.AccountFlow) int {
+		return cmp.Or(cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Account, b.Account))
+	})
+	for _, f := range list[min(mostFlows, len(list)):] {
+		rest.asked += float64(f.Asked)
+		rest.begun += float64(f.Begun)
+	}
+	list = list[:min(mostFlows, len(list))]
+	if rest.asked >= 1 {
+		list = append(list, wire.AccountFlow{Asked: rounded(rest.asked), Begun: rounded(rest.begun)})
+	}
+	return list
+}
+
+func rounded(x float64) uint32 { return uint32(max(0, x)) }
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -139,18 +139,16 @@
 // assignOwners finds the owner of each backend server, and tells a new one what
 // is under way there.
 func (c *Core) assignOwners() {
-	byZone := map[string][]string{}
-	var all []string
+	byZone := map[string][]Router{}
 	for _, r := range c.routers {
-		byZone[r.Zone] = append(byZone[r.Zone], r.Address)
-		all = append(all, r.Address)
+		byZone[r.Zone] = append(byZone[r.Zone], r)
 	}
 	for _, s := range c.sortedServers() {
 		from := byZone[s.Zone]
 		if len(from) == 0 {
-			from = all
+			from = c.routers
 		}
-		owner := rendezvous.Owner(s.Name, from)
+		owner := ownerOf(s.Name, from)
 		if owner == s.owner {
 			continue
 		}
@@ -159,6 +157,26 @@
 	}
 }
 
+// ownerOf returns the router that owns a backend server: each owns a part that
+// is proportional to its capacity.
+func ownerOf(server string, routers []Router) string {
+	best, most := "", 0.0
+	for _, r := range routers {
+		score := rendezvous.Score(server, r.Address, r.capacity())
+		if best == "" || score > most || score == most && r.Address < best {
+			best, most = r.Address, score
+		}
+	}
+	return best
+}
+
+func (r *Router) capacity() float64 {
+	if r.Capacity <= 0 {
+		return 1
+	}
+	return r.Capacity
+}
+
 // tellHeld tells the owner of a backend server what this router has there.
 func (c *Core) tellHeld(s *server) {
 	if len(s.own) > 0 || s.owner == c.opt.self.Address {
--- a/pkg/admit/world_test.go
+++ b/pkg/admit/world_test.go
@@ -161,10 +161,10 @@
 	if w.down[name] {
 		return
 	}
-	flows, copies := w.cores[name].Tell(w.now)
+	t := w.cores[name].Tell(w.now)
 	for _, other := range w.order {
 		if other != name {
-			w.deliver(name, other, &wire.State{Accounts: flows, Copies: copies})
+			w.deliver(name, other, &wire.State{Accounts: t.For(wire.ScopeOwn, other), Copies: t.Copies(false)})
 		}
 	}
 }
@@ -174,9 +174,14 @@
 		return
 	}
 	w.at(netTime, func() {
-		if !w.down[to] {
-			w.step(to, admit.Message{From: from, Msg: msg})
+		if w.down[to] {
+			return
 		}
+		if m, ok := msg.(*wire.State); ok {
+			w.step(to, admit.State{From: from, Zone: zoneOf(from), Msg: m})
+			return
+		}
+		w.step(to, admit.Message{From: from, Msg: msg})
 	})
 }
 
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -1,26 +1,59 @@
-// Package roster keeps the routers of a fleet that publishes no list of them:
-// it begins with a few seeds, which may be stale or down, learns the others by
-// hearsay, and believes that a router lives only while it hears from it. It is
-// a pure state machine.
+// Package roster keeps the routers of a fleet that publishes no list of them.
+// A router begins with a few seeds, which may be stale or down, learns the
+// others by hearsay, and believes that one lives while it hears from it or
+// while a relay vouches for it.
+//
+// In a small fleet every router talks with every other. In a larger one, each
+// zone has a few relays: its routers talk with these, and relays talk with the
+// relays of other zones. Who is a relay is computed by each router alone from
+// those it believes to live. The package is a pure state machine.
 package roster
 
 import (
+	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 )
 
 // The times after which a router is believed something else.
 const (
-	// SilentAfter is when a router that is not heard counts as lost.
+	// SilentAfter is when a router that is not heard counts as lost, if
+	// routers tell each other more often than three times in it.
 	SilentAfter = 500 * time.Millisecond
 	// TryEvery is how often a router that is not heard is tried.
 	TryEvery = time.Second
+	// SeedEvery is how often a seed is tried that this router need not hear.
+	SeedEvery = 15 * time.Second
 	// ForgetAfter is when a router that nobody heard is forgotten, unless it
 	// is a seed.
 	ForgetAfter = 30 * time.Second
 )
 
+const (
+	// meshUpTo is up to how many routers all talk with all.
+	meshUpTo = 12
+	// relaysEach is how many relays a zone has.
+	relaysEach = 2
+	// relayKey is hashed to choose the relays.
+	relayKey = "relay"
+	// triesEach bounds how many routers are tried at once.
+	triesEach = 8
+	// quickest and slowest are the interval at which routers tell each other;
+	// it grows by perMember with those that a relay tells, so that what a
+	// relay sends in a second does not.
+	quickest  = 100 * time.Millisecond
+	slowest   = time.Second
+	perMember = 10 * time.Millisecond
+	// silentIntervals is how many intervals may pass unheard.
+	silentIntervals = 3
+)
+
 // Member is a router.
 type Member struct {
 	// Address is where it listens for peers; it identifies the router.
@@ -29,6 +62,16 @@
 	Zone    string
 	// Inc is its start, 0 if not known.
 	Inc uint64
+	// Capacity is its share of processors, above 0 where it is known.
+	Capacity float64
+}
+
+// capacity returns the capacity to choose by.
+func (m *Member) capacity() float64 {
+	if m.Capacity <= 0 {
+		return 1
+	}
+	return m.Capacity
 }
 
 // member is a router as this one knows it.
@@ -44,15 +87,28 @@
 	seed    bool
 }
 
+// vouching is what a relay last said of who lives.
+type vouching struct {
+	// digest is the relay's own of what it said.
+	digest uint64
+	// at is when it last stood by it.
+	at    time.Duration
+	lives map[string]bool
+}
+
 // Roster is the state of one router's view of the fleet.
 type Roster struct {
 	self    Member
 	members map[string]*member
+	// vouched is what relays said, by relay.
+	vouched map[string]*vouching
+	// interval is the one in force.
+	interval time.Duration
 }
 
 // New returns the view of a router that knows its seeds only.
 func New(self Member, seeds []string) *Roster {
-	r := &Roster{self: self, members: map[string]*member{}}
+	r := &Roster{self: self, members: map[string]*member{}, vouched: map[string]*vouching{}, interval: quickest}
 	for _, address := range seeds {
 		if address != self.Address {
 			r.members[address] = &member{Member: Member{Address: address}, tried: -TryEvery, seed: true}
@@ -62,7 +118,7 @@
 }
 
 // Heard notes that a message of a router came. It reports whether the router
-// was not live before, or has started anew.
+// was not heard before, or has started anew.
 func (r *Roster) Heard(now time.Duration, from Member) bool {
 	if from.Address == r.self.Address {
 		return false
@@ -71,9 +127,13 @@
 	if from.Inc < m.Inc {
 		return false
 	}
-	news := !m.live(now) || from.Inc > m.Inc
+	news := !r.hears(now, m) || from.Inc > m.Inc
 	if from.Inc > m.Inc {
 		m.leaving = false
+		r.unvouch(from.Address)
+	}
+	if from.Capacity == 0 {
+		from.Capacity = m.Capacity
 	}
 	m.Member = from
 	m.heard, m.known = now, now
@@ -89,16 +149,64 @@
 	return m
 }
 
-// Learn takes in that another router knows one, which anyone last heard of at
-// a time on this router's clock.
-func (r *Roster) Learn(now time.Duration, about Member, known time.Duration) {
-	if about.Address == r.self.Address || now-known >= ForgetAfter {
-		return
+// Known is a router as another one tells of it.
+type Known struct {
+	Member
+	// Ago is how long ago anyone last heard of it.
+	Ago time.Duration
+	// Lives says that the teller believes that it lives, Heard that it hears
+	// it itself.
+	Lives, Heard bool
+	Leaving      bool
+}
+
+// Learn takes in whom another router knows. Those that a relay says to live
+// are believed to. A relay itself believes only in those that other relays
+// hear themselves, or two of them could vouch for a lost one by each other's
+// word for ever. Digest is the teller's own of what it tells.
+func (r *Roster) Learn(now time.Duration, from string, digest uint64, list []Known) {
+	relay := r.isRelay(now, from)
+	all := relay && r.members[from].Zone == r.self.Zone && !r.isRelay(now, r.self.Address)
+	vouched := map[string]bool{}
+	for _, k := range list {
+		if k.Address == r.self.Address || k.Ago >= ForgetAfter {
+			continue
+		}
+		m := r.get(now, k.Address)
+		m.known = max(m.known, now-k.Ago)
+		if k.Inc > m.Inc {
+			m.leaving = false
+		}
+		if k.Inc >= m.Inc && (m.heard == 0 || k.Inc > m.Inc) {
+			m.Member = k.Member
+		}
+		if k.Inc == m.Inc && k.Capacity > 0 {
+			m.Capacity = k.Capacity
+		}
+		if k.Inc == m.Inc && k.Lives && relay && (all || k.Heard) {
+			vouched[k.Address] = true
+			m.leaving = m.leaving || k.Leaving
+		}
+	}
+	delete(r.vouched, from)
+	if relay {
+		r.vouched[from] = &vouching{digest: digest, at: now, lives: vouched}
+	}
+}
+
+// StandsBy notes that a relay stands by what it said with a digest; any other
+// digest means that something else is on its way, or that it vouches for
+// nobody any more.
+func (r *Roster) StandsBy(now time.Duration, relay string, digest uint64) {
+	if v, ok := r.vouched[relay]; ok && v.digest == digest {
+		v.at = now
 	}
-	m := r.get(now, about.Address)
-	m.known = max(m.known, known)
-	if about.Inc > m.Inc && m.heard == 0 {
-		m.Member = about
+}
+
+// unvouch forgets that relays said that a router lives.
+func (r *Roster) unvouch(address string) {
+	for _, v := range r.vouched {
+		delete(v.lives, address)
 	}
 }
 
@@ -113,22 +221,43 @@
 func (r *Roster) Gone(address string) {
 	if m, ok := r.members[address]; ok {
 		m.heard = 0
+		r.unvouch(address)
+		delete(r.vouched, address)
 	}
 }
 
-func (m *member) live(now time.Duration) bool {
-	return m.heard > 0 && now-m.heard < SilentAfter
+// silentAfter is when a router that is not heard counts as lost.
+func (r *Roster) silentAfter() time.Duration {
+	return max(SilentAfter, silentIntervals*r.interval)
 }
 
-// Live returns the addresses of the routers that are heard, without this one.
+// hears reports whether messages of the router come here.
+func (r *Roster) hears(now time.Duration, m *member) bool {
+	return m.heard > 0 && now-m.heard < r.silentAfter()
+}
+
+// lives reports whether the router is heard here, or by a relay that is.
+func (r *Roster) lives(now time.Duration, m *member) bool {
+	if r.hears(now, m) {
+		return true
+	}
+	for _, v := range r.vouched {
+		if v.lives[m.Address] && now-v.at < r.silentAfter() {
+			return true
+		}
+	}
+	return false
+}
+
+// Live returns the addresses of the routers that live, without this one.
 func (r *Roster) Live(now time.Duration) []string {
-	return r.filter(func(m *member) bool { return m.live(now) })
+	return r.filter(func(m *member) bool { return r.lives(now, m) })
 }
 
-// Staying returns the routers that are heard and not about to stop, without
+// Staying returns the routers that live and are not about to stop, without
 // this one.
 func (r *Roster) Staying(now time.Duration) []string {
-	return r.filter(func(m *member) bool { return m.live(now) && !m.leaving })
+	return r.filter(func(m *member) bool { return r.lives(now, m) && !m.leaving })
 }
 
 func (r *Roster) filter(keep func(*member) bool) []string {
@@ -142,16 +271,134 @@
 	return list
 }
 
+// Talk is whom a router tells what, for a while.
+type Talk struct {
+	// Mesh says that all talk with all.
+	Mesh bool
+	// Relay says that this router is a relay of its zone, First that it is the
+	// one that tells the zone's sums.
+	Relay, First bool
+	// Members are the routers that this one tells as one of their equals:
+	// all, or its zone's relays.
+	Members []string
+	// Served are the routers of its zone that a relay serves.
+	Served []string
+	// Others are the relays of other zones.
+	Others []string
+	// Interval is the time between two tellings.
+	Interval time.Duration
+}
+
+// Talk works out whom this router tells what.
+func (r *Roster) Talk(now time.Duration) Talk {
+	live := r.Live(now)
+	if len(live) < meshUpTo {
+		r.interval = quickest
+		return Talk{Mesh: true, Members: live, Interval: quickest}
+	}
+	relays := r.relays(now)
+	t := Talk{}
+	for _, address := range live {
+		m := r.members[address]
+		switch isRelay := slices.Contains(relays[m.Zone], address); {
+		case m.Zone == r.self.Zone && isRelay:
+			t.Members = append(t.Members, address)
+		case m.Zone == r.self.Zone:
+			t.Served = append(t.Served, address)
+		case isRelay:
+			t.Others = append(t.Others, address)
+		}
+	}
+	own := relays[r.self.Zone]
+	t.Relay = slices.Contains(own, r.self.Address)
+	t.First = t.Relay && own[0] == r.self.Address
+	// The interval is the same at all of the zone.
+	r.interval = min(max(quickest, time.Duration(len(t.Members)+len(t.Served)+len(t.Others))*perMember), slowest)
+	if !t.Relay {
+		t.Served, t.Others = nil, nil
+	}
+	t.Interval = r.interval
+	return t
+}
+
+// relays returns the relays of each zone, the first of them first.
+func (r *Roster) relays(now time.Duration) map[string][]string {
+	type ranked struct {
+		address string
+		score   float64
+	}
+	zones := map[string][]ranked{}
+	add := func(m *Member) {
+		zones[m.Zone] = append(zones[m.Zone], ranked{m.Address, rendezvous.Score(relayKey, m.Address, m.capacity())})
+	}
+	add(&r.self)
+	for _, address := range r.Staying(now) {
+		add(&r.members[address].Member)
+	}
+	relays := make(map[string][]string, len(zones))
+	for zone, list := range zones {
+		slices.SortFunc(list, func(a, b ranked) int {
+			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
+		})
+		for _, x := range list[:min(relaysEach, len(list))] {
+			relays[zone] = append(relays[zone], x.address)
+		}
+	}
+	return relays
+}
+
+// isRelay reports whether this router takes another one for a relay.
+func (r *Roster) isRelay(now time.Duration, address string) bool {
+	m, ok := r.Get(address)
+	return ok && slices.Contains(r.relays(now)[m.Zone], address)
+}
+
+// FirstRelay returns the relay that tells its zone's sums.
+func (r *Roster) FirstRelay(now time.Duration, zone string) string {
+	if list := r.relays(now)[zone]; len(list) > 0 {
+		return list[0]
+	}
+	return ""
+}
+
 // Tries returns the addresses of routers that are not heard and are to be
-// tried now, and notes that they are.
-func (r *Roster) Tries(now time.Duration) []string {
-	list := r.filter(func(m *member) bool { return !m.live(now) && now-m.tried >= TryEvery })
+// tried now, and notes that they are: of those that should be heard, those
+// that were tried longest ago.
+func (r *Roster) Tries(now time.Duration, t Talk) []string {
+	list := r.filter(func(m *member) bool {
+		switch since := now - m.tried; {
+		case r.hears(now, m) || since < TryEvery:
+			return false
+		case r.shouldHear(now, m, t):
+			return true
+		default:
+			return m.seed && since >= SeedEvery
+		}
+	})
+	slices.SortStableFunc(list, func(a, b string) int {
+		return cmp.Compare(r.members[a].tried, r.members[b].tried)
+	})
+	list = list[:min(triesEach, len(list))]
 	for _, address := range list {
 		r.members[address].tried = now
 	}
 	return list
 }
 
+// shouldHear reports whether this router would hear another one if it lived.
+func (r *Roster) shouldHear(now time.Duration, m *member, t Talk) bool {
+	switch {
+	case t.Mesh, slices.Contains(t.Members, m.Address), slices.Contains(t.Others, m.Address):
+		return true
+	case !t.Relay:
+		return false
+	default:
+		// Of other zones one that lives is heard by its relays; if none of
+		// these is, any may be the way back.
+		return m.Zone == r.self.Zone || !r.lives(now, m)
+	}
+}
+
 // Forget drops routers that nobody has heard of for long.
 func (r *Roster) Forget(now time.Duration) {
 	maps.DeleteFunc(r.members, func(_ string, m *member) bool {
@@ -159,24 +406,36 @@
 	})
 }
 
-// Known is a router and how long ago it was last heard of.
-type Known struct {
-	Member
-	Ago time.Duration
-}
-
 // All returns the routers that were heard of lately, with this one.
 func (r *Roster) All(now time.Duration) []Known {
-	list := []Known{{Member: r.self}}
+	list := []Known{{Member: r.self, Lives: true, Heard: true}}
 	for _, address := range slices.Sorted(maps.Keys(r.members)) {
 		m := r.members[address]
-		if m.Inc > 0 && now-m.known < ForgetAfter {
-			list = append(list, Known{Member: m.Member, Ago: now - m.known})
+		if m.Inc == 0 || now-m.known >= ForgetAfter {
+			continue
+		}
+		k := Known{Member: m.Member, Ago: now - m.known, Lives: r.lives(now, m), Heard: r.hears(now, m), Leaving: m.leaving}
+		if k.Lives {
+			k.Ago = 0
 		}
+		list = append(list, k)
 	}
 	return list
 }
 
+// Digest is a hash of whom this router believes to live, to tell whether
+// others know of it.
+func (r *Roster) Digest(now time.Duration) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, k := range r.All(now) {
+		if k.Lives {
+			_, _ = fmt.Fprintf(&d, "%s %d %t %t;", k.Address, k.Inc, k.Leaving, k.Heard)
+		}
+	}
+	return d.Sum64()
+}
+
 // Lately returns how many routers were heard of within a time, with this one.
 func (r *Roster) Lately(now, within time.Duration) int {
 	n := 1
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -21,6 +21,11 @@
 	Lately      int
 }
 
+// known tells of a router that someone heard a while ago.
+func known(m roster.Member, ago time.Duration) []roster.Known {
+	return []roster.Known{{Member: m, Ago: ago}}
+}
+
 func TestRoster(t *testing.T) {
 	const second = time.Second
 	tests := map[string]struct {
@@ -33,7 +38,7 @@
 			seeds: []string{self.Address, b.Address}, do: func(*roster.Roster) {},
 			want: view{Tries: []string{b.Address}, Lately: 1}},
 		"a seed that is down is tried again": {
-			seeds: []string{b.Address}, do: func(r *roster.Roster) { r.Tries(0) }, at: 40 * second,
+			seeds: []string{b.Address}, do: func(r *roster.Roster) { r.Tries(0, r.Talk(0)) }, at: 40 * second,
 			want: view{Tries: []string{b.Address}, Lately: 1}},
 		"heard": {
 			do: func(r *roster.Roster) { r.Heard(second, b) }, at: second + second/4,
@@ -42,10 +47,10 @@
 			do: func(r *roster.Roster) { r.Heard(second, b) }, at: 2 * second,
 			want: view{Tries: []string{b.Address}, Lately: 2}},
 		"hearsay is tried and counts, but does not live": {
-			do: func(r *roster.Roster) { r.Learn(second, c, second) }, at: second,
+			do: func(r *roster.Roster) { r.Learn(second, b.Address, 1, known(c, 0)) }, at: second,
 			want: view{Tries: []string{c.Address}, Lately: 2}},
 		"old hearsay counts for nothing": {
-			do: func(r *roster.Roster) { r.Learn(40*second, c, second) }, at: 40 * second,
+			do: func(r *roster.Roster) { r.Learn(40*second, b.Address, 1, known(c, 39*second)) }, at: 40 * second,
 			want: view{Lately: 1}},
 		"gone": {
 			do: func(r *roster.Roster) { r.Heard(second, b); r.Gone(b.Address) }, at: second,
@@ -67,7 +72,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := roster.New(self, tc.seeds)
 			tc.do(r)
-			got := view{Live: r.Live(tc.at), Tries: r.Tries(tc.at), Lately: r.Lately(tc.at, 20*second)}
+			got := view{Live: r.Live(tc.at), Tries: r.Tries(tc.at, r.Talk(tc.at)), Lately: r.Lately(tc.at, 20*second)}
 			if diff := cmp.Diff(tc.want, got); diff != "" {
 				t.Errorf("roster (-want +got):\n%s", diff)
 			}
--- a/pkg/wire/place.go
+++ b/pkg/wire/place.go
@@ -116,6 +116,21 @@
 	Server Key
 }
 
+// Scope says whose flows a State tells.
+type Scope uint8
+
+// The scopes of a State.
+const (
+	// ScopeOwn: the sender's own.
+	ScopeOwn Scope = iota
+	// ScopeZone: all of the sender's zone.
+	ScopeZone
+	// ScopeRest: all of the fleet but the receiver's.
+	ScopeRest
+	// ScopeNone: none; another one tells them.
+	ScopeNone
+)
+
 // State is what routers tell each other at short intervals.
 type State struct {
 	// Stamp is the sender's clock when it sent this.
@@ -130,7 +145,11 @@
 	Age int64
 	// Leaving says that the sender is about to stop.
 	Leaving bool
-	// Accounts lists the flows that are not zero.
+	// Roster is the digest of the roster that a relay stands by, 0 of others.
+	Roster uint64
+	Scope  Scope
+	// Accounts lists the flows that are not zero, the largest only where they
+	// are many; that of account 0 is the sum of the rest.
 	Accounts []AccountFlow
 	// Copies are those made since the last State.
 	Copies []Copy
@@ -145,13 +164,20 @@
 	Zone string
 	// Inc is its start.
 	Inc uint64
+	// Capacity is its share of processors, 0 if it is not stated.
+	Capacity float32
 	// Heard is how many milliseconds ago it was last heard of.
 	Heard int64
+	// Lives says that the sender believes that it lives, Hears that it hears
+	// it itself, Leaving that it is about to stop.
+	Lives, Hears, Leaving bool
 }
 
 // Roster lists the routers that the sender knows.
 type Roster struct {
 	Entries []RosterEntry
+	// Digest is the sender's own of whom it believes to live.
+	Digest uint64
 	// Answer asks the receiver for its roster.
 	Answer bool
 }
