Refuse unseen what accounts ask far beyond their share, and idle cheaper

An idle router spent 1.5 % of a core, half of it on sorting.

Change: an account that asks for more than one and a half times its level has the excess refused, by chance, before the body is read and without a word to the deciding task; what it asked still counts. Ticks are slow while nothing waits, sorted lists are kept, lost entries are looked for five times a second.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,11 +16,14 @@
 	"github.com/yarrowmast/yarrowmast/pkg/catalog"
 	"github.com/yarrowmast/yarrowmast/pkg/roster"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 const (
-	// tickEvery is the interval of the core's own clock.
-	tickEvery = 10 * time.Millisecond
+	// tickEvery is the interval of the core's own clock, busyTick while
+	// something waits.
+	tickEvery = 50 * time.Millisecond
+	busyTick  = 10 * time.Millisecond
 	inboxSize = 4096
 )
 
@@ -68,6 +71,7 @@
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
 	shared  shared
+	screen  screen
 }
 
 // shared is what other tasks may read of the state.
@@ -124,6 +128,7 @@
 		f(&d.opt)
 	}
 	d.shared.applyWithin.Store(int64(d.opt.applyWithin))
+	d.screen.refused = map[wire.Key]float64{}
 	return d
 }
 
@@ -173,10 +178,20 @@
 	s := newState(d)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	soon := time.NewTimer(busyTick)
+	defer soon.Stop()
+	armed := true
 	for {
+		if !armed && s.core.Busy() {
+			soon.Reset(busyTick)
+			armed = true
+		}
 		select {
 		case <-d.ctx.Done():
 			return
+		case <-soon.C:
+			armed = false
+			s.apply(ticked{})
 		case ev := <-d.events:
 			s.apply(ev)
 		case in := <-d.net.Inbox():
@@ -231,6 +246,7 @@
 	gossiped  time.Duration
 	askedNews time.Duration
 	status    time.Duration
+	screened  time.Duration
 	// talk is whom this router tells what, digest that of its roster.
 	talk   roster.Talk
 	digest uint64
@@ -284,6 +300,7 @@
 
 func (ticked) apply(s *state) {
 	s.step(admit.Tick{})
+	s.screenIfDue()
 	s.tellOthers()
 	s.publish()
 }
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -16,8 +16,10 @@
 	watchFor = 10 * time.Second
 	// watchers is how many routers of the fleet hold a watch.
 	watchers = 2
-	// lookEvery is how often a task looks whether it is its turn.
-	lookEvery = 40 * time.Millisecond
+	// lookEvery is how often a task looks whether it is its turn, lookSoonest
+	// how soon at the earliest.
+	lookEvery   = 200 * time.Millisecond
+	lookSoonest = 20 * time.Millisecond
 	// A router that is first reads the platform's revision when what it knows
 	// was last verified firstPart of the time within which changes are to be
 	// in force ago; the others later, each by turnPart, up to lastPart.
@@ -73,8 +75,8 @@
 func (d *Dispatcher) verify() {
 	wait := newBackoff()
 	for d.ctx.Err() == nil {
-		if !d.verifyDue() {
-			d.pause(lookEvery)
+		if due := d.verifyDue(); due > 0 {
+			d.pause(min(max(due, lookSoonest), lookEvery))
 			continue
 		}
 		begun := d.now()
@@ -87,17 +89,18 @@
 	}
 }
 
-// verifyDue reports whether it is this router's turn to read.
-func (d *Dispatcher) verifyDue() bool {
+// verifyDue returns in how long it is this router's turn to read; now if that
+// is not above zero.
+func (d *Dispatcher) verifyDue() time.Duration {
 	verified := time.Duration(d.shared.verified.Load())
 	if verified == 0 {
-		return true
+		return 0
 	}
 	part := firstPart
 	if turn := d.shared.turn.Load(); turn > 0 {
 		part = min(nextPart+turnPart*float64(turn), lastPart)
 	}
-	return d.now()-verified >= time.Duration(part*float64(d.shared.applyWithin.Load()))
+	return verified + time.Duration(part*float64(d.shared.applyWithin.Load())) - d.now()
 }
 
 func (d *Dispatcher) verifyOnce(begun time.Duration) error {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -38,6 +38,7 @@
 
 func (f *fake) Table() *table.Table                      { return f.t }
 func (f *fake) MayRetry(front.Request) bool              { return true }
+func (f *fake) Screen(front.Request) *verdict.Error      { return nil }
 func (f *fake) Release(front.Grant, front.Usage)         { f.released.Add(1) }
 func (f *fake) Claim(context.Context, front.Claim) error { return f.claimErr }
 func (f *fake) Unclaim(front.Claim)                      { f.voided.Add(1) }
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -13,6 +13,8 @@
 type Scheduler interface {
 	// Table returns the table in force, nil before there is one.
 	Table() *table.Table
+	// Screen refuses a request that has no chance, before its body is read.
+	Screen(r Request) *verdict.Error
 	// Acquire waits for a slot. Its error is a *verdict.Error, or ctx's.
 	Acquire(ctx context.Context, r Request) (Grant, error)
 	// Release gives the slot back.
--- a/internal/measure/baseline.go
+++ b/internal/measure/baseline.go
@@ -204,6 +204,9 @@
 // Table implements front.Scheduler.
 func (x *baselineAt) Table() *table.Table { return x.router.Table() }
 
+// Screen implements front.Scheduler: every request is taken.
+func (x *baselineAt) Screen(front.Request) *verdict.Error { return nil }
+
 // MayRetry implements front.Scheduler.
 func (x *baselineAt) MayRetry(front.Request) bool { return true }
 
--- a/internal/router/acquire.go
+++ b/internal/router/acquire.go
@@ -77,6 +77,9 @@
 	r.post(release{id: g.ID, usage: u})
 }
 
+// Screen implements front.Scheduler: every request is taken.
+func (r *Router) Screen(front.Request) *verdict.Error { return nil }
+
 // MayRetry implements front.Scheduler.
 func (r *Router) MayRetry(front.Request) bool {
 	answer := make(chan bool, 1)
--- a/pkg/admit/account.go
+++ b/pkg/admit/account.go
@@ -102,17 +102,58 @@
 
 // over returns by how many times an account's service exceeds the level.
 func (as *accounts) over(key wire.Key, now time.Duration) float64 {
+	as.refresh(now)
+	begun := as.get(key).flow(now).begun
+	if math.IsInf(as.level, 1) || as.level <= 0 {
+		return 0
+	}
+	return begun / as.level
+}
+
+// refresh works the level out anew where that is due.
+func (as *accounts) refresh(now time.Duration) {
 	if now-as.leveled >= levelEvery {
 		as.leveled = now
 		as.level = as.workOut(now)
 	}
-	begun := as.get(key).flow(now).begun
+}
+
+// tryOver is how many times its level an account may try to get, since some
+// of what it tries finds no place.
+const tryOver = 1.5
+
+// Screen returns the accounts that ask for much more than they can get, and
+// the part of their requests that is to be tried; the rest has no chance and
+// is best refused before any work is spent on it.
+
+func (c *Core) Screen(now time.Duration) map[wire.Key]float64 {
+	as := c.accounts
+	as.refresh(now)
 	if math.IsInf(as.level, 1) || as.level <= 0 {
-		return 0
+		return nil
 	}
-	return begun / as.level
+	var parts map[wire.Key]float64
+	for key, a := range as.by {
+		asked := a.flow(now).asked
+		if key == 0 || asked <= tryOver*as.level {
+			continue
+		}
+		if parts == nil {
+			parts = map[wire.Key]float64{}
+		}
+		parts[key] = tryOver * as.level / asked
+	}
+	return parts
 }
 
+// Screened counts what was asked for by requests that were refused unseen.
+func (c *Core) Screened(now time.Duration, account wire.Key, tokens float64) {
+	c.accounts.get(account).asked.add(now, tokens)
+}
+
+// Cost is what a request counts as for its account, in tokens.
+func Cost(prompt, output int64) float64 { return float64(prompt + outputCost*output) }
+
 // workOut returns the level up to which what accounts ask adds up to what
 // they are given all together.
 func (as *accounts) workOut(now time.Duration) float64 {
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -63,11 +63,13 @@
 
 // Core is one router's decisions.
 type Core struct {
-	opt      options
-	now      time.Duration
-	rng      *rand.Rand
-	routers  []Router
-	servers  map[wire.Key]*server
+	opt     options
+	now     time.Duration
+	rng     *rand.Rand
+	routers []Router
+	servers map[wire.Key]*server
+	// ordered are the servers by name.
+	ordered  []*server
 	services map[string]*service
 	requests map[uint64]*request
 	// waiting are the requests that have no place yet, by age.
@@ -83,6 +85,7 @@
 	// heardCopies are those that others of the zone told of since then.
 	heardCopies []wire.Copy
 	synced      time.Duration
+	swept       time.Duration
 	// local is what this router sends to itself.
 	local []any
 	out   []Action
@@ -186,13 +189,26 @@
 	c.syncIfDue()
 }
 
+// Busy reports whether something waits, so that ticks are due soon.
+func (c *Core) Busy() bool {
+	if len(c.waiting) > 0 {
+		return true
+	}
+	for _, s := range c.ordered {
+		if s.owned != nil && len(s.owned.queue) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Waiting returns how many requests wait for a place.
 func (c *Core) Waiting() int { return len(c.waiting) }
 
 // Owned returns the names of the backend servers that this router owns.
 func (c *Core) Owned() []string {
 	var names []string
-	for _, s := range c.sortedServers() {
+	for _, s := range c.ordered {
 		if s.owner == c.opt.self.Address {
 			names = append(names, s.Name)
 		}
--- a/pkg/admit/owned.go
+++ b/pkg/admit/owned.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -139,8 +138,8 @@
 
 // serveOwned gives what places there are at this router's backend servers.
 func (c *Core) serveOwned() {
-	for _, s := range c.sortedServers() {
-		if s.owned != nil {
+	for _, s := range c.ordered {
+		if s.owned != nil && len(s.owned.queue) > 0 {
 			c.serveQueue(s)
 		}
 	}
@@ -255,7 +254,7 @@
 
 // dropHolder forgets all that a router had under way and asked for.
 func (c *Core) dropHolder(from string) {
-	for _, s := range c.sortedServers() {
+	for _, s := range c.ordered {
 		if s.owned == nil {
 			continue
 		}
@@ -271,13 +270,9 @@
 
 // dropLost forgets requests whose holders do not tell of them any more.
 func (o *owned) dropLost(now time.Duration) {
-	for _, key := range slices.SortedFunc(maps.Keys(o.entries), compareEntries) {
-		if now-o.entries[key].heard >= entryLostAfter {
+	for key, e := range o.entries {
+		if now-e.heard >= entryLostAfter {
 			o.remove(key)
 		}
 	}
 }
-
-func compareEntries(a, b entryKey) int {
-	return cmp.Or(cmp.Compare(a.holder, b.holder), cmp.Compare(a.id, b.id))
-}
--- a/pkg/admit/peer.go
+++ b/pkg/admit/peer.go
@@ -97,13 +97,20 @@
 	}
 }
 
+// sweepEvery is how often is looked for what was told long ago.
+const sweepEvery = 200 * time.Millisecond
+
 func (c *Core) dropSilent() {
+	if c.now-c.swept < sweepEvery {
+		return
+	}
+	c.swept = c.now
 	for from, t := range c.told {
 		if c.now-t.heard >= c.silentAfter {
 			c.forgetFlows(from)
 		}
 	}
-	for _, s := range c.sortedServers() {
+	for _, s := range c.ordered {
 		if s.owned != nil {
 			s.owned.dropLost(c.now)
 		}
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -101,7 +101,7 @@
 
 func (e Arrive) apply(c *Core) {
 	r := &request{Request: e.Request, arrived: c.now}
-	r.cost = float64(r.Prompt + outputCost*r.Output)
+	r.cost = Cost(r.Prompt, r.Output)
 	if r.Account != "" {
 		r.account = wire.KeyOf(r.Account)
 		if !r.Again {
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -91,6 +91,7 @@
 	}
 	c.accounts.capacity = e.Table.Bounds.TokensPerSecond
 	c.keepRunning(old)
+	c.ordered = slices.SortedFunc(maps.Values(c.servers), func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
 	c.assignOwners()
 	c.serveOwned()
 	c.advanceWaiting()
@@ -143,7 +144,7 @@
 	for _, r := range c.routers {
 		byZone[r.Zone] = append(byZone[r.Zone], r)
 	}
-	for _, s := range c.sortedServers() {
+	for _, s := range c.ordered {
 		from := byZone[s.Zone]
 		if len(from) == 0 {
 			from = c.routers
@@ -194,10 +195,6 @@
 	return h
 }
 
-func (c *Core) sortedServers() []*server {
-	return slices.SortedFunc(maps.Values(c.servers), func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
-}
-
 // syncEvery is the interval at which owners are told all that is under way.
 const syncEvery = time.Second
 
@@ -209,7 +206,7 @@
 	}
 	c.synced = c.now
 	held := map[string]*wire.Sync{}
-	for _, s := range c.sortedServers() {
+	for _, s := range c.ordered {
 		if len(s.own) == 0 {
 			continue
 		}
