Measure how late a router hears its sockets, and work on no more than it can

Cause: a flood to one small router. Timers run on time while sockets wait, so nothing showed that it was drowning; its replies came late, all owners looked mute, and it decided alone.

Change: a pipe measures the lag; from 25 ms the part of the requests that are worked on falls, and is shared evenly among the accounts that ask here; the rest is refused at once, to come back in 60 ms, most likely to another router. Callers' connections are bounded by memory too.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -148,7 +148,7 @@
 
 // Start starts the tasks.
 func (d *Dispatcher) Start() {
-	for _, task := range []func(){d.run, d.watch, d.verify} {
+	for _, task := range []func(){d.run, d.watch, d.verify, d.measureLag} {
 		d.tasks.Add(1)
 		go func() {
 			defer d.tasks.Done()
@@ -240,6 +240,7 @@
 	allowance *allowance.Allowance
 	rule      allowance.Rule
 	links     map[string]*link
+	pace      *admit.Pace
 	nextID    uint64
 	waiting   map[uint64]*attempt
 	toldAt    time.Duration
@@ -266,6 +267,7 @@
 		allowance: allowance.New(d.opt.rule, now),
 		rule:      d.opt.rule,
 		links:     map[string]*link{},
+		pace:      admit.NewPace(),
 		waiting:   map[uint64]*attempt{},
 	}
 }
--- /dev/null
+++ b/internal/dispatch/lag.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"encoding/binary"
+	"os"
+	"time"
+)
+
+// lagEvery is the interval at which it is measured how late this process
+// learns of what came to its sockets.
+const lagEvery = 50 * time.Millisecond
+
+// measureLag is the task that writes to a pipe and sees how late the other end
+// hears of it: a process with too little time still runs its timers, but looks
+// at its sockets late.
+func (d *Dispatcher) measureLag() {
+	r, w, err := os.Pipe()
+	if err != nil {
+		d.opt.log.Warn("lag_not_measured", "error", err)
+		return
+	}
+	d.tasks.Add(1)
+	go func() {
+		defer d.tasks.Done()
+		d.writeLag(w)
+	}()
+	defer func() { _ = r.Close() }()
+	var buf [8]byte
+	for {
+		if _, err := r.Read(buf[:]); err != nil {
+			return
+		}
+		sent := time.Duration(binary.LittleEndian.Uint64(buf[:]))
+		d.post(lagged{d.now() - sent})
+	}
+}
+
+// writeLag writes the time into the pipe until the dispatcher ends.
+func (d *Dispatcher) writeLag(w *os.File) {
+	defer func() { _ = w.Close() }()
+	tick := time.NewTicker(lagEvery)
+	defer tick.Stop()
+	var buf [8]byte
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case due := <-tick.C:
+			at := clockStart + due.Sub(d.started)
+			binary.LittleEndian.PutUint64(buf[:], uint64(at))
+			if _, err := w.Write(buf[:]); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// lagged says how late this process heard of something.
+type lagged struct{ by time.Duration }
+
+func (e lagged) apply(s *state) { s.keepPace(e.by) }
--- a/internal/dispatch/screen.go
+++ b/internal/dispatch/screen.go
@@ -20,18 +20,25 @@
 	// comeBackLate is when a request of such an account may come back, at the
 	// earliest; up to as much again is added by chance.
 	comeBackLate = time.Second
+	// comeBackElsewhere is when a request that this router has no time for may
+	// come back; it will most likely reach another.
+	comeBackElsewhere = 60 * time.Millisecond
 )
 
 var errOverShare = verdict.New(verdict.PhaseAdmit, http.StatusTooManyRequests, "over-share",
 	"the client account asks for much more than its share; come back as told")
 
+var errOverloaded = verdict.New(verdict.PhaseAdmit, http.StatusServiceUnavailable, "overloaded",
+	"this entry instance has no time for the request; send it again, another one may have")
+
 // screen refuses requests of accounts that ask for much more than they can
 // get, in the callers' own tasks: a flood must not cost the decisions of
 // others their time.
 type screen struct {
-	// parts is which part of an account's requests is tried.
-	parts atomic.Pointer[map[wire.Key]float64]
-	mu    sync.Mutex
+	// parts is which part of an account's requests is tried, keep which part
+	// this router has time for.
+	parts, keep atomic.Pointer[map[wire.Key]float64]
+	mu          sync.Mutex
 	// refused is what was asked for by refused requests since it was last
 	// counted, in tokens.
 	refused map[wire.Key]float64
@@ -39,19 +46,37 @@
 
 // Screen implements front.Scheduler.
 func (d *Dispatcher) Screen(r front.Request) *verdict.Error {
-	parts := d.screen.parts.Load()
-	if parts == nil || r.Account == "" {
+	if r.Account == "" {
 		return nil
 	}
 	key := wire.KeyOf(r.Account)
-	part, ok := (*parts)[key]
-	if !ok || rand.Float64() < part {
+	switch {
+	case !drawn(&d.screen.parts, key):
+		d.screen.note(key, r)
+		return errOverShare.After(comeBackLate + rand.N(comeBackLate))
+	case !drawn(&d.screen.keep, key):
+		d.screen.note(key, r)
+		return errOverloaded.After(comeBackElsewhere + rand.N(comeBackElsewhere))
+	default:
 		return nil
 	}
-	d.screen.mu.Lock()
-	d.screen.refused[key] += admit.Cost(r.Prompt, r.Output)
-	d.screen.mu.Unlock()
-	return errOverShare.After(comeBackLate + time.Duration(rand.Int64N(int64(comeBackLate))))
+}
+
+// drawn reports whether a request is among the part that is worked on.
+func drawn(parts *atomic.Pointer[map[wire.Key]float64], key wire.Key) bool {
+	m := parts.Load()
+	if m == nil {
+		return true
+	}
+	part, ok := (*m)[key]
+	return !ok || rand.Float64() < part
+}
+
+// note counts what was asked for by a refused request.
+func (sc *screen) note(key wire.Key, r front.Request) {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.refused[key] += admit.Cost(r.Prompt, r.Output)
 }
 
 // screenIfDue counts what was refused and works out anew what is to be.
@@ -70,10 +95,23 @@
 	for key, tokens := range refused {
 		s.core.Screened(s.now, key, tokens)
 	}
-	parts := s.core.Screen(s.now)
-	if parts == nil {
-		sc.parts.Store(nil)
+	store(&sc.parts, s.core.Screen(s.now))
+	store(&sc.keep, s.core.Keep(s.now, s.pace.Part()))
+}
+
+func store(parts *atomic.Pointer[map[wire.Key]float64], m map[wire.Key]float64) {
+	if len(m) == 0 {
+		parts.Store(nil)
 		return
 	}
-	sc.parts.Store(&parts)
+	parts.Store(&m)
+}
+
+// keepPace learns from how late the regular tick came.
+func (s *state) keepPace(late time.Duration) {
+	before := s.pace.Part()
+	s.pace.Step(late)
+	if now := s.pace.Part(); (now < 1) != (before < 1) {
+		s.d.opt.log.Warn("router_pace", "overloaded", now < 1, "late_ms", s.pace.Late().Milliseconds())
+	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -265,15 +265,26 @@
 const (
 	callersPart      = 0.6
 	otherDescriptors = 200
+	// connectionMemory is what a caller's connection takes with its request,
+	// in bytes; connectionsPart of the memory may be theirs.
+	connectionMemory = 64 << 10
+	connectionsPart  = 0.5
 )
 
 // connectionsOf returns how many connections callers may have open, 0 for any
 // number.
 func connectionsOf(m config.Machine) int {
-	if m.Descriptors <= otherDescriptors {
-		return 0
+	most := 0
+	if m.Descriptors > otherDescriptors {
+		most = int(callersPart * float64(m.Descriptors-otherDescriptors))
 	}
-	return int(callersPart * float64(m.Descriptors-otherDescriptors))
+	if m.MemoryMB > 0 {
+		byMemory := int(connectionsPart * float64(m.MemoryMB<<20) / connectionMemory)
+		if most == 0 || byMemory < most {
+			most = byMemory
+		}
+	}
+	return most
 }
 
 // Failed delivers an error if a listener fails; nil means that it was closed.
--- a/pkg/admit/account.go
+++ b/pkg/admit/account.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
@@ -97,6 +96,9 @@
 	return flows
 }
 
+// unbounded is the level where all get what they ask.
+var unbounded = math.Inf(1)
+
 // levelEvery is how often the level is worked out anew.
 const levelEvery = 50 * time.Millisecond
 
@@ -172,14 +174,5 @@
 		}
 	}
 	total = max(total, as.capacity)
-	slices.Sort(asks)
-	left := max(0, total-small)
-	for i, ask := range asks {
-		each := left / float64(len(asks)-i)
-		if ask >= each {
-			return each
-		}
-		left -= ask
-	}
-	return math.Inf(1)
+	return fill(asks, max(0, total-small))
 }
