Say not ready while a router cannot keep up

Cause: new connections of a flooding account went on to a router that could work on a tenth of them.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -79,6 +79,8 @@
 	view     atomic.Pointer[table.Table]
 	status   atomic.Pointer[Status]
 	draining atomic.Bool
+	// drowned says that this router cannot keep up with its requests.
+	drowned atomic.Bool
 	// asOf is the platform's revision up to which all is known.
 	asOf atomic.Uint64
 	// verified is when that was last known to be the newest, on the
@@ -229,6 +231,9 @@
 // Draining reports whether Drain was called.
 func (d *Dispatcher) Draining() bool { return d.shared.draining.Load() }
 
+// Drowned reports whether this router cannot keep up with its requests.
+func (d *Dispatcher) Drowned() bool { return d.shared.drowned.Load() }
+
 // state is what the task owns.
 type state struct {
 	d         *Dispatcher
@@ -248,6 +253,7 @@
 	askedNews time.Duration
 	status    time.Duration
 	screened  time.Duration
+	drownedAt time.Duration
 	// talk is whom this router tells what, digest that of its roster.
 	talk   roster.Talk
 	digest uint64
