Give idle engines work whatever was learned of slow times, and try more while there is room

Two accounts asked (with their retries) for five times what they got; the level was what had begun lately, so it stayed low by itself. Besides, two backend servers stood idle: their owner had learned, while runs of the dead routers still filled them, that a first event takes 300 ms, and gave no place by which it could have learned otherwise.

A line of log a second tells the shares.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -253,6 +253,7 @@
 	askedNews time.Duration
 	status    time.Duration
 	screened  time.Duration
+	sharesAt  time.Duration
 	drownedAt time.Duration
 	// talk is whom this router tells what, digest that of its roster.
 	talk   roster.Talk
--- a/internal/dispatch/screen.go
+++ b/internal/dispatch/screen.go
@@ -97,6 +97,22 @@
 	}
 	store(&sc.parts, s.core.Screen(s.now))
 	store(&sc.keep, s.core.Keep(s.now, s.pace.Part()))
+	s.logShares()
+}
+
+// sharesEvery is the interval at which the shares are logged while accounts
+// ask for more than theirs.
+const sharesEvery = time.Second
+
+func (s *state) logShares() {
+	if s.now-s.sharesAt < sharesEvery {
+		return
+	}
+	s.sharesAt = s.now
+	if sh := s.core.Shares(s.now); sh.Screened > 0 {
+		s.d.opt.log.Info("shares", "asked", int64(sh.Asked), "begun", int64(sh.Begun), "level", int64(sh.Level),
+			"screened", sh.Screened, "least_part", sh.LeastPart)
+	}
 }
 
 func store(parts *atomic.Pointer[map[wire.Key]float64], m map[wire.Key]float64) {
--- a/pkg/admit/line.go
+++ b/pkg/admit/line.go
@@ -12,8 +12,8 @@
 
 const (
 	// fade is what remains of the weight of what was seen with each sight
-	// more, so that about the last 300 count.
-	fade = 0.997
+	// more, so that about the last 100 count.
+	fade = 0.99
 	// Before anything is seen, an engine is taken to read 100 tokens in a
 	// millisecond and to need 30 ms besides; this counts as priorWeight sights
 	// over prompts of priorSpread tokens.
--- a/pkg/admit/place.go
+++ b/pkg/admit/place.go
@@ -61,13 +61,16 @@
 	if float64(o.running) >= float64(s.Slots)*min(1, part+slotsBeside) {
 		return false
 	}
+	if o.unread == 0 && !a.Spill && (part == 1 || o.running < s.Slots/2) {
+		// Waiting would not help, and only what is sent tells how fast it is.
+		return true
+	}
 	slow := s.health.slowness()
 	left := (a.due - c.now).Seconds()
-	expected := slow * sv.line.predict(o.unread+toRead).Seconds()
-	if expected <= targetPart*part*left {
+	behind := slow * sv.line.slope() * float64(o.unread)
+	if slow*sv.line.predict(o.unread+toRead).Seconds() <= targetPart*part*left {
 		return true
 	}
 	target := time.Duration(a.TargetMillis) * time.Millisecond
-	behind := slow * sv.line.slope() * float64(o.unread)
 	return behind <= behindPart*part*target.Seconds() && sv.line.slope()*float64(toRead) > behindPart*target.Seconds()
 }
--- /dev/null
+++ b/pkg/admit/room_test.go
@@ -0,0 +1,149 @@
+package admit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/admit"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// stateCapacity has all routers read that the engines give so many tokens a
+// second.
+func (w *world) stateCapacity(tokens float64) {
+	t := &table.Table{Revision: 2, Services: []table.ServiceRow{{Name: service, Engine: true}}}
+	t.Bounds.TokensPerSecond = tokens
+	for name := range w.engines {
+		zone := name[:len(name)-len("-s0")]
+		t.Backends = append(t.Backends, table.Backend{
+			Name: name, Zone: zone, Address: name, Models: []string{service}, Slots: 16, Mark: table.Serving,
+		})
+	}
+	for _, name := range w.order {
+		w.step(name, admit.View{Table: t})
+	}
+}
+
+// askScreened has a request arrive at a router that may refuse it unseen. It
+// reports whether it was let in.
+func (w *world) askScreened(router string, r admit.Request) bool {
+	key := wire.KeyOf(r.Account)
+	if part, ok := w.cores[router].Screen(w.now)[key]; ok && w.rng.Float64() >= part {
+		w.cores[router].Screened(w.now, key, admit.Cost(r.Prompt, r.Output))
+		return false
+	}
+	w.ask(router, r)
+	return true
+}
+
+// floodScreened is like flood, at routers that refuse unseen; it counts what
+// was asked and let in from a time on.
+func (w *world) floodScreened(account string, perSecond float64, r admit.Request, from, until time.Duration) *struct{ asked, in int } {
+	count := &struct{ asked, in int }{}
+	gap := float64(time.Second) / perSecond
+	r.Account = account
+	var next func()
+	next = func() {
+		if w.now >= until {
+			return
+		}
+		in := w.askScreened(w.order[w.rng.IntN(len(w.order))], r)
+		if w.now >= from {
+			count.asked++
+			count.in += boolInt(in)
+		}
+		w.at(time.Duration(w.rng.ExpFloat64()*gap), next)
+	}
+	w.at(0, next)
+	return count
+}
+
+// TestNothingIsScreenedWhileThereIsRoom states a sixth of what the engines can
+// do. Accounts that ask for more than that, but less than there is room for,
+// are let in soon.
+func TestNothingIsScreenedWhileThereIsRoom(t *testing.T) {
+	w := newWorld(4, 3, zones, 2)
+	w.hold = 50 * time.Millisecond
+	w.stateCapacity(100_000)
+	counts := map[string]*struct{ asked, in int }{}
+	for i := range 3 {
+		name := fmt.Sprintf("account-%d", i)
+		counts[name] = w.floodScreened(name, 20, admit.Request{Prompt: 5000, Output: 50}, 3*time.Second, 6*time.Second)
+	}
+	w.run(8 * time.Second)
+	for name, c := range counts {
+		if part := float64(c.in) / float64(c.asked); part < 0.9 {
+			t.Errorf("%s: only %.2f of %d requests were let in, with half of the engines idle", name, part, c.asked)
+		}
+	}
+	started := 0
+	for id, a := range w.asked {
+		if _, ok := w.starts[id]; ok && a.at >= 3*time.Second {
+			started++
+		}
+	}
+	if started < 150 {
+		t.Errorf("%d requests started in the last 3 s of 180", started)
+	}
+}
+
+// TestFloodIsScreened floods sixfold: most is refused unseen.
+func TestFloodIsScreened(t *testing.T) {
+	w := newWorld(4, 3, zones, 2)
+	w.hold = 50 * time.Millisecond
+	w.stateCapacity(600_000)
+	flood := w.floodScreened("flood", 700, admit.Request{Prompt: 5000, Output: 50}, 3*time.Second, 6*time.Second)
+	small := w.floodScreened("small", 20, admit.Request{Prompt: 5000, Output: 50}, 3*time.Second, 6*time.Second)
+	w.run(8 * time.Second)
+	if part := float64(flood.in) / float64(flood.asked); part > 0.5 {
+		t.Errorf("%.2f of a flood was let in", part)
+	}
+	if small.in < small.asked {
+		t.Errorf("%d of %d requests of an account within its share were let in", small.in, small.asked)
+	}
+}
+
+// TestShareBindsOnlyWhereOthersWait gives an account that had more than its
+// share a place at a backend server with nothing to do.
+func TestShareBindsOnlyWhereOthersWait(t *testing.T) {
+	w := newWorld(4, 1, zones[:1], 1)
+	w.hold = 10 * time.Millisecond
+	w.stateCapacity(10_000)
+	for i := range 20 {
+		w.at(time.Duration(i)*200*time.Millisecond, func() {
+			w.ask(w.order[0], admit.Request{Account: "moka", Prompt: 5000, Output: 50, Target: 250 * time.Millisecond})
+		})
+		w.at(time.Duration(i)*200*time.Millisecond+100*time.Millisecond, func() {
+			w.ask(w.order[0], admit.Request{Account: "quiet", Prompt: 100, Output: 5})
+		})
+	}
+	w.run(6 * time.Second)
+	if len(w.starts) < len(w.asked) {
+		t.Errorf("%d of %d requests started at an idle backend server", len(w.starts), len(w.asked))
+	}
+}
+
+// TestSlowTimeIsForgotten has an engine begin no answer within the target for a
+// while: if nothing were started by what was learned then, nothing new would
+// ever be learned.
+func TestSlowTimeIsForgotten(t *testing.T) {
+	w := newWorld(4, 1, zones[:1], 1)
+	w.base = 700 * time.Millisecond
+	const slow = 60
+	for i := range slow {
+		w.at(time.Duration(i)*1200*time.Millisecond, func() {
+			w.ask(w.order[0], admit.Request{Prompt: 2000, Output: 50, Target: 3 * time.Second})
+		})
+	}
+	w.run(slow * 1200 * time.Millisecond)
+	w.base = baseTime
+	for range 20 {
+		id := w.ask(w.order[0], admit.Request{Prompt: 2000, Output: 50, Target: 250 * time.Millisecond})
+		w.run(w.now + time.Second)
+		if _, ok := w.starts[id]; !ok {
+			t.Fatal("an idle engine that is fast again gets no request")
+		}
+	}
+}
--- a/pkg/admit/world_test.go
+++ b/pkg/admit/world_test.go
@@ -29,8 +29,9 @@
 	starts   map[uint64]startOf
 	refusals map[uint64]time.Duration
 	asked    map[uint64]askedOf
-	// hooks are called when a request starts and ends.
-	hold time.Duration
+	// hold is how long an answer goes on after its first event, base the time
+	// to that event without a prompt.
+	hold, base time.Duration
 }
 
 type askedOf struct {
@@ -82,6 +83,8 @@
 	tellIn  = 100 * time.Millisecond
 	netTime = time.Millisecond
 	service = "reader"
+	// baseTime is how long an engine needs for a first event besides reading.
+	baseTime = 20 * time.Millisecond
 )
 
 // newWorld starts routers in zones, named "zone-0" and so on, and a backend
@@ -90,7 +93,7 @@
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), cores: map[string]*admit.Core{}, down: map[string]bool{}, cut: map[[2]string]bool{},
 		engines: map[string]*engine{}, starts: map[uint64]startOf{}, refusals: map[uint64]time.Duration{}, asked: map[uint64]askedOf{},
-		hold: 300 * time.Millisecond,
+		hold: 300 * time.Millisecond, base: baseTime,
 	}
 	t := &table.Table{Revision: 1, Services: []table.ServiceRow{{Name: service, Engine: true}}}
 	for _, z := range zones {
@@ -214,7 +217,7 @@
 	e.kept[r.Prefix] = true
 	e.free = max(e.free, w.now) + time.Duration(tokens)*e.perToken
 	w.starts[a.ID] = startOf{Start: a, router: name, at: w.now}
-	first := e.free - w.now + 20*time.Millisecond
+	first := e.free - w.now + w.base
 	w.at(first, func() {
 		s := w.starts[a.ID]
 		s.first = w.now - w.asked[a.ID].at
