--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -38,10 +38,10 @@
 type Source interface {
 	// State returns the router's state, which is written as JSON.
 	State() any
-	// Draining reports whether the router is stopping, Drowned whether it
+	// Draining reports whether the router is stopping, Overloaded whether it
 	// cannot keep up with its requests.
 	Draining() bool
-	Drowned() bool
+	Overloaded() bool
 	// Table returns the table in force, nil before there is one.
 	Table() *table.Table
 }
@@ -96,7 +96,7 @@
 		writeJSON(w, http.StatusServiceUnavailable, health{Reason: "no table in force yet"})
 	case s.leaving.Load() || source.Draining():
 		writeJSON(w, http.StatusServiceUnavailable, health{Reason: "stopping"})
-	case source.Drowned():
+	case source.Overloaded():
 		writeJSON(w, http.StatusServiceUnavailable, health{Reason: "cannot keep up"})
 	default:
 		writeJSON(w, http.StatusOK, health{Healthy: true})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -79,8 +79,8 @@
 	view     atomic.Pointer[table.Table]
 	status   atomic.Pointer[Status]
 	draining atomic.Bool
-	// drowned says that this router cannot keep up with its requests.
-	drowned atomic.Bool
+	// overloaded says that this router cannot keep up with its requests.
+	overloaded atomic.Bool
 	// asOf is the platform's revision up to which all is known.
 	asOf atomic.Uint64
 	// verified is when that was last known to be the newest, on the
@@ -231,30 +231,30 @@
 // Draining reports whether Drain was called.
 func (d *Dispatcher) Draining() bool { return d.shared.draining.Load() }
 
-// Drowned reports whether this router cannot keep up with its requests.
-func (d *Dispatcher) Drowned() bool { return d.shared.drowned.Load() }
+// Overloaded reports whether this router cannot keep up with its requests.
+func (d *Dispatcher) Overloaded() bool { return d.shared.overloaded.Load() }
 
 // state is what the task owns.
 type state struct {
-	d         *Dispatcher
-	now       time.Duration
-	lastRun   time.Duration
-	core      *admit.Core
-	catalog   *catalog.Catalog
-	roster    *roster.Roster
-	allowance *allowance.Allowance
-	rule      allowance.Rule
-	links     map[string]*link
-	pace      *admit.Pace
-	nextID    uint64
-	waiting   map[uint64]*attempt
-	toldAt    time.Duration
-	gossiped  time.Duration
-	askedNews time.Duration
-	status    time.Duration
-	screened  time.Duration
-	sharesAt  time.Duration
-	drownedAt time.Duration
+	d            *Dispatcher
+	now          time.Duration
+	lastRun      time.Duration
+	core         *admit.Core
+	catalog      *catalog.Catalog
+	roster       *roster.Roster
+	allowance    *allowance.Allowance
+	rule         allowance.Rule
+	links        map[string]*link
+	pace         *admit.Pace
+	nextID       uint64
+	waiting      map[uint64]*attempt
+	toldAt       time.Duration
+	gossiped     time.Duration
+	askedNews    time.Duration
+	status       time.Duration
+	screened     time.Duration
+	sharesAt     time.Duration
+	overloadedAt time.Duration
 	// talk is whom this router tells what, digest that of its roster.
 	talk   roster.Talk
 	digest uint64
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -34,10 +34,12 @@
 	claimErr error
 	voided   atomic.Int64
 	calls    chan backend.Call
+	overload atomic.Bool
 }
 
 func (f *fake) Table() *table.Table                      { return f.t }
 func (f *fake) MayRetry(front.Request) bool              { return true }
+func (f *fake) Overloaded() bool                         { return f.overload.Load() }
 func (f *fake) Screen(front.Request) *verdict.Error      { return nil }
 func (f *fake) Release(front.Grant, front.Usage)         { f.released.Add(1) }
 func (f *fake) Claim(context.Context, front.Claim) error { return f.claimErr }
@@ -241,3 +243,27 @@
 		t.Errorf("taken back %d times", f.voided.Load())
 	}
 }
+
+// TestOverloadedRouterEndsConnections looks that callers of a router which
+// cannot keep up are sent away with their answers, and kept otherwise.
+func TestOverloadedRouterEndsConnections(t *testing.T) {
+	for name, overloaded := range map[string]bool{"keeps up": false, "overloaded": true} {
+		t.Run(name, func(t *testing.T) {
+			f := &fake{t: newTable(t), results: []backend.Result{{}}}
+			f.overload.Store(overloaded)
+			req, err := http.NewRequest("POST", start(t, f)+"/services/scores/x", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("Authorization", "Bearer secret")
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK || resp.Close != overloaded {
+				t.Errorf("status %d, the connection ends: %v", resp.StatusCode, resp.Close)
+			}
+		})
+	}
+}
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -93,7 +93,8 @@
 }
 
 func (s *Server) log(a *ask, o *Outcome) {
-	s.opt.log.Info("request_end", "request", a.id, "account", o.Account, "model", o.Model,
+	stated := a.request()
+	s.opt.log.Info("request_end", "request", a.id, "account", o.Account, "model", o.Model, "prompt", stated.Prompt, "output", stated.Output,
 		"status", o.Status, "code", o.Code, "verdict", o.Verdict, "tokens", o.Tokens, "attempts", o.Attempts,
 		"waited_ms", o.Waited.Milliseconds(), "total_ms", o.Total.Milliseconds())
 }
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -15,6 +15,9 @@
 	Table() *table.Table
 	// Screen refuses a request that has no chance, before its body is read.
 	Screen(r Request) *verdict.Error
+	// Overloaded reports whether this router cannot keep up with its requests,
+	// so that callers had better come by another one.
+	Overloaded() bool
 	// Acquire waits for a slot. Its error is a *verdict.Error, or ctx's.
 	Acquire(ctx context.Context, r Request) (Grant, error)
 	// Release gives the slot back.
--- a/internal/measure/baseline.go
+++ b/internal/measure/baseline.go
@@ -207,6 +207,9 @@
 // Screen implements front.Scheduler: every request is taken.
 func (x *baselineAt) Screen(front.Request) *verdict.Error { return nil }
 
+// Overloaded implements front.Scheduler: these routers queue all they get.
+func (x *baselineAt) Overloaded() bool { return false }
+
 // MayRetry implements front.Scheduler.
 func (x *baselineAt) MayRetry(front.Request) bool { return true }
 
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -111,8 +111,8 @@
 // State is Status for the admin listener.
 func (r *Router) State() any { return r.Status() }
 
-// Drowned is false: these routers queue what they cannot do.
-func (r *Router) Drowned() bool { return false }
+// Overloaded is false: these routers queue what they cannot do.
+func (r *Router) Overloaded() bool { return false }
 
 // Draining reports whether the router is stopping.
 func (r *Router) Draining() bool { return r.Status().Draining }
