Watch the platform only once the others are known, and read for oneself later

Cause: at a start of 59 routers each took itself for a reader until it knew the others: 293 watches in the first second of which all but two were needless. And word of a read travels by up to three tellings of 0.23 s, twice each, so that routers read for themselves though the reader lived.

Change: no watch in the first 2 s of a router (reads verify meanwhile); readers after the first take their turn from 0.4 of the time within which changes must be in force, up to 0.7 of it, instead of 0.35 to 0.5.

--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -16,6 +16,10 @@
 	watchFor = 10 * time.Second
 	// watchers is how many routers of the fleet hold a watch.
 	watchers = 2
+	// watchAfter is how long after its start a router may begin to watch: it
+	// has heard of the others by then, so that not all of them do at a start
+	// of the fleet.
+	watchAfter = 2 * time.Second
 	// lookEvery is how often a task looks whether it is its turn, lookSoonest
 	// how soon at the earliest.
 	lookEvery   = 200 * time.Millisecond
@@ -24,9 +28,9 @@
 	// was last verified firstPart of the time within which changes are to be
 	// in force ago; the others later, each by turnPart, up to lastPart.
 	firstPart = 0.2
-	nextPart  = 0.35
+	nextPart  = 0.4
 	turnPart  = 0.05
-	lastPart  = 0.5
+	lastPart  = 0.7
 )
 
 // newBackoff spreads the retries of all routers after an outage.
@@ -44,7 +48,7 @@
 	wait := newBackoff()
 	for d.ctx.Err() == nil {
 		asOf := d.shared.asOf.Load()
-		if asOf == 0 || d.shared.turn.Load() >= watchers {
+		if asOf == 0 || d.shared.turn.Load() >= watchers || time.Since(d.started) < watchAfter {
 			d.pause(lookEvery)
 			continue
 		}
