Log without waiting for the reader, and explain requests from the logs

Cause: each line was written to the output by the task that served the request: a collector that stops reading would have stopped the router. And nothing read the logs back.

Change: internal/logsink queues lines and writes all that wait at once; half of the queue is kept for warnings, errors and failed requests, losses are counted and told; logs go to standard output. New lines tell which backend servers are not trusted, that the platform is read again, and requests that no route takes. 'yarrowctl explain ID' tells from the logs of all routers what became of one request, 'yarrowctl counts' how requests ended; clocks that differ are aligned by the moments at which versions of the table came into force.

--- /dev/null
+++ b/cmd/yarrowctl/cmd_counts.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/yarrowmast/yarrowmast/internal/command"
+	"github.com/yarrowmast/yarrowmast/internal/explain"
+)
+
+var countsArgs struct {
+	by       string
+	every    time.Duration
+	from, to string
+	logs     []string
+}
+
+var cmdCounts = &command.Command{
+	Name:        "counts",
+	Description: "counts from the routers' logs how requests ended",
+	Flags: func(s *flaggy.Subcommand) {
+		countsArgs.by, countsArgs.every = "time", time.Second
+		s.String(&countsArgs.by, "b", "by", "count by "+strings.Join(explain.GroupNames(), ", "))
+		s.Duration(&countsArgs.every, "e", "every", "with --by time: the length of a row")
+		s.String(&countsArgs.from, "f", "from", "leave out what ended before this time (RFC 3339)")
+		s.String(&countsArgs.to, "t", "to", "leave out what ended after this time (RFC 3339)")
+		s.StringSlice(&countsArgs.logs, "l", "log", "a log file, repeated for each; standard input if none is named")
+	},
+	Run: runCounts,
+}
+
+func runCounts(c *command.Context) error {
+	if countsArgs.every <= 0 {
+		return fmt.Errorf("--every %s: give a time above zero, such as 1s", countsArgs.every)
+	}
+	from, err := timeOf("--from", countsArgs.from)
+	if err != nil {
+		return err
+	}
+	to, err := timeOf("--to", countsArgs.to)
+	if err != nil {
+		return err
+	}
+	records, err := readLogs(c, countsArgs.logs)
+	if err != nil {
+		return err
+	}
+	return explain.Counts(c.Out, records, countsArgs.by, countsArgs.every, from, to)
+}
+
+// timeOf reads a bound; "" is none.
+func timeOf(flag, text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	t, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return time.Time{}, fmt.Errorf("%s %s: give a time such as 2026-01-02T15:04:05Z", flag, text)
+	}
+	return t, nil
+}
--- a/cmd/yarrowctl/main.go
+++ b/cmd/yarrowctl/main.go
@@ -17,6 +17,8 @@
 	cmdDrain,
 	cmdBurn,
 	cmdCapacity,
+	cmdExplain,
+	cmdCounts,
 }
 
 func main() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/command"
 	"github.com/yarrowmast/yarrowmast/internal/config"
+	"github.com/yarrowmast/yarrowmast/internal/logsink"
 	"github.com/yarrowmast/yarrowmast/internal/node"
 )
 
@@ -21,6 +22,7 @@
 	file     string
 	settings config.Settings
 	level    *slog.LevelVar
+	sink     *logsink.Sink
 	log      *slog.Logger
 	node     *node.Node
 	signals  chan os.Signal
@@ -38,18 +40,24 @@
 		signals: make(chan os.Signal, 4), changed: make(chan struct{}, 1),
 	}
 	d.level.Set(levelOf(s.LogLevel))
-	d.log = slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: d.level}))
+	d.sink = logsink.New(out, d.level)
+	d.log = d.sink.Logger()
 	useMachine(s.Machine)
 	d.node, err = node.Start(s, append(opts, node.WithLogger(d.log))...)
 	if err != nil {
+		d.sink.Close(logEnd)
 		return nil, err
 	}
 	return d, nil
 }
 
+// logEnd is how long the last lines of the log may take to be written.
+const logEnd = 200 * time.Millisecond
+
 // Run waits until a signal or a failure ends the router and returns the
 // program's exit code. A second signal cuts the drain.
 func (d *Daemon) Run() int {
+	defer d.sink.Close(logEnd)
 	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -88,6 +88,8 @@
 	verified atomic.Int64
 	// applyWithin is the option of that name, in nanoseconds.
 	applyWithin atomic.Int64
+	// readFails counts the reads of the platform that failed since one did not.
+	readFails atomic.Int64
 	// turn is this router's place among those that read the platform.
 	turn atomic.Int64
 }
@@ -258,6 +260,8 @@
 	// talk is whom this router tells what, digest that of its roster.
 	talk   roster.Talk
 	digest uint64
+	// untrusted are the backend servers that were last logged as such.
+	untrusted map[string]admit.Untrusted
 	// routers are those that the core was last told of.
 	routers []admit.Router
 	left    bool
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -70,10 +70,18 @@
 
 func (d *Dispatcher) readFailed(what string, err error) {
 	if d.ctx.Err() == nil {
+		d.shared.readFails.Add(1)
 		d.opt.log.Warn("platform_read_failed", "what", what, "as_of", d.shared.asOf.Load(), "error", err)
 	}
 }
 
+// readAgain logs that the platform can be read again after failures.
+func (d *Dispatcher) readAgain() {
+	if n := d.shared.readFails.Swap(0); n > 0 {
+		d.opt.log.Info("platform_read_again", "failures", n, "as_of", d.shared.asOf.Load())
+	}
+}
+
 // verify is the task that makes sure that nothing newer is missed: a watch
 // that waits proves nothing.
 func (d *Dispatcher) verify() {
@@ -90,6 +98,7 @@
 			continue
 		}
 		wait.Reset()
+		d.readAgain()
 	}
 }
 
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -34,6 +34,7 @@
 		return
 	}
 	s.status = s.now
+	s.logTrust()
 	st := &Status{
 		Name: s.d.id.Name, Zone: s.d.id.Zone, Incarnation: s.d.id.Inc, AsOf: s.catalog.AsOf(), Turn: s.d.shared.turn.Load(),
 		VerifiedMillisAgo: (s.now - time.Duration(s.d.shared.verified.Load())).Milliseconds(),
@@ -45,6 +46,23 @@
 	s.d.shared.status.Store(st)
 }
 
+// logTrust logs which backend servers this router has ceased or begun again to
+// trust.
+func (s *state) logTrust() {
+	now := s.core.Untrusted()
+	for name, u := range now {
+		if _, before := s.untrusted[name]; !before {
+			s.d.opt.log.Warn("backend_untrusted", "backend", name, "failed_part", u.Bad, "strikes", u.Strikes)
+		}
+	}
+	for name := range s.untrusted {
+		if _, still := now[name]; !still {
+			s.d.opt.log.Info("backend_trusted", "backend", name)
+		}
+	}
+	s.untrusted = now
+}
+
 // State is the router's state for operators.
 func (d *Dispatcher) State() any {
 	st := Status{Name: d.id.Name, Zone: d.id.Zone, Incarnation: d.id.Inc}
--- /dev/null
+++ b/internal/explain/causes.go
@@ -0,0 +1,40 @@
+package explain
+
+// cause is what a code of a request's end means.
+type cause struct {
+	// Means says what happened, Look what to look at next.
+	Means, Look string
+}
+
+// causes are by the code of the line request_end, "" for a success.
+var causes = map[string]cause{
+	"": {"it was answered; a status of 500 or above is the backend server's own", "the attempts, if it was slow"},
+	"busy": {"no backend server could begin its answer within a quarter of its target; it did not run",
+		"running and ahead of other attempts then: few of both mean that a prediction is wrong"},
+	"over-share": {"its account asks for much more than its share; refused unseen, it did not run",
+		"the shares below: asked far above level is a flood of that account"},
+	"overloaded": {"this router had no time for it; it did not run", "router_pace and router_overloaded of this router"},
+	"no-backend": {"no backend server of the service took requests; it did not run", "the number of backend servers in the table then"},
+	"no-table":   {"the router had just started and knew no table; it did not run", "router_started, and the platform's reads"},
+	"unknown-key": {"the table in force here has no account with the key",
+		"the version in force and its age: is the key of a later version, or taken away?"},
+	"no-such-path":        {"no route of the table in force here begins the path", "the version in force and its age"},
+	"draining":            {"the router was stopping; it did not run", "router_leaving"},
+	"deadline":            {"its deadline, or its route's time-out, passed", "first_ms of its attempts: -1 is a backend server that never answered"},
+	"caller-gone":         {"the caller left", "total_ms against the caller's own time-out"},
+	"backend-unreachable": {"no connection to the backend server; it did not run", "other attempts there: a crash, or a cut of this zone?"},
+	"backend-broke":       {"the connection broke before an answer; it may have run", "other attempts there at that time"},
+	"answer-cut":          {"the answer ended before its end; what came was passed on", "other attempts there at that time"},
+	"backend-refused":     {"the backend server refused it; it did not run", "running: full by work that this fleet does not count"},
+	"backend-replaced":    {"another backend server has the address; it did not run", "the backend server's entry on the platform"},
+	"backend-failed":      {"the backend server failed", "other attempts there: backend_untrusted follows if it goes on"},
+	"bad-answer":          {"the answer was not the backend server's own, or not in order", "other attempts there at that time"},
+	"crossed-answer":      {"the backend server answered another request", "other attempts there at that time"},
+	"too-many-open":       {"the router had as many requests open as its settings allow; it did not run", "callers.max_open of the settings"},
+	"body-cut":            {"the caller's body ended early or came too slowly", "the caller's network"},
+	"body-too-large":      {"the body is over the table's limit", "the limits of the version in force"},
+	"bad-header":          {"a header could not be read", "the caller"},
+	"no-request-id":       {"the header with the request's id was missing", "the caller"},
+}
+
+var unknownCause = cause{"see docs/OPERATIONS.md", "the lines of the request"}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,74 @@
+package explain_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/yarrowmast/yarrowmast/internal/explain"
+	"github.com/yarrowmast/yarrowmast/internal/logread"
+)
+
+// day is the log of two routers, of which b-0's clock is 5 s ahead.
+const day = `
+time=2026-01-01T00:00:00.000Z level=INFO msg=router_started router=a-0 zone=a
+time=2026-01-01T00:00:00.100Z level=INFO msg=table_in_force router=a-0 revision=7 as_of=9 from=""
+time=2026-01-01T00:00:05.102Z level=INFO msg=table_in_force router=b-0 revision=7 as_of=9 from=a-0
+time=2026-01-01T00:00:01.000Z level=INFO msg=members router=a-0 live=2
+time=2026-01-01T00:00:02.000Z level=INFO msg=members router=a-0 live=1
+time=2026-01-01T00:00:07.500Z level=INFO msg=attempt_end router=b-0 request=r2 attempt=1 backend=form-1 why=prefix code=backend-broke
+time=2026-01-01T00:00:02.600Z level=INFO msg=attempt_end router=b-0 request=r3 attempt=1 backend=form-1 why=prefix code=backend-broke
+time=2026-01-01T00:00:02.700Z level=INFO msg=attempt_end router=a-0 request=r1 attempt=1 backend=form-1 why=prefix ahead=100 running=3 expected_ms=30 first_ms=-1 total_ms=150 sent=true events=0 code=backend-broke
+time=2026-01-01T00:00:02.710Z level=INFO msg=request_end router=a-0 request=r1 account=moka model=form prompt=10 output=5 status=502 code=backend-broke verdict=may-have-run tokens=0 attempts=1 waited_ms=1 total_ms=200
+time=2026-01-01T00:00:03.000Z level=INFO msg=members router=a-0 live=9
+time=2026-01-01T00:00:04.000Z level=INFO msg=request_end router=a-0 request=r4 account=moka model=form status=200 code="" verdict=ran tokens=7 attempts=1 waited_ms=1 total_ms=40
+`
+
+func records(t *testing.T) []logread.Record {
+	t.Helper()
+	var list []logread.Record
+	if _, err := logread.Each(strings.NewReader(day), func(r logread.Record) { list = append(list, r) }); err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
+// TestExplain shows a request that broke: what is told of the others at its
+// backend server follows the routers' clocks.
+func TestExplain(t *testing.T) {
+	for name, id := range map[string]string{"broken": "r1", "answered": "r4", "end not logged": "r2"} {
+		t.Run(name, func(t *testing.T) {
+			var b strings.Builder
+			if err := explain.Explain(&b, id, records(t)); err != nil {
+				t.Fatal(err)
+			}
+			goldie.New(t).Assert(t, strings.ReplaceAll(name, " ", "-"), []byte(b.String()))
+		})
+	}
+	if err := explain.Explain(&strings.Builder{}, "nope", records(t)); !errors.Is(err, explain.ErrUnknown) {
+		t.Errorf("error %v", err)
+	}
+}
+
+func TestCounts(t *testing.T) {
+	for _, by := range explain.GroupNames() {
+		t.Run(by, func(t *testing.T) {
+			var b strings.Builder
+			if err := explain.Counts(&b, records(t), by, time.Second, time.Time{}, time.Time{}); err != nil {
+				t.Fatal(err)
+			}
+			goldie.New(t).Assert(t, "counts-"+by, []byte(b.String()))
+		})
+	}
+	var b strings.Builder
+	if err := explain.Counts(&b, records(t), "weather", time.Second, time.Time{}, time.Time{}); err == nil {
+		t.Error("counted by something that is not there")
+	}
+	from := time.Date(2026, 1, 1, 0, 0, 3, 0, time.UTC)
+	if err := explain.Counts(&b, records(t), "code", time.Second, from, from.Add(time.Minute)); err != nil || strings.Contains(b.String(), "broke") {
+		t.Errorf("counts after %s, error %v:\n%s", from, err, b.String())
+	}
+}
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -93,8 +93,11 @@
 }
 
 func (s *Server) log(a *ask, o *Outcome) {
-	stated := a.request()
-	s.opt.log.Info("request_end", "request", a.id, "account", o.Account, "model", o.Model, "prompt", stated.Prompt, "output", stated.Output,
+	var stated prompt
+	if a.route != nil {
+		stated = a.route.prompt
+	}
+	s.opt.log.Info("request_end", "request", a.id, "account", o.Account, "model", o.Model, "prompt", stated.tokens, "output", stated.output,
 		"status", o.Status, "code", o.Code, "verdict", o.Verdict, "tokens", o.Tokens, "attempts", o.Attempts,
 		"waited_ms", o.Waited.Milliseconds(), "total_ms", o.Total.Milliseconds())
 }
@@ -329,10 +332,20 @@
 	return list
 }
 
-func (s *Server) notFound(w http.ResponseWriter, _ *http.Request) {
-	s.answerTo(w, &ask{id: s.requestID()}).fail(errNotFound)
+func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
+	s.refuseUnrouted(w, r, errNotFound)
 }
 
-func (s *Server) notReady(w http.ResponseWriter, _ *http.Request) {
-	s.answerTo(w, &ask{id: s.requestID()}).fail(errNotReady.After(retryAfter))
+func (s *Server) notReady(w http.ResponseWriter, r *http.Request) {
+	s.refuseUnrouted(w, r, errNotReady.After(retryAfter))
+}
+
+// refuseUnrouted answers a request that no route or interface takes.
+func (s *Server) refuseUnrouted(w http.ResponseWriter, r *http.Request, err *verdict.Error) {
+	a := &ask{id: r.Header.Get(s.opt.dialect.RequestID), arrived: time.Now()}
+	if a.id == "" {
+		a.id = s.requestID()
+	}
+	s.answerTo(w, a).fail(err)
+	s.log(a, &Outcome{Status: err.Status, Code: err.Code, Verdict: err.Verdict.String()})
 }
--- a/pkg/admit/health.go
+++ b/pkg/admit/health.go
@@ -181,3 +181,23 @@
 	slices.Sort(all)
 	return all[len(all)/2]
 }
+
+// Untrusted is a backend server that gets no work but trials.
+type Untrusted struct {
+	// Bad is the part of recent attempts that failed.
+	Bad float64
+	// Strikes is how often in a row it was put out.
+	Strikes int
+}
+
+// Untrusted returns the backend servers that this router does not trust now,
+// by name.
+func (c *Core) Untrusted() map[string]Untrusted {
+	list := map[string]Untrusted{}
+	for _, s := range c.ordered {
+		if s.health.out > 0 {
+			list[s.Name] = Untrusted{Bad: s.health.bad, Strikes: s.health.strikes}
+		}
+	}
+	return list
+}
