Keep backend servers for a while whose entries vanish together

Change: where at least half of a service's entries vanish without a mark, and two at least, they stay in the view for 0.6 of the time within which changes must be in force; less than the time within which nothing new may go to one that leaves. request_end tells the revision of the table in force.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -267,13 +267,17 @@
 	left    bool
 }
 
+// keepPart of the time within which changes are to be in force is for how long
+// backend servers are kept whose entries vanish together.
+const keepPart = 0.6
+
 func newState(d *Dispatcher) *state {
 	self := roster.Member{Address: d.id.Address, Name: d.id.Name, Zone: d.id.Zone, Inc: d.id.Inc, Capacity: d.id.Capacity}
 	now := d.now()
 	return &state{
 		d: d, now: now, lastRun: now,
 		core:      admit.New(admit.Router{Address: d.id.Address, Zone: d.id.Zone, Capacity: d.id.Capacity}, admit.WithSeed(d.id.Inc)),
-		catalog:   catalog.New(),
+		catalog:   catalog.New(catalog.WithKeep(time.Duration(keepPart * float64(d.opt.applyWithin)))),
 		roster:    roster.New(self, d.opt.seeds),
 		allowance: allowance.New(d.opt.rule, now),
 		rule:      d.opt.rule,
@@ -312,6 +316,9 @@
 type ticked struct{}
 
 func (ticked) apply(s *state) {
+	if s.catalog.Refresh(s.now) {
+		s.inForce("")
+	}
 	s.step(admit.Tick{})
 	s.screenIfDue()
 	s.tellOthers()
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -97,7 +97,11 @@
 	if a.route != nil {
 		stated = a.route.prompt
 	}
-	s.opt.log.Info("request_end", "request", a.id, "account", o.Account, "model", o.Model, "prompt", stated.tokens, "output", stated.output,
+	var revision uint64
+	if t := s.scheduler.Table(); t != nil {
+		revision = t.Revision
+	}
+	s.opt.log.Info("request_end", "request", a.id, "account", o.Account, "model", o.Model, "prompt", stated.tokens, "output", stated.output, "table", revision,
 		"status", o.Status, "code", o.Code, "verdict", o.Verdict, "tokens", o.Tokens, "attempts", o.Attempts,
 		"waited_ms", o.Waited.Milliseconds(), "total_ms", o.Total.Milliseconds())
 }
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -51,12 +51,28 @@
 	servers map[string]Server
 	// goneAt is when an entry was heard to be gone, by name.
 	goneAt map[string]time.Duration
-	view   *table.Table
+	// vanished are the entries that were removed within keep without having
+	// been marked first, by name; kept is how many of them the view holds.
+	vanished map[string]vanished
+	keep     time.Duration
+	kept     int
+	view     *table.Table
 }
 
+// Option changes a new Catalog.
+type Option func(*Catalog)
+
+// WithKeep sets for how long backend servers whose entries vanish together are
+// kept in the view; 0, the default, is not at all.
+func WithKeep(d time.Duration) Option { return func(c *Catalog) { c.keep = d } }
+
 // New returns a catalog that knows nothing.
-func New() *Catalog {
-	return &Catalog{servers: map[string]Server{}, goneAt: map[string]time.Duration{}}
+func New(opts ...Option) *Catalog {
+	c := &Catalog{servers: map[string]Server{}, goneAt: map[string]time.Duration{}, vanished: map[string]vanished{}}
+	for _, f := range opts {
+		f(c)
+	}
+	return c
 }
 
 // forgetAfter is how long an entry that is gone is remembered, so that news
@@ -87,6 +103,9 @@
 		c.asOf = max(c.asOf, n.AsOf)
 	}
 	c.forget(now)
+	if c.Refresh(now) {
+		changed = true
+	}
 	if changed && c.table != nil {
 		c.view = c.join()
 	}
@@ -102,8 +121,12 @@
 	c.servers[name] = s
 	if s.Gone {
 		c.goneAt[name] = now
+		if known {
+			c.vanish(now, old)
+		}
 	} else {
 		delete(c.goneAt, name)
+		delete(c.vanished, name)
 	}
 	return !s.Gone || known && !old.Gone
 }
@@ -121,6 +144,7 @@
 		}
 		c.servers[name] = Server{Revision: n.AsOf, Gone: true, Backend: table.Backend{Name: name}}
 		c.goneAt[name] = now
+		c.vanish(now, s)
 		changed = true
 	}
 	return changed
@@ -144,6 +168,9 @@
 			t.Backends = append(t.Backends, s.Backend)
 		}
 	}
+	lapsed := c.lapsed()
+	c.kept = len(lapsed)
+	t.Backends = append(t.Backends, lapsed...)
 	t.Index()
 	return &t
 }
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -111,3 +111,54 @@
 		}
 	})
 }
+
+// serving is an entry of a backend server of a service.
+func serving(name string, revision uint64) catalog.Server {
+	s := server(name, revision)
+	s.Backend.Mark, s.Backend.Models = table.Serving, []string{"reader"}
+	return s
+}
+
+// TestEntriesThatVanishTogether looks for how long backend servers are kept
+// whose entries are removed without a mark.
+func TestEntriesThatVanishTogether(t *testing.T) {
+	const keep = time.Second
+	leaving := serving("a", 8)
+	leaving.Backend.Mark = table.Leaving
+	all := []catalog.Server{serving("a", 1), serving("b", 2), serving("c", 3), serving("d", 4)}
+	tests := map[string]struct {
+		news   []catalog.News
+		soon   []string
+		later  []string
+		expire bool
+	}{
+		"all at once":       {[]catalog.News{{After: 5, AsOf: 9, Servers: []catalog.Server{gone("a", 6), gone("b", 7), gone("c", 8), gone("d", 9)}}}, []string{"a", "b", "c", "d"}, nil, true},
+		"in a whole read":   {[]catalog.News{{AsOf: 9, Table: tableAt(1)}}, []string{"a", "b", "c", "d"}, nil, true},
+		"half":              {[]catalog.News{{After: 5, AsOf: 7, Servers: []catalog.Server{gone("a", 6), gone("b", 7)}}}, []string{"c", "d", "a", "b"}, []string{"c", "d"}, true},
+		"one":               {[]catalog.News{{After: 5, AsOf: 6, Servers: []catalog.Server{gone("a", 6)}}}, []string{"b", "c", "d"}, []string{"b", "c", "d"}, false},
+		"some come back":    {[]catalog.News{{AsOf: 9, Table: tableAt(1)}, {After: 9, AsOf: 11, Servers: []catalog.Server{serving("b", 10), serving("a", 11)}}}, []string{"a", "b", "c", "d"}, []string{"a", "b"}, true},
+		"one was to leave":  {[]catalog.News{{After: 5, AsOf: 8, Servers: []catalog.Server{leaving}}, {AsOf: 9, Table: tableAt(1)}}, []string{"b", "c", "d"}, nil, true},
+		"old word of a one": {[]catalog.News{{AsOf: 9, Table: tableAt(1)}, {After: 0, AsOf: 5, Servers: all}}, []string{"a", "b", "c", "d"}, nil, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := catalog.New(catalog.WithKeep(keep))
+			c.Merge(0, catalog.News{AsOf: 5, Table: tableAt(1), Servers: all})
+			for _, n := range tc.news {
+				c.Merge(0, n)
+			}
+			if diff := cmp.Diff(tc.soon, stateOf(c).Backends); diff != "" {
+				t.Errorf("at first (-want +got):\n%s", diff)
+			}
+			if c.Refresh(keep / 2) {
+				t.Error("the view changes too soon")
+			}
+			if got := c.Refresh(keep); got != tc.expire {
+				t.Errorf("the view changes in the end: %v", got)
+			}
+			if diff := cmp.Diff(tc.later, stateOf(c).Backends); diff != "" {
+				t.Errorf("in the end (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
