--- a/GNUmakefile
+++ b/GNUmakefile
@@ -3,7 +3,9 @@
 SCENARIO ?= examples/scenarios/ramdin.yaml
 BIN := bin
 
-.PHONY: all demo test lint spec measure bench fuzz fmt clean
+SEEDS ?= 5
+
+.PHONY: all demo test lint spec measure bench fuzz soak fmt clean
 
 all:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -29,8 +31,12 @@
 fuzz:
 	script/fuzz
 
+soak:
+	$(GO) build -o $(BIN)/ ./cmd/yarrowmast ./platform/soak
+	$(BIN)/soak --seeds $(SEEDS)
+
 fmt:
-	gofmt -w cmd internal pkg standin test
+	gofmt -w cmd internal pkg platform standin test
 
 clean:
 	rm -rf $(BIN)
