Put no silence down to backend servers while this router is late itself

Change: while a router cannot work on all of its requests, silent and unreached backend servers are not counted as failed.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -166,4 +166,16 @@
 	result admit.Result
 }
 
-func (e ended) apply(s *state) { s.step(admit.End{ID: e.id, Result: e.result}) }
+func (e ended) apply(s *state) {
+	s.step(admit.End{ID: e.id, Result: blamed(e.result, s.pace.Part())})
+}
+
+// blamed is what an attempt's end says of the backend server, told by a router
+// that can work on a part of its requests: one that cannot keep up hears late of
+// everything, so that a silence may be its own.
+func blamed(result admit.Result, part float64) admit.Result {
+	if part < 1 && (result == admit.Silent || result == admit.Unreached) {
+		return admit.Unknown
+	}
+	return result
+}
