Have accounts that ask beyond their share leave room to the others

Change: where more than 0.03 of the requests of accounts within their share find no place at once, accounts that ask beyond theirs may use less of the target, down to 0.6 of it at 0.13.

--- a/pkg/admit/account.go
+++ b/pkg/admit/account.go
@@ -117,6 +117,12 @@
 	return begun / as.level
 }
 
+// backlogged reports whether an account asks for more than the level.
+func (as *accounts) backlogged(key wire.Key, now time.Duration) bool {
+	as.refresh(now)
+	return as.get(key).flow(now).asked > as.level
+}
+
 // refresh works the level out anew where that is due.
 func (as *accounts) refresh(now time.Duration) {
 	if now-as.leveled >= levelEvery {
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -84,8 +84,12 @@
 	copies []wire.Copy
 	// heardCopies are those that others of the zone told of since then.
 	heardCopies []wire.Copy
-	synced      time.Duration
-	swept       time.Duration
+	// within counts the requests of accounts that ask for no more than their
+	// share at the backend servers owned here, waited those of them that found
+	// no place at once, a second.
+	within, waited rate
+	synced         time.Duration
+	swept          time.Duration
 	// local is what this router sends to itself.
 	local []any
 	out   []Action
--- a/pkg/admit/owned.go
+++ b/pkg/admit/owned.go
@@ -93,8 +93,12 @@
 		until: c.now + time.Duration(m.WaitMillis)*time.Millisecond,
 		due:   c.now + time.Duration(m.TargetMillis)*time.Millisecond,
 	}
+	granted := (len(o.queue) == 0 || !m.Spill) && c.grant(s, a)
+	if !m.Spill && !m.Begun {
+		c.noteAsked(m.Account, granted)
+	}
 	switch {
-	case (len(o.queue) == 0 || !m.Spill) && c.grant(s, a):
+	case granted:
 	case m.Spill || c.now >= a.until:
 		c.answer(s, a, wire.PlaceDenied)
 	default:
--- a/pkg/admit/room_test.go
+++ b/pkg/admit/room_test.go
@@ -171,3 +171,35 @@
 		t.Errorf("the one that may have run started at %v, the one that came before it at %v", a.at, b.at)
 	}
 }
+
+// TestFloodLeavesRoom floods from one account while others ask for little: they
+// find places.
+func TestFloodLeavesRoom(t *testing.T) {
+	w := newWorld(6, 3, zones, 2)
+	w.hold = 400 * time.Millisecond
+	w.flood("flood", 300, w.order, admit.Request{Prompt: 4000, Output: 50}, 8*time.Second)
+	for i := range 6 {
+		w.flood(fmt.Sprint("small-", i), 6, w.order, admit.Request{Prompt: 6000, Output: 50, Target: 250 * time.Millisecond}, 8*time.Second)
+	}
+	w.run(10 * time.Second)
+	asked, refused, flood := 0, 0, 0
+	for id, a := range w.asked {
+		if a.at < 2*time.Second {
+			continue
+		}
+		_, gone := w.refusals[id]
+		switch {
+		case a.request.Account == "flood":
+			flood += boolInt(!gone)
+		default:
+			asked++
+			refused += boolInt(gone)
+		}
+	}
+	if part := float64(refused) / float64(asked); part > 0.1 {
+		t.Errorf("%.2f of %d requests of accounts within their share were refused", part, asked)
+	}
+	if flood < 200 {
+		t.Errorf("only %d requests of the flood started", flood)
+	}
+}
