Split what had grown: talk of the roster, pace, parts of the target

Cause: roster.go held membership and who talks with whom in 460 lines, screen.go the pace too, hasPlace all of its reasons in one function.

--- /dev/null
+++ b/internal/dispatch/pace.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import "time"
+
+const (
+	// overloadedPart is the part of its requests from which a router that can
+	// work on no more has new connections sent elsewhere, overloadedFor for how
+	// long it stays so at least.
+	overloadedPart = 0.5
+	overloadedFor  = 2 * time.Second
+)
+
+// keepPace learns from how late this process heard of something.
+func (s *state) keepPace(late time.Duration) {
+	before := s.pace.Part()
+	s.pace.Step(late)
+	s.seeWhetherOverloaded()
+	if now := s.pace.Part(); (now < 1) != (before < 1) {
+		s.d.opt.log.Warn("router_pace", "limited", now < 1, "late_ms", s.pace.Late().Milliseconds())
+	}
+}
+
+// seeWhetherOverloaded tells balancers to send new connections elsewhere while
+// this router can work on a small part of its requests only.
+func (s *state) seeWhetherOverloaded() {
+	overloaded := s.d.shared.overloaded.Load()
+	switch {
+	case s.pace.Part() < overloadedPart:
+		s.overloadedAt = s.now
+		if !overloaded {
+			s.d.shared.overloaded.Store(true)
+			s.d.opt.log.Warn("router_overloaded", "late_ms", s.pace.Late().Milliseconds())
+		}
+	case overloaded && s.pace.Part() == 1 && s.now-s.overloadedAt >= overloadedFor:
+		s.d.shared.overloaded.Store(false)
+		s.d.opt.log.Info("router_recovered")
+	}
+}
--- a/pkg/admit/place.go
+++ b/pkg/admit/place.go
@@ -1,10 +1,6 @@
 package admit
 
-import (
-	"time"
-
-	"github.com/yarrowmast/yarrowmast/pkg/wire"
-)
+import "time"
 
 const (
 	// targetPart of what is left of its target is what a request's first
@@ -21,70 +17,12 @@
 	// where its shared parts must be read again: only where one backend server
 	// is much less busy than another is that worth its while.
 	spillPart = 0.5
-	// evenUpTo is up to how many times the level an account is treated as
-	// one that has its share.
-	evenUpTo = 0.9
-	// backloggedPart is the most for an account that asks for more than its
-	// share: it always has more, and takes what room it is left, so that the
-	// others find some.
-	backloggedPart = 0.6
-	// Others leave room to accounts within their share from leastPressure of
-	// these accounts' requests that find no place at once, and all of that room
-	// from fullPressure of them.
-	leastPressure = 0.03
-	fullPressure  = 0.13
-	// overSlope is how fast an account's part falls beyond that.
-	overSlope = 2.0
-	// leastPart is what is left to an account far beyond its share, where
-	// places would else be idle.
-	leastPart = 0.25
 	// slotsBeside is how much more of the slots than of its target an account
 	// beyond its share may use.
 	slotsBeside = 0.25
 )
 
-// partFor is the part of its target that a request of the account may use:
-// the more the account had beyond its share, the less.
-func (c *Core) partFor(account wire.Key) float64 {
-	if account == 0 {
-		return 1
-	}
-	most := 1.0
-	if c.accounts.backlogged(account, c.now) {
-		most -= (1 - backloggedPart) * c.pressure()
-	}
-	over := c.accounts.over(account, c.now)
-	if over <= evenUpTo {
-		return most
-	}
-	return max(leastPart, most-overSlope*(over-evenUpTo))
-}
-
-// noteAsked notes whether a request of an account that asks for no more than its
-// share found a place at once.
-func (c *Core) noteAsked(account wire.Key, granted bool) {
-	if c.accounts.backlogged(account, c.now) {
-		return
-	}
-	c.within.add(c.now, 1)
-	if !granted {
-		c.waited.add(c.now, 1)
-	}
-}
-
-// pressure is from 0, where accounts that ask for no more than their share find
-// places at once, to 1, where many of their requests do not.
-func (c *Core) pressure() float64 {
-	asked := c.within.get(c.now)
-	if asked < 1 {
-		return 0
-	}
-	part := c.waited.get(c.now) / asked
-	return min(1, max(0, (part-leastPressure)/(fullPressure-leastPressure)))
-}
-
-// hasPlace reports whether a request can be started at a backend server so
-// that its answer begins in time.
+// hasPlace reports whether a request can be started at a backend server now.
 func (c *Core) hasPlace(sv *service, s *server, a *asking, toRead int64) bool {
 	o := s.ownedOf()
 	if !sv.engine {
@@ -104,12 +42,21 @@
 		// Waiting would not help, and only what is sent tells how fast it is.
 		return true
 	}
-	slow := s.health.slowness()
+	return c.beginsInTime(sv, s, a, toRead, part) || c.isLongAndNext(sv, s, a, toRead, part)
+}
+
+// beginsInTime reports whether a request's first event is predicted to come
+// within a part of what is left of its target.
+func (c *Core) beginsInTime(sv *service, s *server, a *asking, toRead int64, part float64) bool {
 	left := (a.due - c.now).Seconds()
-	behind := slow * sv.line.slope() * float64(o.unread)
-	if slow*sv.line.predict(o.unread+toRead).Seconds() <= targetPart*part*left {
-		return true
-	}
-	target := time.Duration(a.TargetMillis) * time.Millisecond
-	return behind <= behindPart*part*target.Seconds() && sv.line.slope()*float64(toRead) > behindPart*target.Seconds()
+	expected := s.health.slowness() * sv.line.predict(s.owned.unread+toRead).Seconds()
+	return expected <= targetPart*part*left
+}
+
+// isLongAndNext reports whether a prompt takes so long to read that it cannot
+// be in time anywhere, but waits for little else here.
+func (c *Core) isLongAndNext(sv *service, s *server, a *asking, toRead int64, part float64) bool {
+	most := behindPart * (time.Duration(a.TargetMillis) * time.Millisecond).Seconds()
+	behind := s.health.slowness() * sv.line.slope() * float64(s.owned.unread)
+	return behind <= part*most && sv.line.slope()*float64(toRead) > most
 }
--- /dev/null
+++ b/pkg/roster/talk.go
@@ -0,0 +1,108 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
+)
+
+const (
+	// meshUpTo is up to how many routers all talk with all.
+	meshUpTo = 12
+	// relaysEach is how many relays a zone has.
+	relaysEach = 2
+	// relayKey is hashed to choose the relays.
+	relayKey = "relay"
+)
+
+// Talk is whom a router tells what, for a while.
+type Talk struct {
+	// Mesh says that all talk with all.
+	Mesh bool
+	// Relay says that this router is a relay of its zone, First that it is the
+	// one that tells the zone's sums.
+	Relay, First bool
+	// Members are the routers that this one tells as one of their equals:
+	// all, or its zone's relays.
+	Members []string
+	// Served are the routers of its zone that a relay serves.
+	Served []string
+	// Others are the relays of other zones.
+	Others []string
+	// Interval is the time between two tellings.
+	Interval time.Duration
+}
+
+// Talk works out whom this router tells what.
+func (r *Roster) Talk(now time.Duration) Talk {
+	live := r.Live(now)
+	if len(live) < meshUpTo {
+		r.interval = quickest
+		return Talk{Mesh: true, Members: live, Interval: quickest}
+	}
+	relays := r.relays(now)
+	t := Talk{}
+	for _, address := range live {
+		m := r.members[address]
+		switch isRelay := slices.Contains(relays[m.Zone], address); {
+		case m.Zone == r.self.Zone && isRelay:
+			t.Members = append(t.Members, address)
+		case m.Zone == r.self.Zone:
+			t.Served = append(t.Served, address)
+		case isRelay:
+			t.Others = append(t.Others, address)
+		}
+	}
+	own := relays[r.self.Zone]
+	t.Relay = slices.Contains(own, r.self.Address)
+	t.First = t.Relay && own[0] == r.self.Address
+	// The interval is the same at all of the zone.
+	r.interval = min(max(quickest, time.Duration(len(t.Members)+len(t.Served)+len(t.Others))*perMember), slowest)
+	if !t.Relay {
+		t.Served, t.Others = nil, nil
+	}
+	t.Interval = r.interval
+	return t
+}
+
+// relays returns the relays of each zone, the first of them first.
+func (r *Roster) relays(now time.Duration) map[string][]string {
+	type ranked struct {
+		address string
+		score   float64
+	}
+	zones := map[string][]ranked{}
+	add := func(m *Member) {
+		zones[m.Zone] = append(zones[m.Zone], ranked{m.Address, rendezvous.Score(relayKey, m.Address, m.capacity())})
+	}
+	add(&r.self)
+	for _, address := range r.Staying(now) {
+		add(&r.members[address].Member)
+	}
+	relays := make(map[string][]string, len(zones))
+	for zone, list := range zones {
+		slices.SortFunc(list, func(a, b ranked) int {
+			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
+		})
+		for _, x := range list[:min(relaysEach, len(list))] {
+			relays[zone] = append(relays[zone], x.address)
+		}
+	}
+	return relays
+}
+
+// isRelay reports whether this router takes another one for a relay.
+func (r *Roster) isRelay(now time.Duration, address string) bool {
+	m, ok := r.Get(address)
+	return ok && slices.Contains(r.relays(now)[m.Zone], address)
+}
+
+// FirstRelay returns the relay that tells its zone's sums.
+func (r *Roster) FirstRelay(now time.Duration, zone string) string {
+	if list := r.relays(now)[zone]; len(list) > 0 {
+		return list[0]
+	}
+	return ""
+}
