--- a/pkg/admit/part.go
+++ b/pkg/admit/part.go
@@ -6,6 +6,8 @@
 	// evenUpTo is up to how many times the level an account is treated as
 	// one that has its share.
 	evenUpTo = 0.9
+	// overSlope is how fast an account's part falls beyond that.
+	overSlope = 2.0
 	// backloggedPart is the most for an account that asks for more than its
 	// share: it always has more, and takes what room it is left, so that the
 	// others find some.
@@ -15,8 +17,6 @@
 	// from fullPressure of them.
 	leastPressure = 0.03
 	fullPressure  = 0.13
-	// overSlope is how fast an account's part falls beyond that.
-	overSlope = 2.0
 	// leastPart is what is left to an account far beyond its share, where
 	// places would else be idle.
 	leastPart = 0.25
