Move the soak out of platform/, and show a route and a resumed stream in the demo

Change: the stand-in writes configurations, entries and callers' requests, so that test/soak knows none of the platform's names; platform/demo serves one stream that a backend server breaks off, after the demo's scenario.

Ruled out on the way: with the default allowance the stream ended cut, since a router that has just started has earned no repeat yet; the demo's settings give it one.

--- a/cmd/yarrowctl/cmd_demo.go
+++ b/cmd/yarrowctl/cmd_demo.go
@@ -6,6 +6,7 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/command"
 	"github.com/yarrowmast/yarrowmast/internal/measure"
+	"github.com/yarrowmast/yarrowmast/platform/demo"
 )
 
 //go:embed demo.yaml
@@ -13,7 +14,7 @@
 
 var cmdDemo = &command.Command{
 	Name:        "demo",
-	Description: "starts three availability zones in this process and serves census and quiz requests",
+	Description: "starts three availability zones in this process and serves census and quiz requests, a route, and a stream that is taken up elsewhere",
 	Run:         runDemo,
 }
 
@@ -22,5 +23,8 @@
 	if err != nil {
 		return fmt.Errorf("demo: %w", err)
 	}
-	return runScenario(c, s)
+	if err := runScenario(c, s); err != nil {
+		return err
+	}
+	return demo.Run(c.Out)
 }
--- a/platform/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -23,6 +23,8 @@
 	engines = 3
 	desks   = 2
 	workers = engines + desks
+	// slots is how many requests a worker says that it runs at once.
+	slots = 64
 	// events is how many events a stream has, pause the time between them and
 	// that a plain request takes.
 	events = 20
@@ -101,15 +103,13 @@
 		return err
 	}
 	f.links = append(f.links, link)
-	f.enter(i, "ready")
+	f.enter(i, standin.Ready)
 	return nil
 }
 
 // enter writes a worker's entry, with the address of the way to it.
 func (f *fleet) enter(i int, state string) {
-	entry := f.workers[i].Entry(serviceOf(i), "a", state, 64)
-	entry["address"] = f.links[i].address()
-	f.store.Put("servers/"+f.workers[i].ID, entry)
+	f.store.Enter(f.workers[i], serviceOf(i), f.links[i].address(), state, slots)
 }
 
 func (f *fleet) addRouter(i int) error {
@@ -225,25 +225,21 @@
 	if !f.revoked {
 		keys = append(keys, keyRevoked)
 	}
-	route := func(kind Kind, routeKind, service string, public, resumable bool) map[string]any {
-		return map[string]any{
-			"name": string(kind), "hostname": host, "pathPrefix": "/" + string(kind) + "/", "routeKind": routeKind, "service": service,
-			"timeoutMs": 6000, "targetLatencyMs": 400, "maxAttempts": 2, "priority": 1, "public": public, "resumable": resumable,
-			"targetGapMs": 100,
+	route := func(kind Kind, repeat, service string) standin.Route {
+		return standin.Route{
+			Name: string(kind), Kind: repeat, Service: service, Public: kind == Submit, Resumable: kind == Read,
+			Attempts: 2, Timeout: 6 * time.Second, Target: 400 * time.Millisecond, Pause: 100 * time.Millisecond,
 		}
 	}
-	f.store.Put("op/config", map[string]any{
-		"version": f.version,
-		"routes": []any{
-			route(Read, "streaming", "reader", false, true), route(Once, "streaming", "reader", false, false),
-			route(Submit, "unsafe", "desk", true, false), route(Look, "safe", "desk", false, false),
+	f.store.Configure(&standin.Config{
+		Version: f.version, Host: host, TokensPerSecond: 600000, Keys: map[string][]string{"moka": keys},
+		Routes: []standin.Route{
+			route(Read, standin.Streaming, serviceOf(0)), route(Once, standin.Streaming, serviceOf(0)),
+			route(Submit, standin.Unsafe, serviceOf(engines)), route(Look, standin.Safe, serviceOf(engines)),
 		},
-		"services": []any{
-			map[string]any{"name": "reader", "healthPath": "/health", "maxConns": 500, "engine": map[string]any{"slots": 64}},
-			map[string]any{"name": "desk", "healthPath": "/health", "maxConns": 500},
+		Services: []standin.Service{
+			{Name: serviceOf(0), Slots: slots, Connections: 500}, {Name: serviceOf(engines), Connections: 500},
 		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "tokensPerS": 600000},
-		"tenants": []any{map[string]any{"name": "moka", "apiKeys": keys, "priority": 1}},
 	})
 }
 
--- a/platform/soak/soak.go
+++ b/test/soak/soak.go
@@ -133,7 +133,7 @@
 	})
 	at(time.Duration(leavesAt*float64(r.Length)), func() {
 		if r.Plant != RuleLeaving {
-			f.enter(leavingWorker, "draining")
+			f.enter(leavingWorker, standin.Draining)
 		}
 		time.Sleep(leftWithin)
 		before := len(f.workers[leavingWorker].Runs())
@@ -230,8 +230,9 @@
 // awaitServing waits until every router answers a request of each kind.
 func (r *Run) awaitServing(t *traffic, when string) error {
 	if r.Plant == RuleRecover && when == "end" {
-		t.fleet.store.Delete("servers/i-3")
-		t.fleet.store.Delete("servers/i-4")
+		for _, w := range t.fleet.workers[engines:] {
+			t.fleet.store.Remove(w.ID)
+		}
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	within := readyWithin
--- a/platform/soak/traffic.go
+++ b/test/soak/traffic.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/yarrowmast/yarrowmast/platform/standin"
 )
 
 const (
@@ -72,18 +74,15 @@
 func (t *traffic) ask(client *http.Client, address string, a *answer) {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
+	with := key
+	if a.Revoked {
+		with = keyRevoked
+	}
 	// Never GET, which the client would send again by itself.
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+string(a.Kind)+"/x", nil)
+	req, err := standin.NewRequest(ctx, address, host, pathOf(a.Kind), a.ID, with, deadline)
 	if err != nil {
 		return
 	}
-	req.Host = host
-	req.Header.Set("Yarrowmast-Attempt-Id", a.ID)
-	req.Header.Set("Yarrowmast-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	req.Header.Set("Yarrowmast-Key", key)
-	if a.Revoked {
-		req.Header.Set("Yarrowmast-Key", keyRevoked)
-	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return
@@ -93,6 +92,8 @@
 	a.Status, a.Body, a.Whole = resp.StatusCode, string(body), err == nil
 }
 
+func pathOf(k Kind) string { return "/" + string(k) + "/x" }
+
 // spoil plants a fault, to show that the judge sees it.
 func (t *traffic) spoil(a *answer) {
 	switch t.plant {
@@ -115,11 +116,11 @@
 // plantAgain sends a request straight to a worker once more, as a faulty router
 // would.
 func (t *traffic) plantAgain(a *answer) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+t.fleet.workers[engines].Address()+"/submit/x", nil)
+	address := t.fleet.workers[engines].Address()
+	req, err := standin.NewRequest(context.Background(), address, host, pathOf(a.Kind), a.ID, key, deadline)
 	if err != nil {
 		return
 	}
-	req.Header.Set("Yarrowmast-Attempt-Id", a.ID)
 	if resp, err := http.DefaultClient.Do(req); err == nil {
 		_ = resp.Body.Close()
 	}
