Gauge routers of the operators' platform, and bound the accounts with series

Cause: the gauges were copied for routers with pools only, so that on the platform neither members nor calls nor the age of what is known were to be seen; and 3,600 accounts would have made as many series, times the models.

Change: common gauges for both, and waiting, owned, untrusted, unverified; 256 accounts have series of their own, the rest are one. Requests of nobody's account do not count as an account within its share.

--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // statusEvery is the interval at which the status for operators is renewed.
 const statusEvery = 250 * time.Millisecond
@@ -25,10 +29,18 @@
 	Relay bool     `json:"relay"`
 	// Owned are the backend servers that this router owns.
 	Owned []string `json:"owned"`
+	// Untrusted are the backend servers that this router does not trust.
+	Untrusted []string `json:"untrusted"`
 	// Waiting is how many requests wait.
 	Waiting int `json:"waiting"`
+	// Calls is how many calls of the platform were made, 0 if its source does
+	// not tell.
+	Calls int64 `json:"platform_calls"`
 }
 
+// counter is a Source that counts its calls.
+type counter interface{ Calls() int64 }
+
 func (s *state) publish() {
 	if s.now-s.status < statusEvery {
 		return
@@ -40,6 +52,10 @@
 		VerifiedMillisAgo: (s.now - time.Duration(s.d.shared.verified.Load())).Milliseconds(),
 		Live:              s.roster.Live(s.now), Relay: s.talk.Relay, Owned: s.core.Owned(), Waiting: s.core.Waiting(),
 	}
+	st.Untrusted = slices.Sorted(maps.Keys(s.untrusted))
+	if c, ok := s.d.source.(counter); ok {
+		st.Calls = c.Calls()
+	}
 	if v := s.catalog.View(); v != nil {
 		st.Table = v.Revision
 	}
@@ -64,7 +80,10 @@
 }
 
 // State is the router's state for operators.
-func (d *Dispatcher) State() any {
+func (d *Dispatcher) State() any { return d.Status() }
+
+// Status is the same.
+func (d *Dispatcher) Status() Status {
 	st := Status{Name: d.id.Name, Zone: d.id.Zone, Incarnation: d.id.Inc}
 	if p := d.shared.status.Load(); p != nil {
 		st = *p
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
@@ -37,6 +38,10 @@
 	PeerMsgsIn    = "peer_messages_in"
 	PeerDropped   = "peer_messages_dropped"
 	PlatformCalls = "platform_calls"
+	Waiting       = "waiting_requests"
+	Owned         = "owned_backends"
+	Untrusted     = "untrusted_backends"
+	Unverified    = "unverified_seconds"
 	Events        = "events"
 )
 
@@ -45,7 +50,7 @@
 	return []string{
 		Requests, Refusals, Tokens, Retries, WaitSeconds, FirstSeconds, TotalSeconds, TableRevision,
 		TableChanges, Open, Leases, IdleLeases, Members, PeerBytesOut, PeerBytesIn, PeerMsgsOut,
-		PeerMsgsIn, PeerDropped, PlatformCalls, Events,
+		PeerMsgsIn, PeerDropped, PlatformCalls, Waiting, Owned, Untrusted, Unverified, Events,
 	}
 }
 
@@ -61,6 +66,9 @@
 	handler http.Handler
 	closer  io.Closer
 	seconds tally.Buckets
+	mu      sync.Mutex
+	// accounts are those that have labels of their own.
+	accounts map[string]bool
 }
 
 // New returns metrics whose values are labelled with the router's zone.
@@ -80,7 +88,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("metrics: buckets: %w", err)
 	}
-	return &Metrics{scope: scope, handler: reporter.HTTPHandler(), closer: closer, seconds: buckets}, nil
+	return &Metrics{scope: scope, handler: reporter.HTTPHandler(), closer: closer, seconds: buckets, accounts: map[string]bool{}}, nil
 }
 
 // The buckets of durations run from 1 ms to about 2 minutes.
@@ -96,9 +104,29 @@
 // Close ends the reporting.
 func (m *Metrics) Close() error { return m.closer.Close() }
 
+const (
+	// mostAccounts bounds the accounts with labels of their own: the first that
+	// are seen have them, all others are counted as otherAccounts.
+	mostAccounts  = 256
+	otherAccounts = "(others)"
+)
+
+// label returns the label of an account.
+func (m *Metrics) label(account string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.accounts[account] {
+		if len(m.accounts) >= mostAccounts {
+			return otherAccounts
+		}
+		m.accounts[account] = true
+	}
+	return account
+}
+
 // Answered implements front.Observer.
 func (m *Metrics) Answered(o front.Outcome) {
-	s := m.scope.Tagged(map[string]string{"account": o.Account, "model": o.Model})
+	s := m.scope.Tagged(map[string]string{"account": m.label(o.Account), "model": o.Model})
 	if o.Code != "" {
 		s.Tagged(map[string]string{"code": o.Code, "verdict": o.Verdict}).Counter(Refusals).Inc(1)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -212,9 +212,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
-	if n.Router != nil {
-		go n.gauge(ctx)
-	}
+	go n.gauge(ctx)
 	n.log.Info("router_started", "zone", n.Settings.Zone, "callers", ls.callers.Addr().String(),
 		"peers", ls.peers.Addr().String(), "admin", ls.admin.Addr().String())
 }
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -91,23 +91,50 @@
 }
 
 func (n *Node) gaugeOnce() {
-	s := n.Router.Status()
 	p := n.Peers.Counters()
-	for name, v := range map[string]int64{
-		metrics.Open:          n.Front.Open(),
+	n.setGauges(map[string]int64{
+		metrics.Open:         n.Front.Open(),
+		metrics.PeerBytesOut: p.BytesOut.Load(),
+		metrics.PeerBytesIn:  p.BytesIn.Load(),
+		metrics.PeerMsgsOut:  p.MessagesOut.Load(),
+		metrics.PeerMsgsIn:   p.MessagesIn.Load(),
+		metrics.PeerDropped:  p.Dropped.Load(),
+	})
+	if n.Router != nil {
+		n.gaugeRouter()
+	} else {
+		n.gaugeDispatch()
+	}
+}
+
+func (n *Node) gaugeRouter() {
+	s := n.Router.Status()
+	n.setGauges(map[string]int64{
 		metrics.Leases:        int64(s.Leases),
 		metrics.IdleLeases:    int64(s.IdleLeases),
 		metrics.Members:       int64(len(s.Members) + 1),
-		metrics.PeerBytesOut:  p.BytesOut.Load(),
-		metrics.PeerBytesIn:   p.BytesIn.Load(),
-		metrics.PeerMsgsOut:   p.MessagesOut.Load(),
-		metrics.PeerMsgsIn:    p.MessagesIn.Load(),
-		metrics.PeerDropped:   p.Dropped.Load(),
 		metrics.PlatformCalls: n.Platform.Calls(),
-	} {
-		n.metrics.Gauge(name, float64(v))
-	}
+	})
 	for name, total := range s.Counts {
 		n.metrics.Event(name, total)
 	}
 }
+
+func (n *Node) gaugeDispatch() {
+	s := n.Dispatch.Status()
+	n.setGauges(map[string]int64{
+		metrics.Members:       int64(len(s.Live) + 1),
+		metrics.PlatformCalls: s.Calls,
+		metrics.TableRevision: int64(s.Table),
+		metrics.Waiting:       int64(s.Waiting),
+		metrics.Owned:         int64(len(s.Owned)),
+		metrics.Untrusted:     int64(len(s.Untrusted)),
+		metrics.Unverified:    s.VerifiedMillisAgo / time.Second.Milliseconds(),
+	})
+}
+
+func (n *Node) setGauges(values map[string]int64) {
+	for name, v := range values {
+		n.metrics.Gauge(name, float64(v))
+	}
+}
--- a/pkg/admit/part.go
+++ b/pkg/admit/part.go
@@ -42,7 +42,7 @@
 // noteAsked notes whether a request of an account that asks for no more than its
 // share found a place at once.
 func (c *Core) noteAsked(account wire.Key, granted bool) {
-	if c.accounts.backlogged(account, c.now) {
+	if account == 0 || c.accounts.backlogged(account, c.now) {
 		return
 	}
 	c.within.add(c.now, 1)
