Send nobody everything when a router has read the platform first

Each router that starts read the whole platform and sent it unasked to all that it took for its equals, while the others did the same.

Change: what is read first is not passed on; who is behind sees so by the next telling and asks.

--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -191,7 +191,8 @@
 	if changed {
 		s.inForce(e.from)
 	}
-	if asOf > before {
+	if before > 0 && asOf > before {
+		// What is read first is everything; who is behind asks for it.
 		s.spread(before, e.sender)
 	}
 }
