--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -191,8 +191,7 @@
 	if changed {
 		s.inForce(e.from)
 	}
-	if before > 0 && asOf > before {
-		// What is read first is everything; who is behind asks for it.
+	if asOf > before {
 		s.spread(before, e.sender)
 	}
 }
