Drop callers' headers that only the fleet may set

Ruled out: the exchange's own headers; these were always overwritten.

Change: a dialect lists what only the fleet may set (Reserved); the front drops it before anything is read, on every way in, counts it and logs it once a second at most. The own interface drops X-Priority.

--- a/internal/front/dialect.go
+++ b/internal/front/dialect.go
@@ -32,6 +32,10 @@
 	Parts string
 	// LastEvent names the last event of a stream that the caller has.
 	LastEvent string
+	// Reserved are the headers that backend servers obey and only the fleet may
+	// set: a caller's are dropped. All others are a caller's own and are passed
+	// on, but for Key and those that concern one connection only.
+	Reserved []string
 	// FineRetryAfter says that callers understand fractions of a second.
 	FineRetryAfter bool
 }
@@ -51,6 +55,7 @@
 	return Dialect{
 		RequestID: backend.HeaderRequestID, Deadline: HeaderDeadline, Key: "Authorization", KeyPrefix: "Bearer ",
 		Tokens: HeaderTokens, Parts: HeaderParts, LastEvent: HeaderLastEvent,
+		Reserved: []string{backend.HeaderPriority},
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -236,6 +236,21 @@
 	}
 }
 
+// TestReservedHeadersAreDropped has a caller of the own interface give an order
+// that only the fleet may give a backend server.
+func TestReservedHeadersAreDropped(t *testing.T) {
+	f := &fake{t: newTable(t), results: []backend.Result{{}}, calls: make(chan backend.Call, 1)}
+	url := start(t, f)
+	ask(t, "POST", url+"/services/scores/x", "", map[string]string{backend.HeaderPriority: "9", "X-Own": "kept"})
+	call := <-f.calls
+	if got := call.Header.Get(backend.HeaderPriority); got != "" {
+		t.Errorf("the caller's %s reached the backend server: %q", backend.HeaderPriority, got)
+	}
+	if got := call.Header.Get("X-Own"); got != "kept" {
+		t.Errorf("the caller's own header is %q", got)
+	}
+}
+
 func TestKeyIsTakenBackWhenNothingRan(t *testing.T) {
 	f := &fake{t: newTable(t), results: []backend.Result{failed(verdict.PhaseDial, "other", false)}}
 	ask(t, "POST", start(t, f)+front.PathCompletions, `{"model":"form"}`, map[string]string{front.HeaderKey: "k"})
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -83,10 +83,11 @@
 	backend   Backend
 	name      string
 	// idBase makes request ids unique to this start of the router.
-	idBase  string
-	nextID  atomic.Uint64
-	open    atomic.Int64
-	callers atomic.Pointer[Callers]
+	idBase   string
+	nextID   atomic.Uint64
+	open     atomic.Int64
+	callers  atomic.Pointer[Callers]
+	reserved reserved
 	// connected counts callers' connections.
 	connected atomic.Int64
 	draining  atomic.Bool
@@ -199,6 +200,7 @@
 		own = s.ownInterfaces().ServeHTTP
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.dropReserved(r)
 		t := s.scheduler.Table()
 		if t == nil {
 			s.notReady(w, r)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,6 +42,7 @@
 	Owned         = "owned_backends"
 	Untrusted     = "untrusted_backends"
 	Unverified    = "unverified_seconds"
+	Reserved      = "reserved_headers_dropped"
 	Events        = "events"
 )
 
@@ -50,7 +51,7 @@
 	return []string{
 		Requests, Refusals, Tokens, Retries, WaitSeconds, FirstSeconds, TotalSeconds, TableRevision,
 		TableChanges, Open, Leases, IdleLeases, Members, PeerBytesOut, PeerBytesIn, PeerMsgsOut,
-		PeerMsgsIn, PeerDropped, PlatformCalls, Waiting, Owned, Untrusted, Unverified, Events,
+		PeerMsgsIn, PeerDropped, PlatformCalls, Waiting, Owned, Untrusted, Unverified, Reserved, Events,
 	}
 }
 
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -94,6 +94,7 @@
 	p := n.Peers.Counters()
 	n.setGauges(map[string]int64{
 		metrics.Open:         n.Front.Open(),
+		metrics.Reserved:     n.Front.ReservedDropped(),
 		metrics.PeerBytesOut: p.BytesOut.Load(),
 		metrics.PeerBytesIn:  p.BytesIn.Load(),
 		metrics.PeerMsgsOut:  p.MessagesOut.Load(),
