Copy shared parts between engines, and bound what is ahead of any request

What the spilled places cost was not their reading only but the room they took from those who wait least.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -54,6 +54,9 @@
 	Events bool
 	// Opaque says that events are passed on without a look at their data.
 	Opaque bool
+	// FetchFrom is the address of a backend server from which the prompt's shared
+	// parts are copied before what is left of it is read, "" if none.
+	FetchFrom string
 	// Resume says that the sink has begun and the answer goes on after
 	// LastEvent.
 	Resume bool
--- a/internal/backend/dialect.go
+++ b/internal/backend/dialect.go
@@ -36,6 +36,9 @@
 	// Proof is set in every answer that a backend server made itself; a
 	// success without it is none.
 	Proof string
+	// Fetch is the address of another backend server, from which this one copies
+	// what it keeps of the prompt.
+	Fetch string
 	// LastEvent names the last event of a stream that was received.
 	LastEvent string
 }
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -172,6 +172,7 @@
 	}
 	setOrDrop(h, d.Account, x.call.Account)
 	setOrDrop(h, d.Instance, x.call.Instance)
+	setOrDrop(h, d.Fetch, x.call.FetchFrom)
 	if !x.call.Deadline.IsZero() {
 		set(h, d.Deadline, strconv.FormatInt(max(1, time.Until(x.call.Deadline).Milliseconds()), 10))
 	}
--- a/internal/backend/routed_test.go
+++ b/internal/backend/routed_test.go
@@ -20,6 +20,7 @@
 func testDialect() backend.Dialect {
 	return backend.Dialect{
 		RequestID: "X-Id", NotRun: "X-Unrun", Deadline: "X-Left", Instance: "X-Meant", Account: "X-Account", Proof: "X-Proof", LastEvent: "Last-Event-Id",
+		Fetch: "X-Fetch",
 	}
 }
 
@@ -228,16 +229,16 @@
 	})
 	call := routedCall(s.ln.Addr().String())
 	call.Path, call.Host = "/a/../b?x=%20", "forms.example"
-	call.Account, call.Instance = "moka", "i-7"
+	call.Account, call.Instance, call.FetchFrom = "moka", "i-7", "10.0.0.9:80"
 	call.Header = http.Header{
-		"X-Account": {"forged"}, "X-Kept": {"1", "2"}, "Connection": {"X-Dropped, close"}, "X-Dropped": {"1"},
+		"X-Account": {"forged"}, "X-Fetch": {"forged"}, "X-Kept": {"1", "2"}, "Connection": {"X-Dropped, close"}, "X-Dropped": {"1"},
 		"Transfer-Encoding": {"chunked"}, "Content-Length": {"999"}, "Te": {"x"},
 	}
 	if r := doRouted(call, &recorder{}); r.Err != nil {
 		t.Fatal(r.Err)
 	}
 	want := "POST /a/../b?x=%20 HTTP/1.1\r\nHost: forms.example\r\n" +
-		"X-Account: moka\r\nX-Id: req-1\r\nX-Kept: 1\r\nX-Kept: 2\r\nX-Meant: i-7\r\nContent-Length: 4\r\n\r\nbody"
+		"X-Account: moka\r\nX-Fetch: 10.0.0.9:80\r\nX-Id: req-1\r\nX-Kept: 1\r\nX-Kept: 2\r\nX-Meant: i-7\r\nContent-Length: 4\r\n\r\nbody"
 	if diff := cmp.Diff(want, <-got); diff != "" {
 		t.Errorf("request (-want +got):\n%s", diff)
 	}
--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -51,7 +51,8 @@
 	}
 	return front.Grant{
 		ID: got.id, Backend: got.start.Backend.Name, Address: got.start.Backend.Address, Why: got.start.Why,
-		Ahead: got.start.Ahead, Expected: got.start.Expected, Running: got.start.Running,
+		FetchFrom: got.start.FetchFrom,
+		Ahead:     got.start.Ahead, Expected: got.start.Expected, Running: got.start.Running,
 		Served: &atomic.Int64{}, Waited: r.Waited + got.waited,
 		First: func() { d.post(began{got.id}) },
 	}, nil
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -207,7 +207,7 @@
 	if !result.FirstByte.IsZero() {
 		first = result.FirstByte.Sub(started).Milliseconds()
 	}
-	s.opt.log.Info("attempt_end", "request", a.id, "attempt", o.Attempts, "backend", g.Backend, "why", g.Why,
+	s.opt.log.Info("attempt_end", "request", a.id, "attempt", o.Attempts, "backend", g.Backend, "why", g.Why, "copied_from", g.FetchFrom,
 		"ahead", g.Ahead, "running", g.Running, "expected_ms", g.Expected.Milliseconds(), "first_ms", first,
 		"total_ms", time.Since(started).Milliseconds(), "sent", result.Sent, "events", result.LastEvent, "code", code)
 }
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -219,7 +219,7 @@
 		RequestID: a.id, Account: a.account.Name, Deadline: a.deadline, Once: a.once, Events: a.events, Opaque: true,
 		Resume: a.route.began, LastEvent: a.route.lastEvent, Buffer: wholeAnswer,
 		HoldFailure: a.route.Repeat != table.RepeatNever && a.route.sent+1 < a.route.MaxAttempts(),
-		Patience:    s.patience(a), MayStart: g.MayStart, Served: g.Served, First: g.First,
+		FetchFrom:   g.FetchFrom, Patience: s.patience(a), MayStart: g.MayStart, Served: g.Served, First: g.First,
 	}
 }
 
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -68,6 +68,9 @@
 	ID      uint64
 	Backend string
 	Address string
+	// FetchFrom is the address of a backend server from which the prompt's shared
+	// parts are copied, "" if they need not be.
+	FetchFrom string
 	// Why says in a word how the backend server was chosen.
 	Why string
 	// Ahead is the tokens that are to be read there before the first event,
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -31,6 +31,9 @@
 type Start struct {
 	ID      uint64
 	Backend table.Backend
+	// FetchFrom is the address of the backend server that keeps the prompt's
+	// shared parts, from which they are to be copied; "" if none needs to be.
+	FetchFrom string
 	// Why says in a word how the backend server was chosen.
 	Why string
 	// Ahead is the tokens to be read there before the first event, Expected
@@ -88,8 +91,11 @@
 	// share at the backend servers owned here, waited those of them that found
 	// no place at once, a second.
 	within, waited rate
-	synced         time.Duration
-	swept          time.Duration
+	// started is the time of the first step, joined when the first other router
+	// was heard, 0 before.
+	started, joined time.Duration
+	synced          time.Duration
+	swept           time.Duration
 	// local is what this router sends to itself.
 	local []any
 	out   []Action
@@ -138,6 +144,9 @@
 // next Step.
 func (c *Core) Step(now time.Duration, ev Event) []Action {
 	c.now = max(c.now, now)
+	if c.started == 0 {
+		c.started = c.now
+	}
 	c.out = c.out[:0]
 	ev.apply(c)
 	for len(c.local) > 0 {
--- a/pkg/admit/owned.go
+++ b/pkg/admit/owned.go
@@ -88,6 +88,9 @@
 		return
 	}
 	o := s.ownedOf()
+	if !m.Spill && !m.Begun {
+		c.serviceOf(s).shortest.see(c.now, time.Duration(m.TargetMillis)*time.Millisecond)
+	}
 	a := &asking{
 		Ask: m, from: from,
 		until: c.now + time.Duration(m.WaitMillis)*time.Millisecond,
@@ -120,6 +123,7 @@
 	if !c.hasPlace(sv, s, a, toRead) {
 		return false
 	}
+	fetch := a.Fetch && !o.keeps(a.Ask, c.now)
 	e := &entry{unread: toRead, ahead: o.unread + toRead, since: c.now, heard: c.now}
 	o.add(entryKey{a.from, a.ID}, e)
 	if a.Prefix != 0 {
@@ -127,14 +131,20 @@
 	}
 	c.send(a.from, &wire.Reply{
 		ID: a.ID, Server: s.key, State: wire.PlaceGranted, Running: o.running, Unread: o.unread,
-		Own: toRead, Ahead: e.ahead, ExpectedMillis: sv.line.predict(e.ahead).Milliseconds(),
+		Fetch: fetch, Own: toRead, Ahead: e.ahead, ExpectedMillis: sv.line.predict(e.ahead).Milliseconds(),
 	})
 	return true
 }
 
-// toRead returns how many tokens of a prompt are not kept.
+// keeps reports whether the shared parts of a prompt are kept.
+func (o *owned) keeps(m *wire.Ask, now time.Duration) bool {
+	return m.Prefix != 0 && o.known.has(m.Prefix, now)
+}
+
+// toRead returns how many tokens of a prompt are to be read: what is neither
+// kept nor copied from elsewhere.
 func (o *owned) toRead(m *wire.Ask, now time.Duration) int64 {
-	if m.Prefix != 0 && o.known.has(m.Prefix, now) {
+	if m.Fetch || o.keeps(m, now) {
 		return m.Prompt - m.Shared
 	}
 	return m.Prompt
--- a/pkg/admit/place.go
+++ b/pkg/admit/place.go
@@ -7,6 +7,15 @@
 	// event may be predicted to take where it is given a place; the rest is
 	// for what was not foreseen.
 	targetPart = 0.8
+	// aheadPart of the shortest target of a service is what may be ahead of any
+	// of its requests: more would leave no place to those with that target.
+	aheadPart = 0.6
+	// freshFor is for how long after its start an owner gives only one place at a
+	// time at each engine: until all routers have heard of each other, several
+	// take themselves for its owner, and what earlier ones sent may still run.
+	// heardFor is how long it takes from the first that is heard until all are.
+	freshFor = time.Second
+	heardFor = 250 * time.Millisecond
 	// behindPart of its target is what a long prompt, whose own reading takes
 	// longer than that, may wait behind others.
 	behindPart = 0.25
@@ -22,6 +31,15 @@
 	slotsBeside = 0.25
 )
 
+// fresh reports whether this router has started so lately that it may not have
+// heard of all others.
+func (c *Core) fresh() bool {
+	if c.now-c.started >= freshFor {
+		return false
+	}
+	return c.joined == 0 || c.now-c.joined < heardFor
+}
+
 // hasPlace reports whether a request can be started at a backend server now.
 func (c *Core) hasPlace(sv *service, s *server, a *asking, toRead int64) bool {
 	o := s.ownedOf()
@@ -38,7 +56,10 @@
 	if float64(o.running) >= float64(s.Slots)*min(1, part+slotsBeside) {
 		return false
 	}
-	if o.unread == 0 && !a.Spill && (part == 1 || o.running < s.Slots/2) {
+	if c.fresh() {
+		return o.unread == 0
+	}
+	if o.unread == 0 && (!a.Spill || a.Fetch) && (part == 1 || o.running < s.Slots/2) {
 		// Waiting would not help, and only what is sent tells how fast it is.
 		return true
 	}
@@ -49,6 +70,9 @@
 // within a part of what is left of its target.
 func (c *Core) beginsInTime(sv *service, s *server, a *asking, toRead int64, part float64) bool {
 	left := (a.due - c.now).Seconds()
+	if ahead := s.health.slowness() * sv.line.slope() * float64(s.owned.unread); ahead > aheadPart*sv.shortest.get(c.now).Seconds() {
+		return false
+	}
 	expected := s.health.slowness() * sv.line.predict(s.owned.unread+toRead).Seconds()
 	return expected <= targetPart*part*left
 }
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -61,6 +61,9 @@
 	owner  string
 	at     time.Duration
 	why    string
+	// source keeps the prompt's shared parts, nil if they are kept at server or
+	// nowhere.
+	source *server
 	state  askState
 }
 
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -128,7 +128,10 @@
 	if !s.open() || float64(s.running(c.now)) >= aloneSlots*float64(s.Slots) {
 		return false
 	}
-	r.unread = r.Prompt - r.Shared
+	if c.service(r.Service).engine && s.ownUnread() > 0 {
+		return false
+	}
+	r.unread = max(1, r.Prompt-r.Shared)
 	c.start(r, s, Start{Why: whyAlone, Running: s.running(c.now)})
 	c.note(r, &wire.Note{Kind: wire.NoteStarted, Unread: r.unread})
 	return true
@@ -141,7 +144,8 @@
 		c.startAlone(r, s)
 		return
 	}
-	r.asks = append(r.asks, &ask{server: s, owner: s.owner, at: c.now, why: why})
+	a := &ask{server: s, owner: s.owner, at: c.now, why: why, source: c.sourceFor(r, s)}
+	r.asks = append(r.asks, a)
 	target := r.Target
 	if target == 0 {
 		target = defaultTarget
@@ -154,7 +158,7 @@
 		ID: r.ID, Server: s.key, Account: r.account, AccountRank: r.AccountRank, Rank: r.Rank,
 		Prefix: r.Prefix, Prompt: r.Prompt, Shared: r.Shared,
 		TargetMillis: (r.arrived + target - c.now).Milliseconds(), WaitMillis: wait.Milliseconds(), Spill: why == whySpill,
-		Begun: r.Begun,
+		Begun: r.Begun, Fetch: a.source != nil,
 	})
 }
 
@@ -204,8 +208,12 @@
 	if r.Prefix != 0 && a.why != whyFirst {
 		c.noteCopy(a.server, r.Prefix)
 	}
+	from := ""
+	if m.Fetch {
+		from = a.source.address()
+	}
 	c.start(r, a.server, Start{
-		Why: a.why, Ahead: m.Ahead, Expected: time.Duration(m.ExpectedMillis) * time.Millisecond, Running: m.Running,
+		FetchFrom: from, Why: a.why, Ahead: m.Ahead, Expected: time.Duration(m.ExpectedMillis) * time.Millisecond, Running: m.Running,
 	})
 }
 
@@ -286,7 +294,7 @@
 	if r.Begun {
 		return true
 	}
-	if float64(r.Shared) <= smallShared*float64(r.Prompt) {
+	if float64(r.Shared) <= smallShared*float64(r.Prompt) || c.canCopy(r) {
 		return true
 	}
 	return r.Patience > 0 && c.now-r.arrived >= time.Duration(spillAfter*float64(r.Patience))
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -15,6 +15,8 @@
 type server struct {
 	table.Backend
 	key wire.Key
+	// joined is when this router first saw it in the directory.
+	joined time.Duration
 	// owner is the router that gives places there.
 	owner string
 	// own are the requests that this router has under way there.
@@ -54,12 +56,24 @@
 	return max(s.seen.running, len(s.own))
 }
 
+// ownUnread returns how many tokens this router's own requests there still have
+// to be read.
+func (s *server) ownUnread() int64 {
+	sum := int64(0)
+	for _, r := range s.own {
+		sum += r.unread
+	}
+	return sum
+}
+
 // service is the backend servers of a service or model.
 type service struct {
 	name    string
 	servers []*server
 	// line predicts the time to the first event.
 	line line
+	// shortest is the shortest target of its requests lately.
+	shortest shortest
 	// engine says that answers are generated.
 	engine bool
 }
@@ -77,7 +91,7 @@
 		key := wire.KeyOf(b.Name)
 		s, ok := old[key]
 		if !ok {
-			s = &server{key: key, own: map[uint64]*request{}}
+			s = &server{key: key, joined: c.now, own: map[uint64]*request{}}
 		}
 		s.Backend = b
 		c.servers[key] = s
@@ -130,6 +144,9 @@
 
 func (e Routers) apply(c *Core) {
 	c.routers = slices.Clone(e.List)
+	if len(e.List) > 0 && c.joined == 0 {
+		c.joined = c.now
+	}
 	if !e.Leaving || len(c.routers) == 0 {
 		c.routers = append(c.routers, c.opt.self)
 	}
--- a/pkg/wire/place.go
+++ b/pkg/wire/place.go
@@ -28,6 +28,9 @@
 	// TargetMillis is what is left of the time within which the first event
 	// is worth most, WaitMillis how long the sender waits for a place.
 	TargetMillis, WaitMillis int64
+	// Fetch says that the shared parts are copied from another backend server if
+	// they are not kept there, so that they need not be read again.
+	Fetch bool
 	// Spill says that the backend server is not the first for the prefix: a
 	// place is given only if there is plenty, and nothing waits for one.
 	Spill bool
@@ -57,6 +60,9 @@
 	// Running and Unread are what is under way at the backend server.
 	Running int
 	Unread  int64
+	// Fetch says that the shared parts are not kept there as far as is known, so
+	// that they are to be copied. Only with PlaceGranted.
+	Fetch bool
 	// Own is the tokens of the request's prompt that are to be read there,
 	// Ahead all that are to be read before its first event, and
 	// ExpectedMillis when that is expected. Only with PlaceGranted.
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -25,7 +25,7 @@
 		&wire.Probe{Seq: 1, Inc: 2, Rumours: []wire.Rumour{{Name: "ebene-1", Inc: 3, State: wire.Suspect}}},
 		&wire.Claim{Seq: 1, Key: "moka\x00k", Request: "r", At: 5},
 		&wire.State{Stamp: 5, Echo: 4, AsOf: 9, Age: -1, Accounts: []wire.AccountFlow{{Account: 8, Asked: 15, Begun: 10}}, Copies: []wire.Copy{{Prefix: 1 << 63, Server: 7}}},
-		&wire.Ask{ID: 1, Server: 1 << 31, Account: 3, Rank: 1, Prefix: 9, Prompt: 900, Shared: 300, TargetMillis: 250, WaitMillis: 62, Spill: true, Begun: true},
+		&wire.Ask{ID: 1, Server: 1 << 31, Account: 3, Rank: 1, Prefix: 9, Prompt: 900, Shared: 300, TargetMillis: 250, WaitMillis: 62, Fetch: true, Spill: true, Begun: true},
 		&wire.Reply{ID: 1, Server: 1 << 31, State: wire.PlaceQueued, Running: 4, Unread: 5000},
 		&wire.Note{ID: 1, Server: 1 << 31, Kind: wire.NoteFirst, Millis: 80},
 		&wire.Sync{Held: []wire.Held{{Server: 7, IDs: []uint64{1, 5}, Unread: []int64{0, 900}}}},
