--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -34,6 +34,7 @@
 	claimErr error
 	voided   atomic.Int64
 	calls    chan backend.Call
+	asked    chan front.Request
 	overload atomic.Bool
 }
 
@@ -45,6 +46,10 @@
 func (f *fake) Claim(context.Context, front.Claim) error { return f.claimErr }
 func (f *fake) Unclaim(front.Claim)                      { f.voided.Add(1) }
 func (f *fake) Acquire(ctx context.Context, r front.Request) (front.Grant, error) {
+	select {
+	case f.asked <- r:
+	default:
+	}
 	if time.Until(r.Deadline) < 50*time.Millisecond {
 		<-ctx.Done()
 		return front.Grant{}, ctx.Err()
@@ -282,3 +287,31 @@
 		})
 	}
 }
+
+// TestRefusalLeavesTimeForTheWay looks how long a routed request may wait before
+// it is refused: the refusal is to reach its caller within a quarter of the
+// target, and the way here and back takes more than 10 ms of that.
+func TestRefusalLeavesTimeForTheWay(t *testing.T) {
+	const way = 10 * time.Millisecond
+	for _, target := range []time.Duration{250, 300, 400, 600, 800} {
+		target *= time.Millisecond
+		f := &fake{t: newTable(t), results: []backend.Result{{}}, asked: make(chan front.Request, 1)}
+		f.t.Routes = []table.Route{{Name: "r", Host: "forms.example", Prefix: "/a/", Target: target, Public: true, Targets: []table.Target{{Service: "scores", Weight: 1}}}}
+		f.t.Index()
+		url := start(t, f)
+		req, err := http.NewRequest(http.MethodGet, url+"/a/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "forms.example"
+		req.Header.Set(backend.HeaderRequestID, "id-1")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if got := (<-f.asked).Patience; got <= 0 || got > target/4-way {
+			t.Errorf("a request with a target of %v may wait %v", target, got)
+		}
+	}
+}
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -20,8 +20,10 @@
 	// before it is passed on.
 	wholeAnswer = 64 << 10
 	// patiencePart of the target is how long a request may wait that may yet
-	// be refused: a refusal is of use only while another try can be in time.
-	patiencePart = 4
+	// be refused. A caller makes use of a refusal that it hears within a quarter of
+	// its target, of which its own way here and back takes a part: 15 ms of a
+	// target of 300 ms are left for that.
+	patiencePart = 5
 	// maxUnsent bounds the attempts that did not reach a backend server.
 	maxUnsent = 8
 )
--- a/pkg/admit/fetch.go
+++ b/pkg/admit/fetch.go
@@ -17,23 +17,26 @@
 
 // sourceFor returns the backend server from which the shared parts of a
 // request's prompt can be copied to another one, nil if there is none. Those
-// that come before it in the order of the prompt's beginning most likely keep
-// them, also one that is leaving; then those that are known to have read them;
-// then those after it in the order, if it is new and they were there before.
+// that are known to have read them come first; then the first of each zone for
+// them, those of the own zone before others, also one that is leaving; then any
+// that was there before a new one.
 func (c *Core) sourceFor(r *request, to *server) *server {
 	if r.Prefix == 0 || r.Shared < leastFetch {
 		return nil
 	}
-	own := rendezvous.WeightOf(r.Prefix, to.Name)
+	sv := c.service(r.Service)
+	firsts := c.firstOfZones(sv, r.Prefix)
 	var best *server
 	most := sourceRank{}
-	for _, s := range c.service(r.Service).servers {
+	for _, s := range sv.servers {
 		if s == to || s.health.out != 0 {
 			continue
 		}
-		weight := rendezvous.WeightOf(r.Prefix, s.Name)
-		rank := sourceRank{before: weight > own, copied: s.copies.has(r.Prefix, c.now), weight: weight}
-		if !rank.before && !rank.copied && !c.tookOver(to, s) {
+		rank := sourceRank{
+			copied: s.copies.has(r.Prefix, c.now), first: firsts[s.Zone] == s, near: c.isNear(s),
+			weight: rendezvous.WeightOf(r.Prefix, s.Name),
+		}
+		if !rank.first && !rank.copied && !c.tookOver(to, s) {
 			continue
 		}
 		if best == nil || rank.above(most) {
@@ -43,13 +46,26 @@
 	return best
 }
 
+// firstOfZones returns the backend server of each zone that is first there for a
+// prompt's beginning, also one that is leaving.
+func (c *Core) firstOfZones(sv *service, prefix uint64) map[string]*server {
+	firsts := map[string]*server{}
+	for _, s := range sv.servers {
+		best := firsts[s.Zone]
+		if best == nil || rendezvous.WeightOf(prefix, s.Name) > rendezvous.WeightOf(prefix, best.Name) {
+			firsts[s.Zone] = s
+		}
+	}
+	return firsts
+}
+
 // canCopy reports whether the shared parts of a request's prompt can be copied
 // from the first backend server for them, so that they need not be read again.
 func (c *Core) canCopy(r *request) bool {
 	if r.Shared < leastFetch {
 		return false
 	}
-	first := firstFor(c.service(r.Service), r.Prefix)
+	first := c.firstFor(c.service(r.Service), r.Prefix)
 	return first != nil && first.health.out == 0
 }
 
@@ -61,16 +77,18 @@
 
 // sourceRank is how likely a backend server keeps what another one lacks.
 type sourceRank struct {
-	before, copied bool
-	weight         uint64
+	copied, first, near bool
+	weight              uint64
 }
 
 func (a sourceRank) above(b sourceRank) bool {
 	switch {
-	case a.before != b.before:
-		return a.before
 	case a.copied != b.copied:
 		return a.copied
+	case a.first != b.first:
+		return a.first
+	case a.near != b.near:
+		return a.near
 	default:
 		return a.weight > b.weight
 	}
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -205,7 +205,7 @@
 // granted starts a request that was given a place.
 func (c *Core) granted(r *request, a *ask, m *wire.Reply) {
 	r.unread = m.Own
-	if r.Prefix != 0 && a.why != whyFirst {
+	if r.Prefix != 0 && (a.why != whyFirst || m.Fetch || m.Own > r.Prompt-r.Shared) {
 		c.noteCopy(a.server, r.Prefix)
 	}
 	from := ""
@@ -245,13 +245,14 @@
 }
 
 // byPrefix takes the backend servers in the order that the prompt's beginning
-// gives, which is the same at every router: the first, or else another that
-// has read it, or else, when the request can wait no longer, the next. So a
-// prompt that is asked for rarely is read at one, and one that is asked for
-// often at as many as it takes.
+// gives, those of the own zone first, which is the same at every router of the
+// zone: the first, or else another that has read it, or else, when the request
+// can wait no longer, the least busy. So a prompt that is asked for rarely is
+// read at one of each zone, and one that is asked for often at as many as it
+// takes.
 func (c *Core) byPrefix(sv *service, r *request, open []*server) (*server, string) {
-	byWeight(open, r.Prefix)
-	first := firstFor(sv, r.Prefix)
+	c.inOrder(open, r.Prefix)
+	first := c.firstFor(sv, r.Prefix)
 	if open[0] == first && c.now >= first.busyUntil {
 		return first, whyFirst
 	}
@@ -266,27 +267,49 @@
 	if r.queued() && !c.maySpill(r) {
 		return nil, ""
 	}
-	return open[0], whySpill
+	return c.leastUnread(open), whySpill
 }
 
-func byWeight(list []*server, prefix uint64) {
+// inOrder sorts backend servers by where a prompt's beginning is to be read.
+func (c *Core) inOrder(list []*server, prefix uint64) {
 	slices.SortFunc(list, func(a, b *server) int {
-		return cmp.Compare(rendezvous.WeightOf(prefix, b.Name), rendezvous.WeightOf(prefix, a.Name))
+		return cmp.Or(
+			compareFirst(c.isNear(a), c.isNear(b)),
+			cmp.Compare(rendezvous.WeightOf(prefix, b.Name), rendezvous.WeightOf(prefix, a.Name)),
+		)
 	})
 }
 
+// isNear reports whether a backend server is in this router's zone.
+func (c *Core) isNear(s *server) bool { return s.Zone == c.opt.self.Zone }
+
 // firstFor returns the backend server that is first for a prompt's beginning.
-func firstFor(sv *service, prefix uint64) *server {
+func (c *Core) firstFor(sv *service, prefix uint64) *server {
 	var first *server
-	most := uint64(0)
 	for _, s := range sv.servers {
-		if w := rendezvous.WeightOf(prefix, s.Name); s.open() && (first == nil || w > most) {
-			first, most = s, w
+		if s.open() && (first == nil || c.isBefore(s, first, prefix)) {
+			first = s
 		}
 	}
 	return first
 }
 
+// isBefore reports whether a comes before b for a prompt's beginning.
+func (c *Core) isBefore(a, b *server, prefix uint64) bool {
+	if c.isNear(a) != c.isNear(b) {
+		return c.isNear(a)
+	}
+	return rendezvous.WeightOf(prefix, a.Name) > rendezvous.WeightOf(prefix, b.Name)
+}
+
+// leastUnread returns the first of those of which their owners lately told that
+// the least is to be read there.
+func (c *Core) leastUnread(open []*server) *server {
+	return slices.MinFunc(open, func(a, b *server) int {
+		return cmp.Compare(a.unreadSeen(c.now), b.unreadSeen(c.now))
+	})
+}
+
 // maySpill reports whether a request may go to a backend server that has to
 // read its shared parts anew: if it is late already, if they are a small part
 // of the prompt, or if it has waited for nearly as long as it may.
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -56,6 +56,19 @@
 	return max(s.seen.running, len(s.own))
 }
 
+// unreadFor is how long what an owner told of prompts to be read is believed:
+// about as long as it takes to read them.
+const unreadFor = 100 * time.Millisecond
+
+// unreadSeen returns how many tokens are believed to be to be read there, 0 if
+// that is not known.
+func (s *server) unreadSeen(now time.Duration) int64 {
+	if now-s.seenAt > unreadFor {
+		return 0
+	}
+	return s.seen.unread
+}
+
 // ownUnread returns how many tokens this router's own requests there still have
 // to be read.
 func (s *server) ownUnread() int64 {
