Tell who finds no place to come back after 60 to 120 ms

Hypothesis: a request refused after a fifth of its target can still be in time if it is back soon; after 250 to 500 ms it cannot.

--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -29,8 +29,12 @@
 	busyFor = 30 * time.Millisecond
 	// defaultTarget is used where none is stated.
 	defaultTarget = time.Second
-	// comeBackSoon is when to come back where nothing is known.
-	comeBackSoon = 250 * time.Millisecond
+	// comeBackSoon is when a request that found no place may come back at the
+	// earliest; up to as much again is added by chance. In that time an engine
+	// reads a prompt of middle size, and the request may yet be in time.
+	comeBackSoon = 60 * time.Millisecond
+	// comeBackLater is the same where no backend server is there at all.
+	comeBackLater = 250 * time.Millisecond
 	// aloneSlots is the part of its slots that a router uses at a backend
 	// server whose owner it cannot ask.
 	aloneSlots = 0.75
@@ -79,7 +83,7 @@
 		return errDeadline
 	case !r.Begun && r.Patience > 0 && c.now-r.arrived >= r.Patience:
 		if len(c.service(r.Service).servers) == 0 {
-			return errNoServer.After(comeBackSoon)
+			return errNoServer.After(comeBackLater)
 		}
 		return errBusy.After(c.comeBack())
 	default:
