Share out what the engines give that can be reached

Hypothesis: in a zone that is cut off, the table's tokens a second are worked with as if all zones' engines could be used, so that floods are let in for three times what is there.

--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -78,7 +78,9 @@
 	// waiting are the requests that have no place yet, by age.
 	waiting  []*request
 	accounts *accounts
-	told     map[teller]*told
+	// stated is how many tokens a second the table states that engines give.
+	stated float64
+	told   map[teller]*told
 	// silentAfter is when what was told counts no more.
 	silentAfter time.Duration
 	// mute are the owners that left a question unanswered, since when.
--- a/pkg/admit/room_test.go
+++ b/pkg/admit/room_test.go
@@ -203,3 +203,30 @@
 		t.Errorf("only %d requests of the flood started", flood)
 	}
 }
+
+// TestSharesOfWhatCanBeReached floods a router: what the table states that all
+// engines give is shared out as far as they are in zones of which a router is
+// heard.
+func TestSharesOfWhatCanBeReached(t *testing.T) {
+	const stated = 6_000_000
+	tests := map[string]struct {
+		heard []admit.Router
+		want  float64
+	}{
+		"all zones are heard": {[]admit.Router{{Address: "y-0", Zone: "y"}, {Address: "z-0", Zone: "z"}}, stated},
+		"one zone is cut off": {[]admit.Router{{Address: "y-0", Zone: "y"}}, stated * 2 / 3},
+		"cut off from all":    {nil, stated / 3},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, 1, zones, 2)
+			w.stateCapacity(stated)
+			w.step("x-0", admit.Routers{List: tc.heard})
+			w.flood("moka", 400, w.order[:1], admit.Request{Prompt: 20_000, Output: 50}, 3*time.Second)
+			w.run(3 * time.Second)
+			if got := w.cores["x-0"].Shares(w.now).Level; got < tc.want*0.99 || got > tc.want*1.01 {
+				t.Errorf("the only account may have %.0f tokens a second, want %.0f", got, tc.want)
+			}
+		})
+	}
+}
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -116,7 +116,7 @@
 	for _, row := range e.Table.Services {
 		c.service(row.Name).engine = row.Engine
 	}
-	c.accounts.capacity = e.Table.Bounds.TokensPerSecond
+	c.stated = e.Table.Bounds.TokensPerSecond
 	c.keepRunning(old)
 	c.ordered = slices.SortedFunc(maps.Values(c.servers), func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
 	c.assignOwners()
@@ -170,6 +170,7 @@
 // assignOwners finds the owner of each backend server, and tells a new one what
 // is under way there.
 func (c *Core) assignOwners() {
+	c.accounts.capacity = c.stated * c.reachable()
 	byZone := map[string][]Router{}
 	for _, r := range c.routers {
 		byZone[r.Zone] = append(byZone[r.Zone], r)
@@ -188,6 +189,29 @@
 	}
 }
 
+// reachable returns which part of the engines is in zones of which a router is
+// heard, 1 if there are no engines.
+func (c *Core) reachable() float64 {
+	zones := map[string]bool{c.opt.self.Zone: true}
+	for _, r := range c.routers {
+		zones[r.Zone] = true
+	}
+	all, near := 0, 0
+	for _, s := range c.ordered {
+		if !c.serviceOf(s).engine {
+			continue
+		}
+		all++
+		if zones[s.Zone] {
+			near++
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return float64(near) / float64(all)
+}
+
 // ownerOf returns the router that owns a backend server: each owns a part that
 // is proportional to its capacity.
 func ownerOf(server string, routers []Router) string {
