Let the lesser of two parts of a flood in, not their product

Ruled out: the level (0.55 to 0.64 M, alike at all routers), begun counted late (the same at ebene and port-louis).

Change: both parts are of what is asked; what is refused for the one takes no time either, so the lesser counts.

--- a/internal/dispatch/screen.go
+++ b/internal/dispatch/screen.go
@@ -50,26 +50,32 @@
 		return nil
 	}
 	key := wire.KeyOf(r.Account)
+	share, inTime := partOf(&d.screen.parts, key), partOf(&d.screen.keep, key)
+	// What is refused for the one reason takes no time either, so that the lesser
+	// part counts and not both: else an account whose callers come to few small
+	// routers gets a fraction of its share.
 	switch {
-	case !drawn(&d.screen.parts, key):
+	case rand.Float64() < min(share, inTime):
+		return nil
+	case share <= inTime:
 		d.screen.note(key, r)
 		return errOverShare.After(comeBackLate + rand.N(comeBackLate))
-	case !drawn(&d.screen.keep, key):
+	default:
 		d.screen.note(key, r)
 		return errOverloaded.After(comeBackElsewhere + rand.N(comeBackElsewhere))
-	default:
-		return nil
 	}
 }
 
-// drawn reports whether a request is among the part that is worked on.
-func drawn(parts *atomic.Pointer[map[wire.Key]float64], key wire.Key) bool {
+// partOf returns the part of an account's requests that is worked on.
+func partOf(parts *atomic.Pointer[map[wire.Key]float64], key wire.Key) float64 {
 	m := parts.Load()
 	if m == nil {
-		return true
+		return 1
+	}
+	if part, ok := (*m)[key]; ok {
+		return part
 	}
-	part, ok := (*m)[key]
-	return !ok || rand.Float64() < part
+	return 1
 }
 
 // note counts what was asked for by a refused request.
