--- a/pkg/admit/fetch.go
+++ b/pkg/admit/fetch.go
@@ -6,9 +6,9 @@
 	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 )
 
-// leastFetch is the least number of shared tokens that is worth copying from
-// another backend server: a copy takes some milliseconds however short it is,
-// in which an engine reads about as many tokens.
+// leastFetch is the least number of shared tokens that is copied from another
+// backend server. A copy takes 2 to 5 ms however short it is, in which an engine
+// reads a few hundred tokens; but an engine goes on with other prompts meanwhile.
 const leastFetch = 64
 
 // joinsApart is how much later than another a backend server must have joined to
--- a/pkg/admit/place.go
+++ b/pkg/admit/place.go
@@ -8,12 +8,15 @@
 	// for what was not foreseen.
 	targetPart = 0.8
 	// aheadPart of the shortest target of a service is what may be ahead of any
-	// of its requests: more would leave no place to those with that target.
+	// of its requests: more would leave no place to those with that target. At 0.4
+	// engines were left idle (docs/ROUNDS.md).
 	aheadPart = 0.6
 	// freshFor is for how long after its start an owner gives only one place at a
 	// time at each engine: until all routers have heard of each other, several
 	// take themselves for its owner, and what earlier ones sent may still run.
-	// heardFor is how long it takes from the first that is heard until all are.
+	// heardFor is how long it takes from the first that is heard until all are,
+	// with a margin: eight routers took 10 ms, each lost packet adds 100 ms. A
+	// second without any other means that this one is alone.
 	freshFor = time.Second
 	heardFor = 250 * time.Millisecond
 	// behindPart of its target is what a long prompt, whose own reading takes
