Compare engines for a prompt in one place

Cause: found on reading the change again. The order of engines for a prompt's beginning (own zone, then weight) stood four times: in a sort, in isBefore, in firstOfZones and in sourceRank.above, and the weight of every engine was worked out for each question, also of those that keep nothing.

Change: orderFor compares two engines; the first engine, the first of each zone and the source of a copy use it. sourceRank and isBefore are gone.

Left: tookOver, which no test misses, would change what is copied.

--- a/pkg/admit/fetch.go
+++ b/pkg/admit/fetch.go
@@ -1,9 +1,9 @@
 package admit
 
 import (
+	"cmp"
+	"slices"
 	"time"
-
-	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 )
 
 // leastFetch is the least number of shared tokens that is copied from another
@@ -26,33 +26,33 @@
 	}
 	sv := c.service(r.Service)
 	firsts := c.firstOfZones(sv, r.Prefix)
-	var best *server
-	most := sourceRank{}
+	isFirst := func(s *server) bool { return firsts[s.Zone] == s }
+	hasRead := func(s *server) bool { return s.copies.has(r.Prefix, c.now) }
+	var keepers []*server
 	for _, s := range sv.servers {
 		if s == to || s.health.out != 0 {
 			continue
 		}
-		rank := sourceRank{
-			copied: s.copies.has(r.Prefix, c.now), first: firsts[s.Zone] == s, near: c.isNear(s),
-			weight: rendezvous.WeightOf(r.Prefix, s.Name),
-		}
-		if !rank.first && !rank.copied && !c.tookOver(to, s) {
-			continue
-		}
-		if best == nil || rank.above(most) {
-			best, most = s, rank
+		if hasRead(s) || isFirst(s) || c.tookOver(to, s) {
+			keepers = append(keepers, s)
 		}
 	}
-	return best
+	if len(keepers) == 0 {
+		return nil
+	}
+	order := c.orderFor(r.Prefix)
+	return slices.MinFunc(keepers, func(a, b *server) int {
+		return cmp.Or(compareFirst(hasRead(a), hasRead(b)), compareFirst(isFirst(a), isFirst(b)), order(a, b))
+	})
 }
 
 // firstOfZones returns the backend server of each zone that is first there for a
 // prompt's beginning, also one that is leaving.
 func (c *Core) firstOfZones(sv *service, prefix uint64) map[string]*server {
+	order := c.orderFor(prefix)
 	firsts := map[string]*server{}
 	for _, s := range sv.servers {
-		best := firsts[s.Zone]
-		if best == nil || rendezvous.WeightOf(prefix, s.Name) > rendezvous.WeightOf(prefix, best.Name) {
+		if best := firsts[s.Zone]; best == nil || order(s, best) < 0 {
 			firsts[s.Zone] = s
 		}
 	}
@@ -75,25 +75,6 @@
 	return c.now-to.joined < recentFor && to.joined-from.joined >= joinsApart
 }
 
-// sourceRank is how likely a backend server keeps what another one lacks.
-type sourceRank struct {
-	copied, first, near bool
-	weight              uint64
-}
-
-func (a sourceRank) above(b sourceRank) bool {
-	switch {
-	case a.copied != b.copied:
-		return a.copied
-	case a.first != b.first:
-		return a.first
-	case a.near != b.near:
-		return a.near
-	default:
-		return a.weight > b.weight
-	}
-}
-
 // address returns where a source is reached, "" without one.
 func (s *server) address() string {
 	if s == nil {
--- a/pkg/admit/guard_test.go
+++ b/pkg/admit/guard_test.go
@@ -99,9 +99,9 @@
 	}
 }
 
-// TestTableMarksOtherEngines is a table with a service of another kind: its
-// backend servers are no part of the engines that shares are worked out for.
-func TestTableMarksOtherEngines(t *testing.T) {
+// TestPlainServicesAreNoEngines reads a table with a plain service: its backend
+// servers are no part of the engines that shares are worked out for.
+func TestPlainServicesAreNoEngines(t *testing.T) {
 	w := newWorld(1, 1, zones[:1], 0)
 	v := &table.Table{Revision: 2, Services: []table.ServiceRow{{Name: service, Engine: true}, {Name: "desk"}}}
 	v.Bounds.TokensPerSecond = 6_000_000
--- a/pkg/admit/owned.go
+++ b/pkg/admit/owned.go
@@ -88,7 +88,8 @@
 		return
 	}
 	o := s.ownedOf()
-	if !m.Spill && !m.Begun {
+	firstAsk := !m.Spill && !m.Begun
+	if firstAsk {
 		c.serviceOf(s).shortest.see(c.now, time.Duration(m.TargetMillis)*time.Millisecond)
 	}
 	a := &asking{
@@ -97,7 +98,7 @@
 		due:   c.now + time.Duration(m.TargetMillis)*time.Millisecond,
 	}
 	granted := (len(o.queue) == 0 || !m.Spill) && c.grant(s, a)
-	if !m.Spill && !m.Begun {
+	if firstAsk {
 		c.noteAsked(m.Account, granted)
 	}
 	switch {
@@ -180,8 +181,8 @@
 	o.queue = left
 }
 
-// order sorts what waits: what has begun before, then by rank, by what the account has had, by when the
-// first event is due.
+// order sorts what waits: what has begun before, then by rank, by what the
+// account has had, by when the first event is due.
 func (c *Core) order(queue []*asking) {
 	over := make(map[wire.Key]float64, len(queue))
 	for _, a := range queue {
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -224,8 +224,8 @@
 // mostCopies bounds what is told of copies at once.
 const mostCopies = 64
 
-// noteCopy remembers where a prompt's beginning was read beside its first
-// place, and has the others told.
+// noteCopy remembers where a prompt's beginning was not kept before, and has the
+// others told.
 func (c *Core) noteCopy(s *server, prefix uint64) {
 	s.copies.note(prefix, c.now)
 	if len(c.copies) < mostCopies {
@@ -255,7 +255,7 @@
 // read at one of each zone, and one that is asked for often at as many as it
 // takes.
 func (c *Core) byPrefix(sv *service, r *request, open []*server) (*server, string) {
-	c.inOrder(open, r.Prefix)
+	slices.SortFunc(open, c.orderFor(r.Prefix))
 	first := c.firstFor(sv, r.Prefix)
 	if open[0] == first && c.now >= first.busyUntil {
 		return first, whyFirst
@@ -274,38 +274,32 @@
 	return c.leastUnread(open), whySpill
 }
 
-// inOrder sorts backend servers by where a prompt's beginning is to be read.
-func (c *Core) inOrder(list []*server, prefix uint64) {
-	slices.SortFunc(list, func(a, b *server) int {
+// isNear reports whether a backend server is in this router's zone.
+func (c *Core) isNear(s *server) bool { return s.Zone == c.opt.self.Zone }
+
+// orderFor compares backend servers by where a prompt's beginning is to be read:
+// those of the own zone first.
+func (c *Core) orderFor(prefix uint64) func(a, b *server) int {
+	return func(a, b *server) int {
 		return cmp.Or(
 			compareFirst(c.isNear(a), c.isNear(b)),
 			cmp.Compare(rendezvous.WeightOf(prefix, b.Name), rendezvous.WeightOf(prefix, a.Name)),
 		)
-	})
+	}
 }
 
-// isNear reports whether a backend server is in this router's zone.
-func (c *Core) isNear(s *server) bool { return s.Zone == c.opt.self.Zone }
-
 // firstFor returns the backend server that is first for a prompt's beginning.
 func (c *Core) firstFor(sv *service, prefix uint64) *server {
+	order := c.orderFor(prefix)
 	var first *server
 	for _, s := range sv.servers {
-		if s.open() && (first == nil || c.isBefore(s, first, prefix)) {
+		if s.open() && (first == nil || order(s, first) < 0) {
 			first = s
 		}
 	}
 	return first
 }
 
-// isBefore reports whether a comes before b for a prompt's beginning.
-func (c *Core) isBefore(a, b *server, prefix uint64) bool {
-	if c.isNear(a) != c.isNear(b) {
-		return c.isNear(a)
-	}
-	return rendezvous.WeightOf(prefix, a.Name) > rendezvous.WeightOf(prefix, b.Name)
-}
-
 // leastUnread returns the first of those of which their owners lately told that
 // the least is to be read there.
 func (c *Core) leastUnread(open []*server) *server {
@@ -314,9 +308,9 @@
 	})
 }
 
-// maySpill reports whether a request may go to a backend server that has to
-// read its shared parts anew: if it is late already, if they are a small part
-// of the prompt, or if it has waited for nearly as long as it may.
+// maySpill reports whether a request may go to a backend server that does not
+// keep its shared parts: if it is late already, if they are a small part of the
+// prompt or can be copied, or if it has waited for nearly as long as it may.
 func (c *Core) maySpill(r *request) bool {
 	if r.Begun {
 		return true
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -27,8 +27,8 @@
 	// busyUntil is until when it is taken to have no place.
 	busyUntil time.Duration
 	health    health
-	// copies are the prompts' beginnings that are read there without it being
-	// the first for them.
+	// copies are the prompts' beginnings that were read there, or copied to it,
+	// lately.
 	copies recent
 	// owned is what this router knows as the owner, nil if it is not.
 	owned *owned
--- a/pkg/wire/place.go
+++ b/pkg/wire/place.go
@@ -118,8 +118,8 @@
 	Asked, Begun uint32
 }
 
-// Copy says that a prompt's beginning was read at a backend server that is not
-// the first for it.
+// Copy says that a prompt's beginning was read at a backend server, or copied to
+// it, which did not keep it before.
 type Copy struct {
 	Prefix uint64
 	Server Key
