Remember the order of backend servers for a prompt

Ruled out: the rest of a request's way (BenchmarkRoutedRequest: 440 us for callers, routers and engines together at four engines, nearly all of it system calls and net/http).

Change: the order is worked out once for a prompt's shared parts and remembered until the directory changes; the middle failure for 50 ms.

--- a/pkg/admit/fetch.go
+++ b/pkg/admit/fetch.go
@@ -29,7 +29,7 @@
 	isFirst := func(s *server) bool { return firsts[s.Zone] == s }
 	hasRead := func(s *server) bool { return s.copies.has(r.Prefix, c.now) }
 	var keepers []*server
-	for _, s := range sv.servers {
+	for _, s := range c.orderFor(sv, r.Prefix) {
 		if s == to || s.health.out != 0 {
 			continue
 		}
@@ -40,19 +40,18 @@
 	if len(keepers) == 0 {
 		return nil
 	}
-	order := c.orderFor(r.Prefix)
+	// Of equals the first in the order wins.
 	return slices.MinFunc(keepers, func(a, b *server) int {
-		return cmp.Or(compareFirst(hasRead(a), hasRead(b)), compareFirst(isFirst(a), isFirst(b)), order(a, b))
+		return cmp.Or(compareFirst(hasRead(a), hasRead(b)), compareFirst(isFirst(a), isFirst(b)))
 	})
 }
 
 // firstOfZones returns the backend server of each zone that is first there for a
 // prompt's beginning, also one that is leaving.
 func (c *Core) firstOfZones(sv *service, prefix uint64) map[string]*server {
-	order := c.orderFor(prefix)
 	firsts := map[string]*server{}
-	for _, s := range sv.servers {
-		if best := firsts[s.Zone]; best == nil || order(s, best) < 0 {
+	for _, s := range c.orderFor(sv, prefix) {
+		if firsts[s.Zone] == nil {
 			firsts[s.Zone] = s
 		}
 	}
--- a/pkg/admit/health.go
+++ b/pkg/admit/health.go
@@ -168,18 +168,26 @@
 	return rest
 }
 
+// middleFor is how long the middle part of failures is taken for unchanged: a
+// single attempt moves it by little.
+const middleFor = 50 * time.Millisecond
+
 // middle returns the part of failures of the middle one of a service's
 // backend servers.
 func (c *Core) middle(s *service) float64 {
+	if s.middleAt > 0 && c.now-s.middleAt < middleFor {
+		return s.middle
+	}
 	all := make([]float64, 0, len(s.servers))
 	for _, sv := range s.servers {
 		all = append(all, sv.health.bad)
 	}
-	if len(all) == 0 {
-		return 0
+	s.middle, s.middleAt = 0, c.now
+	if len(all) > 0 {
+		slices.Sort(all)
+		s.middle = all[len(all)/2]
 	}
-	slices.Sort(all)
-	return all[len(all)/2]
+	return s.middle
 }
 
 // Untrusted is a backend server that gets no work but trials.
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
@@ -237,7 +236,7 @@
 // is none for now.
 func (c *Core) candidate(r *request) (*server, string) {
 	sv := c.service(r.Service)
-	open := c.healthy(sv, sv.openServers(r))
+	open := c.healthy(sv, c.openServers(sv, r))
 	open = slices.DeleteFunc(open, func(s *server) bool { return r.askOf(s.key) != nil })
 	if len(open) == 0 {
 		return nil, ""
@@ -248,14 +247,13 @@
 	return c.byPrefix(sv, r, open)
 }
 
-// byPrefix takes the backend servers in the order that the prompt's beginning
+// byPrefix takes the backend servers, which are in the order that the prompt's beginning
 // gives, those of the own zone first, which is the same at every router of the
 // zone: the first, or else another that has read it, or else, when the request
 // can wait no longer, the least busy. So a prompt that is asked for rarely is
 // read at one of each zone, and one that is asked for often at as many as it
 // takes.
 func (c *Core) byPrefix(sv *service, r *request, open []*server) (*server, string) {
-	slices.SortFunc(open, c.orderFor(r.Prefix))
 	first := c.firstFor(sv, r.Prefix)
 	if open[0] == first && c.now >= first.busyUntil {
 		return first, whyFirst
@@ -274,32 +272,6 @@
 	return c.leastUnread(open), whySpill
 }
 
-// isNear reports whether a backend server is in this router's zone.
-func (c *Core) isNear(s *server) bool { return s.Zone == c.opt.self.Zone }
-
-// orderFor compares backend servers by where a prompt's beginning is to be read:
-// those of the own zone first.
-func (c *Core) orderFor(prefix uint64) func(a, b *server) int {
-	return func(a, b *server) int {
-		return cmp.Or(
-			compareFirst(c.isNear(a), c.isNear(b)),
-			cmp.Compare(rendezvous.WeightOf(prefix, b.Name), rendezvous.WeightOf(prefix, a.Name)),
-		)
-	}
-}
-
-// firstFor returns the backend server that is first for a prompt's beginning.
-func (c *Core) firstFor(sv *service, prefix uint64) *server {
-	order := c.orderFor(prefix)
-	var first *server
-	for _, s := range sv.servers {
-		if s.open() && (first == nil || order(s, first) < 0) {
-			first = s
-		}
-	}
-	return first
-}
-
 // leastUnread returns the first of those of which their owners lately told that
 // the least is to be read there.
 func (c *Core) leastUnread(open []*server) *server {
@@ -341,11 +313,12 @@
 	return a.Zone != c.opt.self.Zone && b.Zone == c.opt.self.Zone
 }
 
-// openServers returns the backend servers that may get the request: without
-// those that failed it, unless no other is left.
-func (sv *service) openServers(r *request) []*server {
-	var open, others []*server
-	for _, s := range sv.servers {
+// openServers returns the backend servers that may get the request, in the order
+// for its prompt: without those that failed it, unless no other is left.
+func (c *Core) openServers(sv *service, r *request) []*server {
+	order := c.orderFor(sv, r.Prefix)
+	open, others := make([]*server, 0, len(order)), make([]*server, 0, len(order))
+	for _, s := range order {
 		if !s.open() {
 			continue
 		}
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -83,6 +83,13 @@
 type service struct {
 	name    string
 	servers []*server
+	// orders are the orders of servers for prompts, by the hash of their shared
+	// parts.
+	orders map[uint64][]*server
+	// middle is the part of failures of the middle one of the servers, as of
+	// middleAt.
+	middle   float64
+	middleAt time.Duration
 	// line predicts the time to the first event.
 	line line
 	// shortest is the shortest target of its requests lately.
@@ -98,7 +105,7 @@
 	old := c.servers
 	c.servers = make(map[wire.Key]*server, len(e.Table.Backends))
 	for _, s := range c.services {
-		s.servers = nil
+		s.servers, s.orders = nil, nil
 	}
 	for _, b := range e.Table.Backends {
 		key := wire.KeyOf(b.Name)
