Tell each router once whom others know, and then what changed

Cause: rosters, of 17 kB at 300 routers, went out far too often in large fleets. A router that hears one which it has not heard for a moment told it all and asked for all; in a fleet with relays that is each router that asks an owner for a place. Whom a relay hears is in the digest at whose change it tells all its zone, so that every such question changed it too. At a start, while fewer than twelve were heard, each tried every router it learned of.

Ruled out: the tables told at a start (one read of the store a router; none tells them unasked).

Change: one that a relay vouches for is no news; of other zones only relays count as heard; routers that others lately heard of are expected to live until they are tried, so that a newcomer finds its relays by the first answer; relays tell changes, with the digest that they change, and are asked for all where that does not fit; a try in a fleet with relays carries nothing; gossip only where there are no relays.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -260,6 +260,10 @@
 	// talk is whom this router tells what, digest that of its roster.
 	talk   roster.Talk
 	digest uint64
+	// changes counts the changes of the roster, changed is with which of them
+	// each router in it came to be told as it is.
+	changes uint64
+	changed map[string]rosterChange
 	// untrusted are the backend servers that were last logged as such.
 	untrusted map[string]admit.Untrusted
 	// routers are those that the core was last told of.
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -29,8 +29,11 @@
 	inc uint64
 	// stamp is the last one received from it.
 	stamp wire.Stamp
-	// digest is that of the roster that it was last told.
-	digest uint64
+	// digest is that of the roster that it was last told, changes how many
+	// changes of the roster had been by then.
+	digest, changes uint64
+	// askedWhole is when it was last asked for its whole roster.
+	askedWhole time.Duration
 }
 
 // inbound is a message of another router.
@@ -40,7 +43,9 @@
 	member := roster.Member{Address: e.From, Name: e.Name, Zone: e.Zone, Inc: e.Inc}
 	if s.roster.Heard(s.now, member) {
 		s.d.opt.log.Info("member_heard", "peer", e.Name, "address", e.From, "zone", e.Zone, "incarnation", e.Inc)
-		s.d.net.Send(e.From, s.tellRoster(true))
+		if _, told := e.Msg.(*wire.Roster); !told {
+			s.tellRoster(e.From, true)
+		}
 		s.membersChanged()
 	}
 	switch m := e.Msg.(type) {
@@ -49,7 +54,7 @@
 	case *wire.Ask, *wire.Reply, *wire.Note, *wire.Sync:
 		s.step(admit.Message{From: e.From, Msg: m})
 	case *wire.Roster:
-		s.learn(e.From, m)
+		s.learnRoster(e.From, m)
 	case *wire.NewsAsk:
 		s.d.net.Send(e.From, &wire.News{News: s.catalog.Since(m.After)})
 	case *wire.News:
@@ -79,8 +84,8 @@
 	if m.Leaving {
 		s.roster.Leaving(from.From)
 	}
-	if m.Roster != 0 {
-		s.roster.StandsBy(s.now, from.From, m.Roster)
+	if m.Roster != 0 && !s.roster.StandsBy(s.now, from.From, m.Roster) {
+		s.askRoster(from.From)
 	}
 	if s.accepts(from, m.Scope) {
 		s.step(admit.State{From: from.From, Zone: from.Zone, Msg: m, Silent: silentTellings * s.talk.Interval})
@@ -172,7 +177,7 @@
 		s.tell(to, t, others)
 	}
 	for _, to := range s.roster.Tries(s.now, s.talk) {
-		s.d.net.Send(to, s.tellRoster(true))
+		s.try(to)
 	}
 	s.roster.Forget(s.now)
 	s.gossip()
@@ -190,55 +195,27 @@
 	}
 	if s.talk.Relay {
 		m.Roster = s.digest
-		if l.digest != s.digest {
-			l.digest = s.digest
-			s.d.net.Send(to, s.tellRoster(false))
-		}
+		s.tellRosterChanges(to, l)
 	}
 	s.d.net.Send(to, m)
 }
 
-// gossip tells one router in turn whom this one knows.
+// gossip tells one router in turn whom this one knows, where there are no relays
+// to do so.
 func (s *state) gossip() {
-	all := slices.Concat(s.talk.Members, s.talk.Others)
-	if s.now-s.gossiped < gossipEvery || len(all) == 0 {
+	all := s.talk.Members
+	if !s.talk.Mesh || s.now-s.gossiped < gossipEvery || len(all) == 0 {
 		return
 	}
 	s.gossiped = s.now
-	s.d.net.Send(all[int(s.now/gossipEvery)%len(all)], s.tellRoster(false))
-}
-
-func (s *state) tellRoster(answer bool) *wire.Roster {
-	m := &wire.Roster{Answer: answer, Digest: s.digest}
-	for _, k := range s.roster.All(s.now) {
-		m.Entries = append(m.Entries, wire.RosterEntry{
-			Address: k.Address, Name: k.Name, Zone: k.Zone, Inc: k.Inc, Capacity: float32(k.Capacity),
-			Heard: k.Ago.Milliseconds(), Lives: k.Lives, Hears: k.Heard, Leaving: k.Leaving,
-		})
-	}
-	return m
-}
-
-func (s *state) learn(from string, m *wire.Roster) {
-	list := make([]roster.Known, 0, len(m.Entries))
-	for _, e := range m.Entries {
-		list = append(list, roster.Known{
-			Member: roster.Member{Address: e.Address, Name: e.Name, Zone: e.Zone, Inc: e.Inc, Capacity: float64(e.Capacity)},
-			Ago:    time.Duration(e.Heard) * time.Millisecond, Lives: e.Lives, Heard: e.Hears, Leaving: e.Leaving,
-		})
-	}
-	s.roster.Learn(s.now, from, m.Digest, list)
-	if m.Answer {
-		s.d.net.Send(from, s.tellRoster(false))
-	}
-	s.membersChanged()
+	s.tellRoster(all[int(s.now/gossipEvery)%len(all)], false)
 }
 
 // membersChanged tells those who decide by the routers that live, if these
 // changed.
 func (s *state) membersChanged() {
 	s.talk = s.roster.Talk(s.now)
-	s.digest = s.roster.Digest(s.now)
+	s.noteRoster()
 	s.takeTurn()
 	var routers []admit.Router
 	for _, address := range s.roster.Staying(s.now) {
--- a/pkg/roster/fleet_test.go
+++ b/pkg/roster/fleet_test.go
@@ -60,7 +60,7 @@
 	r := f.rosters[to]
 	news := r.Heard(f.now, f.self[from])
 	if tell {
-		r.Learn(f.now, from, f.rosters[from].Digest(f.now), f.rosters[from].All(f.now))
+		r.Learn(f.now, from, roster.Report{Digest: f.rosters[from].Digest(f.now), List: f.rosters[from].All(f.now)})
 	}
 	r.StandsBy(f.now, from, digest)
 	if news || answer {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -50,6 +49,11 @@
 	perMember = 10 * time.Millisecond
 	// silentIntervals is how many intervals may pass unheard.
 	silentIntervals = 3
+	// hearsayFor is how long a router that others lately heard of is expected to
+	// live before it was tried, answerWithin how long it may take to answer a try:
+	// the way there and back between regions, twice.
+	hearsayFor   = time.Second
+	answerWithin = 400 * time.Millisecond
 )
 
 // Member is a router.
@@ -79,8 +83,10 @@
 	heard time.Duration
 	// known is when anyone last heard of it, as far as told here.
 	known time.Duration
-	// tried is when it was last tried without being heard.
-	tried   time.Duration
+	// tried is when it was last tried without being heard, unanswered since
+	// when it has been; 0 if it was heard since.
+	tried, unanswered time.Duration
+
 	leaving bool
 	seed    bool
 }
@@ -118,7 +124,9 @@
 }
 
 // Heard notes that a message of a router came. It reports whether the router
-// was not heard before, or has started anew.
+// was not believed to live before, or has started anew. One that a relay vouches
+// for is no news: routers that only ask each other for places need not tell each
+// other whom they know.
 func (r *Roster) Heard(now time.Duration, from Member) bool {
 	if from.Address == r.self.Address {
 		return false
@@ -127,7 +135,7 @@
 	if from.Inc < m.Inc {
 		return false
 	}
-	news := !r.hears(now, m) || from.Inc > m.Inc
+	news := !r.lives(now, m) || from.Inc > m.Inc
 	if from.Inc > m.Inc {
 		m.leaving = false
 		r.unvouch(from.Address)
@@ -136,7 +144,7 @@
 		from.Capacity = m.Capacity
 	}
 	m.Member = from
-	m.heard, m.known = now, now
+	m.heard, m.known, m.unanswered = now, now, 0
 	return news
 }
 
@@ -160,47 +168,76 @@
 	Leaving      bool
 }
 
+// Report is what another router tells of whom it knows.
+type Report struct {
+	// Digest is the sender's own of whom it believes to live.
+	Digest uint64
+	// Base is the digest of the report that this one changes, 0 if it is whole.
+	Base uint64
+	List []Known
+}
+
 // Learn takes in whom another router knows. Those that a relay says to live
 // are believed to. A relay itself believes only in those that other relays
 // hear themselves, or two of them could vouch for a lost one by each other's
-// word for ever. Digest is the teller's own of what it tells.
-func (r *Roster) Learn(now time.Duration, from string, digest uint64, list []Known) {
+// word for ever. It returns false if the report changes another one that is not
+// known here, so that a whole one is needed.
+func (r *Roster) Learn(now time.Duration, from string, report Report) bool {
 	relay := r.isRelay(now, from)
 	all := relay && r.members[from].Zone == r.self.Zone && !r.isRelay(now, r.self.Address)
-	vouched := map[string]bool{}
-	for _, k := range list {
+	lives := map[string]bool{}
+	before, ok := r.vouched[from]
+	fits := report.Base == 0 || ok && before.digest == report.Base
+	if report.Base != 0 && fits {
+		lives = before.lives
+	}
+	for _, k := range report.List {
 		if k.Address == r.self.Address || k.Ago >= ForgetAfter {
 			continue
 		}
-		m := r.get(now, k.Address)
-		m.known = max(m.known, now-k.Ago)
-		if k.Inc > m.Inc {
-			m.leaving = false
-		}
-		if k.Inc >= m.Inc && (m.heard == 0 || k.Inc > m.Inc) {
-			m.Member = k.Member
-		}
-		if k.Inc == m.Inc && k.Capacity > 0 {
-			m.Capacity = k.Capacity
-		}
+		m := r.learnOf(now, k)
+		delete(lives, k.Address)
 		if k.Inc == m.Inc && k.Lives && relay && (all || k.Heard) {
-			vouched[k.Address] = true
+			lives[k.Address] = true
 			m.leaving = m.leaving || k.Leaving
 		}
 	}
-	delete(r.vouched, from)
-	if relay {
-		r.vouched[from] = &vouching{digest: digest, at: now, lives: vouched}
+	switch {
+	case !relay:
+		delete(r.vouched, from)
+	case fits:
+		r.vouched[from] = &vouching{digest: report.Digest, at: now, lives: lives}
+	}
+	return fits || !relay
+}
+
+// learnOf notes what another router knows of one.
+func (r *Roster) learnOf(now time.Duration, k Known) *member {
+	m := r.get(now, k.Address)
+	m.known = max(m.known, now-k.Ago)
+	if k.Inc > m.Inc {
+		m.leaving, m.unanswered = false, 0
 	}
+	if k.Inc >= m.Inc && (m.heard == 0 || k.Inc > m.Inc) {
+		m.Member = k.Member
+	}
+	if k.Inc == m.Inc && k.Capacity > 0 {
+		m.Capacity = k.Capacity
+	}
+	return m
 }
 
-// StandsBy notes that a relay stands by what it said with a digest; any other
-// digest means that something else is on its way, or that it vouches for
-// nobody any more.
-func (r *Roster) StandsBy(now time.Duration, relay string, digest uint64) {
-	if v, ok := r.vouched[relay]; ok && v.digest == digest {
+// StandsBy notes that a relay stands by what it said with a digest. It returns
+// false if that is not what is known here, so that a whole report is needed.
+func (r *Roster) StandsBy(now time.Duration, relay string, digest uint64) bool {
+	v, ok := r.vouched[relay]
+	if !ok {
+		return !r.isRelay(now, relay)
+	}
+	if v.digest == digest {
 		v.at = now
 	}
+	return v.digest == digest
 }
 
 // unvouch forgets that relays said that a router lives.
@@ -249,6 +286,14 @@
 	return false
 }
 
+// expected reports whether a router that is not heard can be taken to live until
+// it has been tried: others lately heard of it. So a router that starts among
+// many chooses its relays by what the first one tells it, in place of talking
+// with each that it learns of.
+func (r *Roster) expected(now time.Duration, m *member) bool {
+	return m.Inc > 0 && !m.leaving && now-m.known < hearsayFor && (m.unanswered == 0 || now-m.unanswered < answerWithin)
+}
+
 // Live returns the addresses of the routers that live, without this one.
 func (r *Roster) Live(now time.Duration) []string {
 	return r.filter(func(m *member) bool { return r.lives(now, m) })
@@ -291,7 +336,11 @@
 	})
 	list = list[:min(triesEach, len(list))]
 	for _, address := range list {
-		r.members[address].tried = now
+		m := r.members[address]
+		m.tried = now
+		if m.unanswered == 0 {
+			m.unanswered = now
+		}
 	}
 	return list
 }
@@ -328,15 +377,19 @@
 	})
 }
 
-// All returns the routers that were heard of lately, with this one.
+// All returns the routers that were heard of lately, with this one. Of other
+// zones only the relays count as heard here: that another router asked this one
+// for a place comes and goes, and its own relays vouch for it.
 func (r *Roster) All(now time.Duration) []Known {
 	list := []Known{{Member: r.self, Lives: true, Heard: true}}
+	relays := r.relays(now)
 	for _, address := range slices.Sorted(maps.Keys(r.members)) {
 		m := r.members[address]
 		if m.Inc == 0 || now-m.known >= ForgetAfter {
 			continue
 		}
-		k := Known{Member: m.Member, Ago: now - m.known, Lives: r.lives(now, m), Heard: r.hears(now, m), Leaving: m.leaving}
+		k := Known{Member: m.Member, Ago: now - m.known, Lives: r.lives(now, m), Leaving: m.leaving}
+		k.Heard = r.hears(now, m) && (m.Zone == r.self.Zone || slices.Contains(relays[m.Zone], address))
 		if k.Lives {
 			k.Ago = 0
 		}
@@ -348,13 +401,33 @@
 // Digest is a hash of whom this router believes to live, to tell whether
 // others know of it.
 func (r *Roster) Digest(now time.Duration) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, k := range r.All(now) {
+	return DigestOf(r.All(now))
+}
+
+// DigestOf is the digest of a list of all routers.
+func DigestOf(list []Known) uint64 {
+	digest := uint64(0)
+	for _, k := range list {
 		if k.Lives {
-			_, _ = fmt.Fprintf(&d, "%s %d %t %t;", k.Address, k.Inc, k.Leaving, k.Heard)
+			// The order does not matter, so that the sum will do.
+			digest += k.Digest()
+		}
+	}
+	return digest
+}
+
+// Digest is a hash of what is told of one router but for how long ago it was heard.
+func (k *Known) Digest() uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(k.Inc)
+	_, _ = d.WriteString(k.Address)
+	var flags [3]byte
+	for i, flag := range []bool{k.Lives, k.Heard, k.Leaving} {
+		if flag {
+			flags[i] = 1
 		}
 	}
+	_, _ = d.Write(flags[:])
 	return d.Sum64()
 }
 
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -1,6 +1,8 @@
 package roster_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -47,10 +49,12 @@
 			do: func(r *roster.Roster) { r.Heard(second, b) }, at: 2 * second,
 			want: view{Tries: []string{b.Address}, Lately: 2}},
 		"hearsay is tried and counts, but does not live": {
-			do: func(r *roster.Roster) { r.Learn(second, b.Address, 1, known(c, 0)) }, at: second,
+			do: func(r *roster.Roster) { r.Learn(second, b.Address, roster.Report{Digest: 1, List: known(c, 0)}) }, at: second,
 			want: view{Tries: []string{c.Address}, Lately: 2}},
 		"old hearsay counts for nothing": {
-			do: func(r *roster.Roster) { r.Learn(40*second, b.Address, 1, known(c, 39*second)) }, at: 40 * second,
+			do: func(r *roster.Roster) {
+				r.Learn(40*second, b.Address, roster.Report{Digest: 1, List: known(c, 39*second)})
+			}, at: 40 * second,
 			want: view{Lately: 1}},
 		"gone": {
 			do: func(r *roster.Roster) { r.Heard(second, b); r.Gone(b.Address) }, at: second,
@@ -107,3 +111,120 @@
 		t.Errorf("tries within the first %v and after (-want +got):\n%s", roster.StartsFor, diff)
 	}
 }
+
+// relayed returns the roster of a router that lives in a fleet with relays: the
+// zone's others, and those of the other zone, among them relays that vouch for
+// all of them.
+func relayed(t *testing.T, now time.Duration) (r *roster.Roster, relay string, all []roster.Known) {
+	t.Helper()
+	r = roster.New(self, nil)
+	for i := range 10 {
+		for _, zone := range []string{"x", "y"} {
+			m := roster.Member{Address: fmt.Sprintf("10.0.%s.%d:7", zone, i), Zone: zone, Inc: 5}
+			all = append(all, roster.Known{Member: m, Lives: true, Heard: true})
+		}
+	}
+	for _, k := range all {
+		r.Heard(now, k.Member)
+	}
+	if relay = r.FirstRelay(now, self.Zone); relay == self.Address {
+		t.Fatal("the router under test is a relay itself")
+	}
+	return r, relay, all
+}
+
+// TestVouchedForIsNoNews looks that a router which is heard by chance, since it
+// asks this one for a place, is not told of the whole fleet each time.
+func TestVouchedForIsNoNews(t *testing.T) {
+	const start, later = time.Hour, time.Hour + 10*time.Second
+	r, relay, all := relayed(t, start)
+	var relayMember roster.Member
+	for _, k := range all {
+		if k.Address == relay {
+			relayMember = k.Member
+		}
+	}
+	r.Heard(later, relayMember)
+	r.Learn(later, relay, roster.Report{Digest: 1, List: all})
+	for _, k := range all {
+		if news := r.Heard(later, k.Member); news {
+			t.Errorf("%s is news, though the relay vouches for it", k.Address)
+		}
+	}
+	anew := all[0].Member
+	anew.Inc++
+	if !r.Heard(later, anew) {
+		t.Error("a router that started anew is not news")
+	}
+}
+
+// TestDigestIsSteadyWhileRoutersAsk looks that the digest, at whose change relays
+// tell all others, does not change with who of another zone asked for a place.
+func TestDigestIsSteadyWhileRoutersAsk(t *testing.T) {
+	const start, later = time.Hour, time.Hour + time.Second/4
+	r, _, all := relayed(t, start)
+	first := r.FirstRelay(start, "y")
+	vouch := func(now time.Duration) {
+		for _, k := range all {
+			if k.Zone == self.Zone || k.Address == first {
+				r.Heard(now, k.Member)
+			}
+		}
+		r.Learn(now, first, roster.Report{Digest: 1, List: all})
+	}
+	silent := start + 2*roster.SilentAfter
+	vouch(silent)
+	before := r.Digest(silent)
+	for _, k := range all {
+		if k.Zone == "y" && k.Address != first && r.FirstRelay(later, "y") != k.Address {
+			r.Heard(silent, k.Member)
+			break
+		}
+	}
+	if after := r.Digest(silent); after != before {
+		t.Error("the digest changed when a router of another zone was heard")
+	}
+}
+
+// TestChangesOfReports gives a router reports that change others.
+func TestChangesOfReports(t *testing.T) {
+	const now = time.Hour
+	tests := map[string]struct {
+		base uint64
+		fits bool
+		// lives says that the router of which the change tells counts as live.
+		lives bool
+	}{
+		"of the last report": {base: 1, fits: true, lives: false},
+		"of an unknown one":  {base: 7, fits: false, lives: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, relay, all := relayed(t, now-10*time.Second)
+			for _, k := range all {
+				if k.Address == relay {
+					r.Heard(now, k.Member)
+				}
+			}
+			if !r.Learn(now, relay, roster.Report{Digest: 1, List: all}) {
+				t.Error("a whole report does not do")
+			}
+			var gone roster.Known
+			for _, k := range all {
+				if k.Address != relay {
+					gone = k
+				}
+			}
+			gone.Lives, gone.Heard = false, false
+			if got := r.Learn(now, relay, roster.Report{Digest: 2, Base: tc.base, List: []roster.Known{gone}}); got != tc.fits {
+				t.Errorf("the change fits: %v", got)
+			}
+			if got := slices.Contains(r.Live(now), gone.Address); got != tc.lives {
+				t.Errorf("%s lives: %v", gone.Address, got)
+			}
+			if got := r.StandsBy(now, relay, 2); got != tc.fits {
+				t.Errorf("the relay stands by what is known here: %v", got)
+			}
+		})
+	}
+}
--- a/pkg/roster/talk.go
+++ b/pkg/roster/talk.go
@@ -37,7 +37,7 @@
 
 // Talk works out whom this router tells what.
 func (r *Roster) Talk(now time.Duration) Talk {
-	live := r.Live(now)
+	live := r.filter(func(m *member) bool { return r.lives(now, m) || r.expected(now, m) })
 	if len(live) < meshUpTo {
 		r.interval = quickest
 		return Talk{Mesh: true, Members: live, Interval: quickest}
@@ -78,8 +78,10 @@
 		zones[m.Zone] = append(zones[m.Zone], ranked{m.Address, rendezvous.Score(relayKey, m.Address, m.capacity())})
 	}
 	add(&r.self)
-	for _, address := range r.Staying(now) {
-		add(&r.members[address].Member)
+	for _, m := range r.members {
+		if r.lives(now, m) && !m.leaving || r.expected(now, m) {
+			add(&m.Member)
+		}
 	}
 	relays := make(map[string][]string, len(zones))
 	for zone, list := range zones {
--- a/pkg/wire/place.go
+++ b/pkg/wire/place.go
@@ -187,6 +187,9 @@
 	Entries []RosterEntry
 	// Digest is the sender's own of whom it believes to live.
 	Digest uint64
+	// Base is the Digest of the Roster before, of which Entries are only the
+	// changes; 0 if they are all.
+	Base uint64
 	// Answer asks the receiver for its roster.
 	Answer bool
 }
