Read the platform by few routers at a start, and seldom while it is down

Ruled out: reads that may be seconds old (they cost a tenth, but a router that starts could then serve a version that is no longer in force).

Change: seeds read at once; others ask the first router that they hear and read themselves only if nobody has told them within 0.4 s; what was told is verified as by any router, in turn. After a failure to read, a router pauses longer the further back its turn is, up to eight times.

--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -31,6 +32,18 @@
 	nextPart  = 0.4
 	turnPart  = 0.05
 	lastPart  = 0.7
+	// readAfter is how long after its start a router that is not among the seeds
+	// reads the platform itself, unless another has told it everything by then:
+	// three ways there and back between zones, and the seeds' own reading. A whole
+	// reading of a large platform takes several calls, which all routers would make
+	// when all start at once.
+	readAfter = 400 * time.Millisecond
+	// failuresEach is how many turns further back one more of the pauses after a
+	// failure to read lasts as long again, up to mostPauses. So the calls of a
+	// platform that is down do not grow as fast as the fleet, and one that serves
+	// again is noticed by the first in turn within a second.
+	failuresEach = 4
+	mostPauses   = 8
 )
 
 // newBackoff spreads the retries of all routers after an outage.
@@ -87,14 +100,14 @@
 func (d *Dispatcher) verify() {
 	wait := newBackoff()
 	for d.ctx.Err() == nil {
-		if due := d.verifyDue(); due > 0 {
+		if due := d.verifyDue(d.now()); due > 0 {
 			d.pause(min(max(due, lookSoonest), lookEvery))
 			continue
 		}
 		begun := d.now()
 		if err := d.verifyOnce(begun); err != nil {
 			d.readFailed("verify", err)
-			d.pause(wait.NextBackOff())
+			d.pause(d.pauseAfterFailure(wait.NextBackOff()))
 			continue
 		}
 		wait.Reset()
@@ -102,18 +115,32 @@
 	}
 }
 
-// verifyDue returns in how long it is this router's turn to read; now if that
-// is not above zero.
-func (d *Dispatcher) verifyDue() time.Duration {
+// pauseAfterFailure stretches a pause by this router's place among those that
+// read the platform.
+func (d *Dispatcher) pauseAfterFailure(pause time.Duration) time.Duration {
+	pauses := 1 + float64(d.shared.turn.Load())/failuresEach
+	return time.Duration(min(pauses, mostPauses) * float64(pause))
+}
+
+// verifyDue returns in how long from now it is this router's turn to read; now if
+// that is not above zero.
+func (d *Dispatcher) verifyDue(now time.Duration) time.Duration {
 	verified := time.Duration(d.shared.verified.Load())
-	if verified == 0 {
+	switch {
+	case verified > 0:
+	case d.shared.asOf.Load() > 0:
+		// Another router told everything; its own bound on its age holds here too.
+		verified = clockStart
+	case len(d.opt.seeds) == 0 || slices.Contains(d.opt.seeds, d.id.Address):
 		return 0
+	default:
+		return clockStart + readAfter - now
 	}
 	part := firstPart
 	if turn := d.shared.turn.Load(); turn > 0 {
 		part = min(nextPart+turnPart*float64(turn), lastPart)
 	}
-	return verified + time.Duration(part*float64(d.shared.applyWithin.Load())) - d.now()
+	return verified + time.Duration(part*float64(d.shared.applyWithin.Load())) - now
 }
 
 func (d *Dispatcher) verifyOnce(begun time.Duration) error {
--- /dev/null
+++ b/internal/dispatch/follow_test.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// TestWhoReadsAtTheStart looks in how long a router that has just started reads
+// the platform itself.
+func TestWhoReadsAtTheStart(t *testing.T) {
+	const self, other, within = "10.0.0.1:7", "10.0.0.2:7", 4 * time.Second
+	tests := map[string]struct {
+		seeds []string
+		asOf  uint64
+		want  time.Duration
+	}{
+		"without seeds":                  {nil, 0, 0},
+		"a seed":                         {[]string{other, self}, 0, 0},
+		"no seed":                        {[]string{other}, 0, readAfter},
+		"no seed, told by another":       {[]string{other}, 9, time.Duration(firstPart * float64(within))},
+		"a seed that was told by others": {[]string{self, other}, 9, time.Duration(firstPart * float64(within))},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := New(Identity{Name: "a", Address: self, Zone: "x"}, noSource{}, &sentNet{}, WithSeeds(tc.seeds), WithApplyWithin(within))
+			d.shared.asOf.Store(tc.asOf)
+			if got := d.verifyDue(clockStart); got != tc.want {
+				t.Errorf("it reads in %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestPausesGrowWithTheTurn sums the calls that a fleet makes each second while
+// the platform cannot be read: they may not grow as its routers do.
+func TestPausesGrowWithTheTurn(t *testing.T) {
+	calls := func(routers int) float64 {
+		d := New(Identity{}, noSource{}, &sentNet{})
+		sum := 0.0
+		for turn := range routers {
+			d.shared.turn.Store(int64(turn))
+			sum += 1 / d.pauseAfterFailure(time.Second).Seconds()
+		}
+		return sum
+	}
+	if got := calls(4); got < 3 {
+		t.Errorf("4 routers make %.1f calls a second", got)
+	}
+	if got := calls(300); got > 50 {
+		t.Errorf("300 routers make %.1f calls a second", got)
+	}
+}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -46,6 +46,9 @@
 		if _, told := e.Msg.(*wire.Roster); !told {
 			s.tellRoster(e.From, true)
 		}
+		if s.catalog.AsOf() == 0 {
+			s.askNews(e.From, 0)
+		}
 		s.membersChanged()
 	}
 	switch m := e.Msg.(type) {
