Let every router know where prompts were read in other zones

Change: the relay that tells the zone's sums passes on what other zones told to its own, and its zone's to the others, up to 256 each a telling (4 kB); the other relay passes nothing on, since it heard the same.

Test: TestWhoIsToldOfCopies.

--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -167,17 +167,20 @@
 	s.membersChanged()
 	t := s.core.Tell(s.now)
 	for _, to := range s.talk.Members {
-		s.tell(to, t, wire.ScopeOwn)
+		s.tell(to, t, wire.ScopeOwn, t.Copies())
 	}
-	served, others := wire.ScopeNone, wire.ScopeNone
+	// Both relays of a zone hear all that its routers tell, so one passes it on.
+	served, servedCopies := wire.ScopeNone, t.Copies()
+	others, zoneCopies := wire.ScopeNone, t.Copies()
 	if s.talk.First {
-		served, others = wire.ScopeRest, wire.ScopeZone
+		served, servedCopies = wire.ScopeRest, t.AllCopies()
+		others, zoneCopies = wire.ScopeZone, t.ZoneCopies()
 	}
 	for _, to := range s.talk.Served {
-		s.tell(to, t, served)
+		s.tell(to, t, served, servedCopies)
 	}
 	for _, to := range s.talk.Others {
-		s.tell(to, t, others)
+		s.tell(to, t, others, zoneCopies)
 	}
 	for _, to := range s.roster.Tries(s.now, s.talk) {
 		s.try(to)
@@ -187,11 +190,11 @@
 }
 
 // tell sends one router what it is to know.
-func (s *state) tell(to string, t *admit.Telling, scope wire.Scope) {
+func (s *state) tell(to string, t *admit.Telling, scope wire.Scope, copies []wire.Copy) {
 	l := s.link(to)
 	m := &wire.State{
 		Stamp: wire.StampOf(s.now), Echo: l.stamp, AsOf: s.catalog.AsOf(), Age: -1, Leaving: s.d.Draining(),
-		Scope: scope, Accounts: t.For(scope, to), Copies: t.Copies(s.talk.Relay),
+		Scope: scope, Accounts: t.For(scope, to), Copies: copies,
 	}
 	if verified := time.Duration(s.d.shared.verified.Load()); verified > 0 {
 		m.Age = (s.now - verified).Milliseconds() + 1
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -87,8 +87,9 @@
 	mute map[string]time.Duration
 	// copies are those made since the others were told.
 	copies []wire.Copy
-	// heardCopies are those that others of the zone told of since then.
-	heardCopies []wire.Copy
+	// nearCopies are those that others of the zone told of since then, farCopies
+	// those that others told of.
+	nearCopies, farCopies []wire.Copy
 	// within counts the requests of accounts that ask for no more than their
 	// share at the backend servers owned here, waited those of them that found
 	// no place at once, a second.
--- a/pkg/admit/fetch_test.go
+++ b/pkg/admit/fetch_test.go
@@ -5,8 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 // show puts a table in force whose backend servers are listed with their marks.
@@ -225,3 +229,35 @@
 		t.Errorf("%.2f of %d requests with a short target were refused", part, asked)
 	}
 }
+
+// TestWhoIsToldOfCopies has a router hear of copies in its own zone and in
+// another, and looks what it would pass on as a relay: each once to every router,
+// and to other zones only those of its own.
+func TestWhoIsToldOfCopies(t *testing.T) {
+	near := wire.Copy{Prefix: 1, Server: wire.KeyOf("near")}
+	far := wire.Copy{Prefix: 2, Server: wire.KeyOf("far")}
+	c := admit.New(admit.Router{Address: "a", Zone: "x"})
+	hear := func() {
+		c.Step(time.Second, admit.State{From: "b", Zone: "x", Msg: &wire.State{Copies: []wire.Copy{near}}})
+		c.Step(time.Second, admit.State{From: "c", Zone: "y", Msg: &wire.State{Copies: []wire.Copy{far}}})
+	}
+	tests := map[string]struct {
+		told func(*admit.Telling) []wire.Copy
+		want []wire.Copy
+	}{
+		"its equals":        {(*admit.Telling).Copies, nil},
+		"other zones":       {(*admit.Telling).ZoneCopies, []wire.Copy{near}},
+		"routers it serves": {(*admit.Telling).AllCopies, []wire.Copy{near, far}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			hear()
+			if diff := cmp.Diff(tc.want, tc.told(c.Tell(time.Second)), cmpopts.EquateEmpty()); diff != "" {
+				t.Errorf("copies (-want +got):\n%s", diff)
+			}
+			if again := tc.told(c.Tell(time.Second)); len(again) != 0 {
+				t.Errorf("told again: %v", again)
+			}
+		})
+	}
+}
--- a/pkg/admit/peer.go
+++ b/pkg/admit/peer.go
@@ -77,15 +77,23 @@
 	c.accounts.count(t.flows, 1)
 }
 
-// learnCopies notes where other routers had prompts read, and passes on what
-// was told by those of the own zone.
+// mostPassedOn bounds how many copies told by others are passed on at once, of
+// the own zone and of other zones each: 256 take 4 kB.
+const mostPassedOn = 256
+
+// learnCopies notes where other routers had prompts read, to be passed on if this
+// router is a relay.
 func (c *Core) learnCopies(zone string, copies []wire.Copy) {
+	passedOn := &c.farCopies
+	if zone == c.opt.self.Zone {
+		passedOn = &c.nearCopies
+	}
 	for _, x := range copies {
 		if s, ok := c.servers[x.Server]; ok {
 			s.copies.note(x.Prefix, c.now)
 		}
-		if zone == c.opt.self.Zone && len(c.heardCopies) < mostCopies {
-			c.heardCopies = append(c.heardCopies, x)
+		if len(*passedOn) < mostPassedOn {
+			*passedOn = append(*passedOn, x)
 		}
 	}
 }
@@ -119,18 +127,19 @@
 
 // Telling is what a router tells others, made once for all of them.
 type Telling struct {
-	now         time.Duration
-	core        *Core
-	own, zone   map[wire.Key]flow
-	rest        map[wire.Key]flow
-	copies      []wire.Copy
-	heardCopies []wire.Copy
+	now       time.Duration
+	core      *Core
+	own, zone map[wire.Key]flow
+	rest      map[wire.Key]flow
+	// copies are this router's own since the last telling, near those that others
+	// of its zone told of since then, far those of other zones.
+	copies, near, far []wire.Copy
 }
 
 // Tell collects what this router tells the others now.
 func (c *Core) Tell(now time.Duration) *Telling {
-	t := &Telling{now: now, core: c, own: c.accounts.own(now), copies: c.copies, heardCopies: c.heardCopies}
-	c.copies, c.heardCopies = nil, nil
+	t := &Telling{now: now, core: c, own: c.accounts.own(now), copies: c.copies, near: c.nearCopies, far: c.farCopies}
+	c.copies, c.nearCopies, c.farCopies = nil, nil, nil
 	t.zone, t.rest = maps.Clone(t.own), map[wire.Key]flow{}
 	for from, x := range c.told {
 		switch {
@@ -171,14 +180,14 @@
 	}
 }
 
-// Copies returns the copies that were made; with all, those that others of
-// the zone told of too.
-func (t *Telling) Copies(all bool) []wire.Copy {
-	if !all {
-		return t.copies
-	}
-	return append(slices.Clone(t.copies), t.heardCopies...)
-}
+// Copies returns the copies that this router's own requests made.
+func (t *Telling) Copies() []wire.Copy { return t.copies }
+
+// ZoneCopies returns those that its zone made, for relays of other zones.
+func (t *Telling) ZoneCopies() []wire.Copy { return slices.Concat(t.copies, t.near) }
+
+// AllCopies returns those that any router made, for the routers of its zone.
+func (t *Telling) AllCopies() []wire.Copy { return slices.Concat(t.copies, t.near, t.far) }
 
 // mostFlows bounds how many accounts are told of; the rest is told as a sum,
 // under account 0.
--- a/pkg/admit/world_test.go
+++ b/pkg/admit/world_test.go
@@ -167,7 +167,7 @@
 	t := w.cores[name].Tell(w.now)
 	for _, other := range w.order {
 		if other != name {
-			w.deliver(name, other, &wire.State{Accounts: t.For(wire.ScopeOwn, other), Copies: t.Copies(false)})
+			w.deliver(name, other, &wire.State{Accounts: t.For(wire.ScopeOwn, other), Copies: t.Copies()})
 		}
 	}
 }
