Have accounts that ask for more than their share leave room behind them

Change: for accounts that ask for more than the level, or had it, the bound holds for what is ahead with their own prompt.

--- a/pkg/admit/part.go
+++ b/pkg/admit/part.go
@@ -39,6 +39,11 @@
 	return max(leastPart, most-overSlope*(over-evenUpTo))
 }
 
+// wantsMore reports whether an account asks for more than its share, or has had it.
+func (c *Core) wantsMore(account wire.Key) bool {
+	return account != 0 && (c.accounts.backlogged(account, c.now) || c.accounts.over(account, c.now) > evenUpTo)
+}
+
 // noteAsked notes whether a request of an account that asks for no more than its
 // share found a place at once.
 func (c *Core) noteAsked(account wire.Key, granted bool) {
--- a/pkg/admit/place.go
+++ b/pkg/admit/place.go
@@ -73,7 +73,12 @@
 // within a part of what is left of its target.
 func (c *Core) beginsInTime(sv *service, s *server, a *asking, toRead int64, part float64) bool {
 	left := (a.due - c.now).Seconds()
-	if ahead := s.health.slowness() * sv.line.slope() * float64(s.owned.unread); ahead > aheadPart*sv.shortest.get(c.now).Seconds() {
+	ahead := s.owned.unread
+	if c.wantsMore(a.Account) {
+		// What it leaves behind counts too, so that others find a place at once.
+		ahead += toRead
+	}
+	if s.health.slowness()*sv.line.slope()*float64(ahead) > aheadPart*sv.shortest.get(c.now).Seconds() {
 		return false
 	}
 	expected := s.health.slowness() * sv.line.predict(s.owned.unread+toRead).Seconds()
--- a/pkg/admit/room_test.go
+++ b/pkg/admit/room_test.go
@@ -230,3 +230,37 @@
 		})
 	}
 }
+
+// TestFloodYieldsToWhatWaits floods engines with long prompts that have a late
+// target, and so find room behind much, while others ask for short ones with an
+// early target.
+func TestFloodYieldsToWhatWaits(t *testing.T) {
+	w := newWorld(6, 3, zones, 2)
+	w.hold = 400 * time.Millisecond
+	w.stateCapacity(300_000)
+	const until = 8 * time.Second
+	w.flood("flood", 300, w.order, admit.Request{Prompt: 8000, Output: 50, Target: 800 * time.Millisecond, Patience: 160 * time.Millisecond}, until)
+	for i := range 6 {
+		w.flood(fmt.Sprint("small-", i), 6, w.order, admit.Request{Prompt: 1500, Output: 20, Target: 250 * time.Millisecond, Patience: 50 * time.Millisecond}, until)
+	}
+	w.run(until + 2*time.Second)
+	asked, refused, flood := 0, 0, 0
+	for id, a := range w.asked {
+		_, gone := w.refusals[id]
+		switch {
+		case a.at < 2*time.Second:
+		case a.request.Account == "flood":
+			flood += boolInt(!gone)
+		default:
+			asked++
+			refused += boolInt(gone)
+		}
+	}
+	t.Logf("%d of %d small refused, %d of the flood started", refused, asked, flood)
+	if part := float64(refused) / float64(asked); part > 0.02 {
+		t.Errorf("%.3f of %d requests of accounts within their share were refused", part, asked)
+	}
+	if flood < 200 {
+		t.Errorf("only %d requests of the flood started", flood)
+	}
+}
