Allow for a router's own lateness, and take in less sooner

It counted as overloaded from 25 ms on only.

Change: the measured lateness is added, twice, to the time after which an owner counts as silent and to how long a request waits while an answer is due; a router takes in less from 12 ms on, down to 0.02 of its requests.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/admit"
+)
 
 const (
 	// overloadedPart is the part of its requests from which a router that can
@@ -14,6 +18,7 @@
 func (s *state) keepPace(late time.Duration) {
 	before := s.pace.Part()
 	s.pace.Step(late)
+	s.step(admit.Late{By: s.pace.Late()})
 	s.seeWhetherOverloaded()
 	if now := s.pace.Part(); (now < 1) != (before < 1) {
 		s.d.opt.log.Warn("router_pace", "limited", now < 1, "late_ms", s.pace.Late().Milliseconds())
--- a/internal/front/connections_test.go
+++ b/internal/front/connections_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/backend"
 	"github.com/yarrowmast/yarrowmast/internal/front"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
 
 // answerWithin bounds the wait for an answer in these tests: without it a
@@ -228,3 +230,26 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc + m.StackInuse
 }
+
+// BenchmarkRefusal has callers with a connection each be refused unseen.
+func BenchmarkRefusal(b *testing.B) {
+	f := &fake{t: newTable(b), results: []backend.Result{{}}, screened: verdict.New(verdict.PhaseAdmit, http.StatusTooManyRequests, "over-share", "made up")}
+	f.t.Routes = []table.Route{{Name: "r", Host: "forms.example", Prefix: "/a/", Public: true, Targets: []table.Target{{Service: "scores", Weight: 1}}}}
+	f.t.Index()
+	url := start(b, f)
+	text := "POST /a/x HTTP/1.1\r\nHost: forms.example\r\n" + backend.HeaderRequestID + ": id-1\r\nContent-Length: 12000\r\n\r\n" + strings.Repeat("x", 12000)
+	buf := make([]byte, 4096)
+	for b.Loop() {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := conn.Read(buf); err != nil {
+			b.Fatal(err)
+		}
+		_ = conn.Close()
+	}
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -36,12 +36,13 @@
 	calls    chan backend.Call
 	asked    chan front.Request
 	overload atomic.Bool
+	screened *verdict.Error
 }
 
 func (f *fake) Table() *table.Table                      { return f.t }
 func (f *fake) MayRetry(front.Request) bool              { return true }
 func (f *fake) Overloaded() bool                         { return f.overload.Load() }
-func (f *fake) Screen(front.Request) *verdict.Error      { return nil }
+func (f *fake) Screen(front.Request) *verdict.Error      { return f.screened }
 func (f *fake) Release(front.Grant, front.Usage)         { f.released.Add(1) }
 func (f *fake) Claim(context.Context, front.Claim) error { return f.claimErr }
 func (f *fake) Unclaim(front.Claim)                      { f.voided.Add(1) }
@@ -88,7 +89,7 @@
 	return got
 }
 
-func start(t *testing.T, f *fake, opts ...front.Option) string {
+func start(t testing.TB, f *fake, opts ...front.Option) string {
 	t.Helper()
 	url, _ := startServer(t, f, opts...)
 	return url
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -97,8 +97,10 @@
 	// started is the time of the first step, joined when the first other router
 	// was heard, 0 before.
 	started, joined time.Duration
-	synced          time.Duration
-	swept           time.Duration
+	// late is how late this router hears of what comes to it.
+	late   time.Duration
+	synced time.Duration
+	swept  time.Duration
 	// local is what this router sends to itself.
 	local []any
 	out   []Action
@@ -205,6 +207,12 @@
 	c.syncIfDue()
 }
 
+// Late says how late this router hears of what comes to its sockets, since it has
+// little time.
+type Late struct{ By time.Duration }
+
+func (e Late) apply(c *Core) { c.late = max(0, e.By) }
+
 // Busy reports whether something waits, so that ticks are due soon.
 func (c *Core) Busy() bool {
 	if len(c.waiting) > 0 {
--- a/pkg/admit/pace.go
+++ b/pkg/admit/pace.go
@@ -17,18 +17,24 @@
 }
 
 const (
-	// lateLimit is the lateness from which a router counts as overloaded.
-	lateLimit = 25 * time.Millisecond
+	// lateLimit is the lateness from which a router takes in less. A request takes
+	// the way to an owner and back, and is late each time that this router hears
+	// of it; the shortest patience is 50 ms.
+	lateLimit = 12 * time.Millisecond
 	// lateWeight is the weight of one more lateness.
 	lateWeight = 0.3
-	// veryLate is the lateness from which the part falls much faster.
-	veryLate = 100 * time.Millisecond
-	// slower, muchSlower and faster change the part at each step.
-	slower     = 0.9
-	muchSlower = 0.7
-	faster     = 0.03
-	// leastPace is what is tried at least.
-	leastPace = 0.1
+	// late2 and late3 are the latenesses from which the part falls faster.
+	late2 = 25 * time.Millisecond
+	late3 = 60 * time.Millisecond
+	// slower, slower2 and slower3 change the part at each step from each of these
+	// on, faster where the router is in time.
+	slower  = 0.97
+	slower2 = 0.9
+	slower3 = 0.7
+	faster  = 0.03
+	// leastPace is what is tried at least, so that it is learned when there is
+	// time again.
+	leastPace = 0.02
 )
 
 // NewPace returns the pace of a router that keeps up.
@@ -38,13 +44,16 @@
 func (p *Pace) Step(late time.Duration) {
 	p.late += time.Duration(lateWeight * float64(late-p.late))
 	switch {
-	case p.late > veryLate:
-		p.part = max(leastPace, p.part*muchSlower)
+	case p.late > late3:
+		p.part *= slower3
+	case p.late > late2:
+		p.part *= slower2
 	case p.late > lateLimit:
-		p.part = max(leastPace, p.part*slower)
+		p.part *= slower
 	default:
-		p.part = min(1, p.part+faster)
+		p.part += faster
 	}
+	p.part = min(1, max(leastPace, p.part))
 }
 
 // Part returns the part of the requests that can be worked on.
--- /dev/null
+++ b/pkg/admit/pace_test.go
@@ -0,0 +1,58 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/admit"
+)
+
+// What requests cost the router of TestPaceUsesTheProcessor: one that is worked
+// on, and one that is refused unseen.
+const (
+	workedOn = 900 * time.Microsecond
+	refused  = 250 * time.Microsecond
+)
+
+// paced runs a router that has a part of a processor, and to which so many
+// requests come a second, and returns how many it works on a second and how late
+// it is on average, after two seconds to settle.
+func paced(processor, perSecond float64, runs time.Duration) (worked float64, late time.Duration) {
+	const step = 50 * time.Millisecond
+	const settles = 2 * time.Second
+	p := admit.NewPace()
+	backlog, sum, steps := 0.0, 0.0, 0
+	for now := time.Duration(0); now < runs; now += step {
+		come := perSecond * step.Seconds()
+		in := come * p.Part()
+		backlog += in*workedOn.Seconds() + (come-in)*refused.Seconds()
+		backlog = max(0, backlog-processor*step.Seconds())
+		waits := backlog / processor
+		p.Step(time.Duration(waits * float64(time.Second)))
+		if now >= settles {
+			worked += in
+			sum += waits
+			steps++
+		}
+	}
+	return worked / (runs - settles).Seconds(), time.Duration(sum / float64(steps) * float64(time.Second))
+}
+
+// TestPaceUsesTheProcessor has more requests come than a router can work on: it is
+// to use nearly all of its time, and to be little late.
+func TestPaceUsesTheProcessor(t *testing.T) {
+	const processor = 0.19
+	for name, perSecond := range map[string]float64{"a little too many": 250, "twice as many": 400, "a flood": 600} {
+		t.Run(name, func(t *testing.T) {
+			can := (processor - perSecond*refused.Seconds()) / (workedOn - refused).Seconds()
+			worked, late := paced(processor, perSecond, 20*time.Second)
+			t.Logf("works on %.0f of %.0f a second, can on %.0f; late by %v", worked, perSecond, can, late)
+			if worked < 0.85*can {
+				t.Errorf("it works on %.0f requests a second, and can on %.0f", worked, can)
+			}
+			if late > 40*time.Millisecond {
+				t.Errorf("it is late by %v", late)
+			}
+		})
+	}
+}
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -13,6 +13,10 @@
 	// replyWithin is how long an owner may leave a question unanswered before
 	// it is done without.
 	replyWithin = 40 * time.Millisecond
+	// waysHeard is how many times this router's own lateness is added to that, and
+	// to the time that a request waits for an answer: for the answer itself, and for
+	// what its lateness changes until it is measured again.
+	waysHeard = 2
 	// muteFor is how long such an owner is not asked, unless it is heard.
 	muteFor = 500 * time.Millisecond
 	// spillAfter is the part of its patience after which a request may go
@@ -80,7 +84,7 @@
 	switch {
 	case c.now >= r.Deadline:
 		return errDeadline
-	case !r.Begun && r.Patience > 0 && c.now-r.arrived >= r.Patience:
+	case !r.Begun && r.Patience > 0 && c.now-r.arrived >= c.patience(r):
 		if len(c.service(r.Service).servers) == 0 {
 			return errNoServer.After(comeBackLater)
 		}
@@ -90,6 +94,16 @@
 	}
 }
 
+// patience returns how long a request may wait here. While an owner's answer is due
+// that this router may only not have heard of yet, it waits for that: a place that
+// was given would be lost with what was spent on the request.
+func (c *Core) patience(r *request) time.Duration {
+	if !r.pending() {
+		return r.Patience
+	}
+	return r.Patience + waysHeard*c.late
+}
+
 // comeBack returns when a request that was refused may find a place.
 func (c *Core) comeBack() time.Duration {
 	return comeBackSoon + time.Duration(c.rng.Int64N(int64(comeBackSoon)))
@@ -108,7 +122,7 @@
 // the request was started so.
 func (c *Core) giveUpOnMute(r *request) bool {
 	for _, a := range r.asks {
-		if a.state != askSent || c.now-a.at < replyWithin {
+		if a.state != askSent || c.now-a.at < replyWithin+waysHeard*c.late {
 			continue
 		}
 		a.state = askUnanswered
