Name what owners and holders do by the field's terms; tell how long refusals waited

Cause: names such as noted, toldHeld, teller, mute and startAlone said neither what is done nor to what, and the log's word "alone" did not say why. A refused request's line gave waited_ms=0, since only places that were given counted.

Change: handleRequestUpdate, reconcileInFlight, reportSource and usageReport, unresponsive, admitLocally, reasonOwnerTimeout (owner-timeout in the log), latencyModel.observe, expireAsks, retryAfterOwnerLoss, serveConn; the wait counts where no place was given too. The owners of the decisions are unchanged.

Tests: TestRefusalTellsHowLongItWaited (fails before); all of pkg/admit.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -322,3 +322,18 @@
 		}
 	}
 }
+
+// outcomes keeps what an observer is told.
+type outcomes chan front.Outcome
+
+func (o outcomes) Answered(got front.Outcome) { o <- got }
+
+// TestRefusalTellsHowLongItWaited has a request wait in vain for a place.
+func TestRefusalTellsHowLongItWaited(t *testing.T) {
+	told := make(outcomes, 1)
+	url := start(t, &fake{t: newTable(t), results: []backend.Result{{}}}, front.WithObserver(told))
+	ask(t, "POST", url+front.PathCompletions, `{"model":"form"}`, map[string]string{front.HeaderDeadline: "20"})
+	if got := <-told; got.Code != "deadline" || got.Waited <= 0 || got.Waited > got.Total {
+		t.Errorf("a request that waited until its deadline ended as %+v", got)
+	}
+}
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -173,8 +173,10 @@
 	o.Attempts++
 	req := a.request()
 	req.Waited, req.Attempt = o.Waited, o.Attempts-1
+	asked := time.Now()
 	g, err := s.scheduler.Acquire(ctx, req)
 	if err != nil {
+		o.Waited += time.Since(asked)
 		return backend.Result{}, acquireFailed(ctx, err)
 	}
 	o.Waited = g.Waited
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -104,8 +104,8 @@
 // Addr implements net.Listener.
 func (g *generation) Addr() net.Addr { return g.addr }
 
-// hand gives a connection to the generation's server.
-func (g *generation) hand(c net.Conn) {
+// serveConn gives a connection to the generation's server.
+func (g *generation) serveConn(c net.Conn) {
 	select {
 	case g.conns <- c:
 	case <-g.closed:
@@ -144,7 +144,7 @@
 		_ = nc.Close()
 		return
 	}
-	s.current(addr).hand(c)
+	s.current(addr).serveConn(c)
 }
 
 // endsConnections reports whether each answer ends its connection: this router
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -6,7 +6,8 @@
 // holds a request asks the owner of the backend server it prefers for a place;
 // the owner knows all that is under way there, and gives places so that first
 // events come in time, to the account first that had least. An owner that does
-// not answer is done without: the holder decides by itself from what it knows.
+// not reply within 40 ms is passed over: the holder admits the request on its own
+// estimate.
 //
 // The package is a pure state machine: events and the time go in, actions come
 // out.
@@ -79,12 +80,12 @@
 	waiting  []*request
 	accounts *accounts
 	// stated is how many tokens a second the table states that engines give.
-	stated float64
-	told   map[teller]*told
+	stated  float64
+	reports map[reportSource]*usageReport
 	// silentAfter is when what was told counts no more.
 	silentAfter time.Duration
-	// mute are the owners that left a question unanswered, since when.
-	mute map[string]time.Duration
+	// unresponsive are the owners that did not reply in time, since when.
+	unresponsive map[string]time.Duration
 	// copies are those made since the others were told.
 	copies []wire.Copy
 	// nearCopies are those that others of the zone told of since then, farCopies
@@ -128,14 +129,14 @@
 // New returns the core of a router that knows nothing.
 func New(self Router, opts ...Option) *Core {
 	c := &Core{
-		opt:      options{self: self},
-		routers:  []Router{self},
-		servers:  map[wire.Key]*server{},
-		services: map[string]*service{},
-		requests: map[uint64]*request{},
-		accounts: newAccounts(),
-		told:     map[teller]*told{},
-		mute:     map[string]time.Duration{},
+		opt:          options{self: self},
+		routers:      []Router{self},
+		servers:      map[wire.Key]*server{},
+		services:     map[string]*service{},
+		requests:     map[uint64]*request{},
+		accounts:     newAccounts(),
+		reports:      map[reportSource]*usageReport{},
+		unresponsive: map[string]time.Duration{},
 	}
 	for _, f := range opts {
 		f(&c.opt)
@@ -180,7 +181,7 @@
 }
 
 func (e Message) apply(c *Core) {
-	delete(c.mute, e.From)
+	delete(c.unresponsive, e.From)
 	c.receive(e.From, e.Msg)
 }
 
@@ -191,9 +192,9 @@
 	case *wire.Reply:
 		c.replied(from, m)
 	case *wire.Note:
-		c.noted(from, m)
+		c.handleRequestUpdate(from, m)
 	case *wire.Sync:
-		c.toldHeld(from, m)
+		c.reconcileInFlight(from, m)
 	}
 }
 
--- a/pkg/admit/guard_test.go
+++ b/pkg/admit/guard_test.go
@@ -28,7 +28,7 @@
 	id := w.ask(holder, admit.Request{Prompt: 2000, Output: 50})
 	w.run(w.now + 100*time.Millisecond)
 	s, started := w.starts[id]
-	if !started || s.Waited > known+5*time.Millisecond || s.Why == "alone" {
+	if !started || s.Waited > known+5*time.Millisecond || s.Why == "owner-timeout" {
 		t.Errorf("started %v after %v, %q; want a place by the new owner", started, s.Waited, s.Why)
 	}
 }
--- a/pkg/admit/owned.go
+++ b/pkg/admit/owned.go
@@ -90,7 +90,7 @@
 	o := s.ownedOf()
 	firstAsk := !m.Spill && !m.Begun
 	if firstAsk {
-		c.serviceOf(s).shortest.see(c.now, time.Duration(m.TargetMillis)*time.Millisecond)
+		c.serviceOf(s).shortest.observe(c.now, time.Duration(m.TargetMillis)*time.Millisecond)
 	}
 	a := &asking{
 		Ask: m, from: from,
@@ -132,7 +132,7 @@
 	}
 	c.send(a.from, &wire.Reply{
 		ID: a.ID, Server: s.key, State: wire.PlaceGranted, Running: o.running, Unread: o.unread,
-		Fetch: fetch, Own: toRead, Ahead: e.ahead, ExpectedMillis: sv.line.predict(e.ahead).Milliseconds(),
+		Fetch: fetch, Own: toRead, Ahead: e.ahead, ExpectedMillis: sv.latency.predict(e.ahead).Milliseconds(),
 	})
 	return true
 }
@@ -211,8 +211,9 @@
 	}
 }
 
-// noted takes in what a router tells of one of its requests.
-func (c *Core) noted(from string, m *wire.Note) {
+// handleRequestUpdate updates the owner's record of a request from a report of the
+// router that holds it.
+func (c *Core) handleRequestUpdate(from string, m *wire.Note) {
 	s, ok := c.servers[m.Server]
 	if !ok {
 		return
@@ -238,9 +239,9 @@
 // firstCame learns from the time to a first event.
 func (c *Core) firstCame(s *server, e *entry, took time.Duration) {
 	if e.ahead > 0 {
-		line := &c.serviceOf(s).line
-		s.health.first(took, line.predict(e.ahead))
-		line.see(e.ahead, took)
+		latency := &c.serviceOf(s).latency
+		s.health.first(took, latency.predict(e.ahead))
+		latency.observe(e.ahead, took)
 	}
 	s.owned.read(e)
 }
@@ -249,8 +250,9 @@
 // its holder does not list it: the list may have been under way meanwhile.
 const heldGrace = 200 * time.Millisecond
 
-// toldHeld takes in all that a router has under way at some backend servers.
-func (c *Core) toldHeld(from string, m *wire.Sync) {
+// reconcileInFlight replaces the owner's view of what one holder has in flight at
+// some backend servers with that holder's full list.
+func (c *Core) reconcileInFlight(from string, m *wire.Sync) {
 	for _, h := range m.Held {
 		if s, ok := c.servers[h.Server]; ok {
 			c.replaceHeld(s, from, h)
--- a/pkg/admit/peer.go
+++ b/pkg/admit/peer.go
@@ -9,14 +9,15 @@
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
-// teller names whose flows were told: a router's, a zone's, or all others'.
-type teller struct {
+// reportSource is whose flows a report adds up: a router's, a zone's, or those of all
+// others.
+type reportSource struct {
 	scope wire.Scope
 	name  string
 }
 
-// told is what was last told of accounts.
-type told struct {
+// usageReport is what a source last reported of accounts' flows.
+type usageReport struct {
 	heard time.Duration
 	flows map[wire.Key]flow
 }
@@ -29,15 +30,16 @@
 type PeerGone struct{ From string }
 
 func (e PeerGone) apply(c *Core) {
-	c.forgetFlows(teller{wire.ScopeOwn, e.From})
+	c.forgetFlows(reportSource{wire.ScopeOwn, e.From})
 	c.dropHolder(e.From)
 	for _, r := range slices.Clone(c.waiting) {
-		c.ownerGone(r, e.From)
+		c.retryAfterOwnerLoss(r, e.From)
 	}
 }
 
-// ownerGone has a request that asked an owner which has ended ask anew.
-func (c *Core) ownerGone(r *request, owner string) {
+// retryAfterOwnerLoss has a request ask anew where its question went to an owner that
+// has left the fleet.
+func (c *Core) retryAfterOwnerLoss(r *request, owner string) {
 	before := len(r.asks)
 	r.asks = slices.DeleteFunc(r.asks, func(a *ask) bool { return a.owner == owner })
 	if len(r.asks) != before {
@@ -60,7 +62,7 @@
 	if e.Msg.Scope == wire.ScopeNone {
 		return
 	}
-	from := teller{scope: e.Msg.Scope}
+	from := reportSource{scope: e.Msg.Scope}
 	switch e.Msg.Scope {
 	case wire.ScopeOwn:
 		from.name = e.From
@@ -69,11 +71,11 @@
 	}
 	c.silentAfter = max(DefaultSilentAfter, e.Silent)
 	c.forgetFlows(from)
-	t := &told{heard: c.now, flows: make(map[wire.Key]flow, len(e.Msg.Accounts))}
+	t := &usageReport{heard: c.now, flows: make(map[wire.Key]flow, len(e.Msg.Accounts))}
 	for _, f := range e.Msg.Accounts {
 		t.flows[f.Account] = flow{asked: float64(f.Asked), begun: float64(f.Begun)}
 	}
-	c.told[from] = t
+	c.reports[from] = t
 	c.accounts.count(t.flows, 1)
 }
 
@@ -98,9 +100,9 @@
 	}
 }
 
-func (c *Core) forgetFlows(from teller) {
-	if t, ok := c.told[from]; ok {
-		delete(c.told, from)
+func (c *Core) forgetFlows(from reportSource) {
+	if t, ok := c.reports[from]; ok {
+		delete(c.reports, from)
 		c.accounts.count(t.flows, -1)
 	}
 }
@@ -113,7 +115,7 @@
 		return
 	}
 	c.swept = c.now
-	for from, t := range c.told {
+	for from, t := range c.reports {
 		if c.now-t.heard >= c.silentAfter {
 			c.forgetFlows(from)
 		}
@@ -141,7 +143,7 @@
 	t := &Telling{now: now, core: c, own: c.accounts.own(now), copies: c.copies, near: c.nearCopies, far: c.farCopies}
 	c.copies, c.nearCopies, c.farCopies = nil, nil, nil
 	t.zone, t.rest = maps.Clone(t.own), map[wire.Key]flow{}
-	for from, x := range c.told {
+	for from, x := range c.reports {
 		switch {
 		case from.scope == wire.ScopeOwn:
 			addFlows(t.zone, x.flows, 1)
@@ -171,7 +173,7 @@
 		return largest(t.zone)
 	case wire.ScopeRest:
 		rest := maps.Clone(t.rest)
-		if x, ok := t.core.told[teller{wire.ScopeOwn, receiver}]; ok {
+		if x, ok := t.core.reports[reportSource{wire.ScopeOwn, receiver}]; ok {
 			addFlows(rest, x.flows, -1)
 		}
 		return largest(rest)
--- a/pkg/admit/place.go
+++ b/pkg/admit/place.go
@@ -78,10 +78,10 @@
 		// What it leaves behind counts too, so that others find a place at once.
 		ahead += toRead
 	}
-	if s.health.slowness()*sv.line.slope()*float64(ahead) > aheadPart*sv.shortest.get(c.now).Seconds() {
+	if s.health.slowness()*sv.latency.slope()*float64(ahead) > aheadPart*sv.shortest.get(c.now).Seconds() {
 		return false
 	}
-	expected := s.health.slowness() * sv.line.predict(s.owned.unread+toRead).Seconds()
+	expected := s.health.slowness() * sv.latency.predict(s.owned.unread+toRead).Seconds()
 	return expected <= targetPart*part*left
 }
 
@@ -89,6 +89,6 @@
 // be in time anywhere, but waits for little else here.
 func (c *Core) isLongAndNext(sv *service, s *server, a *asking, toRead int64, part float64) bool {
 	most := behindPart * (time.Duration(a.TargetMillis) * time.Millisecond).Seconds()
-	behind := s.health.slowness() * sv.line.slope() * float64(s.owned.unread)
-	return behind <= part*most && sv.line.slope()*float64(toRead) > most
+	behind := s.health.slowness() * sv.latency.slope() * float64(s.owned.unread)
+	return behind <= part*most && sv.latency.slope()*float64(toRead) > most
 }
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -10,15 +10,16 @@
 )
 
 const (
-	// replyWithin is how long an owner may leave a question unanswered before
-	// it is done without.
+	// replyWithin is how long an owner may take to reply before the holder admits
+	// the request on its own estimate: longer than two ways there and back between
+	// regions that are 8 ms apart.
 	replyWithin = 40 * time.Millisecond
 	// waysHeard is how many times this router's own lateness is added to that, and
 	// to the time that a request waits for an answer: for the answer itself, and for
 	// what its lateness changes until it is measured again.
 	waysHeard = 2
-	// muteFor is how long such an owner is not asked, unless it is heard.
-	muteFor = 500 * time.Millisecond
+	// unresponsiveFor is how long such an owner is not asked, unless it is heard.
+	unresponsiveFor = 500 * time.Millisecond
 	// spillAfter is the part of its patience after which a request may go
 	// where its shared parts must be read again.
 	spillAfter = 0.7
@@ -32,25 +33,26 @@
 	busyFor = 30 * time.Millisecond
 	// defaultTarget is used where none is stated.
 	defaultTarget = time.Second
-	// comeBackSoon is when a request that found no place may come back at the
+	// minRetryAfter is when a request that found no place may come back at the
 	// earliest; up to as much again is added by chance. In that time an engine
 	// reads a prompt of middle size, and the request may yet be in time.
-	comeBackSoon = 60 * time.Millisecond
-	// comeBackLater is the same where no backend server is there at all.
-	comeBackLater = 250 * time.Millisecond
-	// aloneSlots is the part of its slots that a router uses at a backend
+	minRetryAfter = 60 * time.Millisecond
+	// retryAfterNoServer is the same where no backend server is there at all.
+	retryAfterNoServer = 250 * time.Millisecond
+	// localSlots is the part of its slots that a router uses at a backend
 	// server whose owner it cannot ask.
-	aloneSlots = 0.75
+	localSlots = 0.75
 )
 
 // Why a backend server was chosen.
 const (
-	whyFirst = "prefix"
-	whyCopy  = "copy"
-	whySpill = "spill"
-	whyIdle  = "less-busy"
-	// whyAlone: its owner did not answer.
-	whyAlone = "alone"
+	reasonFirst = "prefix"
+	reasonCopy  = "copy"
+	reasonSpill = "spill"
+	reasonIdle  = "less-busy"
+	// reasonOwnerTimeout: its owner did not reply in time, so that the holder
+	// admitted the request on its own estimate.
+	reasonOwnerTimeout = "owner-timeout"
 )
 
 // advanceWaiting goes on with every request that waits.
@@ -69,7 +71,7 @@
 		c.refuse(r, err)
 		return
 	}
-	if c.giveUpOnMute(r) || r.pending() {
+	if c.expireAsks(r) || r.pending() {
 		return
 	}
 	if r.queued() && !c.maySpill(r) || len(r.asks) >= mostAsks {
@@ -86,9 +88,9 @@
 		return errDeadline
 	case !r.Begun && r.Patience > 0 && c.now-r.arrived >= c.patience(r):
 		if len(c.service(r.Service).servers) == 0 {
-			return errNoServer.After(comeBackLater)
+			return errNoServer.After(retryAfterNoServer)
 		}
-		return errBusy.After(c.comeBack())
+		return errBusy.After(c.retryAfter())
 	default:
 		return nil
 	}
@@ -104,9 +106,9 @@
 	return r.Patience + waysHeard*c.late
 }
 
-// comeBack returns when a request that was refused may find a place.
-func (c *Core) comeBack() time.Duration {
-	return comeBackSoon + time.Duration(c.rng.Int64N(int64(comeBackSoon)))
+// retryAfter returns when a request that was refused may find a place.
+func (c *Core) retryAfter() time.Duration {
+	return minRetryAfter + time.Duration(c.rng.Int64N(int64(minRetryAfter)))
 }
 
 // pending reports whether a question waits for its first answer.
@@ -118,47 +120,47 @@
 	return slices.ContainsFunc(r.asks, func(a *ask) bool { return a.state == askQueued })
 }
 
-// giveUpOnMute does without an owner that does not answer. It reports whether
-// the request was started so.
-func (c *Core) giveUpOnMute(r *request) bool {
+// expireAsks passes over owners that did not reply in time. It reports whether the
+// request was admitted without them.
+func (c *Core) expireAsks(r *request) bool {
 	for _, a := range r.asks {
 		if a.state != askSent || c.now-a.at < replyWithin+waysHeard*c.late {
 			continue
 		}
 		a.state = askUnanswered
-		c.mute[a.owner] = c.now
-		if c.startAlone(r, a.server) {
+		c.unresponsive[a.owner] = c.now
+		if c.admitLocally(r, a.server) {
 			return true
 		}
 	}
 	return false
 }
 
-func (c *Core) isMute(owner string) bool {
-	at, ok := c.mute[owner]
-	return ok && c.now-at < muteFor
+func (c *Core) isUnresponsive(owner string) bool {
+	at, ok := c.unresponsive[owner]
+	return ok && c.now-at < unresponsiveFor
 }
 
-// startAlone sends a request without having been given a place, by what this
-// router has under way itself and last heard.
-func (c *Core) startAlone(r *request, s *server) bool {
-	if !s.open() || float64(s.running(c.now)) >= aloneSlots*float64(s.Slots) {
+// admitLocally sends a request without an owner's word, on this router's own
+// estimate of what is under way there.
+func (c *Core) admitLocally(r *request, s *server) bool {
+	if !s.open() || float64(s.running(c.now)) >= localSlots*float64(s.Slots) {
 		return false
 	}
 	if c.service(r.Service).engine && s.ownUnread() > 0 {
 		return false
 	}
 	r.unread = max(1, r.Prompt-r.Shared)
-	c.start(r, s, Start{Why: whyAlone, Running: s.running(c.now)})
+	c.start(r, s, Start{Why: reasonOwnerTimeout, Running: s.running(c.now)})
 	c.note(r, &wire.Note{Kind: wire.NoteStarted, Unread: r.unread})
 	return true
 }
 
 // ask asks the owner of a backend server for a place.
 func (c *Core) ask(r *request, s *server, why string) {
-	if c.isMute(s.owner) {
+	if c.isUnresponsive(s.owner) {
 		r.asks = append(r.asks, &ask{server: s, owner: s.owner, at: c.now, why: why, state: askUnanswered})
-		c.startAlone(r, s)
+		c.admitLocally(r, s)
 		return
 	}
 	a := &ask{server: s, owner: s.owner, at: c.now, why: why, source: c.sourceFor(r, s)}
@@ -174,7 +176,7 @@
 	c.send(s.owner, &wire.Ask{
 		ID: r.ID, Server: s.key, Account: r.account, AccountRank: r.AccountRank, Rank: r.Rank,
 		Prefix: r.Prefix, Prompt: r.Prompt, Shared: r.Shared,
-		TargetMillis: (r.arrived + target - c.now).Milliseconds(), WaitMillis: wait.Milliseconds(), Spill: why == whySpill,
+		TargetMillis: (r.arrived + target - c.now).Milliseconds(), WaitMillis: wait.Milliseconds(), Spill: why == reasonSpill,
 		Begun: r.Begun, Fetch: a.source != nil,
 	})
 }
@@ -222,7 +224,7 @@
 // granted starts a request that was given a place.
 func (c *Core) granted(r *request, a *ask, m *wire.Reply) {
 	r.unread = m.Own
-	if r.Prefix != 0 && (a.why != whyFirst || m.Fetch || m.Own > r.Prompt-r.Shared) {
+	if r.Prefix != 0 && (a.why != reasonFirst || m.Fetch || m.Own > r.Prompt-r.Shared) {
 		c.noteCopy(a.server, r.Prefix)
 	}
 	from := ""
@@ -256,7 +258,7 @@
 		return nil, ""
 	}
 	if r.Prefix == 0 {
-		return c.leastBusy(open), whyIdle
+		return c.leastBusy(open), reasonIdle
 	}
 	return c.byPrefix(sv, r, open)
 }
@@ -270,20 +272,20 @@
 func (c *Core) byPrefix(sv *service, r *request, open []*server) (*server, string) {
 	first := c.firstFor(sv, r.Prefix)
 	if open[0] == first && c.now >= first.busyUntil {
-		return first, whyFirst
+		return first, reasonFirst
 	}
 	for _, s := range open {
 		if s != first && s.copies.has(r.Prefix, c.now) && c.now >= s.busyUntil {
-			return s, whyCopy
+			return s, reasonCopy
 		}
 	}
 	if open[0] == first {
-		return first, whyFirst
+		return first, reasonFirst
 	}
 	if r.queued() && !c.maySpill(r) {
 		return nil, ""
 	}
-	return c.leastUnread(open), whySpill
+	return c.leastUnread(open), reasonSpill
 }
 
 // leastUnread returns the first of those of which their owners lately told that
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -90,8 +90,8 @@
 	// middleAt.
 	middle   float64
 	middleAt time.Duration
-	// line predicts the time to the first event.
-	line line
+	// latency predicts the time to the first event.
+	latency latencyModel
 	// shortest is the shortest target of its requests lately.
 	shortest shortest
 	// engine says that answers are generated.
@@ -145,7 +145,7 @@
 func (c *Core) service(name string) *service {
 	s, ok := c.services[name]
 	if !ok {
-		s = &service{name: name, line: newLine()}
+		s = &service{name: name, latency: newLatencyModel()}
 		c.services[name] = s
 	}
 	return s
--- a/pkg/admit/shortest.go
+++ b/pkg/admit/shortest.go
@@ -13,8 +13,8 @@
 // count for long.
 const shortestFor = 2 * time.Second
 
-// see notes a duration.
-func (s *shortest) see(now, d time.Duration) {
+// observe adds a sample.
+func (s *shortest) observe(now, d time.Duration) {
 	s.turn(now)
 	if d > 0 && (s.least == 0 || d < s.least) {
 		s.least = d
