Read a prompt at one engine of the fleet, not of each zone

Cause: prompts were read in the zone where they come in.

Change: the order for a prompt is rendezvous hashing alone. A zone that is cut off loses more of what is under way elsewhere.

--- a/pkg/admit/fetch.go
+++ b/pkg/admit/fetch.go
@@ -18,8 +18,7 @@
 // sourceFor returns the backend server from which the shared parts of a
 // request's prompt can be copied to another one, nil if there is none. Those
 // that are known to have read them come first; then the first of each zone for
-// them, those of the own zone before others, also one that is leaving; then any
-// that was there before a new one.
+// them, also one that is leaving; then any that was there before a new one.
 func (c *Core) sourceFor(r *request, to *server) *server {
 	if r.Prefix == 0 || r.Shared < leastFetch {
 		return nil
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -263,11 +263,10 @@
 	return c.byPrefix(sv, r, open)
 }
 
-// byPrefix takes the backend servers, which are in the order that the prompt's beginning
-// gives, those of the own zone first, which is the same at every router of the
-// zone: the first, or else another that has read it, or else, when the request
-// can wait no longer, the least busy. So a prompt that is asked for rarely is
-// read at one of each zone, and one that is asked for often at as many as it
+// byPrefix takes the backend servers, which are in the order that the prompt's
+// beginning gives at every router: the first, or else another that has read it, or
+// else, when the request can wait no longer, the least busy. So a prompt that is
+// asked for rarely is read at one, and one that is asked for often at as many as it
 // takes.
 func (c *Core) byPrefix(sv *service, r *request, open []*server) (*server, string) {
 	first := c.firstFor(sv, r.Prefix)
