Ask a relay for all when this router's own part in the fleet changes

Cause: found by reading the change to rosters again. A relay believes only those that another one hears itself; a router that is served by it believes all that it says to live. Since relays tell changes only, a router that ceased to be a relay went on without those of other zones until each of them changed.

Change: what a relay vouches for is kept with how it was heard; where that does not fit any more the router asks for all.

Test: TestWhoCeasesToBeARelayNeedsAll (fails before). TestChangesOfReports takes the whole report twice, since by the first the router learns that it is no relay itself; its checks are as before.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -98,6 +98,9 @@
 	// at is when it last stood by it.
 	at    time.Duration
 	lives map[string]bool
+	// all says that lives are all who live by its word, not only those that it
+	// hears itself.
+	all bool
 }
 
 // Roster is the state of one router's view of the fleet.
@@ -183,11 +186,10 @@
 // word for ever. It returns false if the report changes another one that is not
 // known here, so that a whole one is needed.
 func (r *Roster) Learn(now time.Duration, from string, report Report) bool {
-	relay := r.isRelay(now, from)
-	all := relay && r.members[from].Zone == r.self.Zone && !r.isRelay(now, r.self.Address)
+	relay, all := r.isRelay(now, from), r.believesAll(now, from)
 	lives := map[string]bool{}
 	before, ok := r.vouched[from]
-	fits := report.Base == 0 || ok && before.digest == report.Base
+	fits := report.Base == 0 || ok && before.digest == report.Base && before.all == all
 	if report.Base != 0 && fits {
 		lives = before.lives
 	}
@@ -206,11 +208,18 @@
 	case !relay:
 		delete(r.vouched, from)
 	case fits:
-		r.vouched[from] = &vouching{digest: report.Digest, at: now, lives: lives}
+		r.vouched[from] = &vouching{digest: report.Digest, at: now, lives: lives, all: all}
 	}
 	return fits || !relay
 }
 
+// believesAll reports whether this router believes all that another one says to
+// live: a relay of its zone, which serves it.
+func (r *Roster) believesAll(now time.Duration, from string) bool {
+	m, ok := r.Get(from)
+	return ok && m.Zone == r.self.Zone && r.isRelay(now, from) && !r.isRelay(now, r.self.Address)
+}
+
 // learnOf notes what another router knows of one.
 func (r *Roster) learnOf(now time.Duration, k Known) *member {
 	m := r.get(now, k.Address)
@@ -228,7 +237,8 @@
 }
 
 // StandsBy notes that a relay stands by what it said with a digest. It returns
-// false if that is not what is known here, so that a whole report is needed.
+// false if that is not what is known here, or was heard as a relay's equal and not
+// as one that it serves or the other way round, so that a whole report is needed.
 func (r *Roster) StandsBy(now time.Duration, relay string, digest uint64) bool {
 	v, ok := r.vouched[relay]
 	if !ok {
@@ -237,7 +247,7 @@
 	if v.digest == digest {
 		v.at = now
 	}
-	return v.digest == digest
+	return v.digest == digest && v.all == r.believesAll(now, relay)
 }
 
 // unvouch forgets that relays said that a router lives.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -206,8 +206,11 @@
 					r.Heard(now, k.Member)
 				}
 			}
-			if !r.Learn(now, relay, roster.Report{Digest: 1, List: all}) {
-				t.Error("a whole report does not do")
+			// By the first report it learns who the relays are, by the second who lives.
+			for range 2 {
+				if !r.Learn(now, relay, roster.Report{Digest: 1, List: all}) {
+					t.Error("a whole report does not do")
+				}
 			}
 			var gone roster.Known
 			for _, k := range all {
@@ -228,3 +231,47 @@
 		})
 	}
 }
+
+// TestWhoCeasesToBeARelayNeedsAll has a relay hear another one of its zone, of which
+// it believes only what that one hears itself; then others come that are relays in
+// its place.
+func TestWhoCeasesToBeARelayNeedsAll(t *testing.T) {
+	const now = time.Hour
+	strong := self
+	strong.Capacity = 1000
+	r := roster.New(strong, nil)
+	var all []roster.Known
+	for i := range 12 {
+		for _, zone := range []string{"x", "y"} {
+			m := roster.Member{Address: fmt.Sprintf("10.0.%s.%d:7", zone, i), Zone: zone, Inc: 5}
+			r.Heard(now, m)
+			all = append(all, roster.Known{Member: m, Lives: true})
+		}
+	}
+	if r.FirstRelay(now, "x") != strong.Address {
+		t.Fatal("the router under test is no relay")
+	}
+	other := ""
+	for _, k := range all {
+		if k.Zone == "x" && r.Learn(now, k.Address, roster.Report{Digest: 1, List: all}) && !r.StandsBy(now, k.Address, 2) {
+			other = k.Address
+		}
+	}
+	if other == "" {
+		t.Fatal("the zone has no other relay")
+	}
+	if !r.StandsBy(now, other, 1) {
+		t.Fatal("what was heard as a relay's equal is not known")
+	}
+	for i := range 2 {
+		r.Heard(now, roster.Member{Address: fmt.Sprintf("10.0.z.%d:7", i), Zone: "x", Inc: 5, Capacity: 1e6})
+	}
+	keeps := roster.Member{Address: other, Zone: "x", Inc: 5, Capacity: 1e9}
+	r.Heard(now, keeps)
+	if r.StandsBy(now, other, 1) {
+		t.Error("what was heard as a relay's equal does for a router that the relay serves")
+	}
+	if !r.Learn(now, other, roster.Report{Digest: 1, List: all}) || !r.StandsBy(now, other, 1) {
+		t.Error("a whole report does not do")
+	}
+}
