Work the relays out once for a moment

Cause: who the relays are was worked out up to four times for one message, from all routers that live. Change: remembered until something else is known or time passes. The tests of pkg/roster, which model fleets of up to 300 routers, take 13 s, 28 before.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -113,6 +113,9 @@
 	interval time.Duration
 	// started is when this router first looked whom to try, 0 before.
 	started time.Duration
+	// relaysKnown are the relays as of relaysAt, nil once something else is known.
+	relaysKnown map[string][]string
+	relaysAt    time.Duration
 }
 
 // New returns the view of a router that knows its seeds only.
@@ -138,6 +141,7 @@
 	if from.Inc < m.Inc {
 		return false
 	}
+	r.relaysKnown = nil
 	news := !r.lives(now, m) || from.Inc > m.Inc
 	if from.Inc > m.Inc {
 		m.leaving = false
@@ -187,6 +191,7 @@
 // known here, so that a whole one is needed.
 func (r *Roster) Learn(now time.Duration, from string, report Report) bool {
 	relay, all := r.isRelay(now, from), r.believesAll(now, from)
+	defer func() { r.relaysKnown = nil }()
 	lives := map[string]bool{}
 	before, ok := r.vouched[from]
 	fits := report.Base == 0 || ok && before.digest == report.Base && before.all == all
@@ -261,6 +266,7 @@
 func (r *Roster) Leaving(from string) {
 	if m, ok := r.members[from]; ok {
 		m.leaving = true
+		r.relaysKnown = nil
 	}
 }
 
@@ -268,6 +274,7 @@
 func (r *Roster) Gone(address string) {
 	if m, ok := r.members[address]; ok {
 		m.heard = 0
+		r.relaysKnown = nil
 		r.unvouch(address)
 		delete(r.vouched, address)
 	}
@@ -345,6 +352,7 @@
 		return cmp.Compare(r.members[a].tried, r.members[b].tried)
 	})
 	list = list[:min(triesEach, len(list))]
+	r.relaysKnown = nil
 	for _, address := range list {
 		m := r.members[address]
 		m.tried = now
@@ -382,6 +390,7 @@
 
 // Forget drops routers that nobody has heard of for long.
 func (r *Roster) Forget(now time.Duration) {
+	r.relaysKnown = nil
 	maps.DeleteFunc(r.members, func(_ string, m *member) bool {
 		return !m.seed && now-m.known >= ForgetAfter
 	})
--- a/pkg/roster/talk.go
+++ b/pkg/roster/talk.go
@@ -67,8 +67,17 @@
 	return t
 }
 
-// relays returns the relays of each zone, the first of them first.
+// relays returns the relays of each zone, the first of them first. They are worked
+// out once for a moment and what is known then: one message asks for them several
+// times, and all that live have to be looked at.
 func (r *Roster) relays(now time.Duration) map[string][]string {
+	if r.relaysKnown == nil || r.relaysAt != now {
+		r.relaysKnown, r.relaysAt = r.workOutRelays(now), now
+	}
+	return r.relaysKnown
+}
+
+func (r *Roster) workOutRelays(now time.Duration) map[string][]string {
 	type ranked struct {
 		address string
 		score   float64
