Say in one place when a caller may try another router

Cause: the time to come back of a request that this router cannot take stood twice, with the same 60 ms and as much again by chance: for what it has no time for, and for what it has no connection for. Change: front.RetryElsewhere serves both; the same times.

--- a/internal/dispatch/screen.go
+++ b/internal/dispatch/screen.go
@@ -20,9 +20,6 @@
 	// comeBackLate is when a request of such an account may come back, at the
 	// earliest; up to as much again is added by chance.
 	comeBackLate = time.Second
-	// comeBackElsewhere is when a request that this router has no time for may
-	// come back; it will most likely reach another.
-	comeBackElsewhere = 60 * time.Millisecond
 )
 
 var errOverShare = verdict.New(verdict.PhaseAdmit, http.StatusTooManyRequests, "over-share",
@@ -62,7 +59,7 @@
 		return errOverShare.After(comeBackLate + rand.N(comeBackLate))
 	default:
 		d.screen.note(key, r)
-		return errOverloaded.After(comeBackElsewhere + rand.N(comeBackElsewhere))
+		return errOverloaded.After(front.RetryElsewhere())
 	}
 }
 
