Tell what a router's time goes to while it refuses for want of it

Change: a line router_work a second while part < 1, gauges for events passed on, sends to callers, requests refused unseen, processor time and lateness. No decision changes.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -180,6 +180,7 @@
 			x.begin(resp)
 		}
 		x.call.Served.Store(events.Tokens())
+		x.client.passed.events.Add(1)
 		if !x.pass(ev, !events.Waiting()) {
 			return
 		}
@@ -209,6 +210,7 @@
 func (x *exchange) pass(p []byte, flush bool) bool {
 	_, err := x.sink.Write(p)
 	if err == nil && flush {
+		x.client.passed.sends.Add(1)
 		err = x.sink.Flush()
 	}
 	if err != nil {
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -122,6 +122,22 @@
 	opt      options
 	conns    *conns
 	hearings hearings
+	passed   passed
+}
+
+// passed counts what was passed on to callers since the start.
+type passed struct{ events, sends atomic.Int64 }
+
+// Passed is what was passed on to callers since the start.
+type Passed struct {
+	// Events counts the events of streams, Sends the times that something was sent
+	// on to a caller: one for several events where they came together.
+	Events, Sends int64
+}
+
+// Passed returns what was passed on since the start.
+func (c *Client) Passed() Passed {
+	return Passed{Events: c.passed.events.Load(), Sends: c.passed.sends.Load()}
 }
 
 type options struct {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -81,6 +81,8 @@
 	draining atomic.Bool
 	// overloaded says that this router cannot keep up with its requests.
 	overloaded atomic.Bool
+	// pace is how well it keeps up, nil before that was measured.
+	pace atomic.Pointer[Pace]
 	// asOf is the platform's revision up to which all is known.
 	asOf atomic.Uint64
 	// verified is when that was last known to be the newest, on the
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -20,6 +20,7 @@
 	s.pace.Step(late)
 	s.step(admit.Late{By: s.pace.Late()})
 	s.seeWhetherOverloaded()
+	s.d.shared.pace.Store(&Pace{Part: s.pace.Part(), Late: s.pace.Late()})
 	if now := s.pace.Part(); (now < 1) != (before < 1) {
 		s.d.opt.log.Warn("router_pace", "limited", now < 1, "late_ms", s.pace.Late().Milliseconds())
 	}
@@ -41,3 +42,23 @@
 		s.d.opt.log.Info("router_recovered")
 	}
 }
+
+// Pace is how well a router keeps up with its requests.
+type Pace struct {
+	// Part is the part of the requests that it can work on.
+	Part float64
+	// Late is how late it hears of what comes to its sockets.
+	Late time.Duration
+	// Screened counts the requests that were refused unseen since the start.
+	Screened int64
+}
+
+// Pace returns how well this router keeps up.
+func (d *Dispatcher) Pace() Pace {
+	p := Pace{Part: 1}
+	if last := d.shared.pace.Load(); last != nil {
+		p = *last
+	}
+	p.Screened = d.screen.count.Load()
+	return p
+}
--- a/internal/dispatch/screen.go
+++ b/internal/dispatch/screen.go
@@ -39,6 +39,8 @@
 	// refused is what was asked for by refused requests since it was last
 	// counted, in tokens.
 	refused map[wire.Key]float64
+	// count counts the refused requests since the start.
+	count atomic.Int64
 }
 
 // Screen implements front.Scheduler.
@@ -79,6 +81,7 @@
 func (sc *screen) note(key wire.Key, r front.Request) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
+	sc.count.Add(1)
 	sc.refused[key] += admit.Cost(r.Prompt, r.Output)
 }
 
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -59,6 +59,7 @@
 
 // serve runs one request, which read makes out, to its end.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, a *ask, read func() *verdict.Error) {
+	s.requests.Add(1)
 	defer s.open.Add(-1)
 	var err *verdict.Error
 	if s.open.Add(1) > s.callers.Load().MaxOpen {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -83,9 +83,11 @@
 	backend   Backend
 	name      string
 	// idBase makes request ids unique to this start of the router.
-	idBase      string
-	nextID      atomic.Uint64
-	open        atomic.Int64
+	idBase string
+	nextID atomic.Uint64
+	open   atomic.Int64
+	// requests counts all that came since the start.
+	requests    atomic.Int64
 	callers     atomic.Pointer[Callers]
 	reserved    reserved
 	connections connections
@@ -233,6 +235,9 @@
 // Open returns how many requests are open.
 func (s *Server) Open() int64 { return s.open.Load() }
 
+// Requests returns how many requests came since the start.
+func (s *Server) Requests() int64 { return s.requests.Load() }
+
 // Shutdown waits until every request has ended or ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -47,6 +47,11 @@
 	Resting       = "idle_caller_connections"
 	RefusedConns  = "caller_connections_refused"
 	EvictedConns  = "caller_connections_evicted"
+	Passed        = "stream_events_passed"
+	Sends         = "caller_sends"
+	Screened      = "refused_unseen"
+	Processor     = "processor_seconds"
+	Late          = "late_seconds"
 	Events        = "events"
 )
 
@@ -56,7 +61,8 @@
 		Requests, Refusals, Tokens, Retries, WaitSeconds, FirstSeconds, TotalSeconds, TableRevision,
 		TableChanges, Open, Leases, IdleLeases, Members, PeerBytesOut, PeerBytesIn, PeerMsgsOut,
 		PeerMsgsIn, PeerDropped, PlatformCalls, Waiting, Owned, Untrusted, Unverified, Reserved,
-		Connections, Resting, RefusedConns, EvictedConns, Events,
+		Connections, Resting, RefusedConns, EvictedConns, Passed, Sends, Screened, Processor,
+		Late, Events,
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,8 @@
 	failed  chan error
 	stop    context.CancelFunc
 	ls      *listeners
+	// work is what the time had gone to when that was last looked at.
+	work work
 
 	mu          sync.Mutex
 	drainNotice time.Duration
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -111,6 +111,7 @@
 		n.gaugeRouter()
 	} else {
 		n.gaugeDispatch()
+		n.gaugeWork()
 	}
 }
 
