Tell callers of a flood to come back late, not at once

Cause: who was refused as overloaded, or for want of a connection, came back after 60 to 120 ms, over-share after 1 to 2 s. The balancer sends them to the same router, which refuses them again in the time that it has for work.

--- a/internal/dispatch/screen.go
+++ b/internal/dispatch/screen.go
@@ -13,20 +13,15 @@
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
-const (
-	// screenEvery is the interval at which it is worked out which accounts ask
-	// for much more than they can get.
-	screenEvery = 50 * time.Millisecond
-	// comeBackLate is when a request of such an account may come back, at the
-	// earliest; up to as much again is added by chance.
-	comeBackLate = time.Second
-)
+// screenEvery is the interval at which it is worked out which accounts ask for much
+// more than they can get.
+const screenEvery = 50 * time.Millisecond
 
 var errOverShare = verdict.New(verdict.PhaseAdmit, http.StatusTooManyRequests, "over-share",
 	"the client account asks for much more than its share; come back as told")
 
 var errOverloaded = verdict.New(verdict.PhaseAdmit, http.StatusServiceUnavailable, "overloaded",
-	"this entry instance has no time for the request; send it again, another one may have")
+	"this entry instance has no time for the request; come back as told")
 
 // screen refuses requests of accounts that ask for much more than they can
 // get, in the callers' own tasks: a flood must not cost the decisions of
@@ -53,16 +48,17 @@
 	// What is refused for the one reason takes no time either, so that the lesser
 	// part counts and not both: else an account whose callers come to few small
 	// routers gets a fraction of its share.
-	switch {
-	case rand.Float64() < min(share, inTime):
+	if rand.Float64() < min(share, inTime) {
 		return nil
-	case share <= inTime:
-		d.screen.note(key, r)
-		return errOverShare.After(comeBackLate + rand.N(comeBackLate))
-	default:
-		d.screen.note(key, r)
-		return errOverloaded.After(front.RetryElsewhere())
 	}
+	d.screen.note(key, r)
+	// Balancers send a caller to the same router again: one that comes back soon is
+	// refused again, in the time that is left for work.
+	later := front.RetryLater(time.Until(r.Deadline))
+	if share <= inTime {
+		return errOverShare.After(later)
+	}
+	return errOverloaded.After(later)
 }
 
 // partOf returns the part of an account's requests that is worked on.
--- a/internal/front/connections.go
+++ b/internal/front/connections.go
@@ -4,7 +4,6 @@
 	"container/list"
 	"context"
 	"crypto/tls"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -25,16 +24,8 @@
 	// fullFor is for how long a router that refused a connection tells the
 	// balancer that it is not ready: twice the second between two questions.
 	fullFor = 2 * time.Second
-	// leastElsewhere is when the caller of a request that this router cannot take
-	// may come back at the earliest.
-	leastElsewhere = 60 * time.Millisecond
 )
 
-// RetryElsewhere returns when the caller of a request that this router cannot take
-// may come back: soon, since it will most likely reach another one. As much again as
-// the least time is added by chance, so that callers do not come back together.
-func RetryElsewhere() time.Duration { return leastElsewhere + rand.N(leastElsewhere) }
-
 // connections keeps account of callers' connections. A newcomer beyond the
 // bound takes the place of the connection that has been idle for longest; where
 // none is idle, its request is refused. So nobody waits unread behind
@@ -218,7 +209,7 @@
 	case s.connections.isClosed(c):
 		panic(http.ErrAbortHandler)
 	case c.refuse:
-		s.refuseUnrouted(w, r, errFull.After(RetryElsewhere()))
+		s.refuseUnrouted(w, r, errFull.After(RetryLater(s.timeLeft(r))))
 		return true
 	default:
 		return false
