Gather a stream's events while a router has no time

Cause: each event that is passed on by itself takes 20 to 50 us of processor time (two readings of router_work, a regression over 401 seconds of routers), 2,000 a second at a small router at its limit, as much as the requests themselves. Change: while a router cannot work on all of its requests, the events that follow one are left in the connection for a third of the time within which they are to reach the caller, a quarter of the longest pause at the most, and passed on together. pass_within sets it.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -185,6 +185,21 @@
 			return
 		}
 		x.result.LastEvent = events.Last()
+		if !events.Waiting() {
+			x.gather()
+		}
+	}
+}
+
+// gather lets events come in before they are read and passed on together. Each that is
+// passed on by itself takes 20 to 50 us of processor time, and a router at its limit
+// has 2,000 a second: gathered for 66 ms it worked on 1.14 times as many requests.
+func (x *exchange) gather() {
+	if x.call.Gather == nil {
+		return
+	}
+	if wait := x.call.Gather(); wait > 0 {
+		time.Sleep(wait)
 	}
 }
 
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -74,6 +74,9 @@
 	Patience Patience
 	// MayStart is asked just before the first byte is sent.
 	MayStart func() bool
+	// Gather tells for how long the events that follow one are gathered, to be passed
+	// on together; nil if each is passed on as it comes.
+	Gather func() time.Duration
 	// Served counts the tokens or events as they come.
 	Served *atomic.Int64
 	// First is called when the first event or byte of a body came; nil if
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -53,6 +53,9 @@
 	SlowCaller time.Duration `yaml:"slow_caller"`
 	// MaxOpen bounds the requests open at once. Default 20000.
 	MaxOpen int64 `yaml:"max_open"`
+	// PassWithin is within what time an event that a backend server sent is to
+	// reach its caller. Default 200ms.
+	PassWithin time.Duration `yaml:"pass_within"`
 }
 
 // Backends bounds what backend servers may do.
@@ -150,7 +153,7 @@
 		Retries:      Retries{Ratio: 0.1, Extra: 20, Window: 10 * time.Second},
 		Callers: Callers{
 			MaxBodyBytes: 8 << 20, MaxHeaderBytes: 64 << 10, DefaultDeadline: 5 * time.Minute,
-			SlowCaller: 30 * time.Second, MaxOpen: 20_000,
+			SlowCaller: 30 * time.Second, MaxOpen: 20_000, PassWithin: 200 * time.Millisecond,
 		},
 		Backends: Backends{Idle: time.Minute, MaxAnswerBytes: 32 << 20},
 		Objectives: Objectives{
@@ -218,6 +221,7 @@
 	positive(d, int64(s.Callers.DefaultDeadline), "callers", "default_deadline")
 	positive(d, int64(s.Callers.SlowCaller), "callers", "slow_caller")
 	positive(d, s.Callers.MaxOpen, "callers", "max_open")
+	positive(d, int64(s.Callers.PassWithin), "callers", "pass_within")
 	positive(d, int64(s.Backends.Idle), "backends", "idle")
 	positive(d, s.Backends.MaxAnswerBytes, "backends", "max_answer_bytes")
 	positive(d, int64(s.DrainFor), "drain_for")
--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -54,7 +54,8 @@
 		FetchFrom: got.start.FetchFrom,
 		Ahead:     got.start.Ahead, Expected: got.start.Expected, Running: got.start.Running,
 		Served: &atomic.Int64{}, Waited: r.Waited + got.waited,
-		First: func() { d.post(began{got.id}) },
+		First:   func() { d.post(began{got.id}) },
+		Hurried: d.Hurried,
 	}, nil
 }
 
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -43,6 +43,12 @@
 	}
 }
 
+// Hurried reports whether this router cannot work on all of its requests.
+func (d *Dispatcher) Hurried() bool {
+	p := d.shared.pace.Load()
+	return p != nil && p.Part < 1
+}
+
 // Pace is how well a router keeps up with its requests.
 type Pace struct {
 	// Part is the part of the requests that it can work on.
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -222,6 +222,32 @@
 		Resume: a.route.began, LastEvent: a.route.lastEvent, Buffer: wholeAnswer,
 		HoldFailure: a.route.Repeat != table.RepeatNever && a.route.sent+1 < a.route.MaxAttempts(),
 		FetchFrom:   g.FetchFrom, Patience: s.patience(a), MayStart: g.MayStart, Served: g.Served, First: g.First,
+		Gather: s.gatherFor(a.route, g.Hurried),
+	}
+}
+
+// A router without time gathers a stream's events for gatherPart of the time within
+// which they are to reach the caller, and for gatherPause of the longest pause that
+// is in time at the most.
+const (
+	gatherPart  = 1.0 / 3
+	gatherPause = 1.0 / 4
+)
+
+// gatherFor returns what tells for how long a stream's events are gathered.
+func (s *Server) gatherFor(x *routing, hurried func() bool) func() time.Duration {
+	if hurried == nil {
+		return nil
+	}
+	return func() time.Duration {
+		if !hurried() {
+			return 0
+		}
+		wait := time.Duration(gatherPart * float64(s.callers.Load().PassWithin))
+		if x.Pause > 0 {
+			wait = min(wait, time.Duration(gatherPause*float64(x.Pause)))
+		}
+		return wait
 	}
 }
 
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -86,6 +86,9 @@
 	Waited time.Duration
 	// First is called when the first event came; nil if nobody asks.
 	First func()
+	// Hurried reports whether this router has no time to pass each event on by
+	// itself; nil if it always has.
+	Hurried func() bool
 }
 
 // Usage is how a slot was used.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -34,8 +34,10 @@
 	DefaultSlowCaller = 30 * time.Second
 	// DefaultMaxOpen is how many requests may be open at once.
 	DefaultMaxOpen = 20_000
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
+	// DefaultPassWithin is within what time an event is to reach its caller.
+	DefaultPassWithin = 200 * time.Millisecond
+	headerTimeout     = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
 )
 
 // Paths that callers use.
@@ -128,13 +130,16 @@
 	// connections; 0 means any number of these.
 	MaxOpen        int64
 	MaxConnections int
+	// PassWithin is within what time an event that a backend server sent is to
+	// reach its caller.
+	PassWithin time.Duration
 }
 
 // DefaultCallers is what callers may do unless settings say otherwise.
 func DefaultCallers() Callers {
 	return Callers{
 		MaxBody: DefaultMaxBody, MaxHeader: DefaultMaxHeader, Deadline: DefaultDeadline,
-		SlowCaller: DefaultSlowCaller, MaxOpen: DefaultMaxOpen,
+		SlowCaller: DefaultSlowCaller, MaxOpen: DefaultMaxOpen, PassWithin: DefaultPassWithin,
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -257,6 +257,7 @@
 	return front.Callers{
 		MaxBody: s.Callers.MaxBodyBytes, MaxHeader: s.Callers.MaxHeaderBytes, Deadline: s.Callers.DefaultDeadline,
 		SlowCaller: s.Callers.SlowCaller, MaxOpen: s.Callers.MaxOpen, MaxConnections: connectionsOf(s.Machine),
+		PassWithin: s.Callers.PassWithin,
 	}
 }
 
