--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
@@ -170,74 +169,6 @@
 	return slices.Contains([]string{"lease-expired", "backend-unreachable", "backend-broke", "backend-refused", "answer-cut"}, code)
 }
 
-func (s *Server) attempt(ctx context.Context, a *ask, r *http.Request, out *answer, o *Outcome) (backend.Result, *verdict.Error) {
-	o.Attempts++
-	req := a.request()
-	req.Waited, req.Attempt = o.Waited, o.Attempts-1
-	asked := time.Now()
-	g, err := s.scheduler.Acquire(ctx, req)
-	if err != nil {
-		o.Waited += time.Since(asked)
-		return backend.Result{}, acquireFailed(ctx, err)
-	}
-	o.Waited = g.Waited
-	started := time.Now()
-	result := s.backend.Do(ctx, s.call(a, r, g), out)
-	o.Tokens = s.tokens(a, g, started)
-	s.scheduler.Release(g, Usage{
-		Tokens: o.Tokens, Sent: result.Sent, Failed: result.Failed,
-		Status: result.Status, Error: result.Err, Silent: result.Silent,
-	})
-	if a.route != nil {
-		a.route.tried(g, result)
-	}
-	s.logAttempt(a, g, o, result, started)
-	if result.Err != nil {
-		return result, result.Err
-	}
-	o.Status = result.Status
-	o.Verdict = verdict.Ran.String()
-	o.FirstByte = result.FirstByte.Sub(a.arrived)
-	return result, nil
-}
-
-func (s *Server) logAttempt(a *ask, g Grant, o *Outcome, result backend.Result, started time.Time) {
-	code := ""
-	if result.Err != nil {
-		code = result.Err.Code
-	}
-	first := int64(-1)
-	if !result.FirstByte.IsZero() {
-		first = result.FirstByte.Sub(started).Milliseconds()
-	}
-	s.opt.log.Info("attempt_end", "request", a.id, "attempt", o.Attempts, "backend", g.Backend, "why", g.Why, "copied_from", g.FetchFrom,
-		"ahead", g.Ahead, "running", g.Running, "expected_ms", g.Expected.Milliseconds(), "first_ms", first,
-		"total_ms", time.Since(started).Milliseconds(), "sent", result.Sent, "events", result.LastEvent, "code", code)
-}
-
-// tokens is what the attempt is charged: an engine's tokens, or a plain
-// service's time in milliseconds.
-func (s *Server) tokens(a *ask, g Grant, started time.Time) int64 {
-	if a.events {
-		return g.Served.Load()
-	}
-	return max(1, time.Since(started).Milliseconds())
-}
-
-// acquireFailed tells a deadline from a caller that left.
-func acquireFailed(ctx context.Context, err error) *verdict.Error {
-	if ctx.Err() == nil {
-		return asVerdict(err)
-	}
-	if context.Cause(ctx) == context.DeadlineExceeded {
-		return verdict.New(verdict.PhaseQueue, http.StatusGatewayTimeout, "deadline", "the deadline passed while the request waited for a slot")
-	}
-	return verdict.New(verdict.PhaseQueue, statusClientGone, "caller-gone", "the caller went away")
-}
-
-// statusClientGone is logged for callers that left; nobody receives it.
-const statusClientGone = 499
-
 // request is what the scheduler needs to know.
 func (a *ask) request() Request {
 	req := Request{
@@ -299,46 +230,6 @@
 	return u.RequestURI()
 }
 
-// models lists the models that the table's backend servers serve.
-func (s *Server) models(w http.ResponseWriter, r *http.Request) {
-	a := &ask{id: s.requestID(), arrived: time.Now()}
-	if err := s.admit(a, r); err != nil {
-		s.answerTo(w, a).fail(err)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(modelList(s.scheduler.Table()))
-}
-
-// ModelList is the answer to PathModels.
-type ModelList struct {
-	Object string      `json:"object"`
-	Data   []ModelItem `json:"data"`
-}
-
-// ModelItem is one model.
-type ModelItem struct {
-	ID     string `json:"id"`
-	Object string `json:"object"`
-}
-
-func modelList(t *table.Table) ModelList {
-	list := ModelList{Object: "list", Data: []ModelItem{}}
-	seen := map[string]bool{}
-	for _, b := range t.Backends {
-		if b.Kind != table.Engine {
-			continue
-		}
-		for _, m := range b.Models {
-			if !seen[m] {
-				seen[m] = true
-				list.Data = append(list.Data, ModelItem{ID: m, Object: "model"})
-			}
-		}
-	}
-	return list
-}
-
 func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
 	s.refuseUnrouted(w, r, errNotFound)
 }
