Read the time that a request states in one place, and say what gathering is worth

Change: statedTime serves both; comments have the ablation's figures. Decisions as before. Measured: tests of front, backend and platform pass.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -191,9 +191,10 @@
 	}
 }
 
-// gather lets events come in before they are read and passed on together. Each that is
-// passed on by itself takes 20 to 50 us of processor time, and a router at its limit
-// has 2,000 a second: gathered for 66 ms it worked on 1.14 times as many requests.
+// gather lets events come in before they are read and passed on together. What is sent
+// takes 16 us of processor time each (least squares over the router's lines), and a
+// router at its limit has 2,000 events a second: gathered for 66 ms, 1.17 times as many
+// requests of a flooding account were answered (61 routers, two plays and one).
 func (x *exchange) gather() {
 	if x.call.Gather == nil {
 		return
--- a/internal/front/connections.go
+++ b/internal/front/connections.go
@@ -209,7 +209,8 @@
 	case s.connections.isClosed(c):
 		panic(http.ErrAbortHandler)
 	case c.refuse:
-		s.refuseUnrouted(w, r, errFull.After(RetryLater(s.timeLeft(r))))
+		left, _ := s.statedTime(r)
+		s.refuseUnrouted(w, r, errFull.After(RetryLater(left)))
 		return true
 	default:
 		return false
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -109,13 +109,9 @@
 // readStated reads what the headers state: deadline, prompt, last event.
 func (s *Server) readStated(a *ask, r *http.Request) *verdict.Error {
 	d := &s.opt.dialect
-	wait := s.callers.Load().Deadline
-	if v := r.Header.Get(d.Deadline); v != "" {
-		ms, err := strconv.ParseInt(v, 10, 64)
-		if err != nil || ms <= 0 {
-			return badHeader(d.Deadline)
-		}
-		wait = time.Duration(min(ms, MaxDeadline.Milliseconds())) * time.Millisecond
+	wait, ok := s.statedTime(r)
+	if !ok {
+		return badHeader(d.Deadline)
 	}
 	a.deadline = a.arrived.Add(wait)
 	if held := a.arrived.Add(a.route.Timeout); a.route.Timeout > 0 && held.Before(a.deadline) {
