--- a/pkg/admit/fetch_test.go
+++ b/pkg/admit/fetch_test.go
@@ -123,6 +123,33 @@
 	}
 }
 
+// TestNewEngineCopiesFromWhoWasThere adds an engine after routers that remember nothing
+// have started: for a prompt that is first there now it copies the shared parts from the
+// engine that was there before, which may have read it for routers that are gone.
+func TestNewEngineCopiesFromWhoWasThere(t *testing.T) {
+	w := newWorld(1, 2, zones[:1], 0)
+	w.show(2, map[string]table.Mark{"old-1": table.Serving, "old-2": table.Serving})
+	w.run(3 * time.Second)
+	w.show(3, map[string]table.Mark{"old-1": table.Serving, "old-2": table.Serving, "new": table.Serving})
+	atNew := 0
+	for prefix := uint64(1); prefix <= 30; prefix++ {
+		w.run(w.now + 50*time.Millisecond)
+		id := w.ask(w.order[0], admit.Request{Prefix: prefix, Prompt: 3000, Shared: 2000, Output: 50, Target: time.Second})
+		w.run(w.now + 200*time.Millisecond)
+		s, ok := w.starts[id]
+		if !ok || s.Backend.Name != "new" || s.Why != "prefix" {
+			continue
+		}
+		atNew++
+		if s.FetchFrom != "at-old-1" && s.FetchFrom != "at-old-2" {
+			t.Errorf("prompt %d is copied from %q, want an engine that was there before", prefix, s.FetchFrom)
+		}
+	}
+	if atNew == 0 {
+		t.Fatal("no prompt is first at the new engine")
+	}
+}
+
 // TestNothingIsCopiedFromTheUntrusted has the engine that keeps a prompt fail.
 func TestNothingIsCopiedFromTheUntrusted(t *testing.T) {
 	w := newWorld(1, 1, zones[:1], 3)
