--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"slices"
 	"time"
@@ -101,9 +102,12 @@
 	if t := s.scheduler.Table(); t != nil {
 		revision = t.Revision
 	}
-	s.opt.log.Info("request_end", "request", a.id, "account", o.Account, "model", o.Model, "prompt", stated.tokens, "output", stated.output, "table", revision,
-		"status", o.Status, "code", o.Code, "verdict", o.Verdict, "tokens", o.Tokens, "attempts", o.Attempts,
-		"waited_ms", o.Waited.Milliseconds(), "total_ms", o.Total.Milliseconds())
+	s.opt.log.LogAttrs(context.Background(), slog.LevelInfo, "request_end",
+		slog.String("request", a.id), slog.String("account", o.Account), slog.String("model", o.Model),
+		slog.Int64("prompt", stated.tokens), slog.Int64("output", stated.output), slog.Uint64("table", revision),
+		slog.Int("status", o.Status), slog.String("code", o.Code), slog.String("verdict", o.Verdict),
+		slog.Int64("tokens", o.Tokens), slog.Int("attempts", o.Attempts),
+		slog.Int64("waited_ms", o.Waited.Milliseconds()), slog.Int64("total_ms", o.Total.Milliseconds()))
 }
 
 // schedule tries the request until it ends, by the rules of verdicts.
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -19,6 +19,9 @@
 	// ordinaryPart is the part of the queue that ordinary lines may fill; the
 	// rest is kept for warnings, errors and requests that failed.
 	ordinaryPart = 0.5
+	// gatherFor is for how long lines are gathered before they are written: a router
+	// that refuses 1,800 requests a second would else make as many calls of the system.
+	gatherFor = 10 * time.Millisecond
 	// mostBatch bounds what is written at once, in bytes.
 	mostBatch = 64 << 10
 	// codeKey is the attribute that names why something failed, "" if it did
@@ -103,6 +106,7 @@
 	for {
 		select {
 		case text := <-s.lines:
+			s.gather()
 			s.write(text)
 		case <-s.quit:
 			for len(s.lines) > 0 {
@@ -113,6 +117,16 @@
 	}
 }
 
+// gather lets more lines come, unless the sink is to end.
+func (s *Sink) gather() {
+	wait := time.NewTimer(gatherFor)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-s.quit:
+	}
+}
+
 // write writes a line with all that are queued behind it, up to a bound.
 func (s *Sink) write(text []byte) {
 	batch := bytes.NewBuffer(text)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -77,12 +77,24 @@
 	scope   tally.Scope
 	handler http.Handler
 	closer  io.Closer
-	seconds tally.Buckets
-	mu      sync.Mutex
+	// wait, total and first are the histograms of all requests.
+	wait, total, first tally.Histogram
+
+	mu sync.Mutex
 	// accounts are those that have labels of their own.
 	accounts map[string]bool
+	// series are the counters by their labels: to look one up by its labels takes
+	// 5 us of a refusal's 35.
+	series map[labels]*series
 }
 
+// labels tell a request's counters apart; code and verdict are "" where it was
+// answered.
+type labels struct{ account, model, code, verdict string }
+
+// series is the counters of requests with the same labels.
+type series struct{ requests, tokens, retries, refusals tally.Counter }
+
 // New returns metrics whose values are labelled with the router's zone.
 func New(zone string) (*Metrics, error) {
 	registry := prom.NewRegistry()
@@ -100,7 +112,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("metrics: buckets: %w", err)
 	}
-	return &Metrics{scope: scope, handler: reporter.HTTPHandler(), closer: closer, seconds: buckets, accounts: map[string]bool{}}, nil
+	return &Metrics{
+		scope: scope, handler: reporter.HTTPHandler(), closer: closer, accounts: map[string]bool{}, series: map[labels]*series{},
+		wait: scope.Histogram(WaitSeconds, buckets), total: scope.Histogram(TotalSeconds, buckets), first: scope.Histogram(FirstSeconds, buckets),
+	}, nil
 }
 
 // The buckets of durations run from 1 ms to about 2 minutes.
@@ -123,10 +138,8 @@
 	otherAccounts = "(others)"
 )
 
-// label returns the label of an account.
+// label returns the label of an account. m.mu is held.
 func (m *Metrics) label(account string) string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if !m.accounts[account] {
 		if len(m.accounts) >= mostAccounts {
 			return otherAccounts
@@ -138,20 +151,40 @@
 
 // Answered implements front.Observer.
 func (m *Metrics) Answered(o front.Outcome) {
-	s := m.scope.Tagged(map[string]string{"account": m.label(o.Account), "model": o.Model})
-	if o.Code != "" {
-		s.Tagged(map[string]string{"code": o.Code, "verdict": o.Verdict}).Counter(Refusals).Inc(1)
+	s := m.seriesOf(o)
+	if s.refusals != nil {
+		s.refusals.Inc(1)
 	}
-	s.Counter(Requests).Inc(1)
-	s.Counter(Tokens).Inc(o.Tokens)
+	s.requests.Inc(1)
+	s.tokens.Inc(o.Tokens)
 	if o.Attempts > 1 {
-		s.Counter(Retries).Inc(int64(o.Attempts - 1))
+		s.retries.Inc(int64(o.Attempts - 1))
 	}
-	m.scope.Histogram(WaitSeconds, m.seconds).RecordDuration(o.Waited)
-	m.scope.Histogram(TotalSeconds, m.seconds).RecordDuration(o.Total)
+	m.wait.RecordDuration(o.Waited)
+	m.total.RecordDuration(o.Total)
 	if o.FirstByte > 0 {
-		m.scope.Histogram(FirstSeconds, m.seconds).RecordDuration(o.FirstByte)
+		m.first.RecordDuration(o.FirstByte)
+	}
+}
+
+// seriesOf returns the counters of a request.
+func (m *Metrics) seriesOf(o front.Outcome) *series {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := labels{account: m.label(o.Account), model: o.Model}
+	if o.Code != "" {
+		l.code, l.verdict = o.Code, o.Verdict
+	}
+	if s, ok := m.series[l]; ok {
+		return s
+	}
+	scope := m.scope.Tagged(map[string]string{"account": l.account, "model": l.model})
+	s := &series{requests: scope.Counter(Requests), tokens: scope.Counter(Tokens), retries: scope.Counter(Retries)}
+	if l.code != "" {
+		s.refusals = scope.Tagged(map[string]string{"code": l.code, "verdict": l.verdict}).Counter(Refusals)
 	}
+	m.series[l] = s
+	return s
 }
 
 // TableInForce implements router.Observer.
