Take back the gathering of log lines and the lack of probes

Change: listeners, dialer and the sink's task as before; counters looked up once and lines made where they are written stay.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -19,9 +19,6 @@
 	// ordinaryPart is the part of the queue that ordinary lines may fill; the
 	// rest is kept for warnings, errors and requests that failed.
 	ordinaryPart = 0.5
-	// gatherFor is for how long lines are gathered before they are written: a router
-	// that refuses 1,800 requests a second would else make as many calls of the system.
-	gatherFor = 10 * time.Millisecond
 	// mostBatch bounds what is written at once, in bytes.
 	mostBatch = 64 << 10
 	// codeKey is the attribute that names why something failed, "" if it did
@@ -115,7 +112,6 @@
 	for {
 		select {
 		case l := <-s.lines:
-			s.gather()
 			s.write(l)
 		case <-s.quit:
 			for len(s.lines) > 0 {
@@ -126,16 +122,6 @@
 	}
 }
 
-// gather lets more lines come, unless the sink is to end.
-func (s *Sink) gather() {
-	wait := time.NewTimer(gatherFor)
-	defer wait.Stop()
-	select {
-	case <-wait.C:
-	case <-s.quit:
-	}
-}
-
 // write writes a line with all that are queued behind it, up to a bound.
 func (s *Sink) write(l *line) {
 	s.batch.Reset()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,7 +149,7 @@
 	n.burn = burn.New(s.Name, s.Objectives)
 	inc := uint64(time.Now().UnixNano())
 	backendOpts := []backend.Option{
-		backend.WithDialer(withoutProbes(o.dialer)), backend.WithIdle(s.Backends.Idle), backend.WithMaxAnswer(s.Backends.MaxAnswerBytes),
+		backend.WithDialer(o.dialer), backend.WithIdle(s.Backends.Idle), backend.WithMaxAnswer(s.Backends.MaxAnswerBytes),
 	}
 	frontOpts := []front.Option{
 		front.WithCallers(callersOf(s)), front.WithTLS(t.callers), front.WithLogger(n.log),
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -19,34 +19,16 @@
 // give it an address of its own.
 type listeners struct{ callers, peers, admin, readiness net.Listener }
 
-// noProbes switches keep-alive probes off on connections of callers and to backend
-// servers: reads, writes and idle times are bounded above them, and to set the probes
-// takes four calls of the system for each.
-const noProbes = -1
-
-// withoutProbes returns the dialer for connections to backend servers.
-func withoutProbes(d Dialer) Dialer {
-	plain, ok := d.(*net.Dialer)
-	if !ok {
-		return d
-	}
-	quiet := *plain
-	quiet.KeepAlive = noProbes
-	return &quiet
-}
-
 func listenAll(l config.Listen) (*listeners, error) {
 	ls := &listeners{}
 	for _, x := range []struct {
 		what, address string
 		ln            *net.Listener
-		keepAlive     time.Duration
-	}{{"callers", l.Callers, &ls.callers, noProbes}, {"peers", l.Peers, &ls.peers, 0}, {"admin", l.Admin, &ls.admin, 0}, {"readiness", l.Readiness, &ls.readiness, 0}} {
+	}{{"callers", l.Callers, &ls.callers}, {"peers", l.Peers, &ls.peers}, {"admin", l.Admin, &ls.admin}, {"readiness", l.Readiness, &ls.readiness}} {
 		if x.address == "" {
 			continue
 		}
-		listener := net.ListenConfig{KeepAlive: x.keepAlive}
-		ln, err := listener.Listen(context.Background(), "tcp", x.address)
+		ln, err := net.Listen("tcp", x.address)
 		if err != nil {
 			return nil, errors.Join(fmt.Errorf("listen for %s: %w", x.what, err), ls.close())
 		}
