--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -42,8 +42,8 @@
 }
 
 // line is an event that is queued. The task that writes makes its text: the task that
-// logs has something else to do, and a stack that would have to grow for it, a tenth of
-// the time of a refused request (BenchmarkRefusedUnseen).
+// logs has something else to do, and a stack that would have to grow for it, a seventh
+// of the time of a refused request (BenchmarkRefusedUnseen).
 type line struct {
 	text   slog.Handler
 	record slog.Record
