Obey closed availability zones, and pace backend servers that warm up

Cause: nothing read the operators' mark that closes a zone, nor for how much longer a backend server bears a part of its load only; each router sent what its own estimate allowed. Ruled out: a part of the rate for each router (load differs between routers: of 18 requests a second, 0.3 each of 62 routers). Change: the mark is a row of the table, merged by revisions and told between routers; owners give no places in a closed zone, places given and unused lapse, shares follow the capacity that is open, and where all zones are closed (or the open ones cut off) a request is refused at once. A warm-up is an entry's time and its service's rate: only the owner gives places then, spaced evenly, and only while it hears most of its zone's routers; a new owner a third of the rate for a second. After a zone is opened, or an entry lapsed, its servers count as warming.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -268,9 +268,13 @@
 	changed map[string]rosterChange
 	// untrusted are the backend servers that were last logged as such.
 	untrusted map[string]admit.Untrusted
-	// routers are those that the core was last told of.
+	// routers are those that the core was last told of, known how many it was told
+	// are known in each zone.
 	routers []admit.Router
+	known   map[string]int
 	left    bool
+	// closed are the availability zones that were closed by the last table.
+	closed []string
 }
 
 // keepPart of the time within which changes are to be in force is for how long
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -232,6 +232,7 @@
 	s.d.shared.view.Store(v)
 	s.d.opt.log.Info("table_in_force", "revision", v.Revision, "edition", v.Edition, "as_of", s.catalog.AsOf(), "from", from,
 		"routes", len(v.Routes), "accounts", len(v.Accounts), "backends", len(v.Backends))
+	s.noteZones(v, from)
 	s.step(admit.View{Table: v})
 }
 
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -229,13 +230,13 @@
 			routers = append(routers, admit.Router{Address: address, Zone: m.Zone, Capacity: m.Capacity})
 		}
 	}
-	leaving := s.d.Draining()
-	if slices.Equal(routers, s.routers) && leaving == s.left {
+	leaving, known := s.d.Draining(), s.roster.KnownByZone()
+	if slices.Equal(routers, s.routers) && leaving == s.left && maps.Equal(known, s.known) {
 		return
 	}
-	s.routers, s.left = routers, leaving
+	s.routers, s.left, s.known = routers, leaving, known
 	s.d.opt.log.Info("members", "live", len(routers)+1, "relay", s.talk.Relay, "mesh", s.talk.Mesh, "leaving", leaving)
-	s.step(admit.Routers{List: routers, Leaving: leaving})
+	s.step(admit.Routers{List: routers, Leaving: leaving, Known: known})
 }
 
 // takeTurn finds this router's place among those that read the platform.
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -31,6 +31,10 @@
 	Owned []string `json:"owned"`
 	// Untrusted are the backend servers that this router does not trust.
 	Untrusted []string `json:"untrusted"`
+	// ClosedZones are the availability zones that operators have closed, Warming how
+	// many backend servers warm up.
+	ClosedZones []string `json:"closed_zones"`
+	Warming     int      `json:"warming"`
 	// Waiting is how many requests wait.
 	Waiting int `json:"waiting"`
 	// Calls is how many calls of the platform were made, 0 if its source does
@@ -51,6 +55,7 @@
 		Name: s.d.id.Name, Zone: s.d.id.Zone, Incarnation: s.d.id.Inc, AsOf: s.catalog.AsOf(), Turn: s.d.shared.turn.Load(),
 		VerifiedMillisAgo: (s.now - time.Duration(s.d.shared.verified.Load())).Milliseconds(),
 		Live:              s.roster.Live(s.now), Relay: s.talk.Relay, Owned: s.core.Owned(), Waiting: s.core.Waiting(),
+		ClosedZones: s.closed, Warming: s.core.Warming(),
 	}
 	st.Untrusted = slices.Sorted(maps.Keys(s.untrusted))
 	if c, ok := s.d.source.(counter); ok {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,6 +42,8 @@
 	Owned         = "owned_backends"
 	Untrusted     = "untrusted_backends"
 	Unverified    = "unverified_seconds"
+	ClosedZones   = "closed_zones"
+	Warming       = "warming_backends"
 	Reserved      = "reserved_headers_dropped"
 	Connections   = "caller_connections"
 	Resting       = "idle_caller_connections"
@@ -60,7 +62,7 @@
 	return []string{
 		Requests, Refusals, Tokens, Retries, WaitSeconds, FirstSeconds, TotalSeconds, TableRevision,
 		TableChanges, Open, Leases, IdleLeases, Members, PeerBytesOut, PeerBytesIn, PeerMsgsOut,
-		PeerMsgsIn, PeerDropped, PlatformCalls, Waiting, Owned, Untrusted, Unverified, Reserved,
+		PeerMsgsIn, PeerDropped, PlatformCalls, Waiting, Owned, Untrusted, Unverified, ClosedZones, Warming, Reserved,
 		Connections, Resting, RefusedConns, EvictedConns, Passed, Sends, Screened, Processor,
 		Late, Events,
 	}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -137,6 +137,8 @@
 		metrics.Waiting:       int64(s.Waiting),
 		metrics.Owned:         int64(len(s.Owned)),
 		metrics.Untrusted:     int64(len(s.Untrusted)),
+		metrics.ClosedZones:   int64(len(s.ClosedZones)),
+		metrics.Warming:       int64(s.Warming),
 		metrics.Unverified:    s.VerifiedMillisAgo / time.Second.Milliseconds(),
 	})
 }
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -45,14 +45,14 @@
 	c.noteMarks()
 	closed := map[string]bool{}
 	for _, b := range c.table.Backends {
-		if b.Mark != table.Serving {
+		if !c.table.Open(&b) {
 			closed[b.Name] = true
 		}
 	}
 	c.runHolder(hold.Closed{Backends: closed})
 	c.reown()
 	weights := c.weights()
-	c.eachOwner(func(p wire.Pool) pool.Event { return pool.Servers{List: poolServers(c.pools[p])} })
+	c.eachOwner(func(p wire.Pool) pool.Event { return pool.Servers{List: poolServers(c.table, c.pools[p])} })
 	c.eachOwner(func(wire.Pool) pool.Event { return pool.Weights{Of: weights} })
 	limits := c.limits()
 	c.eachOwner(func(wire.Pool) pool.Event { return pool.Limits{Of: limits} })
@@ -89,10 +89,10 @@
 	c.marks = now
 }
 
-func poolServers(backends []table.Backend) []pool.Server {
+func poolServers(t *table.Table, backends []table.Backend) []pool.Server {
 	list := make([]pool.Server, 0, len(backends))
 	for _, b := range backends {
-		list = append(list, pool.Server{Name: b.Name, Slots: b.Slots, Open: b.Mark == table.Serving, Reports: b.Kind == table.Engine})
+		list = append(list, pool.Server{Name: b.Name, Slots: b.Slots, Open: t.Open(&b), Reports: b.Kind == table.Engine})
 	}
 	return list
 }
@@ -213,7 +213,7 @@
 	o := pool.New(c.r.id.Name, p, c.now, c.r.opt.pool...)
 	c.owners[p] = o
 	c.r.opt.log.Info("pool_owned", "pool", p.String())
-	c.runOwner(o, pool.Servers{List: poolServers(c.pools[p])})
+	c.runOwner(o, pool.Servers{List: poolServers(c.table, c.pools[p])})
 	c.runOwner(o, pool.Weights{Of: c.weights()})
 	c.runOwner(o, pool.Limits{Of: c.limits()})
 	c.runOwner(o, c.zoneHolders())
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -71,6 +71,9 @@
 	now     time.Duration
 	rng     *rand.Rand
 	routers []Router
+	// known is how many routers are known in each zone, those that fell silent
+	// lately with them; nil if nobody counts.
+	known   map[string]int
 	servers map[wire.Key]*server
 	// ordered are the servers by name.
 	ordered  []*server
--- a/pkg/admit/owned.go
+++ b/pkg/admit/owned.go
@@ -16,6 +16,8 @@
 	queue []*asking
 	// known are the prompts' beginnings that were read there lately.
 	known recent
+	// pace spaces the places while it warms up.
+	pace pacer
 }
 
 // entryKey names a request among those of all routers.
@@ -127,6 +129,7 @@
 	fetch := a.Fetch && !o.keeps(a.Ask, c.now)
 	e := &entry{unread: toRead, ahead: o.unread + toRead, since: c.now, heard: c.now}
 	o.add(entryKey{a.from, a.ID}, e)
+	s.noteStart(c.now)
 	if a.Prefix != 0 {
 		o.known.note(a.Prefix, c.now)
 	}
@@ -223,6 +226,7 @@
 	switch m.Kind {
 	case wire.NoteStarted:
 		o.add(key, &entry{unread: m.Unread, since: c.now, heard: c.now})
+		s.noteStart(c.now)
 		return
 	case wire.NoteFirst:
 		if e, ok := o.entries[key]; ok {
--- a/pkg/admit/place.go
+++ b/pkg/admit/place.go
@@ -47,6 +47,9 @@
 // hasPlace reports whether a request can be started at a backend server now.
 func (c *Core) hasPlace(sv *service, s *server, a *asking, toRead int64) bool {
 	o := s.ownedOf()
+	if s.isWarming(c.now) && !c.mayGiveWarming(s) {
+		return false
+	}
 	if !sv.engine {
 		return float64(o.running) < float64(s.Slots)*queueAtService
 	}
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -99,6 +99,8 @@
 var (
 	errNoServer = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "no-backend",
 		"no backend server of the service takes requests")
+	errClosed = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "zone-closed",
+		"operators have closed the availability zones of the service's backend servers; come back as told")
 	errBusy = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "busy",
 		"no backend server could answer in time; come back as told")
 	errDeadline = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "deadline",
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -38,6 +38,9 @@
 	minRetryAfter = 60 * time.Millisecond
 	// retryAfterNoServer is the same where no backend server is there at all.
 	retryAfterNoServer = 250 * time.Millisecond
+	// retryAfterClosed is the same where operators have closed the zones: they open
+	// them again after seconds at the earliest.
+	retryAfterClosed = time.Second
 	// localSlots is the part of its slots that a router uses at a backend
 	// server whose owner it cannot ask.
 	localSlots = 0.75
@@ -85,16 +88,38 @@
 	switch {
 	case c.now >= r.Deadline:
 		return errDeadline
+	case !r.Begun && !c.anyOpen(r.Service):
+		return c.noneOpen(r.Service)
 	case !r.Begun && r.Patience > 0 && c.now-r.arrived >= c.patience(r):
-		if len(c.service(r.Service).servers) == 0 {
-			return errNoServer.After(retryAfterNoServer)
-		}
 		return errBusy.After(c.retryAfter())
 	default:
 		return nil
 	}
 }
 
+// anyOpen reports whether any backend server of a service takes new requests that
+// this router can be expected to reach.
+func (c *Core) anyOpen(service string) bool {
+	return slices.ContainsFunc(c.service(service).servers, func(s *server) bool { return s.open() && !c.isCutOff(s.Zone) })
+}
+
+// isCutOff reports whether routers of another zone were known and none of them is
+// heard any more.
+func (c *Core) isCutOff(zone string) bool {
+	if zone == c.opt.self.Zone || c.known[zone] == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(c.routers, func(r Router) bool { return r.Zone == zone })
+}
+
+// noneOpen is why no backend server of a service takes new requests.
+func (c *Core) noneOpen(service string) *verdict.Error {
+	if slices.ContainsFunc(c.service(service).servers, func(s *server) bool { return s.closed }) {
+		return errClosed.After(retryAfterClosed)
+	}
+	return errNoServer.After(retryAfterNoServer)
+}
+
 // patience returns how long a request may wait here. While an owner's answer is due
 // that this router may only not have heard of yet, it waits for that: a place that
 // was given would be lost with what was spent on the request.
@@ -144,7 +169,7 @@
 // estimate of what is under way there and of what is kept there.
 func (c *Core) admitLocally(r *request, a *ask) bool {
 	s := a.server
-	if !s.open() || float64(s.running(c.now)) >= localSlots*float64(s.Slots) {
+	if !s.open() || s.isWarming(c.now) || float64(s.running(c.now)) >= localSlots*float64(s.Slots) {
 		return false
 	}
 	if c.service(r.Service).engine && s.ownUnread() > 0 {
@@ -204,13 +229,18 @@
 		}
 		return
 	}
-	switch m.State {
-	case wire.PlaceGranted:
+	switch {
+	case m.State == wire.PlaceGranted && !a.server.open():
+		// Closed or marked since the place was given: it lapses.
+		c.send(from, &wire.Note{ID: m.ID, Server: m.Server, Kind: wire.NoteEnded, Result: uint8(Unknown)})
+		a.state = askDenied
+		c.advance(r)
+	case m.State == wire.PlaceGranted:
 		c.granted(r, a, m)
-	case wire.PlaceQueued:
+	case m.State == wire.PlaceQueued:
 		a.state = askQueued
 		c.advance(r)
-	case wire.PlaceDenied:
+	case m.State == wire.PlaceDenied:
 		a.state = askDenied
 		c.advance(r)
 	}
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -17,8 +17,15 @@
 	key wire.Key
 	// joined is when this router first saw it in the directory.
 	joined time.Duration
-	// owner is the router that gives places there.
-	owner string
+	// owner is the router that gives places there, ownedSince when this router last
+	// became it.
+	owner      string
+	ownedSince time.Duration
+	// closed says that its zone is closed to new requests.
+	closed bool
+	// warmUntil is until when it bears warmupRate requests a second only.
+	warmUntil  time.Duration
+	warmupRate float64
 	// own are the requests that this router has under way there.
 	own map[uint64]*request
 	// seen is what its owner last told is under way there, and when.
@@ -43,7 +50,7 @@
 }
 
 // open reports whether new work may go there.
-func (s *server) open() bool { return s.Mark == table.Serving }
+func (s *server) open() bool { return s.Mark == table.Serving && !s.closed }
 
 // seenFor is how long what an owner told of a backend server is believed.
 const seenFor = time.Second
@@ -114,6 +121,8 @@
 			s = &server{key: key, joined: c.now, own: map[uint64]*request{}}
 		}
 		s.Backend = b
+		s.closed = e.Table.ZoneIsClosed(b.Zone)
+		s.setWarmup(e.Table, c.now)
 		c.servers[key] = s
 		for _, m := range b.Models {
 			sv := c.service(m)
@@ -160,9 +169,13 @@
 	List []Router
 	// Leaving says that this router leaves.
 	Leaving bool
+	// Known is how many routers are known in each zone: those listed, this one, and
+	// those that fell silent lately. Nil if nobody counts.
+	Known map[string]int
 }
 
 func (e Routers) apply(c *Core) {
+	c.known = e.Known
 	c.routers = slices.Clone(e.List)
 	if len(e.List) > 0 && c.joined == 0 {
 		c.joined = c.now
@@ -192,12 +205,15 @@
 			continue
 		}
 		s.owner = owner
+		if owner == c.opt.self.Address {
+			s.ownedSince = c.now
+		}
 		c.tellHeld(s)
 	}
 }
 
 // reachable returns which part of the engines is in zones of which a router is
-// heard, 1 if there are no engines.
+// heard and that are not closed, 1 if there are no engines.
 func (c *Core) reachable() float64 {
 	zones := map[string]bool{c.opt.self.Zone: true}
 	for _, r := range c.routers {
@@ -209,7 +225,7 @@
 			continue
 		}
 		all++
-		if zones[s.Zone] {
+		if zones[s.Zone] && !s.closed {
 			near++
 		}
 	}
--- a/pkg/admit/world_test.go
+++ b/pkg/admit/world_test.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
@@ -16,6 +18,9 @@
 type world struct {
 	now     time.Duration
 	rng     *rand.Rand
+	table   *table.Table
+	// sent are the times at which requests were sent to a backend server, by name.
+	sent map[string][]time.Duration
 	events  timeline
 	seq     int
 	cores   map[string]*admit.Core
@@ -93,7 +98,7 @@
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), cores: map[string]*admit.Core{}, down: map[string]bool{}, cut: map[[2]string]bool{},
 		engines: map[string]*engine{}, starts: map[uint64]startOf{}, refusals: map[uint64]time.Duration{}, asked: map[uint64]askedOf{},
-		hold: 300 * time.Millisecond, base: baseTime,
+		hold: 300 * time.Millisecond, base: baseTime, sent: map[string][]time.Duration{},
 	}
 	t := &table.Table{Revision: 1, Services: []table.ServiceRow{{Name: service, Engine: true}}}
 	for _, z := range zones {
@@ -108,6 +113,7 @@
 			w.order = append(w.order, fmt.Sprintf("%s-%d", z, i))
 		}
 	}
+	w.table = t
 	for i, name := range w.order {
 		w.cores[name] = admit.New(admit.Router{Address: name, Zone: zoneOf(name)}, admit.WithSeed(seed+uint64(i)))
 		w.step(name, admit.View{Table: t})
@@ -121,7 +127,8 @@
 }
 
 func zoneOf(router string) string {
-	return router[:len(router)-2]
+	zone, _, _ := strings.Cut(router, "-")
+	return zone
 }
 
 // at plans something.
@@ -149,6 +156,10 @@
 
 // tellRouters tells every router which others are heard.
 func (w *world) tellRouters() {
+	known := map[string]int{}
+	for _, name := range w.order {
+		known[zoneOf(name)]++
+	}
 	for _, name := range w.order {
 		var list []admit.Router
 		for _, other := range w.order {
@@ -156,7 +167,20 @@
 				list = append(list, admit.Router{Address: other, Zone: zoneOf(other)})
 			}
 		}
-		w.step(name, admit.Routers{List: list})
+		w.step(name, admit.Routers{List: list, Known: known})
+	}
+}
+
+// change puts a changed table in force at all routers.
+func (w *world) change(do func(t *table.Table)) {
+	t := *w.table
+	t.Backends, t.Services, t.Zones = slices.Clone(t.Backends), slices.Clone(t.Services), slices.Clone(t.Zones)
+	do(&t)
+	t.Revision++
+	t.Index()
+	w.table = &t
+	for _, name := range w.order {
+		w.step(name, admit.View{Table: w.table})
 	}
 }
 
@@ -208,6 +232,7 @@
 func (w *world) started(name string, a admit.Start) {
 	r := w.asked[a.ID].request
 	e := w.engines[a.Backend.Name]
+	w.sent[a.Backend.Name] = append(w.sent[a.Backend.Name], w.now)
 	e.running++
 	e.peak = max(e.peak, e.running)
 	tokens := r.Prompt
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -39,16 +39,26 @@
 	// Servers are the directory's entries that changed. If After is 0, those
 	// that are not listed are gone.
 	Servers []Server
+	// Zones are the marks of availability zones that changed. If After is 0,
+	// zones that are not listed are open.
+	Zones []Zone
 }
 
 // Empty reports whether the news say nothing but how far they reach.
-func (n *News) Empty() bool { return n.Table == nil && len(n.Servers) == 0 && n.After > 0 }
+func (n *News) Empty() bool {
+	return n.Table == nil && len(n.Servers) == 0 && len(n.Zones) == 0 && n.After > 0
+}
 
 // Catalog is the merged state. Its zero value is not ready; use New.
 type Catalog struct {
+	// now is the time of the last Merge or Refresh.
+	now     time.Duration
 	asOf    uint64
 	table   *table.Table
 	servers map[string]Server
+	zones   map[string]zone
+	// warmUntil is until when a backend server warms up by its entry, by name.
+	warmUntil map[string]time.Duration
 	// goneAt is when an entry was heard to be gone, by name.
 	goneAt map[string]time.Duration
 	// vanished are the entries that were removed within keep without having
@@ -68,7 +78,10 @@
 
 // New returns a catalog that knows nothing.
 func New(opts ...Option) *Catalog {
-	c := &Catalog{servers: map[string]Server{}, goneAt: map[string]time.Duration{}, vanished: map[string]vanished{}}
+	c := &Catalog{
+		servers: map[string]Server{}, zones: map[string]zone{}, warmUntil: map[string]time.Duration{},
+		goneAt: map[string]time.Duration{}, vanished: map[string]vanished{},
+	}
 	for _, f := range opts {
 		f(c)
 	}
@@ -88,6 +101,7 @@
 
 // Merge takes news in at the time now and reports whether the view changed.
 func (c *Catalog) Merge(now time.Duration, n News) bool {
+	c.now = now
 	changed := false
 	if n.Table != nil && (c.table == nil || n.Table.Revision > c.table.Revision) {
 		c.table = n.Table
@@ -96,8 +110,12 @@
 	for _, s := range n.Servers {
 		changed = c.mergeServer(now, s) || changed
 	}
+	for _, z := range n.Zones {
+		changed = c.mergeZone(now, z) || changed
+	}
 	if n.After == 0 && n.AsOf > 0 {
 		changed = c.dropUnlisted(now, &n) || changed
+		changed = c.openUnlisted(now, &n) || changed
 	}
 	if n.After <= c.asOf {
 		c.asOf = max(c.asOf, n.AsOf)
@@ -121,14 +139,16 @@
 	c.servers[name] = s
 	if s.Gone {
 		c.goneAt[name] = now
+		delete(c.warmUntil, name)
 		if known {
 			c.vanish(now, old)
 		}
-	} else {
-		delete(c.goneAt, name)
-		delete(c.vanished, name)
+		return known && !old.Gone
 	}
-	return !s.Gone || known && !old.Gone
+	delete(c.goneAt, name)
+	delete(c.vanished, name)
+	later := c.noteWarmup(now, &s.Backend)
+	return later || !known || old.Gone || !old.Backend.SameButWarmup(&s.Backend)
 }
 
 // dropUnlisted takes away the entries that complete news do not hold.
@@ -144,6 +164,7 @@
 		}
 		c.servers[name] = Server{Revision: n.AsOf, Gone: true, Backend: table.Backend{Name: name}}
 		c.goneAt[name] = now
+		delete(c.warmUntil, name)
 		c.vanish(now, s)
 		changed = true
 	}
@@ -165,12 +186,13 @@
 	t.Backends = slices.Clone(c.table.Backends)
 	for _, name := range slices.Sorted(maps.Keys(c.servers)) {
 		if s := c.servers[name]; !s.Gone {
-			t.Backends = append(t.Backends, s.Backend)
+			t.Backends = append(t.Backends, c.warming(s.Backend))
 		}
 	}
 	lapsed := c.lapsed()
 	c.kept = len(lapsed)
 	t.Backends = append(t.Backends, lapsed...)
+	t.Zones = c.zoneRows()
 	t.Index()
 	return &t
 }
@@ -188,8 +210,10 @@
 	for _, name := range slices.Sorted(maps.Keys(c.servers)) {
 		s := c.servers[name]
 		if s.Revision > after && (after > 0 || !s.Gone) {
+			s.Backend.WarmupLeft = max(0, c.warmUntil[name]-c.now)
 			n.Servers = append(n.Servers, s)
 		}
 	}
+	n.Zones = c.zonesSince(after)
 	return n
 }
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -30,6 +30,15 @@
 	AsOf     uint64
 	Table    uint64
 	Backends []string
+	Closed   []string
+}
+
+func closed(zone string, revision uint64) catalog.Zone {
+	return catalog.Zone{Revision: revision, Name: zone, Closed: true}
+}
+
+func opened(zone string, revision uint64) catalog.Zone {
+	return catalog.Zone{Revision: revision, Name: zone}
 }
 
 func stateOf(c *catalog.Catalog) state {
@@ -39,6 +48,7 @@
 		for _, b := range v.Backends {
 			s.Backends = append(s.Backends, b.Name)
 		}
+		s.Closed = v.ClosedZones()
 	}
 	return s
 }
@@ -49,21 +59,34 @@
 		news []catalog.News
 		want state
 	}{
-		"whole":         {[]catalog.News{whole}, state{10, 4, []string{"a", "b"}}},
-		"older table":   {[]catalog.News{whole, {After: 10, AsOf: 11, Table: tableAt(3)}}, state{11, 4, []string{"a", "b"}}},
-		"entry removed": {[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 12)}}}, state{12, 4, []string{"b"}}},
+		"whole":         {[]catalog.News{whole}, state{10, 4, []string{"a", "b"}, nil}},
+		"zone closed":   {[]catalog.News{whole, {After: 10, AsOf: 11, Zones: []catalog.Zone{closed("x", 11)}}}, state{11, 4, []string{"a", "b"}, []string{"x"}}},
+		"zone opened": {
+			[]catalog.News{whole, {After: 10, AsOf: 12, Zones: []catalog.Zone{closed("x", 11), closed("y", 12)}}, {After: 12, AsOf: 13, Zones: []catalog.Zone{opened("x", 13)}}},
+			state{13, 4, []string{"a", "b"}, []string{"y"}}},
+		"an older closing does not overtake an opening": {
+			[]catalog.News{whole, {After: 10, AsOf: 13, Zones: []catalog.Zone{opened("x", 13)}}, {After: 10, AsOf: 11, Zones: []catalog.Zone{closed("x", 11)}}},
+			state{13, 4, []string{"a", "b"}, nil}},
+		"a whole read without a mark opens": {
+			[]catalog.News{whole, {After: 10, AsOf: 11, Zones: []catalog.Zone{closed("x", 11)}}, {AsOf: 20, Table: tableAt(4), Servers: []catalog.Server{server("a", 7), server("b", 9)}}},
+			state{20, 4, []string{"a", "b"}, nil}},
+		"a whole read says nothing of a later closing": {
+			[]catalog.News{whole, {After: 10, AsOf: 12, Zones: []catalog.Zone{closed("x", 12)}}, {AsOf: 11, Servers: []catalog.Server{server("a", 7), server("b", 9)}}},
+			state{12, 4, []string{"a", "b"}, []string{"x"}}},
+		"older table":   {[]catalog.News{whole, {After: 10, AsOf: 11, Table: tableAt(3)}}, state{11, 4, []string{"a", "b"}, nil}},
+		"entry removed": {[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 12)}}}, state{12, 4, []string{"b"}, nil}},
 		"late news do not bring an entry back": {
-			[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 12)}}, whole}, state{12, 4, []string{"b"}}},
+			[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 12)}}, whole}, state{12, 4, []string{"b"}, nil}},
 		"an entry written anew comes back": {
 			[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 12)}}, {After: 12, AsOf: 13, Servers: []catalog.Server{server("a", 13)}}},
-			state{13, 4, []string{"a", "b"}}},
+			state{13, 4, []string{"a", "b"}, nil}},
 		"unlisted entries of a whole read are gone": {
-			[]catalog.News{whole, {AsOf: 20, Table: tableAt(4), Servers: []catalog.Server{server("b", 9)}}}, state{20, 4, []string{"b"}}},
+			[]catalog.News{whole, {AsOf: 20, Table: tableAt(4), Servers: []catalog.Server{server("b", 9)}}}, state{20, 4, []string{"b"}, nil}},
 		"a whole read says nothing of what came after it": {
 			[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{server("c", 12)}}, {AsOf: 11, Servers: []catalog.Server{server("a", 7), server("b", 9)}}},
-			state{12, 4, []string{"a", "b", "c"}}},
+			state{12, 4, []string{"a", "b", "c"}, nil}},
 		"news with a gap before them do not complete": {
-			[]catalog.News{whole, {After: 14, AsOf: 15, Servers: []catalog.Server{server("c", 15)}}}, state{10, 4, []string{"a", "b", "c"}}},
+			[]catalog.News{whole, {After: 14, AsOf: 15, Servers: []catalog.Server{server("c", 15)}}}, state{10, 4, []string{"a", "b", "c"}, nil}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -88,13 +111,17 @@
 		for range rapid.IntRange(1, 12).Draw(t, "changes") {
 			n := catalog.News{After: last, AsOf: last + 1}
 			last++
-			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
 			case 0:
 				n.Table = tableAt(last)
 			case 1:
 				n.Servers = []catalog.Server{server(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server"), last)}
 			case 2:
 				n.Servers = []catalog.Server{gone(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "server"), last)}
+			case 3:
+				n.Zones = []catalog.Zone{closed(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"), last)}
+			case 4:
+				n.Zones = []catalog.Zone{opened(rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"), last)}
 			}
 			history = append(history, n)
 		}
--- a/pkg/catalog/vanish.go
+++ b/pkg/catalog/vanish.go
@@ -28,6 +28,7 @@
 
 // Refresh lets time pass and reports whether the view changed.
 func (c *Catalog) Refresh(now time.Duration) bool {
+	c.now = now
 	before := len(c.vanished)
 	maps.DeleteFunc(c.vanished, func(_ string, v vanished) bool { return now-v.at >= c.keep })
 	if len(c.vanished) == before || c.table == nil {
@@ -56,6 +57,8 @@
 	for _, name := range slices.Sorted(maps.Keys(c.vanished)) {
 		b := c.vanished[name].backend
 		if slices.ContainsFunc(b.Models, func(m string) bool { return gone[m] >= max(leastVanished, listed[m]) }) {
+			// Nothing fresh is known of it.
+			b.WarmupLeft = c.warmupTime(&b)
 			list = append(list, b)
 		}
 	}
--- /dev/null
+++ b/pkg/catalog/warmup_test.go
@@ -0,0 +1,104 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/catalog"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+)
+
+const warmupTime = 3 * time.Second
+
+// warmTable is a table whose service warms up.
+func warmTable(revision uint64) *table.Table {
+	t := &table.Table{Revision: revision, Services: []table.ServiceRow{{Name: "reader", Engine: true, WarmupRate: 18, WarmupTime: warmupTime}}}
+	t.Index()
+	return t
+}
+
+func warming(name string, revision uint64, left time.Duration) catalog.Server {
+	s := serving(name, revision)
+	s.Backend.Zone, s.Backend.WarmupLeft = "x", left
+	return s
+}
+
+// leftOf returns for how much longer a backend server warms up by the view.
+func leftOf(c *catalog.Catalog, name string) time.Duration {
+	for _, b := range c.View().Backends {
+		if b.Name == name {
+			return b.WarmupLeft
+		}
+	}
+	return -1
+}
+
+// TestWarmup follows what entries, zones and lapses say of a warm-up.
+func TestWarmup(t *testing.T) {
+	start := catalog.News{AsOf: 10, Table: warmTable(4), Servers: []catalog.Server{warming("a", 7, 0), warming("b", 8, 0)}}
+	second := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+	type heard struct {
+		at   time.Duration
+		news catalog.News
+		// changed says that the view is another one.
+		changed bool
+	}
+	tests := map[string]struct {
+		heard []heard
+		want  time.Duration
+	}{
+		"warm": {nil, 0},
+		"turns cold": {[]heard{
+			{second(1), catalog.News{After: 10, AsOf: 11, Servers: []catalog.Server{warming("a", 11, second(2))}}, true},
+		}, second(2)},
+		"counts down, which is no change": {[]heard{
+			{second(1), catalog.News{After: 10, AsOf: 11, Servers: []catalog.Server{warming("a", 11, second(3))}}, true},
+			{second(2.3), catalog.News{After: 11, AsOf: 12, Servers: []catalog.Server{warming("a", 12, second(1.8))}}, false},
+		}, second(3)},
+		"says early that it is warm": {[]heard{
+			{second(1), catalog.News{After: 10, AsOf: 11, Servers: []catalog.Server{warming("a", 11, second(3))}}, true},
+			{second(2), catalog.News{After: 11, AsOf: 12, Servers: []catalog.Server{warming("a", 12, 0)}}, true},
+		}, 0},
+		"turns cold once more": {[]heard{
+			{second(1), catalog.News{After: 10, AsOf: 11, Servers: []catalog.Server{warming("a", 11, second(2))}}, true},
+			{second(2), catalog.News{After: 11, AsOf: 12, Servers: []catalog.Server{warming("a", 12, second(3))}}, true},
+		}, second(3)},
+		"its zone is opened": {[]heard{
+			{second(1), catalog.News{After: 10, AsOf: 11, Zones: []catalog.Zone{closed("x", 11)}}, true},
+			{second(2), catalog.News{After: 11, AsOf: 12, Zones: []catalog.Zone{opened("x", 12)}}, true},
+		}, warmupTime},
+		"lapses": {[]heard{
+			{second(1), catalog.News{After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 11), gone("b", 12)}}, true},
+		}, warmupTime},
+		"lapses and comes back": {[]heard{
+			{second(1), catalog.News{After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 11), gone("b", 12)}}, true},
+			{second(2), catalog.News{After: 12, AsOf: 13, Servers: []catalog.Server{warming("a", 13, 0)}}, true},
+		}, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := catalog.New(catalog.WithKeep(5 * time.Second))
+			c.Merge(0, start)
+			for i, h := range tc.heard {
+				if got := c.Merge(h.at, h.news); got != h.changed {
+					t.Errorf("news %d: changed %v, want %v", i, got, h.changed)
+				}
+			}
+			if got := leftOf(c, "a"); got != tc.want {
+				t.Errorf("warms up for %v more, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestWarmupIsToldOn has a catalog tell another one of a warm-up later: what is left
+// then is told.
+func TestWarmupIsToldOn(t *testing.T) {
+	c, other := catalog.New(), catalog.New()
+	c.Merge(0, catalog.News{AsOf: 10, Table: warmTable(4), Servers: []catalog.Server{warming("a", 7, 3*time.Second)}})
+	c.Refresh(time.Second)
+	other.Merge(0, c.Since(0))
+	if got := leftOf(other, "a"); got != 2*time.Second {
+		t.Errorf("told that it warms up for %v, want 2s", got)
+	}
+}
--- /dev/null
+++ b/pkg/catalog/zone.go
@@ -0,0 +1,77 @@
+package catalog
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+)
+
+// Zone is the operators' mark of an availability zone.
+type Zone struct {
+	// Revision is the mark's last change; it only grows.
+	Revision uint64
+	Name     string
+	// Closed says that its backend servers are to get nothing new.
+	Closed bool
+}
+
+// zone is a mark as it was heard.
+type zone struct {
+	Zone
+	// opened is when this catalog heard that a closed zone was opened, 0 if never.
+	opened time.Duration
+}
+
+// mergeZone takes a mark in unless a newer one is known, so that an older closing
+// cannot overtake an opening.
+func (c *Catalog) mergeZone(now time.Duration, z Zone) bool {
+	old := c.zones[z.Name]
+	if old.Revision >= z.Revision {
+		return false
+	}
+	next := zone{Zone: z, opened: old.opened}
+	if old.Closed && !z.Closed {
+		next.opened = now
+	}
+	c.zones[z.Name] = next
+	return old.Closed != z.Closed
+}
+
+// openUnlisted opens the zones that complete news do not list as closed.
+func (c *Catalog) openUnlisted(now time.Duration, n *News) bool {
+	listed := make(map[string]bool, len(n.Zones))
+	for _, z := range n.Zones {
+		listed[z.Name] = true
+	}
+	changed := false
+	for _, name := range slices.Sorted(maps.Keys(c.zones)) {
+		if z := c.zones[name]; z.Closed && !listed[name] && z.Revision < n.AsOf {
+			changed = c.mergeZone(now, Zone{Revision: n.AsOf, Name: name}) || changed
+		}
+	}
+	return changed
+}
+
+// zoneRows returns the closed zones as rows of the table.
+func (c *Catalog) zoneRows() []table.ZoneRow {
+	rows := slices.Clone(c.table.Zones)
+	for _, name := range slices.Sorted(maps.Keys(c.zones)) {
+		if c.zones[name].Closed {
+			rows = append(rows, table.ZoneRow{Name: name, Mark: table.ZoneClosed})
+		}
+	}
+	return rows
+}
+
+// zonesSince returns the marks that changed after a revision, all closed zones for 0.
+func (c *Catalog) zonesSince(after uint64) []Zone {
+	var list []Zone
+	for _, name := range slices.Sorted(maps.Keys(c.zones)) {
+		if z := c.zones[name]; z.Revision > after && (after > 0 || z.Closed) {
+			list = append(list, z.Zone)
+		}
+	}
+	return list
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -295,6 +295,19 @@
 	return n
 }
 
+// KnownByZone returns how many routers are known in each zone, with this one: those
+// that live, and those that fell silent and are not forgotten. Routers that said that
+// they stop do not count.
+func (r *Roster) KnownByZone() map[string]int {
+	known := map[string]int{r.self.Zone: 1}
+	for _, m := range r.members {
+		if m.Inc > 0 && !m.leaving {
+			known[m.Zone]++
+		}
+	}
+	return known
+}
+
 // Get returns what is known of a router.
 func (r *Roster) Get(address string) (Member, bool) {
 	if address == r.self.Address {
--- a/pkg/table/delta.go
+++ b/pkg/table/delta.go
@@ -31,11 +31,12 @@
 type Routing struct {
 	Routes   []Route
 	Services []ServiceRow
+	Zones    []ZoneRow
 	Bounds   Bounds
 }
 
 func (t *Table) routing() *Routing {
-	return &Routing{Routes: t.Routes, Services: t.Services, Bounds: t.Bounds}
+	return &Routing{Routes: t.Routes, Services: t.Services, Zones: t.Zones, Bounds: t.Bounds}
 }
 
 // Diff returns the rows that differ between two versions.
@@ -67,7 +68,11 @@
 	return d
 }
 
-func (b *Backend) equal(c *Backend) bool {
+func (b *Backend) equal(c *Backend) bool { return b.SameButWarmup(c) && b.WarmupLeft == c.WarmupLeft }
+
+// SameButWarmup reports whether two rows differ in nothing but for how much longer the
+// backend server warms up.
+func (b *Backend) SameButWarmup(c *Backend) bool {
 	if len(b.Models) != len(c.Models) {
 		return false
 	}
@@ -94,7 +99,7 @@
 	}
 	next := &Table{
 		Revision: d.To, Accounts: accounts, Backends: backends,
-		Routes: routing.Routes, Services: routing.Services, Bounds: routing.Bounds,
+		Routes: routing.Routes, Services: routing.Services, Zones: routing.Zones, Bounds: routing.Bounds,
 	}
 	next.Index()
 	if next.Digest() != d.Digest {
--- a/pkg/table/parse.go
+++ b/pkg/table/parse.go
@@ -79,7 +79,11 @@
 	for i := range part.Services {
 		c.service(i, &part.Services[i])
 	}
+	for i := range part.Zones {
+		c.zone(i, &part.Zones[i])
+	}
 	c.bounds(t, &part.Bounds)
+	t.Zones = append(t.Zones, part.Zones...)
 	t.Accounts = append(t.Accounts, part.Accounts...)
 	t.Routes = append(t.Routes, part.Routes...)
 	t.Services = append(t.Services, part.Services...)
--- a/pkg/table/parse_route.go
+++ b/pkg/table/parse_route.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 )
@@ -55,6 +56,12 @@
 	if s.MaxConnections < 0 {
 		c.doc.Add("must not be below zero", "services", i, "max_connections")
 	}
+	if !(s.WarmupRate >= 0) || math.IsInf(s.WarmupRate, 0) {
+		c.doc.Add("must be a number that is not below zero", "services", i, "warmup_rate")
+	}
+	if s.WarmupTime < 0 {
+		c.doc.Add("must not be below zero", "services", i, "warmup_time")
+	}
 	if s.CacheTokens < 0 {
 		c.doc.Add("must not be below zero", "services", i, "cache_tokens")
 	}
--- a/pkg/table/route.go
+++ b/pkg/table/route.go
@@ -101,6 +101,11 @@
 	MaxConnections int `yaml:"max_connections" json:"max_connections"`
 	// Engine says that its backend servers are model engines.
 	Engine bool `yaml:"engine" json:"engine"`
+	// WarmupRate is how many requests a second a backend server bears while it
+	// warms up; 0 means that none does.
+	WarmupRate float64 `yaml:"warmup_rate" json:"warmup_rate,omitempty"`
+	// WarmupTime is for how long one warms up after its start.
+	WarmupTime time.Duration `yaml:"warmup_time" json:"warmup_time,omitempty"`
 	// CacheTokens is the memory of one backend server for prompts, in
 	// tokens; 0 means not stated.
 	CacheTokens int64 `yaml:"cache_tokens" json:"cache_tokens"`
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -2,6 +2,8 @@
 // a row for each backend server. A table is refused whole or taken whole.
 package table
 
+import "time"
+
 // Mark is what operators say of a backend server. Its values are the states
 // of the chart in pkg/chart/backend.yaml.
 type Mark string
@@ -79,6 +81,9 @@
 	Mark Mark `yaml:"mark" json:"mark"`
 	// ChecksFences says whether the backend server refuses stale orders.
 	ChecksFences bool `yaml:"checks_fences" json:"checks_fences"`
+	// WarmupLeft is for how much longer it is warming up, as of the moment when
+	// this was heard: until then it bears its service's WarmupRate only.
+	WarmupLeft time.Duration `yaml:"-" json:"warmup_left,omitempty"`
 }
 
 // Table is one version of the operators' table. It is never changed once
@@ -97,6 +102,8 @@
 	Routes []Route `yaml:"routes" json:"routes"`
 	// Services is in the order of the file.
 	Services []ServiceRow `yaml:"services" json:"services"`
+	// Zones are the availability zones that operators have marked.
+	Zones []ZoneRow `yaml:"zones" json:"zones,omitempty"`
 	// Bounds limit what callers may send.
 	Bounds Bounds `yaml:"bounds" json:"bounds"`
 
@@ -105,6 +112,8 @@
 	keys     map[string]int
 	hosts    map[string][]int
 	services map[string]int
+	// closedZones are the names of the closed availability zones.
+	closedZones map[string]bool
 }
 
 // Account returns the row of the named account.
@@ -173,4 +182,5 @@
 		t.backends[b.Name] = i
 	}
 	t.indexRoutes()
+	t.indexZones()
 }
--- a/test/docs_test.go
+++ b/test/docs_test.go
@@ -48,7 +48,7 @@
 
 // TestLogsPageNamesEveryEvent finds the events that the code logs.
 func TestLogsPageNamesEveryEvent(t *testing.T) {
-	call := regexp.MustCompile(`(?:[lL]og\.(?:Debug|Info|Warn|Error)\(|[lL]og\.LogAttrs\([^"]*?|Log\(c\.r\.ctx, level, )"([a-z_]+)"`)
+	call := regexp.MustCompile(`(?:[lL]og\.(?:Debug|Info|Warn|Error)\(|[lL]og\.LogAttrs\([^"]*?|Log\([a-z.]+, level, )"([a-z_]+)"`)
 	found := map[string]bool{}
 	for _, dir := range []string{"../internal", "../cmd"} {
 		err := filepath.WalkDir(dir, func(path string, _ os.DirEntry, err error) error {
