Work out owners and lists only where they change

Cause: each change of a router or of one backend server's row worked out every owner anew (3,000 backend servers x 100 routers of a zone) and sorted all lists; each tick, and each message's look whether something waits, went over all backend servers. Ruled out: the exchange of rosters, which BenchmarkFleetStart shows to be small. Change: owners change with the routers that joined or left; lists are made anew when rows come or go; places are kept for backend servers that are owned or in use; a prompt's order holds 256 backend servers at most.

--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -75,8 +75,12 @@
 	// lately with them; nil if nobody counts.
 	known   map[string]int
 	servers map[wire.Key]*server
-	// ordered are the servers by name.
+	// generation counts the tables.
+	generation uint64
+	// ordered are the servers by name, held those at which this router has acted as
+	// the owner.
 	ordered  []*server
+	held     []*server
 	services map[string]*service
 	requests map[uint64]*request
 	// waiting are the requests that have no place yet, by age.
@@ -222,8 +226,8 @@
 	if len(c.waiting) > 0 {
 		return true
 	}
-	for _, s := range c.ordered {
-		if s.owned != nil && len(s.owned.queue) > 0 {
+	for _, s := range c.held {
+		if len(s.owned.queue) > 0 {
 			return true
 		}
 	}
@@ -248,7 +252,7 @@
 // that it owns or has owned, by name.
 func (c *Core) Counted() map[string]int {
 	counted := map[string]int{}
-	for _, s := range c.servers {
+	for _, s := range c.held {
 		if s.owned != nil {
 			counted[s.Name] = s.owned.running
 		}
--- a/pkg/admit/order.go
+++ b/pkg/admit/order.go
@@ -2,14 +2,24 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 )
 
-// mostOrders bounds the orders that are remembered for a service. At 160 backend
-// servers they take 1.3 MB.
-const mostOrders = 1024
+const (
+	// mostOrders bounds the orders that are remembered for a service. With mostInOrder
+	// backend servers each they take 2 MB.
+	mostOrders = 1024
+	// mostInOrder bounds the backend servers that are considered for a prompt: of
+	// 3,000 a request looked at each several times.
+	mostInOrder = 256
+	// orderMargin is by how many times more than mostInOrder are sorted, so that the
+	// first of all are among them: the hashes are even, and 256 of 320 is 3.6
+	// standard deviations off.
+	orderMargin = 1.25
+)
 
 // orderFor returns the backend servers of a service in the order in which a
 // prompt with these shared parts is to be read there, by rendezvous hashing, which
@@ -37,18 +47,30 @@
 	return order
 }
 
+// leastWeight returns the weight from which backend servers are sorted into an order.
+func leastWeight(servers int) uint64 {
+	part := orderMargin * mostInOrder / float64(servers)
+	if part >= 1 {
+		return 0
+	}
+	return uint64((1 - part) * math.MaxUint64)
+}
+
 func workOutOrder(sv *service, prefix uint64) []*server {
 	type weighed struct {
 		*server
 		weight uint64
 	}
-	all := make([]weighed, 0, len(sv.servers))
+	least := leastWeight(len(sv.servers))
+	all := make([]weighed, 0, min(len(sv.servers), 2*mostInOrder))
 	for _, s := range sv.servers {
-		all = append(all, weighed{s, rendezvous.WeightOf(prefix, s.Name)})
+		if weight := rendezvous.WeightOf(prefix, s.Name); weight >= least {
+			all = append(all, weighed{s, weight})
+		}
 	}
 	slices.SortFunc(all, func(a, b weighed) int { return cmp.Compare(b.weight, a.weight) })
 	order := make([]*server, 0, len(all))
-	for _, w := range all {
+	for _, w := range all[:min(len(all), mostInOrder)] {
 		order = append(order, w.server)
 	}
 	return order
--- a/pkg/admit/owned.go
+++ b/pkg/admit/owned.go
@@ -51,9 +51,11 @@
 
 // ownedOf returns what this router knows of a backend server as its owner. It
 // acts as one for whoever takes it for the owner.
-func (s *server) ownedOf() *owned {
+func (c *Core) ownedOf(s *server) *owned {
 	if s.owned == nil {
 		s.owned = &owned{entries: map[entryKey]*entry{}}
+		at, _ := slices.BinarySearchFunc(c.held, s, byName)
+		c.held = slices.Insert(c.held, at, s)
 	}
 	return s.owned
 }
@@ -89,7 +91,7 @@
 		c.send(from, &wire.Reply{ID: m.ID, Server: m.Server, State: wire.PlaceDenied})
 		return
 	}
-	o := s.ownedOf()
+	o := c.ownedOf(s)
 	firstAsk := !m.Spill && !m.Begun
 	if firstAsk {
 		c.serviceOf(s).shortest.observe(c.now, time.Duration(m.TargetMillis)*time.Millisecond)
@@ -114,13 +116,13 @@
 }
 
 func (c *Core) answer(s *server, a *asking, state wire.PlaceState) {
-	o := s.ownedOf()
+	o := c.ownedOf(s)
 	c.send(a.from, &wire.Reply{ID: a.ID, Server: s.key, State: state, Running: o.running, Unread: o.unread})
 }
 
 // grant gives a request a place if there is one for it.
 func (c *Core) grant(s *server, a *asking) bool {
-	o := s.ownedOf()
+	o := c.ownedOf(s)
 	sv := c.serviceOf(s)
 	toRead := o.toRead(a.Ask, c.now)
 	if !c.hasPlace(sv, s, a, toRead) {
@@ -129,7 +131,7 @@
 	fetch := a.Fetch && !o.keeps(a.Ask, c.now)
 	e := &entry{unread: toRead, ahead: o.unread + toRead, since: c.now, heard: c.now}
 	o.add(entryKey{a.from, a.ID}, e)
-	s.noteStart(c.now)
+	c.noteStart(s)
 	if a.Prefix != 0 {
 		o.known.note(a.Prefix, c.now)
 	}
@@ -156,8 +158,8 @@
 
 // serveOwned gives what places there are at this router's backend servers.
 func (c *Core) serveOwned() {
-	for _, s := range c.ordered {
-		if s.owned != nil && len(s.owned.queue) > 0 {
+	for _, s := range c.held {
+		if len(s.owned.queue) > 0 {
 			c.serveQueue(s)
 		}
 	}
@@ -221,12 +223,12 @@
 	if !ok {
 		return
 	}
-	o := s.ownedOf()
+	o := c.ownedOf(s)
 	key := entryKey{from, m.ID}
 	switch m.Kind {
 	case wire.NoteStarted:
 		o.add(key, &entry{unread: m.Unread, since: c.now, heard: c.now})
-		s.noteStart(c.now)
+		c.noteStart(s)
 		return
 	case wire.NoteFirst:
 		if e, ok := o.entries[key]; ok {
@@ -266,7 +268,7 @@
 }
 
 func (c *Core) replaceHeld(s *server, from string, h wire.Held) {
-	o := s.ownedOf()
+	o := c.ownedOf(s)
 	listed := make(map[uint64]bool, len(h.IDs))
 	for i, id := range h.IDs {
 		listed[id] = true
@@ -288,10 +290,7 @@
 
 // dropHolder forgets all that a router had under way and asked for.
 func (c *Core) dropHolder(from string) {
-	for _, s := range c.ordered {
-		if s.owned == nil {
-			continue
-		}
+	for _, s := range c.held {
 		for key := range s.owned.entries {
 			if key.holder == from {
 				s.owned.remove(key)
@@ -302,6 +301,9 @@
 	}
 }
 
+// idle reports whether nothing is under way or waits.
+func (o *owned) idle() bool { return len(o.entries) == 0 && len(o.queue) == 0 }
+
 // dropLost forgets requests whose holders do not tell of them any more.
 func (o *owned) dropLost(now time.Duration) {
 	for key, e := range o.entries {
--- a/pkg/admit/peer.go
+++ b/pkg/admit/peer.go
@@ -120,11 +120,14 @@
 			c.forgetFlows(from)
 		}
 	}
-	for _, s := range c.ordered {
-		if s.owned != nil {
-			s.owned.dropLost(c.now)
+	c.held = slices.DeleteFunc(c.held, func(s *server) bool {
+		s.owned.dropLost(c.now)
+		if s.owner == c.opt.self.Address || !s.owned.idle() {
+			return false
 		}
-	}
+		s.owned = nil
+		return true
+	})
 }
 
 // Telling is what a router tells others, made once for all of them.
--- a/pkg/admit/place.go
+++ b/pkg/admit/place.go
@@ -46,7 +46,7 @@
 
 // hasPlace reports whether a request can be started at a backend server now.
 func (c *Core) hasPlace(sv *service, s *server, a *asking, toRead int64) bool {
-	o := s.ownedOf()
+	o := c.ownedOf(s)
 	if s.isWarming(c.now) && !c.mayGiveWarming(s) {
 		return false
 	}
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -1,12 +1,10 @@
 package admit
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
@@ -17,9 +15,12 @@
 	key wire.Key
 	// joined is when this router first saw it in the directory.
 	joined time.Duration
-	// owner is the router that gives places there, ownedSince when this router last
-	// became it.
+	// generation is the last table that lists it.
+	generation uint64
+	// owner is the router that gives places there, ownerScore its score among those
+	// that might, ownedSince when this router last became it.
 	owner      string
+	ownerScore float64
 	ownedSince time.Duration
 	// closed says that its zone is closed to new requests.
 	closed bool
@@ -105,52 +106,6 @@
 	engine bool
 }
 
-// View replaces the table and the directory.
-type View struct{ Table *table.Table }
-
-func (e View) apply(c *Core) {
-	old := c.servers
-	c.servers = make(map[wire.Key]*server, len(e.Table.Backends))
-	for _, s := range c.services {
-		s.servers, s.orders = nil, nil
-	}
-	for _, b := range e.Table.Backends {
-		key := wire.KeyOf(b.Name)
-		s, ok := old[key]
-		if !ok {
-			s = &server{key: key, joined: c.now, own: map[uint64]*request{}}
-		}
-		s.Backend = b
-		s.closed = e.Table.ZoneIsClosed(b.Zone)
-		s.setWarmup(e.Table, c.now)
-		c.servers[key] = s
-		for _, m := range b.Models {
-			sv := c.service(m)
-			sv.servers = append(sv.servers, s)
-		}
-	}
-	for _, row := range e.Table.Services {
-		c.service(row.Name).engine = row.Engine
-	}
-	c.stated = e.Table.Bounds.TokensPerSecond
-	c.keepRunning(old)
-	c.ordered = slices.SortedFunc(maps.Values(c.servers), func(a, b *server) int { return cmp.Compare(a.Name, b.Name) })
-	c.assignOwners()
-	c.serveOwned()
-	c.advanceWaiting()
-}
-
-// keepRunning keeps the backend servers that are gone from the directory while
-// requests of this router run there.
-func (c *Core) keepRunning(old map[wire.Key]*server) {
-	for key, s := range old {
-		if _, ok := c.servers[key]; !ok && len(s.own) > 0 {
-			s.Mark = table.Leaving
-			c.servers[key] = s
-		}
-	}
-}
-
 func (c *Core) service(name string) *service {
 	s, ok := c.services[name]
 	if !ok {
@@ -163,98 +118,6 @@
 // serviceOf returns the service of a backend server.
 func (c *Core) serviceOf(s *server) *service { return c.service(s.Models[0]) }
 
-// Routers replaces the routers that are heard and do not leave, without this
-// one.
-type Routers struct {
-	List []Router
-	// Leaving says that this router leaves.
-	Leaving bool
-	// Known is how many routers are known in each zone: those listed, this one, and
-	// those that fell silent lately. Nil if nobody counts.
-	Known map[string]int
-}
-
-func (e Routers) apply(c *Core) {
-	c.known = e.Known
-	c.routers = slices.Clone(e.List)
-	if len(e.List) > 0 && c.joined == 0 {
-		c.joined = c.now
-	}
-	if !e.Leaving || len(c.routers) == 0 {
-		c.routers = append(c.routers, c.opt.self)
-	}
-	c.assignOwners()
-	c.advanceWaiting()
-}
-
-// assignOwners finds the owner of each backend server, and tells a new one what
-// is under way there.
-func (c *Core) assignOwners() {
-	c.accounts.capacity = c.stated * c.reachable()
-	byZone := map[string][]Router{}
-	for _, r := range c.routers {
-		byZone[r.Zone] = append(byZone[r.Zone], r)
-	}
-	for _, s := range c.ordered {
-		from := byZone[s.Zone]
-		if len(from) == 0 {
-			from = c.routers
-		}
-		owner := ownerOf(s.Name, from)
-		if owner == s.owner {
-			continue
-		}
-		s.owner = owner
-		if owner == c.opt.self.Address {
-			s.ownedSince = c.now
-		}
-		c.tellHeld(s)
-	}
-}
-
-// reachable returns which part of the engines is in zones of which a router is
-// heard and that are not closed, 1 if there are no engines.
-func (c *Core) reachable() float64 {
-	zones := map[string]bool{c.opt.self.Zone: true}
-	for _, r := range c.routers {
-		zones[r.Zone] = true
-	}
-	all, near := 0, 0
-	for _, s := range c.ordered {
-		if !c.serviceOf(s).engine {
-			continue
-		}
-		all++
-		if zones[s.Zone] && !s.closed {
-			near++
-		}
-	}
-	if all == 0 {
-		return 1
-	}
-	return float64(near) / float64(all)
-}
-
-// ownerOf returns the router that owns a backend server: each owns a part that
-// is proportional to its capacity.
-func ownerOf(server string, routers []Router) string {
-	best, most := "", 0.0
-	for _, r := range routers {
-		score := rendezvous.Score(server, r.Address, r.capacity())
-		if best == "" || score > most || score == most && r.Address < best {
-			best, most = r.Address, score
-		}
-	}
-	return best
-}
-
-func (r *Router) capacity() float64 {
-	if r.Capacity <= 0 {
-		return 1
-	}
-	return r.Capacity
-}
-
 // tellHeld tells the owner of a backend server what this router has there.
 func (c *Core) tellHeld(s *server) {
 	if len(s.own) > 0 || s.owner == c.opt.self.Address {
--- a/pkg/admit/upkeep_bench_test.go
+++ b/pkg/admit/upkeep_bench_test.go
@@ -64,8 +64,9 @@
 	for _, n := range upkeepSizes {
 		b.Run(fmt.Sprint(n[1]), func(b *testing.B) {
 			c, _, _ := upkeepFleet(n[0], n[1])
+			c.Step(2*time.Hour, admit.Tick{})
 			for b.Loop() {
-				c.Step(time.Hour, admit.Tick{})
+				c.Step(2*time.Hour, admit.Tick{})
 				if c.Busy() {
 					b.Fatal("busy")
 				}
--- a/pkg/admit/warmup.go
+++ b/pkg/admit/warmup.go
@@ -52,9 +52,9 @@
 }
 
 // noteStart counts a request that is sent to a backend server.
-func (s *server) noteStart(now time.Duration) {
+func (c *Core) noteStart(s *server) {
 	if s.warmupRate > 0 {
-		s.ownedOf().pace.note(now, s.warmupRate)
+		c.ownedOf(s).pace.note(c.now, s.warmupRate)
 	}
 }
 
@@ -93,7 +93,7 @@
 	if c.now-s.ownedSince < warmupWindow {
 		rate *= newOwnerPart
 	}
-	return s.ownedOf().pace.mayGive(c.now, rate)
+	return c.ownedOf(s).pace.mayGive(c.now, rate)
 }
 
 // isOnlyOwner reports whether no other router can take itself for the owner of a
--- a/pkg/admit/world_test.go
+++ b/pkg/admit/world_test.go
@@ -16,11 +16,11 @@
 // world runs several cores on one simulated clock, with a network that may
 // delay and lose messages and engines that read prompts one after the other.
 type world struct {
-	now     time.Duration
-	rng     *rand.Rand
-	table   *table.Table
+	now   time.Duration
+	rng   *rand.Rand
+	table *table.Table
 	// sent are the times at which requests were sent to a backend server, by name.
-	sent map[string][]time.Duration
+	sent    map[string][]time.Duration
 	events  timeline
 	seq     int
 	cores   map[string]*admit.Core
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -59,8 +59,8 @@
 		news []catalog.News
 		want state
 	}{
-		"whole":         {[]catalog.News{whole}, state{10, 4, []string{"a", "b"}, nil}},
-		"zone closed":   {[]catalog.News{whole, {After: 10, AsOf: 11, Zones: []catalog.Zone{closed("x", 11)}}}, state{11, 4, []string{"a", "b"}, []string{"x"}}},
+		"whole":       {[]catalog.News{whole}, state{10, 4, []string{"a", "b"}, nil}},
+		"zone closed": {[]catalog.News{whole, {After: 10, AsOf: 11, Zones: []catalog.Zone{closed("x", 11)}}}, state{11, 4, []string{"a", "b"}, []string{"x"}}},
 		"zone opened": {
 			[]catalog.News{whole, {After: 10, AsOf: 12, Zones: []catalog.Zone{closed("x", 11), closed("y", 12)}}, {After: 12, AsOf: 13, Zones: []catalog.Zone{opened("x", 13)}}},
 			state{13, 4, []string{"a", "b"}, []string{"y"}}},
