Refuse what there is no time for before the HTTP server has the connection

Ruled out as the larger part: shares and owners (over-share and busy are a third). Change: a router that is short of time reads a new connection's head itself, screens the request, and writes the refusal; what is not plain or not refused goes to the HTTP server with what was read, screened once.

--- a/internal/front/connections.go
+++ b/internal/front/connections.go
@@ -51,12 +51,36 @@
 	all *connections
 	// refuse says that its request is refused.
 	refuse bool
+	// unread is what was read of it before the HTTP server had it; screened says that
+	// its first request has been screened then.
+	unread   []byte
+	screened bool
 	// place is its element in the idle list, nil while it has a request; closed
 	// says that it has been closed. Both are guarded by all.mu.
 	place  *list.Element
 	closed bool
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	if len(c.unread) > 0 {
+		n := copy(p, c.unread)
+		c.unread = c.unread[n:]
+		return n, nil
+	}
+	return c.Conn.Read(p)
+}
+
+// wasScreened reports whether the request that is read now was screened before the HTTP
+// server had its connection.
+func (c *conn) wasScreened() bool {
+	was := c != nil && c.screened
+	if was {
+		c.screened = false
+	}
+	return was
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.all.mu.Lock()
--- a/internal/front/dialect.go
+++ b/internal/front/dialect.go
@@ -80,14 +80,9 @@
 // readPrompt reads what the headers state of the prompt.
 func (d *Dialect) readPrompt(h http.Header) (prompt, *verdict.Error) {
 	var p prompt
-	if text := h.Get(d.Tokens); d.Tokens != "" && text != "" {
-		in, out, _ := strings.Cut(text, ",")
-		var err1, err2 error
-		p.tokens, err1 = strconv.ParseInt(strings.TrimSpace(in), 10, 64)
-		if out != "" {
-			p.output, err2 = strconv.ParseInt(strings.TrimSpace(out), 10, 64)
-		}
-		if err1 != nil || err2 != nil || p.tokens < 0 || p.output < 0 {
+	if d.Tokens != "" {
+		var ok bool
+		if p, ok = statedTokens(h.Get(d.Tokens)); !ok {
 			return p, badHeader(d.Tokens)
 		}
 	}
@@ -97,6 +92,20 @@
 	return p, nil
 }
 
+// statedTokens reads the sizes that a caller states, "" for none.
+func statedTokens(text string) (p prompt, ok bool) {
+	if text == "" {
+		return p, true
+	}
+	in, out, _ := strings.Cut(text, ",")
+	var err1, err2 error
+	p.tokens, err1 = strconv.ParseInt(strings.TrimSpace(in), 10, 64)
+	if out != "" {
+		p.output, err2 = strconv.ParseInt(strings.TrimSpace(out), 10, 64)
+	}
+	return p, err1 == nil && err2 == nil && p.tokens >= 0 && p.output >= 0
+}
+
 // readParts adds up all parts but the last, which is the request's own.
 func (p *prompt) readParts(text, header string) *verdict.Error {
 	own := strings.LastIndexByte(text, ',')
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -36,13 +36,19 @@
 	calls    chan backend.Call
 	asked    chan front.Request
 	overload atomic.Bool
+	hurried  atomic.Bool
+	screens  atomic.Int64
 	screened *verdict.Error
 }
 
-func (f *fake) Table() *table.Table                      { return f.t }
-func (f *fake) MayRetry(front.Request) bool              { return true }
-func (f *fake) Overloaded() bool                         { return f.overload.Load() }
-func (f *fake) Screen(front.Request) *verdict.Error      { return f.screened }
+func (f *fake) Table() *table.Table         { return f.t }
+func (f *fake) MayRetry(front.Request) bool { return true }
+func (f *fake) Overloaded() bool            { return f.overload.Load() }
+func (f *fake) Hurried() bool               { return f.hurried.Load() }
+func (f *fake) Screen(front.Request) *verdict.Error {
+	f.screens.Add(1)
+	return f.screened
+}
 func (f *fake) Release(front.Grant, front.Usage)         { f.released.Add(1) }
 func (f *fake) Claim(context.Context, front.Claim) error { return f.claimErr }
 func (f *fake) Unclaim(front.Claim)                      { f.voided.Add(1) }
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -144,7 +144,7 @@
 		_ = nc.Close()
 		return
 	}
-	s.current(addr).serveConn(c)
+	s.serveNew(c, addr)
 }
 
 // endsConnections reports whether each answer ends its connection: this router
--- a/internal/front/refuse_bench_test.go
+++ b/internal/front/refuse_bench_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,9 +22,18 @@
 
 // BenchmarkRefusedUnseen has a caller open a connection for each request, which the
 // scheduler refuses before its body is read, with the log and the metrics of a router.
-// Caller and router share the process: a profile tells them apart.
+// Caller and router share the process: a profile tells them apart. A router that is short
+// of time refuses before its HTTP server has the connection.
 func BenchmarkRefusedUnseen(b *testing.B) {
+	for name, hurried := range map[string]bool{"InTime": false, "Hurried": true} {
+		b.Run(name, func(b *testing.B) { benchRefused(b, hurried) })
+	}
+}
+
+func benchRefused(b *testing.B, hurried bool) {
 	f := &fake{t: newTable(b), results: []backend.Result{{}}}
+	f.overload.Store(true)
+	f.hurried.Store(hurried)
 	f.screened = verdict.New(verdict.PhaseAdmit, http.StatusTooManyRequests, "over-share", "come back as told").After(time.Second)
 	f.t.Routes = []table.Route{{Name: "r", Host: "forms.example", Prefix: "/a/", Target: time.Second, Stream: true, Targets: []table.Target{{Service: "scores", Weight: 1}}}}
 	f.t.Index()
@@ -42,6 +52,7 @@
 	defer func() { _ = srv.Close() }()
 	body := strings.Repeat("x", 2400)
 	b.ReportAllocs()
+	begun := processorTime(b)
 	for i := range b.N {
 		conn, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
@@ -56,4 +67,14 @@
 		_ = resp.Body.Close()
 		_ = conn.Close()
 	}
+	b.ReportMetric(float64((processorTime(b)-begun).Microseconds())/float64(b.N), "processor-us/op")
+}
+
+// processorTime returns the processor time of this process.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -80,8 +80,10 @@
 	if err := s.readStated(a, r); err != nil {
 		return err
 	}
-	if err := s.scheduler.Screen(a.request()); err != nil {
-		return err
+	if !connOf(r).wasScreened() {
+		if err := s.scheduler.Screen(a.request()); err != nil {
+			return err
+		}
 	}
 	body, err := s.readBody(w, r)
 	a.body = body
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -18,6 +18,8 @@
 	// Overloaded reports whether this router cannot keep up with its requests,
 	// so that callers had better come by another one.
 	Overloaded() bool
+	// Hurried reports whether this router is short of time.
+	Hurried() bool
 	// Acquire waits for a slot. Its error is a *verdict.Error, or ctx's.
 	Acquire(ctx context.Context, r Request) (Grant, error)
 	// Release gives the slot back.
