Show closed zones, and routers of either scheduler, in yarrowctl status

Cause: status could only read routers that own pools; of one before the operators' platform it said that it does not answer. Change: a row reads either kind and has a column for closed zones. Test: TestStatusRows.

--- a/cmd/yarrowctl/cmd_status.go
+++ b/cmd/yarrowctl/cmd_status.go
@@ -12,7 +12,6 @@
 	"github.com/yarrowmast/yarrowmast/internal/command"
 	"github.com/yarrowmast/yarrowmast/internal/config"
 	"github.com/yarrowmast/yarrowmast/internal/fleet"
-	"github.com/yarrowmast/yarrowmast/internal/router"
 	"github.com/yarrowmast/yarrowmast/internal/tlsconf"
 )
 
@@ -64,7 +63,7 @@
 
 var cmdStatus = &command.Command{
 	Name:        "status",
-	Description: "shows every router: table in force, owned pools, waiting and running requests",
+	Description: "shows every router: table in force, owned pools or backend servers, closed zones, waiting and running requests",
 	Flags:       statusArgs.flags,
 	Run:         runStatus,
 }
@@ -74,20 +73,18 @@
 	if err != nil {
 		return err
 	}
-	answers := fleet.Ask[router.Status](asker, routers, admin.PathStatus)
+	answers := fleet.Ask[*statusRow](asker, routers, admin.PathStatus)
 	if statusArgs.json {
 		return json.NewEncoder(c.Out).Encode(answers)
 	}
 	t := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "router\tzone\ttable\tpools\twaiting\trunning\tleases\tidle\tstate")
+	_, _ = fmt.Fprintln(t, statusHead)
 	for _, a := range answers {
 		if a.Error != "" {
-			_, _ = fmt.Fprintf(t, "%s\t?\t?\t?\t?\t?\t?\t?\tno answer: %s\n", a.Router.Name, a.Error)
+			_, _ = fmt.Fprintf(t, "%s\t?\t?\t?\t?\t?\t?\t?\t?\tno answer: %s\n", a.Router.Name, a.Error)
 			continue
 		}
-		s := a.Value
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", s.Name, s.Zone, s.Table, len(s.Pools),
-			s.AllWaiting(), s.AllRunning(), s.Leases, s.IdleLeases, s.State())
+		_, _ = fmt.Fprintln(t, a.Value.columns())
 	}
 	if err := t.Flush(); err != nil {
 		return err
--- /dev/null
+++ b/cmd/yarrowctl/status_row.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/yarrowmast/yarrowmast/internal/dispatch"
+	"github.com/yarrowmast/yarrowmast/internal/router"
+)
+
+// statusRow is one router's status, of either scheduler.
+type statusRow struct {
+	// Pools is the status of a router that owns pools, Servers that of one that owns
+	// backend servers. One of them is nil.
+	Pools   *router.Status
+	Servers *dispatch.Status
+}
+
+// UnmarshalJSON implements json.Unmarshaler: only a router that owns backend servers
+// tells its turn to read the platform.
+func (s *statusRow) UnmarshalJSON(data []byte) error {
+	var kind struct {
+		Turn *int64 `json:"reader_turn"`
+	}
+	if err := json.Unmarshal(data, &kind); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	var into any
+	if kind.Turn != nil {
+		s.Servers = &dispatch.Status{}
+		into = s.Servers
+	} else {
+		s.Pools = &router.Status{}
+		into = s.Pools
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	return nil
+}
+
+// MarshalJSON implements json.Marshaler: as the router told it.
+func (s *statusRow) MarshalJSON() ([]byte, error) {
+	if s.Servers != nil {
+		return json.Marshal(s.Servers)
+	}
+	return json.Marshal(s.Pools)
+}
+
+// statusHead names the columns of columns.
+const statusHead = "router\tzone\ttable\towned\twaiting\trunning\tleases\tidle\tclosed zones\tstate"
+
+// columns are a router's values in a line.
+func (s *statusRow) columns() string {
+	if p := s.Pools; p != nil {
+		return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t-\t%s", p.Name, p.Zone, p.Table, len(p.Pools), p.AllWaiting(), p.AllRunning(), p.Leases, p.IdleLeases, p.State())
+	}
+	d := s.Servers
+	closed := "-"
+	if len(d.ClosedZones) > 0 {
+		closed = strings.Join(d.ClosedZones, ",")
+	}
+	return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t-\t-\t-\t%s\t%s", d.Name, d.Zone, d.Table, len(d.Owned), d.Waiting, closed, d.State())
+}
--- /dev/null
+++ b/cmd/yarrowctl/status_row_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/yarrowmast/yarrowmast/internal/dispatch"
+	"github.com/yarrowmast/yarrowmast/internal/router"
+)
+
+// TestStatusRows reads what routers of either scheduler tell of themselves.
+func TestStatusRows(t *testing.T) {
+	tests := map[string]struct {
+		told any
+		want []string
+	}{
+		"owner of pools": {
+			router.Status{Name: "a", Zone: "x", Table: 7, Pools: []string{"p"}, Waiting: map[string]map[string]int{"m": {"moka": 2}}},
+			[]string{"a", "x", "7", "1", "2", "0", "0", "0", "-", "serving"}},
+		"owner of backend servers": {
+			dispatch.Status{Name: "b", Zone: "y", Table: 9, Owned: []string{"i-1", "i-2"}, Waiting: 3, ClosedZones: []string{"y", "z"}},
+			[]string{"b", "y", "9", "2", "3", "-", "-", "-", "y,z", "serving"}},
+		"starting": {dispatch.Status{Name: "c", Zone: "y"}, []string{"c", "y", "0", "0", "0", "-", "-", "-", "-", "starting"}},
+		"stopping": {dispatch.Status{Name: "c", Zone: "y", Table: 1, Draining: true}, []string{"c", "y", "1", "0", "0", "-", "-", "-", "-", "stopping"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			data, err := json.Marshal(tc.told)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var row statusRow
+			if err := json.Unmarshal(data, &row); err != nil {
+				t.Fatal(err)
+			}
+			if got := row.columns(); got != strings.Join(tc.want, "\t") {
+				t.Errorf("%q, want %q", got, tc.want)
+			}
+			if again, err := json.Marshal(&row); err != nil || string(again) != string(data) {
+				t.Errorf("printed as %s (%v), told as %s", again, err, data)
+			}
+		})
+	}
+	var row statusRow
+	if err := json.Unmarshal([]byte(`{"reader_turn":"x"}`), &row); err == nil {
+		t.Error("a status that cannot be read is no error")
+	}
+}
