Let plain backend servers queue what they can answer in time

Cause: a place at a plain service was given for 1.5 requests a slot; the rest were refused as busy and came back after 60 to 120 ms, late for a target of 150 ms (3 servers with 6 slots, 300 to 510 requests a second of 31 ms). Change: 2.5 a slot: nine that wait take one and a half times a request's time.

--- a/pkg/admit/place.go
+++ b/pkg/admit/place.go
@@ -24,8 +24,10 @@
 	// longer than that, may wait behind others.
 	behindPart = 0.25
 	// queueAtService is how many requests for each slot a plain service may
-	// have, since it has a queue of its own.
-	queueAtService = 1.5
+	// have, since it has a queue of its own: who waits there for one and a half times
+	// as long as a request takes is answered in time where the target is five times
+	// that, and who is refused comes back late.
+	queueAtService = 2.5
 	// spillPart of what it may use otherwise is left to a request that goes
 	// where its shared parts must be read again: only where one backend server
 	// is much less busy than another is that worth its while.
