Tries that come too late yield to those that can be answered in time

Cause: of a flood beyond its account's share a part is let in by draw, whether a request comes for the first time or back after a refusal; a fifth of all answers came late, while requests that could have been in time were refused and came back late in their turn. Change: how long callers of a route wait at most is learned; who states less by more than the target is late, and is let in by what those in time leave.

--- a/internal/front/early.go
+++ b/internal/front/early.go
@@ -131,14 +131,15 @@
 	if !ok {
 		return nil, false
 	}
-	wait := min(time.Duration(min(f.deadline, MaxDeadline.Milliseconds()))*time.Millisecond, MaxDeadline)
+	wait := time.Duration(min(f.deadline, MaxDeadline.Milliseconds())) * time.Millisecond
+	late := s.usual.isLate(time.Now(), route.Name, wait, route.Target)
 	if route.Timeout > 0 {
 		wait = min(wait, route.Timeout)
 	}
 	return &head{
 		request: Request{
 			ID: f.id, Account: account.Name, Model: route.Pick(rand.Float64()), Deadline: time.Now().Add(wait),
-			Prompt: stated.tokens, Output: stated.output, Target: route.Target,
+			Prompt: stated.tokens, Output: stated.output, Target: route.Target, Late: late,
 		},
 		id: f.id, body: f.body, stated: stated,
 	}, true
