Pace backend servers that fell silent as after a start

Cause: a backend server that was dark for less time than its entry lasts comes back cold before its entry says so; every router then tries it once a second. Change: its owner takes it for warming for the table's time once a holder could not reach it or heard nothing of it.

--- a/pkg/admit/owned.go
+++ b/pkg/admit/owned.go
@@ -235,6 +235,7 @@
 			c.firstCame(s, e, time.Duration(m.Millis)*time.Millisecond)
 		}
 	case wire.NoteEnded:
+		s.doubt(c.now, Result(m.Result))
 		o.remove(key)
 	case wire.NoteCancel:
 		o.queue = slices.DeleteFunc(o.queue, func(a *asking) bool { return a.from == from && a.ID == m.ID })
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -27,6 +27,9 @@
 	// warmUntil is until when it bears warmupRate requests a second only.
 	warmUntil  time.Duration
 	warmupRate float64
+	// warmupTime is for how long it warms up after a start, doubtUntil until when it
+	// may have started anew without having said so.
+	warmupTime, doubtUntil time.Duration
 	// own are the requests that this router has under way there.
 	own map[uint64]*request
 	// seen is what its owner last told is under way there, and when.
--- a/pkg/admit/warmup.go
+++ b/pkg/admit/warmup.go
@@ -59,7 +59,17 @@
 }
 
 // isWarming reports whether a backend server bears only its warm-up rate.
-func (s *server) isWarming(now time.Duration) bool { return s.warmupRate > 0 && now < s.warmUntil }
+func (s *server) isWarming(now time.Duration) bool {
+	return s.warmupRate > 0 && now < max(s.warmUntil, s.doubtUntil)
+}
+
+// doubt notes how a request ended at a backend server: one that could not be reached, or
+// said nothing, may come back as after a start, before its entry says so.
+func (s *server) doubt(now time.Duration, r Result) {
+	if s.warmupRate > 0 && (r == Silent || r == Unreached) {
+		s.doubtUntil = now + s.warmupTime
+	}
+}
 
 // Warming returns how many backend servers warm up.
 func (c *Core) Warming() int {
@@ -74,10 +84,10 @@
 
 // setWarmup takes in what the table says of a backend server's warm-up.
 func (s *server) setWarmup(t *table.Table, now time.Duration) {
-	s.warmupRate = 0
+	s.warmupRate, s.warmupTime = 0, 0
 	for _, m := range s.Models {
 		if row, ok := t.ServiceByName(m); ok {
-			s.warmupRate = row.WarmupRate
+			s.warmupRate, s.warmupTime = row.WarmupRate, row.WarmupTime
 		}
 	}
 	s.warmUntil = now + s.WarmupLeft
--- a/pkg/admit/warmup_test.go
+++ b/pkg/admit/warmup_test.go
@@ -162,6 +162,28 @@
 	}
 }
 
+// TestServerThatFellSilentIsPaced has requests find a backend server dark, and then well
+// again: until it would have said that it warms up it gets no more than it bears then.
+func TestServerThatFellSilentIsPaced(t *testing.T) {
+	for name, result := range map[string]admit.Result{"silent": admit.Silent, "not reached": admit.Unreached} {
+		t.Run(name, func(t *testing.T) {
+			w := warmWorld(1)
+			w.run(3 * time.Second)
+			for id, s := range w.starts {
+				if s.Backend.Name == warming && s.first == 0 {
+					w.step(s.router, admit.End{ID: id, Result: result})
+				}
+			}
+			w.run(w.now + 10*time.Millisecond)
+			from := w.now
+			w.run(from + 2*time.Second)
+			if got := w.mostInASecond(warming, from, w.now); float64(got) > mostWarm || got < warmRate/2 {
+				t.Errorf("%d requests in a second after it came back, want some and at most %v", got, mostWarm)
+			}
+		})
+	}
+}
+
 // TestWarmUpEnds looks for full use once a backend server says that it is warm.
 func TestWarmUpEnds(t *testing.T) {
 	w := warmWorld(1)
