--- a/internal/dispatch/screen.go
+++ b/internal/dispatch/screen.go
@@ -36,58 +36,6 @@
 	refused map[wire.Key]float64
 	// count counts the refused requests since the start.
 	count atomic.Int64
-	// come is what came lately of the accounts of which a part is refused.
-	come map[wire.Key]*comings
-}
-
-// comings counts the requests of an account, and those of them that were in time when
-// they came, of which older ones count less.
-type comings struct{ all, inTime float64 }
-
-// comingsFade is what remains of the counts at each screenEvery: they are of the last
-// half second.
-const comingsFade = 0.9
-
-// yield returns which part of an account's requests of a kind is tried, where a part of
-// all of them is: those whose target had passed when they came yield to those that can
-// still be answered in time, which is worth three times as much to their callers. Of
-// requests that come twice at most, where one in three can be served, serving both kinds
-// alike serves half as many in time.
-func (sc *screen) yield(key wire.Key, part float64, late bool) float64 {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	if sc.come == nil {
-		sc.come = map[wire.Key]*comings{}
-	}
-	c, ok := sc.come[key]
-	if !ok {
-		c = &comings{}
-		sc.come[key] = c
-	}
-	c.all++
-	if !late {
-		c.inTime++
-	}
-	inTime := c.inTime / c.all
-	switch {
-	case !late:
-		return min(1, part/inTime)
-	case inTime < 1:
-		return max(0, (part-inTime)/(1-inTime))
-	default:
-		return part
-	}
-}
-
-// fadeComings lets counts fade, and forgets accounts that do not come any more.
-func (sc *screen) fadeComings() {
-	for key, c := range sc.come {
-		c.all *= comingsFade
-		c.inTime *= comingsFade
-		if c.all < 1 {
-			delete(sc.come, key)
-		}
-	}
 }
 
 // Screen implements front.Scheduler.
@@ -100,8 +48,7 @@
 	// What is refused for the one reason takes no time either, so that the lesser
 	// part counts and not both: else an account whose callers come to few small
 	// routers gets a fraction of its share.
-	part := min(share, inTime)
-	if part >= 1 || rand.Float64() < d.screen.yield(key, part, r.Late) {
+	if rand.Float64() < min(share, inTime) {
 		return nil
 	}
 	d.screen.note(key, r)
@@ -146,7 +93,6 @@
 	if len(refused) > 0 {
 		sc.refused = map[wire.Key]float64{}
 	}
-	sc.fadeComings()
 	sc.mu.Unlock()
 	for key, tokens := range refused {
 		s.core.Screened(s.now, key, tokens)
--- a/internal/front/early.go
+++ b/internal/front/early.go
@@ -131,15 +131,14 @@
 	if !ok {
 		return nil, false
 	}
-	wait := time.Duration(min(f.deadline, MaxDeadline.Milliseconds())) * time.Millisecond
-	late := s.usual.isLate(time.Now(), route.Name, wait, route.Target)
+	wait := min(time.Duration(min(f.deadline, MaxDeadline.Milliseconds()))*time.Millisecond, MaxDeadline)
 	if route.Timeout > 0 {
 		wait = min(wait, route.Timeout)
 	}
 	return &head{
 		request: Request{
 			ID: f.id, Account: account.Name, Model: route.Pick(rand.Float64()), Deadline: time.Now().Add(wait),
-			Prompt: stated.tokens, Output: stated.output, Target: route.Target, Late: late,
+			Prompt: stated.tokens, Output: stated.output, Target: route.Target,
 		},
 		id: f.id, body: f.body, stated: stated,
 	}, true
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -45,8 +45,6 @@
 	// lastEvent is the last event that the caller has.
 	lastEvent uint64
 	began     bool
-	// late says that its target had passed when it came.
-	late bool
 	// doubt says that the request may have run already.
 	doubt bool
 	// paid says that the next attempt was taken out of the allowance already.
@@ -117,7 +115,6 @@
 	if !ok {
 		return badHeader(d.Deadline)
 	}
-	a.route.late = s.usual.isLate(a.arrived, a.route.Name, wait, a.route.Target)
 	a.deadline = a.arrived.Add(wait)
 	if held := a.arrived.Add(a.route.Timeout); a.route.Timeout > 0 && held.Before(a.deadline) {
 		a.deadline = held
@@ -142,7 +139,7 @@
 	req.Target = x.Target
 	req.Patience = x.Target / patiencePart
 	req.Avoid = x.avoid
-	req.Late, req.Begun = x.late, x.doubt
+	req.Begun = x.doubt
 }
 
 // tried notes how an attempt ended.
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -58,8 +58,6 @@
 	// Patience is how long the request may wait before it is refused; 0 means
 	// until its deadline.
 	Patience time.Duration
-	// Late says that its target has passed: it was refused before, and came back.
-	Late bool
 	// Begun says that the request may have run at one of the backend servers
 	// that it was sent to.
 	Begun bool
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -92,7 +92,6 @@
 	requests    atomic.Int64
 	callers     atomic.Pointer[Callers]
 	reserved    reserved
-	usual       usualWaits
 	connections connections
 	crowdLog    throttle
 	draining    atomic.Bool
