--- a/cmd/yarrowctl/status_row.go
+++ b/cmd/yarrowctl/status_row.go
@@ -54,12 +54,24 @@
 // columns are a router's values in a line.
 func (s *statusRow) columns() string {
 	if p := s.Pools; p != nil {
-		return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t-\t%s", p.Name, p.Zone, p.Table, len(p.Pools), p.AllWaiting(), p.AllRunning(), p.Leases, p.IdleLeases, p.State())
+		return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t-\t%s", p.Name, p.Zone, p.Table, len(p.Pools), p.AllWaiting(), p.AllRunning(), p.Leases, p.IdleLeases, stateOf(p.Draining, p.Table))
 	}
 	d := s.Servers
 	closed := "-"
 	if len(d.ClosedZones) > 0 {
 		closed = strings.Join(d.ClosedZones, ",")
 	}
-	return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t-\t-\t-\t%s\t%s", d.Name, d.Zone, d.Table, len(d.Owned), d.Waiting, closed, d.State())
+	return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t-\t-\t-\t%s\t%s", d.Name, d.Zone, d.Table, len(d.Owned), d.Waiting, closed, stateOf(d.Draining, d.Table))
+}
+
+// stateOf says in a word whether a router with a table's revision, 0 for none, serves.
+func stateOf(draining bool, revision uint64) string {
+	switch {
+	case draining:
+		return "stopping"
+	case revision == 0:
+		return "starting"
+	default:
+		return "serving"
+	}
 }
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -1,13 +1,10 @@
 package dispatch
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/peer"
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
-	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 	"github.com/yarrowmast/yarrowmast/pkg/roster"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
@@ -24,8 +21,6 @@
 	// silentTellings is how many tellings may be missed before what was told
 	// counts no more.
 	silentTellings = 4
-	// readerKey is hashed to order the routers that read the platform.
-	readerKey = "reader"
 )
 
 // link is what is remembered of the talk with another router.
@@ -104,60 +99,8 @@
 		return
 	}
 	if m.AsOf == asOf && m.Age >= 0 && m.Echo > 0 {
-		before := time.Duration(s.d.shared.verified.Load())
-		at := m.Echo.At() + time.Duration(m.Held-m.Age)*time.Millisecond
-		s.d.verifiedAt(at)
-		if at-before >= freshBy && s.talk.Relay && from.Zone == s.d.id.Zone && !slices.Contains(s.talk.Members, from.From) {
-			s.tellVerified(s.talk.Others)
-		}
-	}
-}
-
-// freshBy is by how much later something must be known to be the newest for a relay to
-// pass that on at once.
-const freshBy = 200 * time.Millisecond
-
-// verifiedHere says that this router has made sure that it knows the newest.
-type verifiedHere struct{}
-
-func (verifiedHere) apply(s *state) {
-	if s.talk.Mesh {
-		return
-	}
-	s.tellVerified(s.talk.Members)
-	s.tellVerified(s.talk.Others)
-}
-
-// tellVerified tells some routers at once how long ago this one knew what is newest.
-// They, and those that they tell, would else read the platform themselves: at 100
-// routers three tellings take longer than a router may go without knowing (31.8 calls a
-// second of a quiet fleet, BenchmarkQuietFleet).
-func (s *state) tellVerified(list []string) {
-	for _, to := range list {
-		m := s.stateFor(to)
-		m.Scope = wire.ScopeNone
-		s.d.net.Send(to, m)
-	}
-}
-
-// tellKnown tells all with whom this router talks how much it knows.
-func (s *state) tellKnown() {
-	for _, list := range [][]string{s.talk.Members, s.talk.Served, s.talk.Others} {
-		s.tellVerified(list)
-	}
-}
-
-// stateFor returns what this router tells another one besides flows and copies.
-func (s *state) stateFor(to string) *wire.State {
-	l := s.link(to)
-	m := &wire.State{Stamp: wire.StampOf(s.now), AsOf: s.catalog.AsOf(), Age: -1, Leaving: s.d.Draining()}
-	if l.stamp > 0 {
-		m.Echo, m.Held = l.stamp, (s.now - l.stampAt).Milliseconds()
-	}
-	if verified := time.Duration(s.d.shared.verified.Load()); verified > 0 {
-		m.Age = (s.now - verified).Milliseconds() + 1
+		s.hearVerified(from, m)
 	}
-	return m
 }
 
 // accepts reports whether flows of a scope are counted here: all flows must be
@@ -277,62 +220,3 @@
 	s.gossiped = s.now
 	s.tellRoster(all[int(s.now/gossipEvery)%len(all)], false)
 }
-
-// membersEach bounds how often is worked out who lives, relays and owns: not sooner after
-// the last time than so long for each known router. It takes 1 us and more for each, and
-// where all start at once each hears of all others, several times.
-const membersEach = 200 * time.Microsecond
-
-// heardOfMembers takes in that another router lives or does not, or what another one
-// believes of that, at once or with what else is heard in a moment.
-func (s *state) heardOfMembers() {
-	s.membersDue = s.now-s.membersAt < membersEach*time.Duration(s.d.shared.routers.Load())
-	if !s.membersDue {
-		s.membersChanged()
-	}
-}
-
-// membersChanged tells those who decide by the routers that live, if these
-// changed.
-func (s *state) membersChanged() {
-	s.membersAt, s.membersDue = s.now, false
-	s.talk = s.roster.Talk(s.now)
-	s.noteRoster()
-	s.takeTurn()
-	var routers []admit.Router
-	for _, address := range s.roster.Staying(s.now) {
-		if m, ok := s.roster.Get(address); ok {
-			routers = append(routers, admit.Router{Address: address, Zone: m.Zone, Capacity: m.Capacity})
-		}
-	}
-	leaving, known := s.d.Draining(), s.roster.KnownByZone()
-	if slices.Equal(routers, s.routers) && leaving == s.left && maps.Equal(known, s.known) {
-		return
-	}
-	s.routers, s.left, s.known = routers, leaving, known
-	all := 0
-	for _, n := range known {
-		all += n
-	}
-	s.d.shared.routers.Store(int64(all))
-	s.d.opt.log.Info("members", "live", len(routers)+1, "relay", s.talk.Relay, "mesh", s.talk.Mesh, "leaving", leaving)
-	s.step(admit.Routers{List: routers, Leaving: leaving, Known: known})
-}
-
-// takeTurn finds this router's place among those that read the platform.
-func (s *state) takeTurn() {
-	staying := s.roster.Staying(s.now)
-	turn := 0
-	if s.d.Draining() {
-		turn = len(staying) + watchers
-	}
-	own := rendezvous.Weight(readerKey, s.d.id.Address)
-	for _, address := range staying {
-		if rendezvous.Weight(readerKey, address) > own {
-			turn++
-		}
-	}
-	if old := s.d.shared.turn.Swap(int64(turn)); old != int64(turn) {
-		s.d.opt.log.Debug("reader_turn", "turn", turn, "before", old)
-	}
-}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -84,18 +84,6 @@
 	s.untrusted = now
 }
 
-// State says in a word whether the router serves.
-func (s *Status) State() string {
-	switch {
-	case s.Draining:
-		return "stopping"
-	case s.Table == 0:
-		return "starting"
-	default:
-		return "serving"
-	}
-}
-
 // State is the router's state for operators.
 func (d *Dispatcher) State() any { return d.Status() }
 
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -179,15 +179,3 @@
 	}
 	return n
 }
-
-// State says in a word whether the router serves.
-func (s *Status) State() string {
-	switch {
-	case s.Draining:
-		return "stopping"
-	case s.Table == 0:
-		return "starting"
-	default:
-		return "serving"
-	}
-}
