Give each port of the soak to one router

Cause: ended with a router that does not serve; its log says that the address is in use: the port had been drawn before for a router that had not started yet. Change: ports that were given are remembered. Test: TestPortsAreGivenOnce.

--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -54,13 +54,14 @@
 	routers []*router
 	workers []*standin.Worker
 	links   []*proxy
+	ports   givenPorts
 	version int
 	revoked bool
 }
 
 // newFleet starts the store, the workers and the routers.
 func newFleet(binary, dir string) (*fleet, error) {
-	f := &fleet{binary: binary, dir: dir, store: standin.NewStore()}
+	f := &fleet{binary: binary, dir: dir, store: standin.NewStore(), ports: givenPorts{}}
 	f.configure()
 	for i := range workers {
 		if err := f.addWorker(i); err != nil {
@@ -119,7 +120,7 @@
 	}
 	r := &router{name: fmt.Sprintf("r-%d", i), dir: f.dir, door: door}
 	for _, address := range []*string{&r.callers, &r.peers, &r.admin} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = f.ports.freeAddress(drawPort); err != nil {
 			return err
 		}
 	}
@@ -140,10 +141,22 @@
 
 var errNoPort = errors.New("soak: no free port on loopback")
 
-func freeAddress() (string, error) {
+func drawPort() int { return firstPort + rand.IntN(lastPort-firstPort) }
+
+// givenPorts are the ports that routers have been given: one that has not started yet
+// does not listen at its own.
+type givenPorts map[int]bool
+
+// freeAddress returns an address at which nobody listens and that no router was given.
+func (g givenPorts) freeAddress(draw func() int) (string, error) {
 	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		port := draw()
+		if g[port] {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		if ln, err := net.Listen("tcp", address); err == nil {
+			g[port] = true
 			return address, ln.Close()
 		}
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -12,6 +12,24 @@
 	"github.com/yarrowmast/yarrowmast/platform/standin"
 )
 
+// TestPortsAreGivenOnce draws the same port twice before anybody listens there, as
+// happened to two routers of one run: the second gets another one.
+func TestPortsAreGivenOnce(t *testing.T) {
+	g, drawn := givenPorts{}, []int{0, 0, 1}
+	draw := func() int {
+		next := firstPort + drawn[0]
+		drawn = drawn[1:]
+		return next
+	}
+	first, err := g.freeAddress(draw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if second, err := g.freeAddress(draw); err != nil || second == first {
+		t.Errorf("%s is given twice (%v)", second, err)
+	}
+}
+
 // TestPlanFollowsTheSeed looks that a seed always draws the same faults, within
 // the run, and that others draw others.
 func TestPlanFollowsTheSeed(t *testing.T) {
