--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -278,6 +278,8 @@
 	// membersAt is when they were last worked out, membersDue that they are to be anew.
 	membersAt  time.Duration
 	membersDue bool
+	// all is what was last told to who knew nothing.
+	all allNews
 	// closed are the availability zones that were closed by the last table.
 	closed []string
 }
--- /dev/null
+++ b/internal/dispatch/news_test.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/peer"
+	"github.com/yarrowmast/yarrowmast/pkg/catalog"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// TestAllIsCollectedOnce has many routers that know nothing ask for all at once, as they
+// do at a start of the fleet: they are told the same message, until something is
+// published or some time has passed.
+func TestAllIsCollectedOnce(t *testing.T) {
+	n := &sentNet{}
+	s := newState(New(Identity{Name: "a", Address: "10.0.1.1:7", Zone: "x", Inc: 1}, noSource{}, n))
+	s.now = time.Hour
+	publish := func(asOf uint64, news catalog.News) {
+		news.AsOf = asOf
+		heard{News: news}.apply(s)
+	}
+	ask := func(after uint64) *wire.News {
+		n.sent = nil
+		inbound{peer.Inbound{From: "10.0.1.2:7", Name: "b", Zone: "x", Inc: 1, Msg: &wire.NewsAsk{After: after}}}.apply(s)
+		for _, msg := range n.sent {
+			if m, ok := msg.(*wire.News); ok {
+				return m
+			}
+		}
+		t.Fatal("no news")
+		return nil
+	}
+	publish(5, catalog.News{Table: &table.Table{Revision: 1}})
+	first := ask(0)
+	if second := ask(0); second != first {
+		t.Error("collected anew for the next one")
+	}
+	if m := ask(4); m == first || m.After != 4 {
+		t.Errorf("who lacks the last change is told all: %+v", m)
+	}
+	publish(6, catalog.News{After: 5, Zones: []catalog.Zone{{Revision: 6, Name: "y", Closed: true}}})
+	later := ask(0)
+	if later == first || later.AsOf != 6 || len(later.Zones) != 1 {
+		t.Errorf("after a change it tells %+v", later)
+	}
+	s.now += allNewsFor
+	if m := ask(0); m == later {
+		t.Error("told as it was long ago")
+	}
+}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -59,7 +59,7 @@
 	case *wire.Roster:
 		s.learnRoster(e.From, m)
 	case *wire.NewsAsk:
-		s.d.net.Send(e.From, &wire.News{News: s.catalog.Since(m.After)})
+		s.d.net.Send(e.From, s.newsSince(m.After))
 	case *wire.News:
 		if m.Table != nil {
 			m.Table.Index()
@@ -118,6 +118,29 @@
 	}
 }
 
+// allNewsFor is for how long all that the platform published is told as it was collected
+// once, while nothing is published.
+const allNewsFor = 200 * time.Millisecond
+
+// allNews is all that the platform published, as collected for somebody who asked.
+type allNews struct {
+	msg *wire.News
+	at  time.Duration
+}
+
+// newsSince returns what the platform published after a revision. All of it is collected
+// once for all who ask at a start of the fleet: what waits to be sent to 100 routers
+// would else hold 60 MB at 3,000 backend servers. The message is not changed any more.
+func (s *state) newsSince(after uint64) *wire.News {
+	if after > 0 {
+		return &wire.News{News: s.catalog.Since(after)}
+	}
+	if s.all.msg == nil || s.all.msg.AsOf != s.catalog.AsOf() || s.now-s.all.at >= allNewsFor {
+		s.all = allNews{msg: &wire.News{News: s.catalog.Since(0)}, at: s.now}
+	}
+	return s.all.msg
+}
+
 func (s *state) askNews(from string, after uint64) {
 	every := askNewsEvery
 	if after == 0 {
