Give up connections between routers that nothing is acknowledged on

Cause: a connection may fall silent for good without a reset; what a router wrote to another one then waited for minutes, and after a cut of 5 s the kernel tried again up to 6 s later only, while new connections work. Ruled out: a shorter write deadline, which only counts when the kernel's buffer is full.

--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -128,6 +128,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer: dial %s: %w", o.to, err)
 	}
+	if err := giveUpSilent(conn); err != nil {
+		o.net.opt.log.Warn("peer_not_bounded", "peer", o.to, "error", err)
+	}
 	if c := o.net.opt.tls; c != nil {
 		conn = tls.Client(conn, clientConfig(c, o.to))
 	}
