--- a/internal/dispatch/acquire_test.go
+++ b/internal/dispatch/acquire_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 )
 
 // TestBlamed looks that a router which is late itself puts no silence down to a
@@ -30,3 +31,31 @@
 		})
 	}
 }
+
+// TestConnectionsPart divides the connections that a backend server takes among the
+// routers that are known.
+func TestConnectionsPart(t *testing.T) {
+	tests := map[string]struct {
+		takes   int
+		routers int64
+		want    int
+	}{
+		"not stated":            {0, 62, 0},
+		"one router":            {430, 1, 215},
+		"nobody counted yet":    {430, 0, 215},
+		"many routers":          {430, 62, 3},
+		"more than connections": {100, 300, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := &Dispatcher{}
+			v := &table.Table{Services: []table.ServiceRow{{Name: "desk", MaxConnections: tc.takes}}}
+			v.Index()
+			d.shared.view.Store(v)
+			d.shared.routers.Store(tc.routers)
+			if got := d.connectionsPart("desk"); got != tc.want {
+				t.Errorf("%d connections, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -275,3 +275,34 @@
 		t.Error("a whole report does not do")
 	}
 }
+
+// TestKnownByZone counts the routers of which a zone is known to have some: one that fell
+// silent may be cut off and counts, one that stops or has ended does not.
+func TestKnownByZone(t *testing.T) {
+	const second = time.Second
+	tests := map[string]struct {
+		do   func(r *roster.Roster)
+		want map[string]int
+	}{
+		"alone":             {func(*roster.Roster) {}, map[string]int{"x": 1}},
+		"heard":             {func(r *roster.Roster) { r.Heard(second, b); r.Heard(second, c) }, map[string]int{"x": 2, "y": 1}},
+		"silent since long": {func(r *roster.Roster) { r.Heard(second, c); r.Forget(20 * second) }, map[string]int{"x": 1, "y": 1}},
+		"forgotten":         {func(r *roster.Roster) { r.Heard(second, c); r.Forget(40 * second) }, map[string]int{"x": 1}},
+		"told of": {func(r *roster.Roster) {
+			r.Learn(second, b.Address, roster.Report{Digest: 1, List: known(c, 0)})
+		}, map[string]int{"x": 1, "y": 1}},
+		"stops":    {func(r *roster.Roster) { r.Heard(second, c); r.Leaving(c.Address) }, map[string]int{"x": 1}},
+		"ended":    {func(r *roster.Roster) { r.Heard(second, c); r.Gone(c.Address) }, map[string]int{"x": 1}},
+		"is back":  {func(r *roster.Roster) { r.Heard(second, c); r.Gone(c.Address); r.Heard(2*second, c) }, map[string]int{"x": 1, "y": 1}},
+		"only try": {func(r *roster.Roster) { r.Tries(0, r.Talk(0)) }, map[string]int{"x": 1}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New(self, []string{b.Address})
+			tc.do(r)
+			if diff := cmp.Diff(tc.want, r.KnownByZone()); diff != "" {
+				t.Errorf("known (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
