Find an account by its key, and bound a stated wait, in one place each

Cause: the early refusal wrote again how an account is found by its key's hash and how long a caller may say that it waits; both stood twice before it, once with a bound that could not bind. A request's id was kept beside the request that has it. Change: accountOf and boundedWait, called from all three ways in; the copy of the id goes. Behaviour is the same: TestEarlyAnswersAreTheSame and the tests of platform/ pass unchanged.

--- a/internal/front/ask.go
+++ b/internal/front/ask.go
@@ -61,14 +61,19 @@
 	if !ok || key == "" {
 		return table.Account{}, errNoKey
 	}
-	sum := sha256.Sum256([]byte(key))
-	a, ok := t.AccountByKeyHash(hex.EncodeToString(sum[:]))
+	a, ok := accountOf(t, []byte(key))
 	if !ok {
 		return table.Account{}, errWrongKey
 	}
 	return a, nil
 }
 
+// accountOf returns the account that has a key.
+func accountOf(t *table.Table, key []byte) (table.Account, bool) {
+	sum := sha256.Sum256(key)
+	return t.AccountByKeyHash(hex.EncodeToString(sum[:]))
+}
+
 // readHeaders reads what the caller's headers say of the request.
 func (s *Server) readHeaders(a *ask, r *http.Request) *verdict.Error {
 	wait := s.callers.Load().Deadline
@@ -77,7 +82,7 @@
 		if err != nil || ms <= 0 {
 			return badHeader(HeaderDeadline)
 		}
-		wait = min(time.Duration(min(ms, MaxDeadline.Milliseconds()))*time.Millisecond, MaxDeadline)
+		wait = boundedWait(ms)
 	}
 	a.deadline = a.arrived.Add(wait)
 	if v := r.Header.Get(HeaderOnce); v != "" {
--- a/internal/front/early.go
+++ b/internal/front/early.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
@@ -97,7 +95,6 @@
 // head is what an early refusal needs of a request.
 type head struct {
 	request Request
-	id      string
 	body    int
 	stated  prompt
 }
@@ -122,8 +119,7 @@
 
 // describeHead makes out whose request it is and what it asks for.
 func (s *Server) describeHead(t *table.Table, route *table.Route, f *fields) (*head, bool) {
-	sum := sha256.Sum256(f.key)
-	account, ok := t.AccountByKeyHash(hex.EncodeToString(sum[:]))
+	account, ok := accountOf(t, f.key)
 	if !ok {
 		return nil, false
 	}
@@ -131,7 +127,7 @@
 	if !ok {
 		return nil, false
 	}
-	wait := min(time.Duration(min(f.deadline, MaxDeadline.Milliseconds()))*time.Millisecond, MaxDeadline)
+	wait := boundedWait(f.deadline)
 	if route.Timeout > 0 {
 		wait = min(wait, route.Timeout)
 	}
@@ -140,7 +136,7 @@
 			ID: f.id, Account: account.Name, Model: route.Pick(rand.Float64()), Deadline: time.Now().Add(wait),
 			Prompt: stated.tokens, Output: stated.output, Target: route.Target,
 		},
-		id: f.id, body: f.body, stated: stated,
+		body: f.body, stated: stated,
 	}, true
 }
 
@@ -151,13 +147,13 @@
 		return false
 	}
 	s.requests.Add(1)
-	a := &ask{id: h.id, arrived: arrived, model: h.request.Model, route: &routing{prompt: h.stated}}
+	a := &ask{id: h.request.ID, arrived: arrived, model: h.request.Model, route: &routing{prompt: h.stated}}
 	a.account.Name = h.request.Account
 	err = a.final(err)
 	if drain(c.Conn, buf, h.body-came) {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(earlyTime))
 		// A caller that left does not hear of it; the line below tells of the refusal.
-		_, _ = c.Conn.Write(appendRefusal(buf[:0], &s.opt.dialect, h.id, err))
+		_, _ = c.Conn.Write(appendRefusal(buf[:0], &s.opt.dialect, a.id, err))
 	}
 	_ = c.Close()
 	out := Outcome{Account: h.request.Account, Model: a.model, Status: err.Status, Code: err.Code, Verdict: err.Verdict.String(), Total: time.Since(arrived)}
--- a/internal/front/retry.go
+++ b/internal/front/retry.go
@@ -40,5 +40,10 @@
 	if err != nil || ms <= 0 {
 		return 0, false
 	}
-	return time.Duration(min(ms, MaxDeadline.Milliseconds())) * time.Millisecond, true
+	return boundedWait(ms), true
+}
+
+// boundedWait returns for how long a caller waits that says so in milliseconds.
+func boundedWait(ms int64) time.Duration {
+	return time.Duration(min(ms, MaxDeadline.Milliseconds())) * time.Millisecond
 }
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -1,8 +1,6 @@
 package front
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -99,8 +97,7 @@
 	if !ok || key == "" {
 		return errUnknownKey
 	}
-	sum := sha256.Sum256([]byte(key))
-	account, ok := t.AccountByKeyHash(hex.EncodeToString(sum[:]))
+	account, ok := accountOf(t, []byte(key))
 	if !ok {
 		return errUnknownKey
 	}
