Log what backend servers say of themselves in their answers

Cause: no line told which answers said that their server leaves, or for how long it wants rest, so that unheard, heard by one and overtaken could not be told apart. Ruled out: fields in attempt_end: most answers say nothing, and the line is long. Change: the two words are read by the dialect, with bounds and damaged values, and logged (backend_said); no decision uses them.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -17,6 +17,7 @@
 		x.fail(verdict.PhaseHeader, http.StatusBadGateway, "crossed-answer", "the backend server answered another request", nil)
 		return
 	}
+	x.result.Said = d.said(resp, time.Now())
 	if d.notRun(resp) {
 		x.refused(resp)
 		return
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -127,6 +127,8 @@
 	FirstByte time.Time
 	// LastEvent is the number of the last event that was passed on.
 	LastEvent uint64
+	// Said is what the backend server says of itself in its answer.
+	Said Said
 }
 
 // Client calls backend servers.
--- a/internal/backend/dialect.go
+++ b/internal/backend/dialect.go
@@ -15,6 +15,9 @@
 	HeaderPriority = "X-Priority"
 	// HeaderNotRun is how a backend server says that it did not run it.
 	HeaderNotRun = "X-Not-Run"
+	// HeaderLeaving is how a backend server says in an answer that it is about to
+	// stop.
+	HeaderLeaving = "X-Leaving"
 )
 
 // Dialect names the headers that are exchanged with backend servers. An empty
@@ -39,13 +42,15 @@
 	// Fetch is the address of another backend server, from which this one copies
 	// what it keeps of the prompt.
 	Fetch string
+	// Leaving is set in an answer of a backend server that is about to stop.
+	Leaving string
 	// LastEvent names the last event of a stream that was received.
 	LastEvent string
 }
 
 // OwnDialect returns the headers of the product's own interface.
 func OwnDialect() Dialect {
-	return Dialect{RequestID: HeaderRequestID, Priority: HeaderPriority, NotRun: HeaderNotRun}
+	return Dialect{RequestID: HeaderRequestID, Priority: HeaderPriority, NotRun: HeaderNotRun, Leaving: HeaderLeaving}
 }
 
 // notRun reports whether the backend server itself says that it did not run
--- a/internal/backend/routed_test.go
+++ b/internal/backend/routed_test.go
@@ -20,7 +20,7 @@
 func testDialect() backend.Dialect {
 	return backend.Dialect{
 		RequestID: "X-Id", NotRun: "X-Unrun", Deadline: "X-Left", Instance: "X-Meant", Account: "X-Account", Proof: "X-Proof", LastEvent: "Last-Event-Id",
-		Fetch: "X-Fetch",
+		Fetch: "X-Fetch", Leaving: "X-Leaves",
 	}
 }
 
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -52,6 +52,16 @@
 	s.opt.log.Info("attempt_end", "request", a.id, "attempt", o.Attempts, "backend", g.Backend, "why", g.Why, "copied_from", g.FetchFrom,
 		"ahead", g.Ahead, "running", g.Running, "expected_ms", g.Expected.Milliseconds(), "first_ms", first,
 		"total_ms", time.Since(started).Milliseconds(), "sent", result.Sent, "events", result.LastEvent, "code", code)
+	s.logSaid(a, g, o, result.Said)
+}
+
+// logSaid logs what the backend server said of itself, if anything.
+func (s *Server) logSaid(a *ask, g Grant, o *Outcome, said backend.Said) {
+	if said == (backend.Said{}) {
+		return
+	}
+	s.opt.log.Info("backend_said", "request", a.id, "attempt", o.Attempts, "backend", g.Backend,
+		"leaving", said.Leaving, "rest_ms", said.Rest.Milliseconds(), "unread", said.Unread)
 }
 
 // tokens is what the attempt is charged: an engine's tokens, or a plain
