Obey what backend servers say of themselves in their answers

Cause: nothing took the words out of an answer. A server that said that it leaves stayed open until the directory told, which was away; a refusal held a server back for 30 ms whatever it asked for, so that a rest of 3 s was tested 100 times. Class: a signal on the data path that is not fed into what decides, which relies on one channel alone. Ruled out: heard but not told to what decides, and overtaken by something older: no code knew either word, all paths were affected alike (prefix, spill, copy), and a fleet of one router with the directory there shows it, too. Change: one place for a server's word (pkg/admit/word.go), heard when an answer's head comes; leaving closes the server at that router and its owner, and whoever asks the owner for a place is told; rest closes it for the router that was refused. Requests that wait there look elsewhere at once; where all rest, callers are refused at once and told when to come back, spread. The word outlives a lapse of the entry, not a new start. Status, metrics, a line for each new belief.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -17,7 +17,7 @@
 		x.fail(verdict.PhaseHeader, http.StatusBadGateway, "crossed-answer", "the backend server answered another request", nil)
 		return
 	}
-	x.result.Said = d.said(resp, time.Now())
+	x.hear(d.said(resp, time.Now()))
 	if d.notRun(resp) {
 		x.refused(resp)
 		return
@@ -43,6 +43,14 @@
 	}
 }
 
+// hear notes what the backend server says of itself.
+func (x *exchange) hear(said Said) {
+	x.result.Said = said
+	if x.call.Said != nil && said != (Said{}) {
+		x.call.Said(said)
+	}
+}
+
 // holds reports whether an answer must not be passed on: a failure that may
 // yet be mended, or anything but a stream where one is to be continued.
 func (x *exchange) holds(resp *http.Response) bool {
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -89,6 +89,9 @@
 	// First is called when the first event or byte of a body came; nil if
 	// nobody asks.
 	First func()
+	// Said is called with what the backend server says of itself, when the head of its
+	// answer came and if it says something; nil if nobody asks.
+	Said func(Said)
 }
 
 // connKey names the connections that may carry the call: one that was opened
--- a/internal/backend/dialect.go
+++ b/internal/backend/dialect.go
@@ -15,9 +15,6 @@
 	HeaderPriority = "X-Priority"
 	// HeaderNotRun is how a backend server says that it did not run it.
 	HeaderNotRun = "X-Not-Run"
-	// HeaderLeaving is how a backend server says in an answer that it is about to
-	// stop.
-	HeaderLeaving = "X-Leaving"
 )
 
 // Dialect names the headers that are exchanged with backend servers. An empty
@@ -50,7 +47,7 @@
 
 // OwnDialect returns the headers of the product's own interface.
 func OwnDialect() Dialect {
-	return Dialect{RequestID: HeaderRequestID, Priority: HeaderPriority, NotRun: HeaderNotRun, Leaving: HeaderLeaving}
+	return Dialect{RequestID: HeaderRequestID, Priority: HeaderPriority, NotRun: HeaderNotRun}
 }
 
 // notRun reports whether the backend server itself says that it did not run
--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/internal/backend"
 	"github.com/yarrowmast/yarrowmast/internal/front"
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
@@ -55,6 +56,7 @@
 		Ahead: got.start.Ahead, Expected: got.start.Expected, Running: got.start.Running,
 		Served: &atomic.Int64{}, Waited: r.Waited + got.waited,
 		First:   func() { d.post(began{got.id}) },
+		Said:    func(w backend.Said) { d.post(said{got.id, w}) },
 		Hurried: d.Hurried,
 	}, nil
 }
@@ -186,6 +188,15 @@
 
 func (e began) apply(s *state) { s.step(admit.First{ID: e.id}) }
 
+type said struct {
+	id   uint64
+	word backend.Said
+}
+
+func (e said) apply(s *state) {
+	s.step(admit.Said{ID: e.id, Leaving: e.word.Leaving, Rest: e.word.Rest})
+}
+
 type ended struct {
 	id     uint64
 	result admit.Result
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -361,6 +361,8 @@
 			s.reply(a.ID, decision{err: a.Err, waited: a.Waited})
 		case admit.Send:
 			s.d.net.Send(a.To, a.Msg)
+		case admit.Heard:
+			s.d.opt.log.Warn("backend_word", "backend", a.Backend, "leaving", a.Leaving, "rest_ms", a.Rest.Milliseconds(), "from", a.From)
 		}
 	}
 }
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -54,7 +54,7 @@
 	switch m := e.Msg.(type) {
 	case *wire.State:
 		s.hear(e.Inbound, m)
-	case *wire.Ask, *wire.Reply, *wire.Note, *wire.Sync:
+	case *wire.Ask, *wire.Reply, *wire.Note, *wire.Sync, *wire.Leaving:
 		s.step(admit.Message{From: e.From, Msg: m})
 	case *wire.Roster:
 		s.learnRoster(e.From, m)
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -33,6 +33,10 @@
 	Owned []string `json:"owned"`
 	// Untrusted are the backend servers that this router does not trust.
 	Untrusted []string `json:"untrusted"`
+	// Leaving are the backend servers that leave by their own word, Resting those that
+	// want no request from this router, and for how many milliseconds still.
+	Leaving []string         `json:"leaving,omitempty"`
+	Resting map[string]int64 `json:"resting_ms,omitempty"`
 	// ClosedZones are the availability zones that operators have closed, Warming how
 	// many backend servers warm up.
 	ClosedZones []string `json:"closed_zones"`
@@ -68,6 +72,7 @@
 	st.Unusable, st.UnusableCount = s.unusableEntries()
 	st.Damaged = s.catalog.Damaged()
 	st.Untrusted = slices.Sorted(maps.Keys(s.untrusted))
+	s.publishWords(st)
 	if c, ok := s.d.source.(counter); ok {
 		st.Calls = c.Calls()
 	}
@@ -77,6 +82,15 @@
 	s.d.shared.status.Store(st)
 }
 
+// publishWords tells which backend servers leave or rest by their own word.
+func (s *state) publishWords(st *Status) {
+	leaving, resting := s.core.Words()
+	st.Leaving, st.Resting = leaving, make(map[string]int64, len(resting))
+	for name, left := range resting {
+		st.Resting[name] = left.Milliseconds()
+	}
+}
+
 // logTrust logs which backend servers this router has ceased or begun again to
 // trust.
 func (s *state) logTrust() {
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -17,6 +17,8 @@
 		"router_pace, router_overloaded, router_work and request_forwarded of this router"},
 	"router-lost": {"it was handed on to a router that was lost before its answer began; it may have run",
 		"to of its request_forwarded, and what that router logged"},
+	"servers-rest": {"every backend server of the service had refused this router and asked for rest; it did not run",
+		"backend_word of this router: which ones, and for how long"},
 	"no-backend": {"no backend server of the service took requests; it did not run", "the number of backend servers in the table then"},
 	"zone-closed": {"operators have closed every zone with backend servers of the service that this router reaches; it did not run",
 		"zone_closed and zone_opened of this router; yarrowctl status"},
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -218,7 +218,7 @@
 		RequestID: a.id, Account: a.account.Name, Deadline: a.deadline, Once: a.once, Events: a.events, Opaque: true,
 		Resume: a.route.began, LastEvent: a.route.lastEvent, Buffer: wholeAnswer,
 		HoldFailure: a.route.Repeat != table.RepeatNever && a.route.sent+1 < a.route.MaxAttempts(),
-		FetchFrom:   g.FetchFrom, Connections: g.Connections, Patience: s.patience(a), MayStart: g.MayStart, Served: g.Served, First: g.First,
+		FetchFrom:   g.FetchFrom, Connections: g.Connections, Patience: s.patience(a), MayStart: g.MayStart, Served: g.Served, First: g.First, Said: g.Said,
 		Gather: s.gatherFor(a.route, g.Hurried),
 	}
 }
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/internal/backend"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
@@ -101,6 +102,9 @@
 	Waited time.Duration
 	// First is called when the first event came; nil if nobody asks.
 	First func()
+	// Said is called with what the backend server says of itself, when that comes; nil
+	// if nobody asks.
+	Said func(backend.Said)
 	// Hurried reports whether this router has no time to pass each event on by
 	// itself; nil if it always has.
 	Hurried func() bool
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -151,16 +151,18 @@
 func (n *Node) gaugeDispatch() {
 	s := n.Dispatch.Status()
 	n.setGauges(map[string]int64{
-		metrics.Members:       int64(len(s.Live) + 1),
-		metrics.PlatformCalls: s.Calls,
-		metrics.TableRevision: int64(s.Table),
-		metrics.Waiting:       int64(s.Waiting),
-		metrics.Owned:         int64(len(s.Owned)),
-		metrics.Untrusted:     int64(len(s.Untrusted)),
-		metrics.ClosedZones:   int64(len(s.ClosedZones)),
-		metrics.Warming:       int64(s.Warming),
-		metrics.Unverified:    s.VerifiedMillisAgo / time.Second.Milliseconds(),
-		metrics.Unusable:      int64(s.UnusableCount),
+		metrics.Members:        int64(len(s.Live) + 1),
+		metrics.PlatformCalls:  s.Calls,
+		metrics.TableRevision:  int64(s.Table),
+		metrics.Waiting:        int64(s.Waiting),
+		metrics.Owned:          int64(len(s.Owned)),
+		metrics.Untrusted:      int64(len(s.Untrusted)),
+		metrics.LeavingServers: int64(len(s.Leaving)),
+		metrics.RestingServers: int64(len(s.Resting)),
+		metrics.ClosedZones:    int64(len(s.ClosedZones)),
+		metrics.Warming:        int64(s.Warming),
+		metrics.Unverified:     s.VerifiedMillisAgo / time.Second.Milliseconds(),
+		metrics.Unusable:       int64(s.UnusableCount),
 	})
 	for reason, total := range s.Damaged {
 		n.metrics.Event("unusable_"+string(reason), total)
--- a/pkg/admit/choose.go
+++ b/pkg/admit/choose.go
@@ -92,7 +92,7 @@
 	order := c.orderFor(sv, r.Prefix)
 	open, others := make([]*server, 0, len(order)), make([]*server, 0, len(order))
 	for _, s := range order {
-		if !c.reaches(s) {
+		if !c.reaches(s) || s.rests(c.now) {
 			continue
 		}
 		open = append(open, s)
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -85,6 +85,8 @@
 	held     []*server
 	services map[string]*service
 	requests map[uint64]*request
+	// words are what starts of backend servers say of themselves.
+	words map[wire.Key]*word
 	// waiting are the requests that have no place yet, by age.
 	waiting  []*request
 	accounts *accounts
@@ -143,6 +145,7 @@
 		servers:      map[wire.Key]*server{},
 		services:     map[string]*service{},
 		requests:     map[uint64]*request{},
+		words:        map[wire.Key]*word{},
 		accounts:     newAccounts(),
 		reports:      map[reportSource]*usageReport{},
 		unresponsive: map[string]time.Duration{},
@@ -204,6 +207,8 @@
 		c.handleRequestUpdate(from, m)
 	case *wire.Sync:
 		c.reconcileInFlight(from, m)
+	case *wire.Leaving:
+		c.toldLeaving(from, m)
 	}
 }
 
--- a/pkg/admit/owned.go
+++ b/pkg/admit/owned.go
@@ -88,6 +88,9 @@
 func (c *Core) asked(from string, m *wire.Ask) {
 	s, ok := c.servers[m.Server]
 	if !ok || !s.open() {
+		if ok {
+			c.tellLeaving(s, from)
+		}
 		c.send(from, &wire.Reply{ID: m.ID, Server: m.Server, State: wire.PlaceDenied})
 		return
 	}
@@ -177,6 +180,7 @@
 	for _, a := range o.queue {
 		switch {
 		case c.now >= a.until || !s.open():
+			c.tellLeaving(s, a.from)
 			c.answer(s, a, wire.PlaceDenied)
 		case !c.grant(s, a):
 			left = append(left, a)
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -90,6 +90,11 @@
 		return errDeadline
 	case !r.Begun && !c.anyOpen(r.Service):
 		return c.noneOpen(r.Service)
+	}
+	if err := c.restRefusal(r); err != nil {
+		return err
+	}
+	switch {
 	case !r.Begun && r.Patience > 0 && c.now-r.arrived >= c.patience(r):
 		return errBusy.After(c.retryAfter())
 	default:
@@ -178,7 +183,7 @@
 // estimate of what is under way there and of what is kept there.
 func (c *Core) admitLocally(r *request, a *ask) bool {
 	s := a.server
-	if !s.open() || s.isWarming(c.now) || float64(s.running(c.now)) >= localSlots*float64(s.Slots) {
+	if !c.takes(s) || s.isWarming(c.now) || float64(s.running(c.now)) >= localSlots*float64(s.Slots) {
 		return false
 	}
 	if c.service(r.Service).engine && s.ownUnread() > 0 {
@@ -239,8 +244,8 @@
 		return
 	}
 	switch {
-	case m.State == wire.PlaceGranted && !a.server.open():
-		// Closed or marked since the place was given: it lapses.
+	case m.State == wire.PlaceGranted && !c.takes(a.server):
+		// Closed, marked or turned away since the place was given: it lapses.
 		c.send(from, &wire.Note{ID: m.ID, Server: m.Server, Kind: wire.NoteEnded, Result: uint8(Unknown)})
 		a.state = askDenied
 		c.advance(r)
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -38,6 +38,8 @@
 	// busyUntil is until when it is taken to have no place.
 	busyUntil time.Duration
 	health    health
+	// word is what it says of itself, nil if it said nothing.
+	word *word
 	// copies are the prompts' beginnings that were read there, or copied to it,
 	// lately.
 	copies recent
@@ -54,7 +56,9 @@
 }
 
 // open reports whether new work may go there.
-func (s *server) open() bool { return s.Mark == table.Serving && !s.closed }
+func (s *server) open() bool {
+	return s.Mark == table.Serving && !s.closed && !s.saysLeaving()
+}
 
 // seenFor is how long what an owner told of a backend server is believed.
 const seenFor = time.Second
--- a/pkg/admit/view.go
+++ b/pkg/admit/view.go
@@ -16,6 +16,7 @@
 	c.generation++
 	relisted := c.takeRows(e.Table)
 	relisted = c.dropUnlisted() || relisted
+	c.dropWords()
 	for _, row := range e.Table.Services {
 		c.service(row.Name).engine = row.Engine
 	}
@@ -38,7 +39,7 @@
 		key := keyOf(&b)
 		s, known := c.servers[key]
 		if !known {
-			s = &server{key: key, joined: c.now, own: map[uint64]*request{}}
+			s = &server{key: key, joined: c.now, own: map[uint64]*request{}, word: c.words[key]}
 			c.servers[key] = s
 		}
 		if !known || s.generation != c.generation-1 || !slices.Equal(s.Models, b.Models) {
@@ -48,6 +49,9 @@
 			s.owner = ""
 		}
 		s.Backend, s.generation = b, c.generation
+		if s.word != nil {
+			s.word.noteRow(b.Mark)
+		}
 		s.closed = t.ZoneIsClosed(b.Zone)
 		s.setWarmup(t, c.now)
 	}
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -45,6 +45,7 @@
 	KindSync       Kind = 25
 	KindForward    Kind = 26
 	KindForwarded  Kind = 27
+	KindLeaving    Kind = 28
 )
 
 // Protocol is the version of the frames this program writes. A router talks
@@ -118,6 +119,7 @@
 	KindSync:       func() any { return &Sync{} },
 	KindForward:    func() any { return &Forward{} },
 	KindForwarded:  func() any { return &ForwardData{} },
+	KindLeaving:    func() any { return &Leaving{} },
 }
 
 // Encoder encodes the messages of one connection. A name that was sent before
--- a/pkg/wire/place.go
+++ b/pkg/wire/place.go
@@ -111,6 +111,11 @@
 // servers. It replaces what was told before.
 type Sync struct{ Held []Held }
 
+// Leaving tells which backend servers leave by their own word, which the directory may not
+// tell yet: the router that heard it tells their owner, and the owner whoever asks it for
+// a place there.
+type Leaving struct{ Servers []Key }
+
 // AccountFlow is what an account asks and gets at a router, in tokens a
 // second.
 type AccountFlow struct {
