Place requests with care under which backend servers ended

Cause: nothing kept a request from the next server under which one had ended. Ruled out: its account alone (stops harmless work); two ends as proof (requests that were cut off beside it and went on at the same server have two, too). A run to its end takes all back.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -26,13 +26,18 @@
 // attempt is a request that a caller's task waits for.
 type attempt struct {
 	request front.Request
-	at      time.Time
-	answer  chan decision
+	// digest identifies the request, 0 if no suspects are known.
+	digest suspect.Digest
+	at     time.Time
+	answer chan decision
 }
 
 // Acquire implements front.Scheduler.
 func (d *Dispatcher) Acquire(ctx context.Context, r front.Request) (front.Grant, error) {
 	a := &attempt{request: r, at: time.Now(), answer: make(chan decision, 1)}
+	if r.Digest != nil && d.shared.suspects.Load() {
+		a.digest = suspect.Digest(r.Digest())
+	}
 	if !d.post(arrive{a}) {
 		return front.Grant{}, errGone
 	}
@@ -88,6 +93,10 @@
 // Release implements front.Scheduler.
 func (d *Dispatcher) Release(g front.Grant, u front.Usage) {
 	e := ended{id: g.ID, result: resultOf(u), request: u.Request, cut: wasCut(u), whole: u.Error == nil && u.Status < http.StatusInternalServerError}
+	if e.cut {
+		// The next try asks for its place before the end has been taken in.
+		d.shared.suspects.Store(true)
+	}
 	if u.Digest != nil && (e.cut || e.whole && d.shared.suspects.Load()) {
 		e.digest = suspect.Digest(u.Digest())
 	}
@@ -167,6 +176,7 @@
 		ID: id, Service: r.Model, Account: r.Account, AccountRank: r.AccountRank, Rank: r.Rank, Prefix: r.Prefix,
 		Prompt: r.Prompt, Shared: r.Shared, Output: r.Output, Target: r.Target, Patience: r.Patience,
 		Deadline: s.now + r.Deadline.Sub(e.at), Again: r.Attempt > 0, Begun: r.Begun, Avoid: r.Avoid,
+		Answering: r.Answering, Digest: e.digest,
 	}})
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -367,6 +367,7 @@
 		case admit.Start:
 			s.reply(a.ID, decision{start: a, waited: a.Waited})
 		case admit.Refuse:
+			s.logHeldBack(a)
 			s.reply(a.ID, decision{err: a.Err, waited: a.Waited})
 		case admit.Send:
 			s.d.net.Send(a.To, a.Msg)
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -53,6 +53,14 @@
 	s.d.shared.suspects.Store(true)
 }
 
+// logHeldBack logs that a request gets no backend server since servers ended under it.
+func (s *state) logHeldBack(a admit.Refuse) {
+	if w, ok := s.waiting[a.ID]; ok && a.Ends > 0 {
+		s.d.opt.log.Warn("request_held_back", "request", w.request.ID, "digest", digestText(w.digest), "ends", a.Ends, "code", a.Err.Code,
+			"retry_after_ms", a.Err.RetryAfter.Milliseconds())
+	}
+}
+
 func digestText(d suspect.Digest) string { return fmt.Sprintf("%016x", uint64(d)) }
 
 // Suspect is a request that was under way at backend servers when these ended.
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -176,7 +176,7 @@
 // request is what the scheduler needs to know.
 func (a *ask) request() Request {
 	req := Request{
-		ID: a.id, Account: a.account.Name, Model: a.model, Priority: a.priority, Deadline: a.deadline,
+		ID: a.id, Account: a.account.Name, Model: a.model, Priority: a.priority, Deadline: a.deadline, Digest: a.digest,
 	}
 	if a.route != nil {
 		a.route.describe(&req)
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -138,7 +138,7 @@
 	req.Target = x.Target
 	req.Patience = x.Target / patiencePart
 	req.Avoid = x.avoid
-	req.Begun = x.doubt
+	req.Begun, req.Answering = x.doubt, x.began
 }
 
 // tried notes how an attempt ended.
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -72,6 +72,11 @@
 	Begun bool
 	// Avoid lists backend servers that failed the request.
 	Avoid []string
+	// Answering says that its answer has begun, so that it goes on where that ended.
+	Answering bool
+	// Digest works out what identifies the request, whichever try it is; nil if nobody
+	// can.
+	Digest func() uint64
 }
 
 // Grant is a slot of a backend server.
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -54,6 +54,9 @@
 	Err *verdict.Error
 	// Waited is how long the request waited here.
 	Waited time.Duration
+	// Ends is how many backend servers ended under the request, if it is refused for
+	// that.
+	Ends int
 }
 
 // Send is a message for another router.
--- a/pkg/admit/owned.go
+++ b/pkg/admit/owned.go
@@ -18,6 +18,9 @@
 	known recent
 	// pace spaces the places while it warms up.
 	pace pacer
+	// apart is the request that no other joins until apartUntil.
+	apart      entryKey
+	apartUntil time.Duration
 }
 
 // entryKey names a request among those of all routers.
@@ -35,6 +38,8 @@
 	since time.Duration
 	// heard is when its holder last told of it.
 	heard time.Duration
+	// digest identifies the request, whichever try it is; 0 if that is not known.
+	digest uint64
 }
 
 // asking is a request that waits for a place.
@@ -73,6 +78,7 @@
 		return
 	}
 	delete(o.entries, key)
+	o.join(key)
 	o.running--
 	o.unread -= e.unread
 }
@@ -110,6 +116,9 @@
 	}
 	switch {
 	case granted:
+	case o.runsTwin(m):
+		o.queue = append(o.queue, a)
+		c.answer(s, a, wire.PlaceBehindTwin)
 	case m.Spill || c.now >= a.until:
 		c.answer(s, a, wire.PlaceDenied)
 	default:
@@ -132,8 +141,12 @@
 		return false
 	}
 	fetch := a.Fetch && !o.keeps(a.Ask, c.now)
-	e := &entry{unread: toRead, ahead: o.unread + toRead, since: c.now, heard: c.now}
-	o.add(entryKey{a.from, a.ID}, e)
+	e := &entry{unread: toRead, ahead: o.unread + toRead, since: c.now, heard: c.now, digest: a.Digest}
+	key := entryKey{a.from, a.ID}
+	o.add(key, e)
+	if a.Caution == wire.Alone {
+		o.setApart(key, c.now)
+	}
 	c.noteStart(s)
 	if a.Prefix != 0 {
 		o.known.note(a.Prefix, c.now)
@@ -235,6 +248,7 @@
 		c.noteStart(s)
 		return
 	case wire.NoteFirst:
+		o.join(key)
 		if e, ok := o.entries[key]; ok {
 			c.firstCame(s, e, time.Duration(m.Millis)*time.Millisecond)
 		}
--- a/pkg/admit/place.go
+++ b/pkg/admit/place.go
@@ -52,6 +52,9 @@
 	if s.isWarming(c.now) && !c.mayGiveWarming(s) {
 		return false
 	}
+	if o.isApart(c.now) || o.runsTwin(a.Ask) {
+		return false
+	}
 	if !sv.engine {
 		return float64(o.running) < float64(s.Slots)*queueAtService
 	}
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -37,6 +37,10 @@
 	Begun bool
 	// Avoid lists backend servers that failed it.
 	Avoid []string
+	// Answering says that its answer has begun.
+	Answering bool
+	// Digest identifies it, whichever try it is; 0 if that was not worked out.
+	Digest suspect.Digest
 }
 
 // request is one that this router holds.
@@ -66,6 +70,8 @@
 	// nowhere.
 	source *server
 	state  askState
+	// caution is that with which the place was asked for.
+	caution wire.Caution
 }
 
 type askState uint8
@@ -75,6 +81,8 @@
 	askQueued
 	askDenied
 	askUnanswered
+	// askBehindTwin: the same request runs there, and may end that backend server.
+	askBehindTwin
 )
 
 // outputCost is how many tokens read a token made counts as.
@@ -209,12 +217,17 @@
 // withdraw takes back the questions to other owners.
 func (c *Core) withdraw(r *request, chosen *server) {
 	for _, q := range r.asks {
-		if q.server != chosen && (q.state == askQueued || q.state == askSent) {
+		if q.server != chosen && q.waits() {
 			c.send(q.owner, &wire.Note{ID: r.ID, Server: q.server.key, Kind: wire.NoteCancel})
 		}
 	}
 }
 
+// waits reports whether the owner that was asked may still give the place.
+func (a *ask) waits() bool {
+	return a.state == askQueued || a.state == askSent || a.state == askBehindTwin
+}
+
 func (c *Core) unwait(r *request) {
 	c.waiting = slices.DeleteFunc(c.waiting, func(w *request) bool { return w == r })
 }
@@ -228,5 +241,9 @@
 
 func (c *Core) refuse(r *request, err *verdict.Error) {
 	c.forget(r)
-	c.act(Refuse{ID: r.ID, Err: err, Waited: c.now - r.arrived})
+	a := Refuse{ID: r.ID, Err: err, Waited: c.now - r.arrived}
+	if err.Code == codeEnds || err.Code == codeTwin {
+		a.Ends = c.suspects.Standing(c.now, r.Digest).Ends
+	}
+	c.act(a)
 }
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -52,6 +53,8 @@
 	reasonCopy  = "copy"
 	reasonSpill = "spill"
 	reasonIdle  = "less-busy"
+	// reasonTrial: backend servers ended under it, and it is placed with care.
+	reasonTrial = "trial"
 	// reasonOwnerTimeout: its owner did not reply in time, so that the holder
 	// admitted the request on its own estimate.
 	reasonOwnerTimeout = "owner-timeout"
@@ -73,7 +76,7 @@
 		c.refuse(r, err)
 		return
 	}
-	if c.expireAsks(r) || r.pending() {
+	if c.expireAsks(r) || r.pending() || r.behindTwin() {
 		return
 	}
 	if r.queued() && !c.maySpill(r) || len(r.asks) >= mostAsks {
@@ -91,11 +94,14 @@
 	case !r.Begun && !c.anyOpen(r.Service):
 		return c.noneOpen(r.Service)
 	}
-	if err := c.restRefusal(r); err != nil {
+	if err := cmp.Or(c.endsRefusal(r), c.restRefusal(r)); err != nil {
 		return err
 	}
 	switch {
 	case !r.Begun && r.Patience > 0 && c.now-r.arrived >= c.patience(r):
+		if r.behindTwin() {
+			return errTwin.After(twinRetryAfter + c.retryAfter())
+		}
 		return errBusy.After(c.retryAfter())
 	default:
 		return nil
@@ -204,7 +210,7 @@
 
 // ask asks the owner of a backend server for a place.
 func (c *Core) ask(r *request, s *server, why string) {
-	a := &ask{server: s, owner: s.owner, at: c.now, why: why, source: c.sourceFor(r, s)}
+	a := &ask{server: s, owner: s.owner, at: c.now, why: why, source: c.sourceFor(r, s), caution: c.caution(r)}
 	r.asks = append(r.asks, a)
 	if c.isUnresponsive(s.owner) {
 		a.state = askUnanswered
@@ -223,7 +229,7 @@
 		ID: r.ID, Server: s.key, Account: r.account, AccountRank: r.AccountRank, Rank: r.Rank,
 		Prefix: r.Prefix, Prompt: r.Prompt, Shared: r.Shared,
 		TargetMillis: (r.arrived + target - c.now).Milliseconds(), WaitMillis: wait.Milliseconds(), Spill: why == reasonSpill,
-		Begun: r.Begun, Fetch: a.source != nil,
+		Begun: r.Begun, Fetch: a.source != nil, Digest: uint64(r.Digest), Caution: a.caution,
 	})
 }
 
@@ -244,8 +250,8 @@
 		return
 	}
 	switch {
-	case m.State == wire.PlaceGranted && !c.takes(a.server):
-		// Closed, marked or turned away since the place was given: it lapses.
+	case m.State == wire.PlaceGranted && (!c.takes(a.server) || c.caution(r) > a.caution):
+		// Closed, marked, turned away or suspected since the place was asked for: it lapses.
 		c.send(from, &wire.Note{ID: m.ID, Server: m.Server, Kind: wire.NoteEnded, Result: uint8(Unknown)})
 		a.state = askDenied
 		c.advance(r)
@@ -254,6 +260,8 @@
 	case m.State == wire.PlaceQueued:
 		a.state = askQueued
 		c.advance(r)
+	case m.State == wire.PlaceBehindTwin:
+		a.state = askBehindTwin
 	case m.State == wire.PlaceDenied:
 		a.state = askDenied
 		c.advance(r)
--- a/pkg/admit/word.go
+++ b/pkg/admit/word.go
@@ -122,7 +122,7 @@
 func (c *Core) turnAway(s *server) {
 	for _, r := range slices.Clone(c.waiting) {
 		a := r.askOf(s.key)
-		if a == nil || r.at != nil || a.state != askSent && a.state != askQueued {
+		if a == nil || r.at != nil || !a.waits() {
 			continue
 		}
 		a.state = askDenied
