Run one try at a time, over the fleet, of a request under which a server ended

Cause: a second router placed a try elsewhere while the first one ran: its order of servers was another, so that four servers ended under one request. Change: who begins a try of such a request tells the others at once, and when it begins to answer or ends; others wait for that, or are refused with a time to come back.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -358,6 +358,9 @@
 	}
 	s.lastRun = s.now
 	ev.apply(s)
+	if s.core.HasSuspectNews() {
+		s.tellSuspects()
+	}
 }
 
 // step lets the core take an event and does what it says.
--- a/pkg/admit/caution.go
+++ b/pkg/admit/caution.go
@@ -2,9 +2,9 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/pkg/suspect"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
@@ -37,16 +37,28 @@
 		"backend servers ended while they ran this request, and another try of it runs; come back as told")
 )
 
+// caution is with which care a request is placed.
+type caution uint8
+
+const (
+	// noCaution: no server ended under it, as far as is known.
+	noCaution caution = iota
+	// oneAtATime: not while another try of it runs.
+	oneAtATime
+	// alone: nor together with what comes while it has not begun to answer.
+	alone
+)
+
 // caution returns with which care a request is to be placed. One whose answer had begun
 // has shown that it can be begun, and goes on elsewhere like any other after a first end.
-func (c *Core) caution(r *request) wire.Caution {
+func (c *Core) caution(r *request) caution {
 	switch ends := c.suspects.Standing(c.now, r.Digest).Ends; {
 	case ends == 0 || ends == 1 && r.Answering:
-		return wire.NoCaution
+		return noCaution
 	case ends == 1:
-		return wire.OneAtATime
+		return oneAtATime
 	default:
-		return wire.Alone
+		return alone
 	}
 }
 
@@ -59,32 +71,64 @@
 	return nil
 }
 
-// orderKey is by what the backend servers are ordered for a request: for one that is placed
-// with care the order is the same at every router.
-func (c *Core) orderKey(r *request) uint64 {
-	if r.Prefix == 0 && c.caution(r) > wire.NoCaution {
-		return uint64(r.Digest)
+// trial is a try that runs of a request under which servers ended.
+type trial struct {
+	// holder is the router that holds it, id its id there.
+	holder string
+	id     uint64
+	// until is when it counts no more, since its holder may have been lost.
+	until time.Duration
+}
+
+// behindTwin reports whether a request waits for another try of it.
+func (c *Core) behindTwin(r *request) bool {
+	t, ok := c.trials[r.Digest]
+	if !ok || r.Digest == 0 || c.now >= t.until || t.holder == c.opt.self.Address && t.id == r.ID {
+		return false
 	}
-	return r.Prefix
+	return c.caution(r) > noCaution
 }
 
-// behindTwin reports whether a request waits for another try of it to end.
-func (r *request) behindTwin() bool {
-	return slices.ContainsFunc(r.asks, func(a *ask) bool { return a.state == askBehindTwin })
+// beginTrial notes that a try begins of a request under which servers ended.
+func (c *Core) beginTrial(r *request) {
+	if c.caution(r) == noCaution {
+		return
+	}
+	c.trials[r.Digest] = trial{holder: c.opt.self.Address, id: r.ID, until: c.now + apartFor}
+	addBounded(&c.ownNews.begun, uint64(r.Digest))
 }
 
-// runsTwin reports whether a request that is to be placed with care must wait for another
-// try of it.
-func (o *owned) runsTwin(m *wire.Ask) bool {
-	if m.Caution == wire.NoCaution || m.Digest == 0 {
-		return false
+// endTrial notes that a try has begun to answer, or has ended.
+func (c *Core) endTrial(r *request) {
+	if t, ok := c.trials[r.Digest]; ok && t.holder == c.opt.self.Address && t.id == r.ID {
+		delete(c.trials, r.Digest)
+		addBounded(&c.ownNews.over, uint64(r.Digest))
 	}
-	for _, e := range o.entries {
-		if e.digest == m.Digest {
-			return true
+}
+
+// toldTrials takes in the tries that another router has begun, and those that are over.
+func (c *Core) toldTrials(from string, m *wire.Suspects) {
+	for _, d := range m.Begun[:min(mostTold, len(m.Begun))] {
+		if t, ok := c.trials[suspect.Digest(d)]; !ok || c.now >= t.until {
+			c.trials[suspect.Digest(d)] = trial{holder: from, until: c.now + apartFor}
+			addBounded(&c.heardNews.begun, d)
+		}
+	}
+	for _, d := range m.Over[:min(mostTold, len(m.Over))] {
+		if c.trials[suspect.Digest(d)].holder == from {
+			delete(c.trials, suspect.Digest(d))
+			addBounded(&c.heardNews.over, d)
+		}
+	}
+}
+
+// dropTrials forgets the tries of a router that is gone, "" for those that are too old.
+func (c *Core) dropTrials(holder string) {
+	for d, t := range c.trials {
+		if t.holder == holder || c.now >= t.until {
+			delete(c.trials, d)
 		}
 	}
-	return false
 }
 
 func (o *owned) setApart(key entryKey, now time.Duration) { o.apart, o.apartUntil = key, now+apartFor }
--- a/pkg/admit/choose.go
+++ b/pkg/admit/choose.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 // candidate returns the next backend server to ask for a place, nil if there
@@ -17,10 +15,6 @@
 	if len(open) == 0 {
 		return nil, ""
 	}
-	if c.caution(r) > wire.NoCaution {
-		// The same at every router, so that its tries meet.
-		return open[0], reasonTrial
-	}
 	if r.Prefix == 0 {
 		return c.leastBusy(open), reasonIdle
 	}
@@ -95,7 +89,7 @@
 // openServers returns the backend servers that may get the request, in the order
 // for its prompt: without those that failed it, unless no other is left.
 func (c *Core) openServers(sv *service, r *request) []*server {
-	order := c.orderFor(sv, c.orderKey(r))
+	order := c.orderFor(sv, r.Prefix)
 	open, others := make([]*server, 0, len(order)), make([]*server, 0, len(order))
 	for _, s := range order {
 		if !c.reaches(s) || s.rests(c.now) {
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -93,6 +93,9 @@
 	// ownNews and heardNews what others are to be told of them.
 	suspects           *suspect.Table
 	ownNews, heardNews suspectNews
+	// trials are the requests under which servers ended and of which a try runs that has
+	// not begun to answer.
+	trials map[suspect.Digest]trial
 	// words are what starts of backend servers say of themselves.
 	words map[wire.Key]*word
 	// waiting are the requests that have no place yet, by age.
@@ -155,6 +158,7 @@
 		requests:     map[uint64]*request{},
 		words:        map[wire.Key]*word{},
 		suspects:     suspect.New(),
+		trials:       map[suspect.Digest]trial{},
 		accounts:     newAccounts(),
 		reports:      map[reportSource]*usageReport{},
 		unresponsive: map[string]time.Duration{},
--- a/pkg/admit/owned.go
+++ b/pkg/admit/owned.go
@@ -38,8 +38,6 @@
 	since time.Duration
 	// heard is when its holder last told of it.
 	heard time.Duration
-	// digest identifies the request, whichever try it is; 0 if that is not known.
-	digest uint64
 }
 
 // asking is a request that waits for a place.
@@ -116,9 +114,6 @@
 	}
 	switch {
 	case granted:
-	case o.runsTwin(m):
-		o.queue = append(o.queue, a)
-		c.answer(s, a, wire.PlaceBehindTwin)
 	case m.Spill || c.now >= a.until:
 		c.answer(s, a, wire.PlaceDenied)
 	default:
@@ -141,10 +136,10 @@
 		return false
 	}
 	fetch := a.Fetch && !o.keeps(a.Ask, c.now)
-	e := &entry{unread: toRead, ahead: o.unread + toRead, since: c.now, heard: c.now, digest: a.Digest}
+	e := &entry{unread: toRead, ahead: o.unread + toRead, since: c.now, heard: c.now}
 	key := entryKey{a.from, a.ID}
 	o.add(key, e)
-	if a.Caution == wire.Alone {
+	if a.Alone {
 		o.setApart(key, c.now)
 	}
 	c.noteStart(s)
--- a/pkg/admit/peer.go
+++ b/pkg/admit/peer.go
@@ -32,6 +32,7 @@
 func (e PeerGone) apply(c *Core) {
 	c.forgetFlows(reportSource{wire.ScopeOwn, e.From})
 	c.dropHolder(e.From)
+	c.dropTrials(e.From)
 	for _, r := range slices.Clone(c.waiting) {
 		c.retryAfterOwnerLoss(r, e.From)
 	}
@@ -116,6 +117,7 @@
 	}
 	c.swept = c.now
 	c.suspects.Expire(c.now)
+	c.dropTrials("")
 	for from, t := range c.reports {
 		if c.now-t.heard >= c.silentAfter {
 			c.forgetFlows(from)
--- a/pkg/admit/place.go
+++ b/pkg/admit/place.go
@@ -52,7 +52,7 @@
 	if s.isWarming(c.now) && !c.mayGiveWarming(s) {
 		return false
 	}
-	if o.isApart(c.now) || o.runsTwin(a.Ask) {
+	if o.isApart(c.now) {
 		return false
 	}
 	if !sv.engine {
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -71,7 +71,7 @@
 	source *server
 	state  askState
 	// caution is that with which the place was asked for.
-	caution wire.Caution
+	caution caution
 }
 
 type askState uint8
@@ -81,8 +81,6 @@
 	askQueued
 	askDenied
 	askUnanswered
-	// askBehindTwin: the same request runs there, and may end that backend server.
-	askBehindTwin
 )
 
 // outputCost is how many tokens read a token made counts as.
@@ -146,6 +144,7 @@
 		c.forget(r)
 		return
 	}
+	c.endTrial(r)
 	c.end(r, Unknown)
 }
 
@@ -156,6 +155,7 @@
 	}
 	r.unread = 0
 	c.lives(r.at, r.started)
+	c.endTrial(r)
 	c.note(r, &wire.Note{Kind: wire.NoteFirst, Millis: (c.now - r.started).Milliseconds()})
 }
 
@@ -166,6 +166,7 @@
 	}
 	r.at.health.ended(c.now, e.Result)
 	c.learnOfEnd(r, e)
+	c.endTrial(r)
 	if r.account != 0 && (e.Result == Refused || e.Result == Unreached) {
 		c.accounts.get(r.account).begun.add(c.now, -r.cost)
 	}
@@ -209,6 +210,7 @@
 	if r.account != 0 {
 		c.accounts.get(r.account).begun.add(c.now, r.cost)
 	}
+	c.beginTrial(r)
 	s.health.started(c.now)
 	a.ID, a.Backend, a.Waited = r.ID, s.Backend, c.now-r.arrived
 	c.act(a)
@@ -225,7 +227,7 @@
 
 // waits reports whether the owner that was asked may still give the place.
 func (a *ask) waits() bool {
-	return a.state == askQueued || a.state == askSent || a.state == askBehindTwin
+	return a.state == askQueued || a.state == askSent
 }
 
 func (c *Core) unwait(r *request) {
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -53,8 +53,6 @@
 	reasonCopy  = "copy"
 	reasonSpill = "spill"
 	reasonIdle  = "less-busy"
-	// reasonTrial: backend servers ended under it, and it is placed with care.
-	reasonTrial = "trial"
 	// reasonOwnerTimeout: its owner did not reply in time, so that the holder
 	// admitted the request on its own estimate.
 	reasonOwnerTimeout = "owner-timeout"
@@ -76,7 +74,7 @@
 		c.refuse(r, err)
 		return
 	}
-	if c.expireAsks(r) || r.pending() || r.behindTwin() {
+	if c.expireAsks(r) || r.pending() || c.behindTwin(r) {
 		return
 	}
 	if r.queued() && !c.maySpill(r) || len(r.asks) >= mostAsks {
@@ -99,7 +97,7 @@
 	}
 	switch {
 	case !r.Begun && r.Patience > 0 && c.now-r.arrived >= c.patience(r):
-		if r.behindTwin() {
+		if c.behindTwin(r) {
 			return errTwin.After(twinRetryAfter + c.retryAfter())
 		}
 		return errBusy.After(c.retryAfter())
@@ -229,7 +227,7 @@
 		ID: r.ID, Server: s.key, Account: r.account, AccountRank: r.AccountRank, Rank: r.Rank,
 		Prefix: r.Prefix, Prompt: r.Prompt, Shared: r.Shared,
 		TargetMillis: (r.arrived + target - c.now).Milliseconds(), WaitMillis: wait.Milliseconds(), Spill: why == reasonSpill,
-		Begun: r.Begun, Fetch: a.source != nil, Digest: uint64(r.Digest), Caution: a.caution,
+		Begun: r.Begun, Fetch: a.source != nil, Alone: a.caution == alone,
 	})
 }
 
@@ -250,7 +248,7 @@
 		return
 	}
 	switch {
-	case m.State == wire.PlaceGranted && (!c.takes(a.server) || c.caution(r) > a.caution):
+	case m.State == wire.PlaceGranted && (!c.takes(a.server) || c.caution(r) > a.caution || c.behindTwin(r)):
 		// Closed, marked, turned away or suspected since the place was asked for: it lapses.
 		c.send(from, &wire.Note{ID: m.ID, Server: m.Server, Kind: wire.NoteEnded, Result: uint8(Unknown)})
 		a.state = askDenied
@@ -260,8 +258,6 @@
 	case m.State == wire.PlaceQueued:
 		a.state = askQueued
 		c.advance(r)
-	case m.State == wire.PlaceBehindTwin:
-		a.state = askBehindTwin
 	case m.State == wire.PlaceDenied:
 		a.state = askDenied
 		c.advance(r)
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -35,7 +35,7 @@
 	e := suspect.End{Digest: d, Server: suspect.Server(r.at.key), At: c.now}
 	if c.suspects.Note(c.now, e) {
 		c.act(Suspected{ID: r.ID, Digest: d, Backend: r.at.Name, Ends: c.suspects.Standing(c.now, d).Ends})
-		c.ownNews.addEnd(e)
+		addBounded(&c.ownNews.ends, e)
 	}
 }
 
@@ -43,17 +43,18 @@
 type suspectNews struct {
 	ends []suspect.End
 	ran  []uint64
+	// begun and over are requests of which a try runs, or does not any more.
+	begun, over []uint64
 }
 
-func (n *suspectNews) addEnd(e suspect.End) {
-	if len(n.ends) < mostWaitTold {
-		n.ends = append(n.ends, e)
-	}
+func (n *suspectNews) empty() bool {
+	return len(n.ends)+len(n.ran)+len(n.begun)+len(n.over) == 0
 }
 
-func (n *suspectNews) addRan(d suspect.Digest) {
-	if len(n.ran) < mostWaitTold {
-		n.ran = append(n.ran, uint64(d))
+// addBounded adds to a list of what waits to be told.
+func addBounded[T any](list *[]T, x T) {
+	if len(*list) < mostWaitTold {
+		*list = append(*list, x)
 	}
 }
 
@@ -66,7 +67,7 @@
 // ranWhole takes in that a request has run to its end.
 func (c *Core) ranWhole(d suspect.Digest) {
 	if c.suspects.Ran(d) {
-		c.ownNews.addRan(d)
+		addBounded(&c.ownNews.ran, uint64(d))
 	}
 }
 
@@ -77,9 +78,10 @@
 	}
 	for _, d := range m.Ran[:min(mostTold, len(m.Ran))] {
 		if c.suspects.Ran(suspect.Digest(d)) {
-			c.heardNews.addRan(suspect.Digest(d))
+			addBounded(&c.heardNews.ran, d)
 		}
 	}
+	c.toldTrials(from, m)
 }
 
 func (c *Core) toldEnd(from string, x wire.SuspectEnd) {
@@ -96,13 +98,16 @@
 	}
 	if c.suspects.Note(c.now, e) {
 		c.act(Suspected{Digest: e.Digest, Backend: name, Ends: c.suspects.Standing(c.now, e.Digest).Ends, From: from})
-		c.heardNews.addEnd(e)
+		addBounded(&c.heardNews.ends, e)
 	}
 }
 
 // longestAgo bounds how long ago an end may be that is told.
 const longestAgo = time.Hour
 
+// HasSuspectNews reports whether other routers are to be told of something at once.
+func (c *Core) HasSuspectNews() bool { return !c.ownNews.empty() }
+
 // TellSuspects returns what other routers are to be told of ends since the last time: a
 // relay passes on what it heard.
 func (c *Core) TellSuspects(now time.Duration, relay bool) []*wire.Suspects {
@@ -110,17 +115,27 @@
 	if relay {
 		news.ends = append(news.ends, c.heardNews.ends...)
 		news.ran = append(news.ran, c.heardNews.ran...)
+		news.begun = append(news.begun, c.heardNews.begun...)
+		news.over = append(news.over, c.heardNews.over...)
 	}
 	c.ownNews, c.heardNews = suspectNews{}, suspectNews{}
 	var list []*wire.Suspects
-	for len(news.ends)+len(news.ran) > 0 {
-		ends, ran := min(mostTold, len(news.ends)), min(mostTold, len(news.ran))
-		list = append(list, &wire.Suspects{Ends: toTell(now, news.ends[:ends]), Ran: news.ran[:ran]})
-		news.ends, news.ran = news.ends[ends:], news.ran[ran:]
+	for !news.empty() {
+		list = append(list, &wire.Suspects{
+			Ends: toTell(now, cutFrom(&news.ends)), Ran: cutFrom(&news.ran), Begun: cutFrom(&news.begun), Over: cutFrom(&news.over),
+		})
 	}
 	return list
 }
 
+// cutFrom takes from a list what one message holds.
+func cutFrom[T any](list *[]T) []T {
+	n := min(mostTold, len(*list))
+	cut := (*list)[:n]
+	*list = (*list)[n:]
+	return cut
+}
+
 // AllSuspects returns the worst of what is known of ends, for a router that has just been
 // heard or that may have missed something; nil if nothing is known.
 func (c *Core) AllSuspects(now time.Duration) *wire.Suspects {
--- a/pkg/admit/world_test.go
+++ b/pkg/admit/world_test.go
@@ -37,6 +37,8 @@
 	// hold is how long an answer goes on after its first event, base the time
 	// to that event without a prompt.
 	hold, base time.Duration
+	// crash is what ends servers, nil if nothing does.
+	crash *crashes
 }
 
 type askedOf struct {
@@ -222,10 +224,12 @@
 			w.deliver(name, a.To, a.Msg)
 		case admit.Refuse:
 			w.refusals[a.ID] = w.now - w.asked[a.ID].at
+			w.crash.refused(a)
 		case admit.Start:
 			w.started(name, a)
 		}
 	}
+	w.tellSuspects(name)
 }
 
 // started has the engine read the prompt and make the answer.
@@ -242,8 +246,16 @@
 	e.kept[r.Prefix] = true
 	e.free = max(e.free, w.now) + time.Duration(tokens)*e.perToken
 	w.starts[a.ID] = startOf{Start: a, router: name, at: w.now}
+	if !w.crash.sent(a.ID, r.Digest, a.Backend.Name) {
+		e.running--
+		w.at(netTime, func() { w.step(name, admit.End{ID: a.ID, Result: admit.Unreached}) })
+		return
+	}
 	first := e.free - w.now + w.base
 	w.at(first, func() {
+		if w.crash.isDead(a.ID) || w.crash.isDeadly(r.Digest) {
+			return
+		}
 		s := w.starts[a.ID]
 		s.first = w.now - w.asked[a.ID].at
 		w.starts[a.ID] = s
@@ -251,7 +263,10 @@
 	})
 	w.at(first+w.hold, func() {
 		e.running--
-		w.step(name, admit.End{ID: a.ID, Result: admit.Answered})
+		if !w.crash.isDead(a.ID) && !w.crash.isDeadly(r.Digest) {
+			w.crash.ended(a.ID)
+			w.step(name, admit.End{ID: a.ID, Result: admit.Answered, Digest: r.Digest, Whole: true})
+		}
 	})
 }
 
--- a/pkg/wire/place.go
+++ b/pkg/wire/place.go
@@ -37,25 +37,11 @@
 	// Begun says that the request was sent to a backend server before and may
 	// have run there: it is late in any case, and goes before all others.
 	Begun bool
-	// Digest identifies the request, whichever try it is; 0 if that was not worked out.
-	Digest uint64
-	// Caution is with which care it is to be placed.
-	Caution Caution
+	// Alone says that backend servers ended under it: nothing new is to join it until it
+	// begins to answer.
+	Alone bool
 }
 
-// Caution is with which care a request is placed, under which backend servers ended.
-type Caution uint8
-
-// The degrees of caution.
-const (
-	// NoCaution: none ended under it, as far as is known.
-	NoCaution Caution = iota
-	// OneAtATime: not where another try of the same request runs.
-	OneAtATime
-	// Alone: nor together with requests that come while it has not begun to answer.
-	Alone
-)
-
 // PlaceState is what an owner answers to an Ask.
 type PlaceState uint8
 
@@ -67,8 +53,6 @@
 	PlaceQueued
 	// PlaceDenied: it does not wait.
 	PlaceDenied
-	// PlaceBehindTwin: the request waits, since another try of it runs there.
-	PlaceBehindTwin
 )
 
 // Reply answers an Ask.
