Move what the dispatcher's task owns into a file of its own

Ruled out: splitting the state by concern (each event touches several). Change: state.go; what seven times in it are of is said. No behaviour.

--- /dev/null
+++ b/internal/dispatch/state.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/admit"
+	"github.com/yarrowmast/yarrowmast/pkg/allowance"
+	"github.com/yarrowmast/yarrowmast/pkg/catalog"
+	"github.com/yarrowmast/yarrowmast/pkg/roster"
+)
+
+// state is what the task owns.
+type state struct {
+	d            *Dispatcher
+	now          time.Duration
+	lastRun      time.Duration
+	core         *admit.Core
+	catalog      *catalog.Catalog
+	roster       *roster.Roster
+	allowance    *allowance.Allowance
+	rule         allowance.Rule
+	links        map[string]*link
+	pace         *admit.Pace
+	nextID       uint64
+	waiting      map[uint64]*attempt
+	// When others were told last, one was told whom this one knows, news were asked for,
+	// the status was renewed, the screen was, the shares were logged, and this router could
+	// not keep up.
+	toldAt, gossiped, askedNews, status, screened, sharesAt, overloadedAt time.Duration
+	// limitedAt is when there was no time for all last, 0 if never.
+	limitedAt time.Duration
+	// talk is whom this router tells what, digest that of its roster.
+	talk   roster.Talk
+	digest uint64
+	// changes counts the changes of the roster, changed is with which of them
+	// each router in it came to be told as it is.
+	changes uint64
+	changed map[string]rosterChange
+	// ending is the caller's id of the request whose attempt's end is taken in now.
+	ending string
+	// suspectsAt is when a router was last told of all suspects, suspectsTo how many
+	// were.
+	suspectsAt time.Duration
+	suspectsTo int
+	// untrusted are the backend servers that were last logged as such.
+	untrusted map[string]admit.Untrusted
+	// routers are those that the core was last told of, known how many it was told
+	// are known in each zone.
+	routers []admit.Router
+	known   map[string]int
+	left    bool
+	// membersAt is when they were last worked out, membersDue that they are to be anew.
+	membersAt  time.Duration
+	membersDue bool
+	// all is what was last told to who knew nothing.
+	all allNews
+	// closed are the availability zones that were closed by the last table.
+	closed   []string
+	unusable unusableLog
+	// neighbours is how many routers connections may be handed to.
+	neighbours int
+	// hosts are those of the routers, nil until they are looked up after a change.
+	hosts map[string]bool
+}
+
+// keepPart of the time within which changes are to be in force is for how long
+// backend servers are kept whose entries vanish together.
+const keepPart = 0.6
+
+func newState(d *Dispatcher) *state {
+	self := roster.Member{Address: d.id.Address, Name: d.id.Name, Zone: d.id.Zone, Inc: d.id.Inc, Capacity: d.id.Capacity}
+	now := d.now()
+	s := &state{
+		d: d, now: now, lastRun: now,
+		core:      admit.New(admit.Router{Address: d.id.Address, Zone: d.id.Zone, Capacity: d.id.Capacity}, admit.WithSeed(d.id.Inc)),
+		roster:    roster.New(self, d.opt.seeds),
+		allowance: allowance.New(d.opt.rule, now),
+		rule:      d.opt.rule,
+		links:     map[string]*link{},
+		pace:      admit.NewPace(d.id.Capacity),
+		waiting:   map[uint64]*attempt{},
+	}
+	s.catalog = catalog.New(catalog.WithKeep(time.Duration(keepPart*float64(d.opt.applyWithin))), catalog.WithOwn(s.isOwn))
+	return s
+}
+
+// pausedAfter is a gap between two steps that means the process was paused.
+const pausedAfter = 300 * time.Millisecond
+
+func (s *state) apply(ev event) {
+	s.now = s.d.now()
+	if gap := s.now - s.lastRun; gap >= pausedAfter {
+		s.d.opt.log.Warn("router_was_paused", "gap_ms", gap.Milliseconds())
+	}
+	s.lastRun = s.now
+	ev.apply(s)
+	if s.core.HasSuspectNews() {
+		s.tellSuspects()
+	}
+}
+
+// step lets the core take an event and does what it says.
+func (s *state) step(ev admit.Event) {
+	for _, a := range s.core.Step(s.now, ev) {
+		switch a := a.(type) {
+		case admit.Start:
+			s.reply(a.ID, decision{start: a, waited: a.Waited})
+		case admit.Refuse:
+			s.logHeldBack(a)
+			s.reply(a.ID, decision{err: a.Err, waited: a.Waited})
+		case admit.Send:
+			s.d.net.Send(a.To, a.Msg)
+		case admit.Suspected:
+			s.logSuspected(a)
+		case admit.Heard:
+			s.d.opt.log.Warn("backend_word", "backend", a.Backend, "leaving", a.Leaving, "rest_ms", a.Rest.Milliseconds(), "from", a.From)
+		}
+	}
+}
+
+type ticked struct{}
+
+func (ticked) apply(s *state) {
+	if s.catalog.Refresh(s.now) {
+		s.inForce("")
+	}
+	s.step(admit.Tick{})
+	if s.membersDue {
+		s.heardOfMembers()
+	}
+	s.screenIfDue()
+	s.tellOthers()
+	s.tellSuspects()
+	s.publish()
+}
