--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -11,18 +11,18 @@
 
 // state is what the task owns.
 type state struct {
-	d            *Dispatcher
-	now          time.Duration
-	lastRun      time.Duration
-	core         *admit.Core
-	catalog      *catalog.Catalog
-	roster       *roster.Roster
-	allowance    *allowance.Allowance
-	rule         allowance.Rule
-	links        map[string]*link
-	pace         *admit.Pace
-	nextID       uint64
-	waiting      map[uint64]*attempt
+	d         *Dispatcher
+	now       time.Duration
+	lastRun   time.Duration
+	core      *admit.Core
+	catalog   *catalog.Catalog
+	roster    *roster.Roster
+	allowance *allowance.Allowance
+	rule      allowance.Rule
+	links     map[string]*link
+	pace      *admit.Pace
+	nextID    uint64
+	waiting   map[uint64]*attempt
 	// When others were told last, one was told whom this one knows, news were asked for,
 	// the status was renewed, the screen was, the shares were logged, and this router could
 	// not keep up.
