Count only ends, share them out among polled requests, and free a request that begins to answer

All callers of the soak poll with the same request of a kind; workers fell silent as nothing had time, three silences counted as ends, and who is refused shows nothing. Ruled out: remembering for 30 s what ran to its end as harmless (what begins to be deadly would end many before it is forgotten). Change: a silence is no end. A request that shares three ends with another one is not barred: something else ended them. Once a try has begun to answer after a single end, its tries need not wait for each other. Tests of requests that callers poll with.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -100,13 +100,10 @@
 	d.post(e)
 }
 
-// wasCut reports whether the backend server broke off, or fell silent, while the request
-// was under way there.
+// wasCut reports whether the backend server broke off while the request was under way
+// there. One that falls silent may only be slow, as all are where a machine has no time.
 func wasCut(u front.Usage) bool {
-	if u.Error == nil || !u.Sent {
-		return false
-	}
-	return u.Silent || u.Error.Code == "answer-cut" || u.Error.Code == "backend-broke"
+	return u.Error != nil && u.Sent && (u.Error.Code == "answer-cut" || u.Error.Code == "backend-broke")
 }
 
 // resultOf tells what an attempt's end says of the backend server.
--- a/pkg/admit/caution.go
+++ b/pkg/admit/caution.go
@@ -49,16 +49,20 @@
 	alone
 )
 
-// caution returns with which care a request is to be placed. One whose answer had begun
-// has shown that it can be begun, and goes on elsewhere like any other after a first end.
+// caution returns with which care a request is to be placed. One whose answer had begun, or
+// of which another try has begun to answer since, has shown that it can be begun, and goes
+// on like any other after a first end: callers may poll with it.
 func (c *Core) caution(r *request) caution {
-	switch ends := c.suspects.Standing(c.now, r.Digest).Ends; {
-	case ends == 0 || ends == 1 && r.Answering:
+	standing := c.suspects.Standing(c.now, r.Digest)
+	switch {
+	case standing.Ends == 0:
 		return noCaution
-	case ends == 1:
-		return oneAtATime
-	default:
+	case standing.Ends > 1:
 		return alone
+	case r.Answering || c.answers[r.Digest] > standing.Last:
+		return noCaution
+	default:
+		return oneAtATime
 	}
 }
 
@@ -98,12 +102,19 @@
 	addBounded(&c.ownNews.begun, uint64(r.Digest))
 }
 
-// endTrial notes that a try has begun to answer, or has ended.
-func (c *Core) endTrial(r *request) {
-	if t, ok := c.trials[r.Digest]; ok && t.holder == c.opt.self.Address && t.id == r.ID {
-		delete(c.trials, r.Digest)
+// endTrial notes that a try has ended, or has begun to answer.
+func (c *Core) endTrial(r *request, answers bool) {
+	t, ok := c.trials[r.Digest]
+	if !ok || t.holder != c.opt.self.Address || t.id != r.ID {
+		return
+	}
+	delete(c.trials, r.Digest)
+	if !answers {
 		addBounded(&c.ownNews.over, uint64(r.Digest))
+		return
 	}
+	c.answers[r.Digest] = c.now
+	addBounded(&c.ownNews.answers, uint64(r.Digest))
 }
 
 // toldTrials takes in the tries that another router has begun, and those that are over.
@@ -114,14 +125,28 @@
 			addBounded(&c.heardNews.begun, d)
 		}
 	}
+	for _, d := range m.Answers[:min(mostTold, len(m.Answers))] {
+		if c.dropTrial(from, suspect.Digest(d)) {
+			c.answers[suspect.Digest(d)] = c.now
+			addBounded(&c.heardNews.answers, d)
+		}
+	}
 	for _, d := range m.Over[:min(mostTold, len(m.Over))] {
-		if c.trials[suspect.Digest(d)].holder == from {
-			delete(c.trials, suspect.Digest(d))
+		if c.dropTrial(from, suspect.Digest(d)) {
 			addBounded(&c.heardNews.over, d)
 		}
 	}
 }
 
+// dropTrial forgets a try of a router, and reports whether it was known.
+func (c *Core) dropTrial(holder string, d suspect.Digest) bool {
+	if t, ok := c.trials[d]; !ok || t.holder != holder {
+		return false
+	}
+	delete(c.trials, d)
+	return true
+}
+
 // dropTrials forgets the tries of a router that is gone, "" for those that are too old.
 func (c *Core) dropTrials(holder string) {
 	for d, t := range c.trials {
@@ -129,8 +154,17 @@
 			delete(c.trials, d)
 		}
 	}
+	for d, at := range c.answers {
+		if c.now-at >= answersKept {
+			delete(c.answers, d)
+		}
+	}
 }
 
+// answersKept is for how long is remembered that a try began to answer: as long as a single
+// end is.
+const answersKept = 30 * time.Second
+
 func (o *owned) setApart(key entryKey, now time.Duration) { o.apart, o.apartUntil = key, now+apartFor }
 
 // join lets others join a request that ran apart.
--- a/pkg/admit/caution_test.go
+++ b/pkg/admit/caution_test.go
@@ -211,6 +211,26 @@
 	}
 }
 
+// TestPolledRequestIsNobodysFault has callers poll, all with the same request, while servers
+// break connections off, now here, now there, and go on: it is refused to nobody for that.
+func TestPolledRequestIsNobodysFault(t *testing.T) {
+	const end = 8 * time.Second
+	for seed := range uint64(10) {
+		w := newWorld(seed, 3, []string{"a"}, 4)
+		x := withCrashes(w, nil)
+		w.every(20*time.Millisecond, func() {
+			if w.now < end-time.Second {
+				w.ask(w.order[w.rng.IntN(len(w.order))], admit.Request{Prompt: 300, Output: 20, Digest: 8})
+			}
+		})
+		w.every(700*time.Millisecond, func() { x.breakOff(w.table.Backends[w.rng.IntN(4)].Name) })
+		w.run(end)
+		if x.barred > 0 || x.waited > 0 {
+			t.Errorf("seed %d: %d are refused for ends of servers, %d for another try", seed, x.barred, x.waited)
+		}
+	}
+}
+
 // TestOneTryRunsAtATime has two routers hold tries of a request under which a server ended:
 // the second waits for the first to begin to answer, and is refused with a time to come
 // back when it can wait no longer.
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -96,6 +96,8 @@
 	// trials are the requests under which servers ended and of which a try runs that has
 	// not begun to answer.
 	trials map[suspect.Digest]trial
+	// answers are the requests of which a try began to answer after an end, and when.
+	answers map[suspect.Digest]time.Duration
 	// words are what starts of backend servers say of themselves.
 	words map[wire.Key]*word
 	// waiting are the requests that have no place yet, by age.
@@ -159,6 +161,7 @@
 		words:        map[wire.Key]*word{},
 		suspects:     suspect.New(),
 		trials:       map[suspect.Digest]trial{},
+		answers:      map[suspect.Digest]time.Duration{},
 		accounts:     newAccounts(),
 		reports:      map[reportSource]*usageReport{},
 		unresponsive: map[string]time.Duration{},
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -102,8 +102,7 @@
 	Result Result
 	// Digest identifies the request, 0 if it was not worked out.
 	Digest suspect.Digest
-	// Cut says that the backend server broke off, or fell silent for good as far as is
-	// known, while the request was under way there.
+	// Cut says that the backend server broke off while the request was under way there.
 	Cut bool
 	// Whole says that the request has run to its end.
 	Whole bool
@@ -144,7 +143,7 @@
 		c.forget(r)
 		return
 	}
-	c.endTrial(r)
+	c.endTrial(r, false)
 	c.end(r, Unknown)
 }
 
@@ -155,7 +154,7 @@
 	}
 	r.unread = 0
 	c.lives(r.at, r.started)
-	c.endTrial(r)
+	c.endTrial(r, true)
 	c.note(r, &wire.Note{Kind: wire.NoteFirst, Millis: (c.now - r.started).Milliseconds()})
 }
 
@@ -166,7 +165,7 @@
 	}
 	r.at.health.ended(c.now, e.Result)
 	c.learnOfEnd(r, e)
-	c.endTrial(r)
+	c.endTrial(r, false)
 	if r.account != 0 && (e.Result == Refused || e.Result == Unreached) {
 		c.accounts.get(r.account).begun.add(c.now, -r.cost)
 	}
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -43,12 +43,13 @@
 type suspectNews struct {
 	ends []suspect.End
 	ran  []uint64
-	// begun and over are requests of which a try runs, or does not any more.
-	begun, over []uint64
+	// begun, answers and over are requests of which a try runs, has begun to answer, or
+	// does not run any more.
+	begun, answers, over []uint64
 }
 
 func (n *suspectNews) empty() bool {
-	return len(n.ends)+len(n.ran)+len(n.begun)+len(n.over) == 0
+	return len(n.ends)+len(n.ran)+len(n.begun)+len(n.answers)+len(n.over) == 0
 }
 
 // addBounded adds to a list of what waits to be told.
@@ -121,13 +122,15 @@
 		news.ends = append(news.ends, c.heardNews.ends...)
 		news.ran = append(news.ran, c.heardNews.ran...)
 		news.begun = append(news.begun, c.heardNews.begun...)
+		news.answers = append(news.answers, c.heardNews.answers...)
 		news.over = append(news.over, c.heardNews.over...)
 	}
 	c.ownNews, c.heardNews = suspectNews{}, suspectNews{}
 	var list []*wire.Suspects
 	for !news.empty() {
 		list = append(list, &wire.Suspects{
-			Ends: toTell(now, cutFrom(&news.ends)), Ran: cutFrom(&news.ran), Begun: cutFrom(&news.begun), Over: cutFrom(&news.over),
+			Ends: toTell(now, cutFrom(&news.ends)), Ran: cutFrom(&news.ran),
+			Begun: cutFrom(&news.begun), Answers: cutFrom(&news.answers), Over: cutFrom(&news.over),
 		})
 	}
 	return list
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -59,6 +59,8 @@
 type Standing struct {
 	// Ends is how many backend servers ended under it.
 	Ends int
+	// Last is when the last of them did.
+	Last time.Duration
 	// Until is until when it gets nothing, 0 if it may be sent.
 	Until time.Duration
 }
@@ -86,11 +88,13 @@
 	requests map[Digest]*request
 	// at counts the ends that are remembered of each server.
 	at map[Server]int
+	// worst are the requests under which MostEnds servers ended, or more.
+	worst map[Digest]*request
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{requests: map[Digest]*request{}, at: map[Server]int{}}
+	return &Table{requests: map[Digest]*request{}, at: map[Server]int{}, worst: map[Digest]*request{}}
 }
 
 // Len returns how many requests are remembered.
@@ -119,6 +123,9 @@
 	at, _ := slices.BinarySearchFunc(r.ends, e, byTime)
 	r.ends = slices.Insert(r.ends, at, e)
 	t.at[e.Server]++
+	if len(r.ends) >= MostEnds {
+		t.worst[e.Digest] = r
+	}
 	return true
 }
 
@@ -165,8 +172,8 @@
 	if !ok || now-r.last() >= r.kept() {
 		return Standing{}
 	}
-	s := Standing{Ends: len(r.ends)}
-	if s.Ends >= MostEnds && (r.repeated() || r.last()-r.ends[0].At > oneMoment) {
+	s := Standing{Ends: len(r.ends), Last: r.last()}
+	if s.Ends >= MostEnds && (r.repeated() || r.last()-r.ends[0].At > oneMoment) && !t.shares(d, r) {
 		s.Until = r.last() + barredFor
 	}
 	return s
@@ -178,6 +185,28 @@
 // 0.5 s, all sent before the first end, the ends were 60 to 250 ms apart.
 const oneMoment = 150 * time.Millisecond
 
+// shares reports whether another request was at three of the same ends: then the servers
+// ended by something else, and both were there since they are sent often.
+func (t *Table) shares(d Digest, r *request) bool {
+	for other, x := range t.worst {
+		if other != d && common(r.ends, x.ends) >= MostEnds {
+			return true
+		}
+	}
+	return false
+}
+
+// common returns how many servers are in both lists.
+func common(a, b []End) int {
+	n := 0
+	for _, e := range a {
+		if slices.ContainsFunc(b, func(x End) bool { return x.Server == e.Server }) {
+			n++
+		}
+	}
+	return n
+}
+
 // repeated reports whether any of the ends was under a try that was sent after the first
 // end.
 func (r *request) repeated() bool {
@@ -243,6 +272,9 @@
 		t.forgetEnd(e)
 		return true
 	})
+	if len(r.ends) < MostEnds {
+		delete(t.worst, d)
+	}
 	if len(r.ends) == 0 {
 		delete(t.requests, d)
 	}
--- a/pkg/wire/suspects.go
+++ b/pkg/wire/suspects.go
@@ -6,8 +6,9 @@
 	// Ran are requests that have run to their end since: their ends are taken back.
 	Ran []uint64
 	// Begun are requests under which servers ended and of which the sender has begun
-	// another try, Over those whose try has begun to answer, or has ended.
-	Begun, Over []uint64
+	// another try, Answers those whose try has begun to answer, Over those whose try has
+	// ended.
+	Begun, Answers, Over []uint64
 }
 
 // SuspectEnd is a request that was under way at a backend server when that ended.
