Give a request that ran lately one trial more before it is barred

Cause: some tries of a request that callers poll with are at each end of a server. Ruled out: a shorter bar; taking what ran lately for harmless (what becomes deadly would end many). Change: what ran to its end within 30 s is barred from the fourth end on; its trial takes all back.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -94,7 +94,7 @@
 // Release implements front.Scheduler.
 func (d *Dispatcher) Release(g front.Grant, u front.Usage) {
 	e := ended{id: g.ID, result: resultOf(u), request: u.Request, cut: wasCut(u), whole: u.Error == nil && u.Status < http.StatusInternalServerError}
-	if u.Digest != nil && (e.cut || e.whole && d.shared.suspects.Load()) {
+	if u.Digest != nil && (e.cut || e.whole) {
 		e.digest = suspect.Digest(u.Digest())
 	}
 	d.post(e)
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -67,7 +67,7 @@
 
 // ranWhole takes in that a request has run to its end.
 func (c *Core) ranWhole(d suspect.Digest) {
-	if c.suspects.Ran(d) {
+	if c.suspects.Ran(c.now, d) {
 		addBounded(&c.ownNews.ran, uint64(d))
 	}
 }
@@ -78,7 +78,7 @@
 		c.toldEnd(from, x)
 	}
 	for _, d := range m.Ran[:min(mostTold, len(m.Ran))] {
-		if c.suspects.Ran(suspect.Digest(d)) {
+		if c.suspects.Ran(c.now, suspect.Digest(d)) {
 			addBounded(&c.heardNews.ran, d)
 		}
 	}
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -36,6 +36,10 @@
 	mostRequests = 4096
 	// dropPart of them is dropped at once when there are more.
 	dropPart = 8
+	// ranFor is for how long at least is remembered that a request ran to its end, mostRan
+	// how many such requests are, twice: 8,192 take 0.3 MB.
+	ranFor  = 30 * time.Second
+	mostRan = 4096
 	// mostServers bounds the ends that are remembered of one request.
 	mostServers = 8
 )
@@ -88,13 +92,15 @@
 	requests map[Digest]*request
 	// at counts the ends that are remembered of each server.
 	at map[Server]int
-	// worst are the requests under which MostEnds servers ended, or more.
-	worst map[Digest]*request
+	// ran are the requests that ran to their end since ranSince, ranBefore those of the
+	// time before that.
+	ran, ranBefore map[Digest]bool
+	ranSince       time.Duration
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{requests: map[Digest]*request{}, at: map[Server]int{}, worst: map[Digest]*request{}}
+	return &Table{requests: map[Digest]*request{}, at: map[Server]int{}, ran: map[Digest]bool{}}
 }
 
 // Len returns how many requests are remembered.
@@ -123,9 +129,6 @@
 	at, _ := slices.BinarySearchFunc(r.ends, e, byTime)
 	r.ends = slices.Insert(r.ends, at, e)
 	t.at[e.Server]++
-	if len(r.ends) >= MostEnds {
-		t.worst[e.Digest] = r
-	}
 	return true
 }
 
@@ -158,7 +161,14 @@
 
 // Ran takes back the ends of a request that has run to its end, and reports whether there
 // were any.
-func (t *Table) Ran(d Digest) bool {
+func (t *Table) Ran(now time.Duration, d Digest) bool {
+	if d == 0 {
+		return false
+	}
+	if len(t.ran) >= mostRan || now-t.ranSince >= ranFor {
+		t.ran, t.ranBefore, t.ranSince = make(map[Digest]bool, len(t.ran)), t.ran, now
+	}
+	t.ran[d] = true
 	r, ok := t.requests[d]
 	if ok {
 		t.take(d, r, func(End) bool { return true })
@@ -173,7 +183,7 @@
 		return Standing{}
 	}
 	s := Standing{Ends: len(r.ends), Last: r.last()}
-	if s.Ends >= MostEnds && (r.repeated() || r.last()-r.ends[0].At > oneMoment) && !t.shares(d, r) {
+	if s.Ends >= MostEnds && (r.repeated() || r.last()-r.ends[0].At > oneMoment) && (s.Ends > MostEnds || !t.ranLately(d)) {
 		s.Until = r.last() + barredFor
 	}
 	return s
@@ -185,27 +195,10 @@
 // 0.5 s, all sent before the first end, the ends were 60 to 250 ms apart.
 const oneMoment = 150 * time.Millisecond
 
-// shares reports whether another request was at three of the same ends: then the servers
-// ended by something else, and both were there since they are sent often.
-func (t *Table) shares(d Digest, r *request) bool {
-	for other, x := range t.worst {
-		if other != d && common(r.ends, x.ends) >= MostEnds {
-			return true
-		}
-	}
-	return false
-}
-
-// common returns how many servers are in both lists.
-func common(a, b []End) int {
-	n := 0
-	for _, e := range a {
-		if slices.ContainsFunc(b, func(x End) bool { return x.Server == e.Server }) {
-			n++
-		}
-	}
-	return n
-}
+// ranLately reports whether a request ran to its end lately. Callers poll with such a
+// request, so that some of its tries are at each end of a server, whatever the cause: it is
+// given one trial more, which takes all back if it runs.
+func (t *Table) ranLately(d Digest) bool { return t.ran[d] || t.ranBefore[d] }
 
 // repeated reports whether any of the ends was under a try that was sent after the first
 // end.
@@ -272,9 +265,6 @@
 		t.forgetEnd(e)
 		return true
 	})
-	if len(r.ends) < MostEnds {
-		delete(t.worst, d)
-	}
 	if len(r.ends) == 0 {
 		delete(t.requests, d)
 	}
