Say when ends of a request are taken back or forgotten

Change: line request_cleared (two ends and more), ends_cleared in the status by the reason, shown by yarrowctl explain. No decision uses it.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -7,6 +7,7 @@
 	"github.com/yarrowmast/yarrowmast/pkg/allowance"
 	"github.com/yarrowmast/yarrowmast/pkg/catalog"
 	"github.com/yarrowmast/yarrowmast/pkg/roster"
+	"github.com/yarrowmast/yarrowmast/pkg/suspect"
 )
 
 // state is what the task owns.
@@ -38,6 +39,8 @@
 	changed map[string]rosterChange
 	// ending is the caller's id of the request whose attempt's end is taken in now.
 	ending string
+	// cleared counts ends of requests that are not remembered any more, by the reason.
+	cleared map[suspect.Why]int64
 	// suspectsAt is when a router was last told of all suspects, suspectsTo how many
 	// were.
 	suspectsAt time.Duration
@@ -77,6 +80,7 @@
 		allowance: allowance.New(d.opt.rule, now),
 		rule:      d.opt.rule,
 		links:     map[string]*link{},
+		cleared:   map[suspect.Why]int64{},
 		pace:      admit.NewPace(d.id.Capacity),
 		waiting:   map[uint64]*attempt{},
 	}
@@ -112,6 +116,8 @@
 			s.d.net.Send(a.To, a.Msg)
 		case admit.Suspected:
 			s.logSuspected(a)
+		case admit.Cleared:
+			s.noteCleared(a)
 		case admit.Heard:
 			s.d.opt.log.Warn("backend_word", "backend", a.Backend, "leaving", a.Leaving, "rest_ms", a.Rest.Milliseconds(), "from", a.From)
 		}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/catalog"
+	"github.com/yarrowmast/yarrowmast/pkg/suspect"
 )
 
 // statusEvery is the interval at which the status for operators is renewed.
@@ -41,6 +42,9 @@
 	// SuspectCount is how many are remembered.
 	Suspects     []Suspect `json:"suspects,omitempty"`
 	SuspectCount int       `json:"suspect_count"`
+	// EndsCleared counts ends of requests that are not remembered any more, by the reason:
+	// the request ran, the backend server lives, they were old, or there was no room.
+	EndsCleared map[suspect.Why]int64 `json:"ends_cleared,omitempty"`
 	// ClosedZones are the availability zones that operators have closed, Warming how
 	// many backend servers warm up.
 	ClosedZones []string `json:"closed_zones"`
@@ -78,6 +82,7 @@
 	st.Untrusted = slices.Sorted(maps.Keys(s.untrusted))
 	s.publishWords(st)
 	st.Suspects, st.SuspectCount = s.suspects()
+	st.EndsCleared = maps.Clone(s.cleared)
 	if c, ok := s.d.source.(counter); ok {
 		st.Calls = c.Calls()
 	}
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -49,6 +49,15 @@
 	s.d.shared.suspects.Store(true)
 }
 
+// noteCleared counts ends of a request that are not remembered any more, and logs them
+// where there were several: one is what each request has that was there at an end.
+func (s *state) noteCleared(a admit.Cleared) {
+	s.cleared[a.Why] += int64(a.Ends)
+	if a.Ends > 1 {
+		s.d.opt.log.Info("request_cleared", "digest", digestText(a.Digest), "ends", a.Ends, "reason", string(a.Why))
+	}
+}
+
 // logHeldBack logs that a request gets no backend server since servers ended under it.
 func (s *state) logHeldBack(a admit.Refuse) {
 	if w, ok := s.waiting[a.ID]; ok && a.Ends > 0 {
--- a/internal/explain/suspicion.go
+++ b/internal/explain/suspicion.go
@@ -12,6 +12,7 @@
 const (
 	eventAtEnd    = "request_at_end"
 	eventHeldBack = "request_held_back"
+	eventCleared  = "request_cleared"
 )
 
 // mostSuspicion bounds the lines that are shown of other tries.
@@ -42,7 +43,7 @@
 func (s *story) ofDigest(d string) []logread.Record {
 	var lines []logread.Record
 	for _, r := range s.records {
-		if (r.Event == eventAtEnd || r.Event == eventHeldBack) && r.Fields["digest"] == d {
+		if slices.Contains([]string{eventAtEnd, eventHeldBack, eventCleared}, r.Event) && r.Fields["digest"] == d {
 			lines = append(lines, r)
 		}
 	}
--- a/internal/explain/suspicion_test.go
+++ b/internal/explain/suspicion_test.go
@@ -15,6 +15,7 @@
 time=2026-01-01T00:00:01.001Z level=INFO msg=request_at_end router=a-0 request=r9 digest=00000000000000bb backend=form-1 ends=1 from=""
 time=2026-01-01T00:00:02.000Z level=INFO msg=request_at_end router=a-0 request=r1 digest=00000000000000aa backend=form-2 ends=2 from=""
 time=2026-01-01T00:00:03.000Z level=INFO msg=request_at_end router=b-0 request=r2 digest=00000000000000aa backend=form-3 ends=3 from=""
+time=2026-01-01T00:00:03.500Z level=INFO msg=request_cleared router=a-0 digest=00000000000000aa ends=3 reason=ran
 time=2026-01-01T00:00:04.000Z level=WARN msg=request_held_back router=b-0 request=r3 digest=00000000000000aa ends=3 code=ends-backends
 time=2026-01-01T00:00:04.000Z level=INFO msg=request_end router=b-0 request=r3 account=moka model=form status=503 code=ends-backends verdict=not-run attempts=0 waited_ms=0 total_ms=1
 `
@@ -31,6 +32,9 @@
 		if err := explain.Explain(&b, id, list); err != nil {
 			t.Fatal(err)
 		}
+		if got, want := strings.Contains(b.String(), "reason=ran"), id == "r3"; got != want {
+			t.Errorf("%s: says that ends were taken back: %v\n%s", id, got, b.String())
+		}
 		for _, server := range []string{"form-1", "form-2", "form-3"} {
 			want := false
 			for _, o := range others {
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -188,6 +188,7 @@
 		c.local = c.local[1:]
 		c.receive(c.opt.self.Address, msg)
 	}
+	c.tellCleared()
 	return c.out
 }
 
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -27,6 +27,18 @@
 
 func (Suspected) action() {}
 
+// Cleared is an action: ends of a request are not remembered any more.
+type Cleared struct{ suspect.Cleared }
+
+func (Cleared) action() {}
+
+// tellCleared says what has been forgotten of ends, or taken back.
+func (c *Core) tellCleared() {
+	for _, x := range c.suspects.Cleared() {
+		c.act(Cleared{x})
+	}
+}
+
 // noteEnd takes in that a request of this router was under way at a backend server when
 // its connection broke.
 func (c *Core) noteEnd(r *request, d suspect.Digest) {
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -42,6 +42,8 @@
 	mostRan = 4096
 	// mostServers bounds the ends that are remembered of one request.
 	mostServers = 8
+	// mostCleared bounds what waits to be told of ends that were cleared.
+	mostCleared = 1024
 )
 
 // Digest identifies a request by what its caller sends, whichever try it is.
@@ -87,9 +89,33 @@
 	return moreKept
 }
 
+// Why is why ends of a request are not remembered any more.
+type Why string
+
+const (
+	// WhyRan: the request has run to its end.
+	WhyRan Why = "ran"
+	// WhyLives: the backend server turned out to live.
+	WhyLives Why = "lives"
+	// WhyOld: they are as old as ends are remembered.
+	WhyOld Why = "old"
+	// WhyRoom: there were too many requests, and others had more ends.
+	WhyRoom Why = "room"
+)
+
+// Cleared are ends of a request that are not remembered any more.
+type Cleared struct {
+	Digest Digest
+	// Ends is how many, above 0.
+	Ends int
+	Why  Why
+}
+
 // Table is what one router remembers.
 type Table struct {
 	requests map[Digest]*request
+	// cleared is what was forgotten or taken back and not fetched yet.
+	cleared []Cleared
 	// at counts the ends that are remembered of each server.
 	at map[Server]int
 	// ran are the requests that ran to their end since ranSince, ranBefore those of the
@@ -155,7 +181,7 @@
 		return
 	}
 	for d, r := range t.requests {
-		t.take(d, r, func(e End) bool { return e.Server == server && e.At < since })
+		t.take(d, r, WhyLives, func(e End) bool { return e.Server == server && e.At < since })
 	}
 }
 
@@ -171,7 +197,7 @@
 	t.ran[d] = true
 	r, ok := t.requests[d]
 	if ok {
-		t.take(d, r, func(End) bool { return true })
+		t.take(d, r, WhyRan, allEnds)
 	}
 	return ok
 }
@@ -211,7 +237,7 @@
 func (t *Table) Expire(now time.Duration) {
 	for d, r := range t.requests {
 		if now-r.last() >= r.kept() {
-			t.take(d, r, func(End) bool { return true })
+			t.take(d, r, WhyOld, allEnds)
 		}
 	}
 }
@@ -252,12 +278,29 @@
 	}
 	list := t.byEnds()
 	for _, r := range list[len(list)-mostRequests/dropPart:] {
-		t.take(r.ends[0].Digest, r, func(End) bool { return true })
+		t.take(r.ends[0].Digest, r, WhyRoom, allEnds)
 	}
 }
 
+// allEnds says that an end is one of all.
+func allEnds(End) bool { return true }
+
+// Cleared returns what was forgotten or taken back since the last call. What exceeds
+// mostCleared is not told.
+func (t *Table) Cleared() []Cleared {
+	list := t.cleared
+	t.cleared = nil
+	return list
+}
+
 // take takes some ends of a request back, and the request with its last.
-func (t *Table) take(d Digest, r *request, which func(End) bool) {
+func (t *Table) take(d Digest, r *request, why Why, which func(End) bool) {
+	before := len(r.ends)
+	defer func() {
+		if n := before - len(r.ends); n > 0 && len(t.cleared) < mostCleared {
+			t.cleared = append(t.cleared, Cleared{Digest: d, Ends: n, Why: why})
+		}
+	}()
 	r.ends = slices.DeleteFunc(r.ends, func(e End) bool {
 		if !which(e) {
 			return false
