Bring about requests that end their servers and come back, failing

Cause: not mended yet; what is known of such a request is lost, forgotten, taken back or never set beside it before it returns.

--- a/pkg/admit/caution_test.go
+++ b/pkg/admit/caution_test.go
@@ -117,6 +117,19 @@
 	}
 }
 
+// restartAll has all routers lose all that they knew.
+func (w *world) restartAll() {
+	for id := range w.asked {
+		w.crash.dead[id] = true
+		w.crash.ended(id)
+	}
+	for i, router := range w.order {
+		w.cores[router] = admit.New(admit.Router{Address: router, Zone: zoneOf(router)}, admit.WithSeed(uint64(200+i)))
+		w.step(router, admit.View{Table: w.table})
+	}
+	w.tellRouters()
+}
+
 // cutZones keeps the routers of each zone from hearing those of the other.
 func (w *world) cutZones() {
 	for _, a := range w.order {
--- a/pkg/admit/crash_world_test.go
+++ b/pkg/admit/crash_world_test.go
@@ -16,6 +16,13 @@
 	after map[suspect.Digest]time.Duration
 	// away is for how long an ended server is away.
 	away time.Duration
+	// once says that a request is tried once for each time that its caller comes.
+	once bool
+	// unseen is for how long the directory does not tell that an ended server has started
+	// again under its name, 0 if it takes the row out and puts the new start's in.
+	unseen time.Duration
+	// silent says that a server which ends breaks nothing off: it only says nothing more.
+	silent bool
 	// running are the requests at each server, dead those that were cut off.
 	running map[string][]uint64
 	dead    map[uint64]bool
@@ -119,6 +126,48 @@
 	for _, id := range cut {
 		x.dead[id] = true
 	}
+	if x.unseen > 0 {
+		x.startUnseen(server)
+	} else {
+		x.startAsAnother(server)
+	}
+	for _, id := range cut {
+		if x.silent {
+			w.at(silentFor, func() { x.fellSilent(id) })
+			continue
+		}
+		w.at(netTime, func() { x.cutOff(id) })
+	}
+}
+
+// silentFor is how long a holder waits for a server that says nothing.
+const silentFor = 800 * time.Millisecond
+
+// fellSilent tells the holder of a request that nothing came for too long.
+func (x *crashes) fellSilent(id uint64) {
+	a := x.w.asked[id]
+	x.w.step(a.router, admit.End{ID: id, Result: admit.Silent, Digest: a.request.Digest})
+}
+
+// startUnseen has an ended server start again under its name, which its row tells later.
+func (x *crashes) startUnseen(server string) {
+	w := x.w
+	w.at(x.away, func() { x.gone[server] = false })
+	w.at(x.away+x.unseen, func() {
+		w.change(func(t *table.Table) {
+			for i := range t.Backends {
+				if t.Backends[i].Name == server {
+					t.Backends[i].Born = int64(w.now)
+				}
+			}
+		})
+	})
+}
+
+// startAsAnother has the row of an ended server go after a second, and that of its next start
+// come later.
+func (x *crashes) startAsAnother(server string) {
+	w := x.w
 	w.at(time.Second, func() {
 		w.change(func(t *table.Table) {
 			t.Backends = slices.DeleteFunc(t.Backends, func(b table.Backend) bool { return b.Name == server })
@@ -135,9 +184,6 @@
 		x.gone[server] = false
 		w.change(func(t *table.Table) { t.Backends = append(t.Backends, row) })
 	})
-	for _, id := range cut {
-		w.at(netTime, func() { x.cutOff(id) })
-	}
 }
 
 // cutOff tells the holder of a request that its server broke off; it is tried once more.
@@ -146,7 +192,7 @@
 	a := w.asked[id]
 	w.step(a.router, admit.End{ID: id, Result: admit.Broken, Digest: a.request.Digest, Cut: true})
 	x.tries[id]++
-	if w.down[a.router] || x.isDeadly(a.request.Digest) && x.tries[id] > 1 || x.tries[id] >= mostTries {
+	if w.down[a.router] || x.isDeadly(a.request.Digest) && (x.once || x.tries[id] > 1) || x.tries[id] >= mostTries {
 		return
 	}
 	if x.tries[id] > 1 {
