Remember a single end of a backend server for as long as several

Callers saw servers end one after the other under a request that returned each half minute and is tried once for each coming: 19 of them in ten minutes, where three are the bound. Cause: one end was remembered for 30 s, from the time within which callers retry; it is not bounded by that when a request comes back. Ruled out: that its two ends are forgotten (two were kept for 20 minutes). What only was there is still taken back when it has run. Replaced in TestStanding: 'one end, long ago' asked for nothing after a minute, and asks for the end after 19 and nothing after 21; so does the end told as of a time to come.

--- a/pkg/admit/caution.go
+++ b/pkg/admit/caution.go
@@ -154,17 +154,13 @@
 			delete(c.trials, d)
 		}
 	}
-	for d, at := range c.answers {
-		if c.now-at >= answersKept {
+	for d := range c.answers {
+		if c.suspects.Standing(c.now, d).Ends == 0 {
 			delete(c.answers, d)
 		}
 	}
 }
 
-// answersKept is for how long is remembered that a try began to answer: as long as a single
-// end is.
-const answersKept = 30 * time.Second
-
 func (o *owned) setApart(key entryKey, now time.Duration) { o.apart, o.apartUntil = key, now+apartFor }
 
 // join lets others join a request that ran apart.
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -116,10 +116,8 @@
 	}
 }
 
-// longestAgo bounds how long ago an end may be that is told.
-const longestAgo = time.Hour
-
-func isAgo(millis int64) bool { return millis >= 0 && millis <= longestAgo.Milliseconds() }
+// isAgo reports whether an end may be told of that was so long ago.
+func isAgo(millis int64) bool { return millis >= 0 && millis <= suspect.LongestKept.Milliseconds() }
 
 // HasSuspectNews reports whether other routers are to be told of something at once.
 func (c *Core) HasSuspectNews() bool { return !c.ownNews.empty() }
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -20,16 +20,21 @@
 	// other: the operators' rule is three. Two would refuse harmless requests: of a fleet
 	// that loses servers by other causes 1 to 6 in 2,500 were cut off twice.
 	MostEnds = 3
-	// onceKept is for how long a single end is remembered. Callers come back within the
-	// deadline of their request, 15 s at most; a request that was there by chance is
-	// forgotten soon.
-	onceKept = 30 * time.Second
-	// moreKept is for how long several ends are remembered.
-	moreKept = 20 * time.Minute
+	// endsKept is for how long ends are remembered at least. Each that is forgotten costs
+	// another backend server when its request returns, which callers may do at any time; a
+	// request that only was there is forgotten sooner, when it has run to its end.
+	endsKept = 20 * time.Minute
 	// barredFor is for how long after the last end a request under which MostEnds ended
 	// gets nothing: a trial may end one more server, which takes it away for seconds with
-	// all that runs there.
-	barredFor = 10 * time.Minute
+	// all that runs there. Each further end makes that barredGrowth times as long, up to
+	// longestBar: a new version of an engine may bear the request, but the longer it has
+	// not, the less likely a trial is to find one.
+	barredFor    = 10 * time.Minute
+	barredGrowth = 4
+	longestBar   = 24 * time.Hour
+	// keptAfterBar is for how many times as long as a request is barred its ends are
+	// remembered: the trial after a bar must find them.
+	keptAfterBar = 2
 	// mostRequests bounds the requests that are remembered: 4,096 of 150 bytes each are
 	// 0.6 MB. A backend server that ends has up to 64 under way, so that these are the
 	// ends of 64 and more.
@@ -46,6 +51,9 @@
 	mostCleared = 1024
 )
 
+// LongestKept is for how long ends are remembered at most.
+const LongestKept = keptAfterBar * longestBar
+
 // Digest identifies a request by what its caller sends, whichever try it is.
 type Digest uint64
 
@@ -82,11 +90,21 @@
 
 func (r *request) last() time.Duration { return r.ends[len(r.ends)-1].At }
 
+// bar returns for how long after the last end the request gets nothing if it is barred.
+func (r *request) bar() time.Duration {
+	d := barredFor
+	for range min(len(r.ends), mostServers) - MostEnds {
+		d = min(longestBar, barredGrowth*d)
+	}
+	return d
+}
+
+// kept returns for how long after the last end it is remembered.
 func (r *request) kept() time.Duration {
-	if len(r.ends) == 1 {
-		return onceKept
+	if len(r.ends) < MostEnds {
+		return endsKept
 	}
-	return moreKept
+	return max(endsKept, keptAfterBar*r.bar())
 }
 
 // Why is why ends of a request are not remembered any more.
@@ -134,7 +152,7 @@
 
 // Note takes in an end, and reports whether it is news.
 func (t *Table) Note(now time.Duration, e End) bool {
-	if e.Digest == 0 || now-e.At >= moreKept {
+	if e.Digest == 0 || now-e.At >= LongestKept {
 		return false
 	}
 	e.At = min(e.At, now)
@@ -210,7 +228,7 @@
 	}
 	s := Standing{Ends: len(r.ends), Last: r.last()}
 	if s.Ends >= MostEnds && (r.repeated() || r.last()-r.ends[0].At > oneMoment) && (s.Ends > MostEnds || !t.ranLately(d)) {
-		s.Until = r.last() + barredFor
+		s.Until = r.last() + r.bar()
 	}
 	return s
 }
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -36,7 +36,8 @@
 	}{
 		"nothing":                          {nil, time.Second, 0, false},
 		"one end":                          {[]func(*suspect.Table){end(1, 0)}, time.Second, 1, false},
-		"one end, long ago":                {[]func(*suspect.Table){end(1, 0)}, minute, 0, false},
+		"one end, some time ago":           {[]func(*suspect.Table){end(1, 0)}, 19 * minute, 1, false},
+		"one end, long ago":                {[]func(*suspect.Table){end(1, 0)}, 21 * minute, 0, false},
 		"two, a minute ago":                {[]func(*suspect.Table){end(1, 0), end(2, time.Second)}, minute, 2, false},
 		"three":                            {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2)}, minute, 3, true},
 		"three in a row, all sent before":  {[]func(*suspect.Table){sent(1, second, 1), sent(2, second+100*ms, 2), sent(3, second+200*ms, 3)}, minute, 3, true},
@@ -48,6 +49,9 @@
 		"three, long ago":                  {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2)}, 11 * minute, 3, false},
 		"three, very long ago":             {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2)}, 21 * minute, 0, false},
 		"a fourth, in a trial":             {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2), end(4, 11*minute)}, 20 * minute, 4, true},
+		"barred for longer":                {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2), end(4, 11*minute)}, 50 * minute, 4, true},
+		"and remembered after that":        {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2), end(4, 11*minute)}, 90 * minute, 4, false},
+		"a fifth":                          {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2), end(4, 11*minute), end(5, 90*minute)}, 240 * minute, 5, true},
 		"one of the servers lives":         {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2), func(x *suspect.Table) { x.Lives(2, 3) }}, time.Second, 2, false},
 		"it lived before it ended":         {[]func(*suspect.Table){end(1, 0), end(2, 5), func(x *suspect.Table) { x.Lives(2, 3) }}, time.Second, 2, false},
 		"it has run to its end":            {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2), func(x *suspect.Table) { x.Ran(3, 7) }}, time.Second, 0, false},
@@ -55,7 +59,7 @@
 		"and a fourth end":                 {[]func(*suspect.Table){ran(1), end(2, 2), end(3, 3), end(4, 4), end(5, 5)}, minute, 4, true},
 		"it ran to its end long before":    {[]func(*suspect.Table){ran(1), func(x *suspect.Table) { x.Ran(minute, 8); x.Ran(2*minute, 8) }, end(2, 2*minute), end(3, 2*minute+1), end(4, 2*minute+2)}, 2*minute + second, 3, true},
 		"another one has run":              {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2), func(x *suspect.Table) { x.Ran(3, 8) }}, time.Second, 3, true},
-		"told as of a time to come":        {[]func(*suspect.Table){func(x *suspect.Table) { x.Note(1, suspect.End{Digest: 7, Server: 1, At: time.Hour}) }}, minute, 0, false},
+		"told as of a time to come":        {[]func(*suspect.Table){func(x *suspect.Table) { x.Note(1, suspect.End{Digest: 7, Server: 1, At: time.Hour}) }}, 21 * minute, 0, false},
 		"a request without an identity":    {[]func(*suspect.Table){func(x *suspect.Table) { x.Note(1, suspect.End{Server: 1, At: 1}) }}, time.Second, 0, false},
 	}
 	for name, tc := range tests {
