Take an end of a backend server back only if that start must have lived on

Callers saw servers end without bound under one request where servers start again under their names before the directory tells: 8 to 10 of them, with 5 to 7 sends after the third. Cause: any answer to what was sent after an end took the end back, and the next start's answers are such answers. Ruled out: that it is taken back by a run to the end (the request has none); servers that come back under new names cost three.

--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -122,6 +122,8 @@
 	// started is the time of the first step, joined when the first other router
 	// was heard, 0 before.
 	started, joined time.Duration
+	// stood is the last time during which this router stood still.
+	stood span
 	// late is how late this router hears of what comes to it.
 	late   time.Duration
 	synced time.Duration
@@ -177,6 +179,7 @@
 // Step takes one event at the time now. The returned slice is valid until the
 // next Step.
 func (c *Core) Step(now time.Duration, ev Event) []Action {
+	c.notePause(now)
 	c.now = max(c.now, now)
 	if c.started == 0 {
 		c.started = c.now
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -38,8 +38,8 @@
 	// busyUntil is until when it is taken to have no place.
 	busyUntil time.Duration
 	health    health
-	// answered is when the last request was sent that it has answered.
-	answered time.Duration
+	// alive is the last time during which it is known not to have ended.
+	alive span
 	// word is what it says of itself, nil if it said nothing.
 	word *word
 	// copies are the prompts' beginnings that were read there, or copied to it,
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -69,12 +69,6 @@
 	}
 }
 
-// lives takes in that a backend server answered a request that it was sent at a time.
-func (c *Core) lives(s *server, sent time.Duration) {
-	s.answered = max(s.answered, sent)
-	c.suspects.Lives(suspect.Server(s.key), sent)
-}
-
 // ranWhole takes in that a request has run to its end.
 func (c *Core) ranWhole(d suspect.Digest) {
 	if c.suspects.Ran(c.now, d) {
@@ -106,7 +100,7 @@
 	name := ""
 	if s, ok := c.servers[x.Server]; ok {
 		name = s.Name
-		if s.answered > e.At {
+		if s.alive.holds(e.At) {
 			return
 		}
 	}
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -192,14 +192,14 @@
 // Remembers reports whether any end at a server is remembered.
 func (t *Table) Remembers(server Server) bool { return t.at[server] > 0 }
 
-// Lives takes back the ends at a server that has answered a request which it was sent at
-// the time since: it had not ended before.
-func (t *Table) Lives(server Server, since time.Duration) {
+// Lives takes back the ends at a server in a time, from and up to two moments, during which
+// it did not end.
+func (t *Table) Lives(server Server, from, to time.Duration) {
 	if !t.Remembers(server) {
 		return
 	}
 	for d, r := range t.requests {
-		t.take(d, r, WhyLives, func(e End) bool { return e.Server == server && e.At < since })
+		t.take(d, r, WhyLives, func(e End) bool { return e.Server == server && from <= e.At && e.At < to })
 	}
 }
 
