Take a silence for an end once the directory ceases to list the server

Callers of a request that takes the machine of its server along saw servers fall silent and go, one after the other, without bound: 14 in a minute, 11 sends after the third. Cause: only a connection that is broken off counted as an end; a lost machine breaks none off. Ruled out: to count silences as they are (routers that stood still barred harmless requests for that).

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -94,7 +94,7 @@
 // Release implements front.Scheduler.
 func (d *Dispatcher) Release(g front.Grant, u front.Usage) {
 	e := ended{id: g.ID, result: resultOf(u), request: u.Request, cut: wasCut(u), whole: u.Error == nil && u.Status < http.StatusInternalServerError}
-	if u.Digest != nil && (e.cut || e.whole) {
+	if u.Digest != nil {
 		e.digest = suspect.Digest(u.Digest())
 	}
 	d.post(e)
@@ -221,7 +221,7 @@
 	id     uint64
 	result admit.Result
 	// request is the caller's id of the request, digest identifies it whichever try it
-	// is, 0 if that was not worked out.
+	// is, 0 if nobody can.
 	request    string
 	digest     suspect.Digest
 	cut, whole bool
--- a/pkg/admit/alive.go
+++ b/pkg/admit/alive.go
@@ -31,6 +31,7 @@
 // start that took it has not ended meanwhile. An answer to what was sent after an end says
 // nothing of that, since a server may start again under its name before the directory tells.
 func (c *Core) lives(s *server, sent time.Duration) {
+	s.heard = c.now
 	now := span{from: sent + aliveMargin, to: c.now - aliveMargin - waysHeard*c.late}
 	if sent < c.stood.to {
 		// It may have been answered at any moment while this router stood still.
--- a/pkg/admit/caution_test.go
+++ b/pkg/admit/caution_test.go
@@ -168,6 +168,24 @@
 				})
 			}
 		},
+		"a rack goes dark": func(w *world, x *crashes) {
+			x.silent = true
+			w.at(2*time.Second, func() {
+				for _, b := range w.table.Backends[:4] {
+					x.end(b.Name)
+				}
+			})
+		},
+		"a fifth goes dark, again and again": func(w *world, x *crashes) {
+			x.silent = true
+			w.every(2*time.Second, func() {
+				for _, b := range w.table.Backends {
+					if w.rng.Float64() < 0.2 {
+						x.end(b.Name)
+					}
+				}
+			})
+		},
 		"a fifth, again and again": func(w *world, x *crashes) {
 			w.every(2*time.Second, func() {
 				for _, b := range w.table.Backends {
--- a/pkg/admit/crash_world_test.go
+++ b/pkg/admit/crash_world_test.go
@@ -147,6 +147,7 @@
 func (x *crashes) fellSilent(id uint64) {
 	a := x.w.asked[id]
 	x.w.step(a.router, admit.End{ID: id, Result: admit.Silent, Digest: a.request.Digest})
+	x.tryAgain(id)
 }
 
 // startUnseen has an ended server start again under its name, which its row tells later.
@@ -186,11 +187,17 @@
 	})
 }
 
-// cutOff tells the holder of a request that its server broke off; it is tried once more.
+// cutOff tells the holder of a request that its server broke off.
 func (x *crashes) cutOff(id uint64) {
+	a := x.w.asked[id]
+	x.w.step(a.router, admit.End{ID: id, Result: admit.Broken, Digest: a.request.Digest, Cut: true})
+	x.tryAgain(id)
+}
+
+// tryAgain has the holder of a request that failed try it once more, or its caller come back.
+func (x *crashes) tryAgain(id uint64) {
 	w := x.w
 	a := w.asked[id]
-	w.step(a.router, admit.End{ID: id, Result: admit.Broken, Digest: a.request.Digest, Cut: true})
 	x.tries[id]++
 	if w.down[a.router] || x.isDeadly(a.request.Digest) && (x.once || x.tries[id] > 1) || x.tries[id] >= mostTries {
 		return
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -39,7 +39,7 @@
 	Avoid []string
 	// Answering says that its answer has begun.
 	Answering bool
-	// Digest identifies it, whichever try it is; 0 if that was not worked out.
+	// Digest identifies it, whichever try it is; 0 if nobody can.
 	Digest suspect.Digest
 }
 
@@ -100,7 +100,7 @@
 type End struct {
 	ID     uint64
 	Result Result
-	// Digest identifies the request, 0 if it was not worked out.
+	// Digest identifies the request, 0 if nobody can.
 	Digest suspect.Digest
 	// Cut says that the backend server broke off while the request was under way there.
 	Cut bool
@@ -177,9 +177,11 @@
 func (c *Core) learnOfEnd(r *request, e End) {
 	switch {
 	case e.Cut:
-		c.noteEnd(r, e.Digest)
+		c.noteEnd(r.at, e.Digest, r.started, c.now)
 	case e.Result == Answered || e.Result == Failed || e.Result == Refused:
 		c.lives(r.at, r.started)
+	case e.Result == Silent || e.Result == Unknown:
+		c.noteSilence(r, e.Digest)
 	}
 	if e.Whole {
 		c.ranWhole(e.Digest)
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -40,6 +40,12 @@
 	health    health
 	// alive is the last time during which it is known not to have ended.
 	alive span
+	// heard is when it last answered this router.
+	heard time.Duration
+	// silences are tries of this router during which it said nothing, the oldest first.
+	silences []silence
+	// vanished says that the directory ceased to list it without having said that it leaves.
+	vanished bool
 	// word is what it says of itself, nil if it said nothing.
 	word *word
 	// copies are the prompts' beginnings that were read there, or copied to it,
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -39,12 +39,12 @@
 	}
 }
 
-// noteEnd takes in that a request of this router was under way at a backend server when
-// its connection broke.
-func (c *Core) noteEnd(r *request, d suspect.Digest) {
-	e := suspect.End{Digest: d, Server: suspect.Server(r.at.key), At: c.now, Sent: r.started}
+// noteEnd takes in that a backend server ended at a time while a request of this router was
+// under way there.
+func (c *Core) noteEnd(s *server, d suspect.Digest, sent, at time.Duration) {
+	e := suspect.End{Digest: d, Server: suspect.Server(s.key), At: at, Sent: sent}
 	if c.suspects.Note(c.now, e) {
-		c.act(Suspected{Digest: d, Backend: r.at.Name, Ends: c.suspects.Standing(c.now, d).Ends})
+		c.act(Suspected{Digest: d, Backend: s.Name, Ends: c.suspects.Standing(c.now, d).Ends})
 		addBounded(&c.ownNews.ends, e)
 	}
 }
--- a/pkg/admit/view.go
+++ b/pkg/admit/view.go
@@ -48,7 +48,7 @@
 		if s.Zone != b.Zone {
 			s.owner = ""
 		}
-		s.Backend, s.generation = b, c.generation
+		s.Backend, s.generation, s.vanished = b, c.generation, false
 		if s.word != nil {
 			s.word.noteRow(b.Mark)
 		}
@@ -66,6 +66,7 @@
 		if s.generation == c.generation {
 			continue
 		}
+		c.noteVanished(s)
 		if len(s.own) > 0 {
 			relisted = relisted || s.generation == c.generation-1
 			s.Mark = table.Leaving
