Bar a request after two ends of backend servers if it stands out by them

Callers saw three more servers end under a request each time that all routers had been lost, and the fleet sent it six times after the third end where that happened twice. Cause: what is known is kept by the routers alone, nothing outside of the fleet may hold it, and each life of the fleet learned by three ends. Ruled out: caution from the first end on at a server set apart (the number of ends is the same, and harmless requests wait). Change: two ends are enough for half a minute where the second try was sent after the first end, was unanswered, was the only one there that had been at an end before, and no other server ended at that moment; then one trial, and the third end bars it as before. Routers tell each other whether a try had begun to answer.

--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -177,7 +177,7 @@
 func (c *Core) learnOfEnd(r *request, e End) {
 	switch {
 	case e.Cut:
-		c.noteEnd(r.at, e.Digest, r.started, c.now)
+		c.noteEnd(r.at, suspect.End{Digest: e.Digest, At: c.now, Sent: r.started, Unanswered: r.unread > 0})
 	case e.Result == Answered || e.Result == Failed || e.Result == Refused:
 		c.lives(r.at, r.started)
 	case e.Result == Silent || e.Result == Unknown:
--- a/pkg/admit/silence.go
+++ b/pkg/admit/silence.go
@@ -53,7 +53,7 @@
 	}
 	for _, x := range s.silences {
 		if c.now-x.at < silenceKept && s.heard < x.sent {
-			c.noteEnd(s, x.digest, x.sent, x.at)
+			c.noteEnd(s, suspect.End{Digest: x.digest, At: x.at, Sent: x.sent, Unanswered: true})
 		}
 	}
 	s.silences = nil
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -39,12 +39,12 @@
 	}
 }
 
-// noteEnd takes in that a backend server ended at a time while a request of this router was
-// under way there.
-func (c *Core) noteEnd(s *server, d suspect.Digest, sent, at time.Duration) {
-	e := suspect.End{Digest: d, Server: suspect.Server(s.key), At: at, Sent: sent}
+// noteEnd takes in that a backend server ended while a request of this router was under way
+// there.
+func (c *Core) noteEnd(s *server, e suspect.End) {
+	e.Server = suspect.Server(s.key)
 	if c.suspects.Note(c.now, e) {
-		c.act(Suspected{Digest: d, Backend: s.Name, Ends: c.suspects.Standing(c.now, d).Ends})
+		c.act(Suspected{Digest: e.Digest, Backend: s.Name, Ends: c.suspects.Standing(c.now, e.Digest).Ends})
 		addBounded(&c.ownNews.ends, e)
 	}
 }
@@ -96,6 +96,7 @@
 	at := c.now - time.Duration(x.AgoMillis)*time.Millisecond
 	e := suspect.End{
 		Digest: suspect.Digest(x.Digest), Server: suspect.Server(x.Server), At: at, Sent: at - time.Duration(x.SentMillis)*time.Millisecond,
+		Unanswered: x.Unanswered,
 	}
 	name := ""
 	if s, ok := c.servers[x.Server]; ok {
@@ -159,7 +160,7 @@
 func toTell(now time.Duration, ends []suspect.End) []wire.SuspectEnd {
 	list := make([]wire.SuspectEnd, 0, len(ends))
 	for _, e := range ends {
-		list = append(list, wire.SuspectEnd{Digest: uint64(e.Digest), Server: wire.Key(e.Server), AgoMillis: (now - e.At).Milliseconds(), SentMillis: (e.At - e.Sent).Milliseconds()})
+		list = append(list, wire.SuspectEnd{Digest: uint64(e.Digest), Server: wire.Key(e.Server), AgoMillis: (now - e.At).Milliseconds(), SentMillis: (e.At - e.Sent).Milliseconds(), Unanswered: e.Unanswered})
 	}
 	return list
 }
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -24,6 +24,9 @@
 	// another backend server when its request returns, which callers may do at any time; a
 	// request that only was there is forgotten sooner, when it has run to its end.
 	endsKept = 20 * time.Minute
+	// firstBar is for how long after its second end a request gets nothing that stands out by
+	// then: two ends may be chance, and the trial after it tells.
+	firstBar = 30 * time.Second
 	// barredFor is for how long after the last end a request under which MostEnds ended
 	// gets nothing: a trial may end one more server, which takes it away for seconds with
 	// all that runs there. Each further end makes that barredGrowth times as long, up to
@@ -67,6 +70,8 @@
 	At     time.Duration
 	// Sent is when the try that was under way had been sent, at or before At.
 	Sent time.Duration
+	// Unanswered says that it had not begun to answer.
+	Unanswered bool
 }
 
 // Standing is what the ends of a request say of it.
@@ -178,11 +183,13 @@
 
 // join takes in what another router tells of an end that is known: several tries may have
 // been under way there. It reports whether that shows for the first time that a try was
-// sent after the first end.
+// sent after the first end, or that one had begun to answer.
 func (r *request) join(i int, e End) bool {
-	before := r.repeated()
-	r.ends[i].Sent = max(r.ends[i].Sent, e.Sent)
-	return !before && r.repeated()
+	before, x := r.repeated(), &r.ends[i]
+	answered := x.Unanswered && !e.Unanswered
+	x.Sent = max(x.Sent, e.Sent)
+	x.Unanswered = x.Unanswered && e.Unanswered
+	return answered || !before && r.repeated()
 }
 
 func byTime(a, b End) int {
@@ -227,12 +234,54 @@
 		return Standing{}
 	}
 	s := Standing{Ends: len(r.ends), Last: r.last()}
-	if s.Ends >= MostEnds && (r.repeated() || r.last()-r.ends[0].At > oneMoment) && (s.Ends > MostEnds || !t.ranLately(d)) {
+	if s.Ends < MostEnds {
+		if !t.ranLately(d) && t.standsOut(r) {
+			s.Until = s.Last + firstBar
+		}
+		return s
+	}
+	if (r.repeated() || r.last()-r.ends[0].At > oneMoment) && (s.Ends > MostEnds || !t.ranLately(d)) {
 		s.Until = r.last() + r.bar()
 	}
 	return s
 }
 
+// standsOut reports whether two ends tell that a request ends its servers: its second try
+// was sent after the first end and had not begun to answer when that server ended, nothing
+// else was there that had been at an end before, and no other server ended in that moment.
+// Such a try takes less than a second, in which a server hardly ends by another cause.
+func (t *Table) standsOut(r *request) bool {
+	if len(r.ends) < MostEnds-1 {
+		return false
+	}
+	first, last := r.ends[0], r.ends[len(r.ends)-1]
+	if !last.Unanswered || last.Sent <= first.At {
+		return false
+	}
+	for _, other := range t.requests {
+		if other != r && other.explains(first, last) {
+			return false
+		}
+	}
+	return true
+}
+
+// explains reports whether a request may be the cause of an end of another one, or shows
+// that servers end by other causes at that moment.
+func (r *request) explains(first, last End) bool {
+	for _, e := range r.ends {
+		switch {
+		case e.Server == last.Server:
+			if r.ends[0].Server != last.Server {
+				return true
+			}
+		case e.Server != first.Server && (e.At-last.At).Abs() < oneMoment:
+			return true
+		}
+	}
+	return false
+}
+
 // oneMoment is how far apart the ends of servers are that are lost together, as with a rack.
 // Callers who poll send the same request many times at once: several servers then end under
 // it, and a trial tells whether it was at fault. Of a request that ended four servers within
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -25,6 +25,12 @@
 	sent := func(server suspect.Server, at, sent time.Duration) func(*suspect.Table) {
 		return func(x *suspect.Table) { x.Note(at, suspect.End{Digest: 7, Server: server, At: at, Sent: sent}) }
 	}
+	// unanswered is an end under a try that was sent just before, by digest 7 or another.
+	unanswered := func(d suspect.Digest, server suspect.Server, at time.Duration) func(*suspect.Table) {
+		return func(x *suspect.Table) {
+			x.Note(at, suspect.End{Digest: d, Server: server, At: at, Sent: at - 10*ms, Unanswered: true})
+		}
+	}
 	ran := func(at time.Duration) func(*suspect.Table) {
 		return func(x *suspect.Table) { x.Ran(at, 7) }
 	}
@@ -39,6 +45,15 @@
 		"one end, some time ago":           {[]func(*suspect.Table){end(1, 0)}, 19 * minute, 1, false},
 		"one end, long ago":                {[]func(*suspect.Table){end(1, 0)}, 21 * minute, 0, false},
 		"two, a minute ago":                {[]func(*suspect.Table){end(1, 0), end(2, time.Second)}, minute, 2, false},
+		"two that stand out":               {[]func(*suspect.Table){unanswered(7, 1, second), unanswered(7, 2, 3*second)}, 4 * second, 2, true},
+		"the same, later":                  {[]func(*suspect.Table){unanswered(7, 1, second), unanswered(7, 2, 3*second)}, 34 * second, 2, false},
+		"two, with another beside":         {[]func(*suspect.Table){unanswered(7, 1, second), unanswered(8, 5, second), unanswered(7, 2, 3*second), unanswered(8, 2, 3*second)}, 4 * second, 2, false},
+		"two, another beside at both":      {[]func(*suspect.Table){unanswered(7, 1, second), unanswered(8, 1, second), unanswered(7, 2, 3*second), unanswered(8, 2, 3*second)}, 4 * second, 2, false},
+		"two, another there for the first": {[]func(*suspect.Table){unanswered(7, 1, second), unanswered(7, 2, 3*second), unanswered(8, 2, 3*second)}, 4 * second, 2, true},
+		"two, another ended at the moment": {[]func(*suspect.Table){unanswered(7, 1, second), unanswered(7, 2, 3*second), unanswered(8, 5, 3*second+50*ms)}, 4 * second, 2, false},
+		"two, the second was answered":     {[]func(*suspect.Table){unanswered(7, 1, second), sent(2, 3*second, 2*second)}, 4 * second, 2, false},
+		"two, and it ran just before":      {[]func(*suspect.Table){ran(1), unanswered(7, 1, second), unanswered(7, 2, 3*second)}, 4 * second, 2, false},
+		"two, one told as answered, too":   {[]func(*suspect.Table){unanswered(7, 1, second), unanswered(7, 2, 3*second), sent(2, 3*second, 2*second)}, 4 * second, 2, false},
 		"three":                            {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2)}, minute, 3, true},
 		"three in a row, all sent before":  {[]func(*suspect.Table){sent(1, second, 1), sent(2, second+100*ms, 2), sent(3, second+200*ms, 3)}, minute, 3, true},
 		"a later try at a server known":    {[]func(*suspect.Table){sent(1, 5, 1), sent(2, 6, 2), sent(3, 8, 3), sent(3, 8, 7)}, minute, 3, true},
@@ -88,7 +103,7 @@
 		rng := rand.New(rand.NewPCG(seed, 0))
 		var ends []suspect.End
 		for range 60 {
-			ends = append(ends, suspect.End{Digest: suspect.Digest(1 + rng.IntN(9)), Server: suspect.Server(rng.IntN(6)), At: time.Duration(rng.IntN(100)), Sent: time.Duration(rng.IntN(100))})
+			ends = append(ends, suspect.End{Digest: suspect.Digest(1 + rng.IntN(9)), Server: suspect.Server(rng.IntN(6)), At: time.Duration(rng.IntN(100)), Sent: time.Duration(rng.IntN(100)), Unanswered: rng.IntN(2) == 0})
 		}
 		// One time for each end, as its server has only one.
 		slices.SortFunc(ends, func(a, b suspect.End) int { return int(a.At - b.At) })
--- a/pkg/wire/suspects.go
+++ b/pkg/wire/suspects.go
@@ -19,4 +19,6 @@
 	// AgoMillis is how long ago the backend server ended, SentMillis how long before that
 	// the try had been sent.
 	AgoMillis, SentMillis int64
+	// Unanswered says that the try had not begun to answer.
+	Unanswered bool
 }
