Let no request stand out by a server's silence

Cause: when a silent server ended is not known, only when its requests gave up; two requests of a dark server looked as if it had ended at different moments, so that one stood out. Change: an end by silence counts toward three, and not toward standing out by two.

--- a/pkg/admit/silence.go
+++ b/pkg/admit/silence.go
@@ -46,14 +46,15 @@
 }
 
 // endSilences takes the silences of a backend server for its end if its entry has gone
-// unannounced. That of one in a zone that is cut off goes, too.
+// unannounced. That of one in a zone that is cut off goes, too. When it ended is not known, so
+// that none of its requests stands out by it.
 func (c *Core) endSilences(s *server) {
 	if !s.vanished || c.cutOff[s.Zone] {
 		return
 	}
 	for _, x := range s.silences {
 		if c.now-x.at < silenceKept && s.heard < x.sent {
-			c.noteEnd(s, suspect.End{Digest: x.digest, At: x.at, Sent: x.sent, Unanswered: true})
+			c.noteEnd(s, suspect.End{Digest: x.digest, At: x.at, Sent: x.sent})
 		}
 	}
 	s.silences = nil
