Put nothing down to a backend server that breaks because the call was called off

Callers who gave up after their patience, or whose deadline passed, were told that a backend server had broken off; each server that they left so counted as an end under their request, and after two or three of them they were refused for half a minute or ten. Cause: the connection is closed when the caller leaves, and the error of the read that follows was taken for the server's. Change: where the call itself has ended, the attempt ends as caller-gone or deadline, in each phase; a connection that was closed here for its silence is no end either.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -250,7 +250,7 @@
 
 // broken notes an answer that ended before its end.
 func (x *exchange) broken(err error) {
-	if x.silent() {
+	if x.silent() || x.wasCalledOff(verdict.PhaseStream, err) {
 		return
 	}
 	x.fail(verdict.PhaseStream, http.StatusBadGateway, "answer-cut", "the backend server's answer ended before its end", err)
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -44,17 +44,19 @@
 	reuse bool
 	// silent is set when the connection was closed for its silence.
 	silence *silence
+	// calledOff returns why the call itself has ended, nil while it has not.
+	calledOff func() error
 }
 
 func (x *exchange) run(ctx context.Context) {
+	x.calledOff = ctx.Err
 	if x.call.MayStart != nil && !x.call.MayStart() {
 		x.notStarted()
 		return
 	}
 	conn, err := x.client.conns.take(ctx, &x.call)
 	if err != nil {
-		x.result.Failed = ctx.Err() == nil
-		x.fail(verdict.PhaseDial, http.StatusBadGateway, "backend-unreachable", "the backend server could not be reached", err)
+		x.unreached("the backend server could not be reached", err)
 		return
 	}
 	x.conn = conn
@@ -66,21 +68,20 @@
 		}
 		x.client.conns.drop(x.call.connKey(), conn)
 	}()
-	x.exchange(ctx)
+	x.exchange()
 }
 
 func (x *exchange) notStarted() {
 	x.fail(verdict.PhaseDial, http.StatusServiceUnavailable, "lease-expired", "the lease ran out before the request was sent", errNotStarted)
 }
 
-func (x *exchange) exchange(ctx context.Context) {
+func (x *exchange) exchange() {
 	if x.call.MayStart != nil && !x.call.MayStart() {
 		x.notStarted()
 		return
 	}
 	if err := x.send(); err != nil && !x.result.Sent {
-		x.result.Failed = ctx.Err() == nil
-		x.fail(verdict.PhaseDial, http.StatusBadGateway, "backend-unreachable", "the connection was closed before the request was sent", err)
+		x.unreached("the connection was closed before the request was sent", err)
 		return
 	}
 	key := x.call.connKey()
@@ -90,7 +91,7 @@
 	defer x.silence.stop()
 	resp, err := x.receive()
 	if err != nil {
-		x.failBeforeAnswer(ctx, err)
+		x.failBeforeAnswer(err)
 		return
 	}
 	x.silence.heard()
@@ -206,18 +207,37 @@
 	return nil, errStray
 }
 
-// failBeforeAnswer finds the verdict of a call that got no response header.
-func (x *exchange) failBeforeAnswer(ctx context.Context, err error) {
-	if x.silent() {
+// unreached notes that no byte could be sent.
+func (x *exchange) unreached(detail string, err error) {
+	if x.wasCalledOff(verdict.PhaseDial, err) {
 		return
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		x.fail(verdict.PhaseHeader, http.StatusGatewayTimeout, "deadline", "the deadline passed before the backend server answered", err)
+	x.result.Failed = true
+	x.fail(verdict.PhaseDial, http.StatusBadGateway, "backend-unreachable", detail, err)
+}
+
+// failBeforeAnswer finds the verdict of a call that got no response header.
+func (x *exchange) failBeforeAnswer(err error) {
+	if x.silent() || x.wasCalledOff(verdict.PhaseHeader, err) {
 		return
 	}
 	x.fail(verdict.PhaseHeader, http.StatusBadGateway, "backend-broke", "the connection broke before the backend server answered", err)
 }
 
+// wasCalledOff notes that the caller left or the deadline passed, if that is so: the
+// connection is closed then, which says nothing of the backend server.
+func (x *exchange) wasCalledOff(phase verdict.Phase, err error) bool {
+	switch why := x.calledOff(); {
+	case why == nil:
+		return false
+	case errors.Is(why, context.DeadlineExceeded):
+		x.fail(phase, http.StatusGatewayTimeout, "deadline", "the deadline passed before the backend server's answer ended", err)
+	default:
+		x.fail(phase, statusClientGone, "caller-gone", "the caller went away", err)
+	}
+	return true
+}
+
 // silent notes that the connection was closed for its silence; it reports
 // whether that was to try another backend server.
 func (x *exchange) silent() bool {
--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -103,7 +103,7 @@
 // wasCut reports whether the backend server broke off while the request was under way
 // there. One that falls silent may only be slow, as all are where a machine has no time.
 func wasCut(u front.Usage) bool {
-	return u.Error != nil && u.Sent && (u.Error.Code == "answer-cut" || u.Error.Code == "backend-broke")
+	return u.Error != nil && u.Sent && !u.Silent && (u.Error.Code == "answer-cut" || u.Error.Code == "backend-broke")
 }
 
 // resultOf tells what an attempt's end says of the backend server.
--- a/internal/dispatch/acquire_test.go
+++ b/internal/dispatch/acquire_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"net/http"
 	"testing"
 
+	"github.com/yarrowmast/yarrowmast/internal/front"
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
 
 // TestBlamed looks that a router which is late itself puts no silence down to a
@@ -32,6 +35,33 @@
 	}
 }
 
+// TestWasCut looks which ends of attempts are ends of their backend servers.
+func TestWasCut(t *testing.T) {
+	usage := func(code string, sent, silent bool) front.Usage {
+		return front.Usage{Sent: sent, Silent: silent, Error: verdict.New(verdict.PhaseStream, http.StatusBadGateway, code, "")}
+	}
+	tests := map[string]struct {
+		usage front.Usage
+		want  bool
+	}{
+		"answered":                     {front.Usage{Sent: true, Status: http.StatusOK}, false},
+		"broken off before the answer": {usage("backend-broke", true, false), true},
+		"broken off in the answer":     {usage("answer-cut", true, false), true},
+		"closed here, for its silence": {usage("answer-cut", true, true), false},
+		"nothing was sent":             {usage("backend-broke", false, false), false},
+		"the caller left":              {usage("caller-gone", true, false), false},
+		"the deadline passed":          {usage("deadline", true, false), false},
+		"not its own answer":           {usage("bad-answer", true, false), false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := wasCut(tc.usage); got != tc.want {
+				t.Errorf("cut: %v", got)
+			}
+		})
+	}
+}
+
 // TestConnectionsPart divides the connections that a backend server takes among the
 // routers that are known.
 func TestConnectionsPart(t *testing.T) {
