Let no request stand out by a connection that breaks at once

Cause: a connection that was kept and is dead breaks when it is used; that looks as if the server had ended under the request. Change: a second end counts for standing out only 20 ms or more after the try was sent.

--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -255,7 +255,7 @@
 		return false
 	}
 	first, last := r.ends[0], r.ends[len(r.ends)-1]
-	if !last.Unanswered || last.Sent <= first.At {
+	if !last.Unanswered || last.Sent <= first.At || last.At-last.Sent < leastRun {
 		return false
 	}
 	for _, other := range t.requests {
@@ -266,6 +266,10 @@
 	return true
 }
 
+// leastRun is how long a try must have been at a server for its end to stand out: what breaks
+// sooner may have been sent on a connection that was dead before.
+const leastRun = 20 * time.Millisecond
+
 // explains reports whether a request may be the cause of an end of another one, or shows
 // that servers end by other causes at that moment.
 func (r *request) explains(first, last End) bool {
