--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,208 @@
+// Package clock tells a time that counts while the machine is suspended.
+//
+// The steady clock of the kernel, by which package time compares its times and fires its
+// timers, stands still then. A router that goes by it wakes with deadlines that lie too late,
+// and with beliefs that look as fresh as before. The times of this package are those of the
+// steady clock, moved by what the machine has been suspended for: they may be compared with
+// each other, and not with those of package time, nor be given to what waits by that, such as
+// the deadlines of a connection.
+package clock
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// lookEvery is the interval at which Run looks whether the machine was suspended.
+	lookEvery = 50 * time.Millisecond
+	// leastJump is the least difference between the clocks that is taken for a suspension.
+	leastJump = time.Millisecond
+	// driftTolerance is by how much the time of day may move against the steady clock
+	// before a reading looks at the boot clock: it is set right by at most 0.5 ms a second.
+	driftTolerance = 5 * time.Millisecond
+)
+
+// Suspension says that the machine has been suspended.
+type Suspension struct {
+	// For is how long it was, above 0.
+	For time.Duration
+	// At is when it was noticed, by the clock.
+	At time.Time
+}
+
+// Clock is a clock. It is safe for concurrent use.
+type Clock struct {
+	readBoot func() (time.Duration, error)
+	// base is a reading of the steady clock, boot of the clock that counts suspensions
+	// at that moment.
+	base time.Time
+	boot time.Duration
+	// missing is how long the machine was suspended since base, in nanoseconds.
+	missing atomic.Int64
+	// drift is by how much the time of day moved against the steady clock since base when
+	// the boot clock was last looked at, in nanoseconds.
+	drift atomic.Int64
+
+	mu sync.Mutex
+	// fault is why suspensions are not counted, nil if they are.
+	fault  error
+	timers map[*Timer]struct{}
+	heard  []func(Suspension)
+}
+
+// Option changes a new Clock.
+type Option func(*Clock)
+
+// WithBoot replaces the clock that counts suspensions.
+func WithBoot(read func() (time.Duration, error)) Option {
+	return func(c *Clock) { c.readBoot = read }
+}
+
+// New returns a clock of this machine.
+func New(opts ...Option) *Clock {
+	c := &Clock{readBoot: readBoot, timers: map[*Timer]struct{}{}}
+	for _, f := range opts {
+		f(c)
+	}
+	boot, err := c.readBoot()
+	if err != nil {
+		c.fault = fmt.Errorf("clock: boot time cannot be read, the time for which the machine is suspended is not counted: %w", err)
+	}
+	c.base, c.boot = time.Now(), boot
+	return c
+}
+
+var system = sync.OnceValue(func() *Clock { return New() })
+
+// System returns the clock of this process, for what is given no other.
+func System() *Clock { return system() }
+
+func readBoot() (time.Duration, error) {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return 0, err
+	}
+	return time.Duration(ts.Nano()), nil
+}
+
+// Now returns the time.
+func (c *Clock) Now() time.Time {
+	t := time.Now()
+	if (c.driftAt(t) - time.Duration(c.drift.Load())).Abs() > driftTolerance {
+		// The machine was suspended, or somebody set the time of day.
+		c.Look()
+	}
+	return t.Add(time.Duration(c.missing.Load()))
+}
+
+// driftAt returns by how much the time of day has moved against the steady clock.
+func (c *Clock) driftAt(t time.Time) time.Duration {
+	return t.Round(0).Sub(c.base.Round(0)) - t.Sub(c.base)
+}
+
+// Since returns the time since t.
+func (c *Clock) Since(t time.Time) time.Duration { return c.Now().Sub(t) }
+
+// Until returns the time until t.
+func (c *Clock) Until(t time.Time) time.Duration { return t.Sub(c.Now()) }
+
+// Suspended returns for how long the machine has been suspended since the start.
+func (c *Clock) Suspended() time.Duration { return time.Duration(c.missing.Load()) }
+
+// Fault returns why suspensions are not counted, nil if they are.
+func (c *Clock) Fault() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fault
+}
+
+// OnSuspension has f told of each suspension when it is noticed. It must not wait.
+func (c *Clock) OnSuspension(f func(Suspension)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heard = append(c.heard, f)
+}
+
+// Run looks for suspensions until ctx is done.
+func (c *Clock) Run(ctx context.Context) {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			c.Look()
+		}
+	}
+}
+
+// Look looks whether the machine was suspended. What is due by then is done at once, and who
+// asked for it is told.
+func (c *Clock) Look() {
+	s, heard := c.look()
+	for _, f := range heard {
+		f(s)
+	}
+}
+
+// look takes in a suspension, and returns it with those who are to be told.
+func (c *Clock) look() (Suspension, []func(Suspension)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fault != nil {
+		c.drift.Store(int64(c.driftAt(time.Now())))
+		return Suspension{}, nil
+	}
+	jump, err := c.jump()
+	if err != nil {
+		c.fault = err
+		return Suspension{}, nil
+	}
+	if jump < leastJump {
+		return Suspension{}, nil
+	}
+	c.missing.Add(int64(jump))
+	now := time.Now().Add(time.Duration(c.missing.Load()))
+	c.fireDue(now)
+	return Suspension{For: jump, At: now}, slices.Clone(c.heard)
+}
+
+// jump returns by how much the boot clock has moved beyond the steady one since it was last
+// looked at. This task may stand still between two readings, so that the steady clock is read
+// on both sides.
+func (c *Clock) jump() (time.Duration, error) {
+	before := time.Now()
+	boot, err := c.readBoot()
+	after := time.Now()
+	if err != nil {
+		return 0, fmt.Errorf("clock: boot time cannot be read any more, the time for which the machine is suspended is not counted: %w", err)
+	}
+	c.drift.Store(int64(c.driftAt(after)))
+	known := time.Duration(c.missing.Load())
+	if most := boot - c.boot - before.Sub(c.base); most < known-leastJump {
+		return 0, fmt.Errorf("clock: boot time went back by %v, the time for which the machine is suspended is not counted any more", known-most)
+	}
+	return boot - c.boot - after.Sub(c.base) - known, nil
+}
+
+// fireDue sets the timers right after a suspension, those that are due longest first.
+func (c *Clock) fireDue(now time.Time) {
+	list := make([]*Timer, 0, len(c.timers))
+	for t := range c.timers {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b *Timer) int { return a.at.Compare(b.at) })
+	for _, t := range list {
+		if t.timer.Stop() {
+			t.timer.Reset(max(0, t.at.Sub(now)))
+		}
+	}
+}
