Let all that ages, and all that is due, go by the clock that counts suspensions

Callers of a router whose machine had been suspended for a minute saw it work for those who had left, let in a key that had been taken away, and drain until it was killed; its log showed no pause. Cause: ages, deadlines and timers went by the steady clock, which stands still meanwhile. The time for which a backend server is silent went by the time of day, which may be set.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -86,7 +86,7 @@
 	if !x.result.FirstByte.IsZero() {
 		return
 	}
-	x.result.FirstByte = time.Now()
+	x.result.FirstByte = x.client.opt.clock.Now()
 	x.silence.began.Store(true)
 	if x.call.First != nil {
 		x.call.First()
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
 
@@ -162,6 +163,7 @@
 	maxAnswer int64
 	idle      time.Duration
 	dialect   Dialect
+	clock     *clock.Clock
 }
 
 // Option changes a new Client.
@@ -176,6 +178,9 @@
 // WithIdle sets how long a stream may stay silent.
 func WithIdle(d time.Duration) Option { return func(o *options) { o.idle = d } }
 
+// WithClock sets the clock by which deadlines and rests are told.
+func WithClock(c *clock.Clock) Option { return func(o *options) { o.clock = c } }
+
 // WithDialect sets the headers that are exchanged.
 func WithDialect(d Dialect) Option { return func(o *options) { o.dialect = d } }
 
@@ -186,12 +191,13 @@
 		maxAnswer: DefaultMaxAnswer,
 		idle:      DefaultIdle,
 		dialect:   OwnDialect(),
+		clock:     clock.System(),
 	}}
 	for _, f := range opts {
 		f(&c.opt)
 	}
-	c.conns = newConns(c.opt.dialer)
-	c.hearings.by = map[string]*hearing{}
+	c.conns = newConns(c.opt.dialer, c.opt.clock)
+	c.hearings.clock, c.hearings.by = c.opt.clock, map[string]*hearing{}
 	return c
 }
 
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 )
 
 // Bounds of connections to backend servers.
@@ -52,6 +54,7 @@
 // conns keeps idle connections by backend server.
 type conns struct {
 	dialer Dialer
+	clock  *clock.Clock
 	mu     sync.Mutex
 	// idle are those that rest, oldest first, inUse how many carry a request.
 	idle   map[string][]*conn
@@ -60,8 +63,8 @@
 	closed bool
 }
 
-func newConns(d Dialer) *conns {
-	return &conns{dialer: d, idle: map[string][]*conn{}, inUse: map[string]int{}}
+func newConns(d Dialer, c *clock.Clock) *conns {
+	return &conns{dialer: d, clock: c, idle: map[string][]*conn{}, inUse: map[string]int{}}
 }
 
 // take returns an idle connection that is sound, or a new one. A request that
@@ -74,7 +77,7 @@
 		if kept == nil {
 			break
 		}
-		if kept.sound() {
+		if kept.sound(cs.clock.Now()) {
 			return kept, nil
 		}
 		cs.drop(key, kept)
@@ -130,7 +133,7 @@
 func (cs *conns) pop(key string, once bool) *conn {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	now := time.Now()
+	now := cs.clock.Now()
 	cs.sweep(now)
 	list := cs.idle[key]
 	if len(list) == 0 {
@@ -174,7 +177,7 @@
 func (cs *conns) put(call *Call, c *conn) {
 	key := call.connKey()
 	c.kept = true
-	c.rested = time.Now()
+	c.rested = cs.clock.Now()
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.leave(key)
@@ -217,8 +220,8 @@
 
 // sound reports whether an idle connection is still open and quiet. Bytes
 // that came while it rested belong to no request.
-func (c *conn) sound() bool {
-	if time.Since(c.rested) >= c.keepFor || c.reader.Buffered() > 0 {
+func (c *conn) sound(now time.Time) bool {
+	if now.Sub(c.rested) >= c.keepFor || c.reader.Buffered() > 0 {
 		return false
 	}
 	raw, ok := c.Conn.(syscall.Conn)
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
@@ -49,7 +48,7 @@
 }
 
 func (x *exchange) run(ctx context.Context) {
-	x.calledOff = ctx.Err
+	x.calledOff = func() error { return context.Cause(ctx) }
 	if x.call.MayStart != nil && !x.call.MayStart() {
 		x.notStarted()
 		return
@@ -87,7 +86,7 @@
 	key := x.call.connKey()
 	h := x.client.hearings.use(key)
 	defer x.client.hearings.leave(key, h)
-	x.silence = watchSilence(x.conn, h, x.client.opt.idle, x.call.Patience)
+	x.silence = watchSilence(x.client.opt.clock, x.conn, h, x.client.opt.idle, x.call.Patience)
 	defer x.silence.stop()
 	resp, err := x.receive()
 	if err != nil {
@@ -175,7 +174,7 @@
 	setOrDrop(h, d.Instance, x.call.Instance)
 	setOrDrop(h, d.Fetch, x.call.FetchFrom)
 	if !x.call.Deadline.IsZero() {
-		set(h, d.Deadline, strconv.FormatInt(max(1, time.Until(x.call.Deadline).Milliseconds()), 10))
+		set(h, d.Deadline, strconv.FormatInt(max(1, x.client.opt.clock.Until(x.call.Deadline).Milliseconds()), 10))
 	}
 	if x.call.LastEvent > 0 {
 		set(h, d.LastEvent, strconv.FormatUint(x.call.LastEvent, 10))
--- a/internal/backend/silence.go
+++ b/internal/backend/silence.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 )
 
 // Patience says when a request may be taken away from a backend server that is
@@ -30,7 +32,9 @@
 
 // hearing is when anything last came from a backend server.
 type hearing struct {
-	at atomic.Int64
+	// since is when it began, at when something last came, in nanoseconds after that.
+	since time.Time
+	at    atomic.Int64
 	// users counts the exchanges with it.
 	users int
 }
@@ -38,8 +42,9 @@
 // hearings keeps what was heard of the backend servers with which there are
 // exchanges.
 type hearings struct {
-	mu sync.Mutex
-	by map[string]*hearing
+	clock *clock.Clock
+	mu    sync.Mutex
+	by    map[string]*hearing
 }
 
 func (hs *hearings) use(key string) *hearing {
@@ -47,7 +52,7 @@
 	defer hs.mu.Unlock()
 	h, ok := hs.by[key]
 	if !ok {
-		h = &hearing{}
+		h = &hearing{since: hs.clock.Now()}
 		hs.by[key] = h
 	}
 	h.users++
@@ -65,6 +70,7 @@
 
 // silence closes a connection on which nothing comes for too long.
 type silence struct {
+	clock    *clock.Clock
 	conn     net.Conn
 	hearing  *hearing
 	patience Patience
@@ -83,8 +89,8 @@
 	stopped     bool
 }
 
-func watchSilence(c net.Conn, h *hearing, most time.Duration, p Patience) *silence {
-	s := &silence{conn: c, hearing: h, patience: p, most: most, started: time.Now()}
+func watchSilence(c *clock.Clock, conn net.Conn, h *hearing, most time.Duration, p Patience) *silence {
+	s := &silence{clock: c, conn: conn, hearing: h, patience: p, most: most, started: c.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(s.step(), s.check)
@@ -104,14 +110,14 @@
 
 // heard notes that something came.
 func (s *silence) heard() {
-	now := time.Now()
+	now := s.clock.Now()
 	s.last.Store(int64(now.Sub(s.started)))
-	s.hearing.at.Store(now.UnixNano())
+	s.hearing.at.Store(int64(now.Sub(s.hearing.since)))
 }
 
 // check looks whether the silence has lasted too long.
 func (s *silence) check() {
-	now := time.Now()
+	now := s.clock.Now()
 	own := now.Sub(s.started) - time.Duration(s.last.Load())
 	switch {
 	case own >= s.most:
@@ -138,7 +144,7 @@
 	if s.patience.Leave == nil {
 		return false
 	}
-	all := min(own, now.Sub(time.Unix(0, s.hearing.at.Load())))
+	all := min(own, now.Sub(s.hearing.since)-time.Duration(s.hearing.at.Load()))
 	if !s.began.Load() {
 		return s.patience.First > 0 && all >= s.patience.First
 	}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -34,14 +34,6 @@
 	driftTolerance = 5 * time.Millisecond
 )
 
-// Suspension says that the machine has been suspended.
-type Suspension struct {
-	// For is how long it was, above 0.
-	For time.Duration
-	// At is when it was noticed, by the clock.
-	At time.Time
-}
-
 // Clock is a clock. It is safe for concurrent use.
 type Clock struct {
 	readBoot func() (time.Duration, error)
@@ -57,7 +49,6 @@
 	// fault is why suspensions are not counted, nil if they are.
 	fault  error
 	timers map[*Timer]struct{}
-	heard  []func(Suspension)
 }
 
 // Option changes a new Clock.
@@ -153,13 +144,6 @@
 	return c.fault
 }
 
-// OnSuspension has f told of each suspension when it is noticed. It must not wait.
-func (c *Clock) OnSuspension(f func(Suspension)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.heard = append(c.heard, f)
-}
-
 // Run looks for suspensions until ctx is done.
 func (c *Clock) Run(ctx context.Context) {
 	tick := time.NewTicker(lookEvery)
@@ -174,35 +158,23 @@
 	}
 }
 
-// Look looks whether the machine was suspended. What is due by then is done at once, and who
-// asked for it is told.
+// Look looks whether the machine was suspended. What is due by then is done at once.
 func (c *Clock) Look() {
-	s, heard := c.look()
-	for _, f := range heard {
-		f(s)
-	}
-}
-
-// look takes in a suspension, and returns it with those who are to be told.
-func (c *Clock) look() (Suspension, []func(Suspension)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.fault != nil {
 		c.drift.Store(int64(c.driftAt(time.Now())))
-		return Suspension{}, nil
+		return
 	}
 	jump, err := c.jump()
 	if err != nil {
 		c.fault = err
-		return Suspension{}, nil
+		return
 	}
-	if jump == 0 {
-		return Suspension{}, nil
+	if jump > 0 {
+		c.missing.Add(int64(jump))
+		c.fireDue(time.Now().Add(time.Duration(c.missing.Load())))
 	}
-	c.missing.Add(int64(jump))
-	now := time.Now().Add(time.Duration(c.missing.Load()))
-	c.fireDue(now)
-	return Suspension{For: jump, At: now}, slices.Clone(c.heard)
 }
 
 // jump returns by how much the boot clock has moved beyond the steady one since it was last
--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -34,7 +34,7 @@
 
 // Acquire implements front.Scheduler.
 func (d *Dispatcher) Acquire(ctx context.Context, r front.Request) (front.Grant, error) {
-	a := &attempt{request: r, at: time.Now(), answer: make(chan decision, 1)}
+	a := &attempt{request: r, at: d.opt.clock.Now(), answer: make(chan decision, 1)}
 	// Always: a backend server may end under another try while this one waits.
 	if r.Digest != nil {
 		a.digest = suspect.Digest(r.Digest())
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 	"github.com/yarrowmast/yarrowmast/internal/forward"
 	"github.com/yarrowmast/yarrowmast/internal/front"
 	"github.com/yarrowmast/yarrowmast/internal/peer"
@@ -67,12 +68,15 @@
 	source  Source
 	net     Net
 	started time.Time
-	events  chan event
-	ctx     context.Context
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
-	shared  shared
-	screen  screen
+	// begun is the same by the steady clock, by which lag is measured: a suspension is
+	// none.
+	begun  time.Time
+	events chan event
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+	shared shared
+	screen screen
 }
 
 // shared is what other tasks may read of the state.
@@ -113,6 +117,7 @@
 	draw func() float64
 	// forwarder is told of the other routers, nil if nothing is handed on.
 	forwarder Forwarder
+	clock     *clock.Clock
 }
 
 // Forwarder hands callers' connections on to other routers.
@@ -143,6 +148,9 @@
 // force at every router that can hear of it.
 func WithApplyWithin(d time.Duration) Option { return func(o *options) { o.applyWithin = d } }
 
+// WithClock sets the clock by which all that is believed ages.
+func WithClock(c *clock.Clock) Option { return func(o *options) { o.clock = c } }
+
 // WithDraws sets what draws from 0 up to 1 which requests of an account are let in where
 // only a part of them is; by default by chance.
 func WithDraws(draw func() float64) Option { return func(o *options) { o.draw = draw } }
@@ -154,13 +162,16 @@
 func New(id Identity, source Source, n Net, opts ...Option) *Dispatcher {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Dispatcher{
-		id: id, source: source, net: n, started: time.Now(),
-		opt:    options{log: slog.Default(), rule: allowance.DefaultRule(), applyWithin: DefaultApplyWithin, draw: rand.Float64},
+		id: id, source: source, net: n, begun: time.Now(),
+		opt: options{
+			log: slog.Default(), rule: allowance.DefaultRule(), applyWithin: DefaultApplyWithin, draw: rand.Float64, clock: clock.System(),
+		},
 		events: make(chan event, inboxSize), ctx: ctx, cancel: cancel, screen: newScreen(),
 	}
 	for _, f := range opts {
 		f(&d.opt)
 	}
+	d.started = d.opt.clock.Now()
 	d.shared.applyWithin.Store(int64(d.opt.applyWithin))
 	return d
 }
@@ -200,8 +211,8 @@
 // moment is the zero time.
 const clockStart = time.Hour
 
-// now is the dispatcher's clock, which only runs on.
-func (d *Dispatcher) now() time.Duration { return clockStart + time.Since(d.started) }
+// now is the dispatcher's clock, which only runs on, also while the machine is suspended.
+func (d *Dispatcher) now() time.Duration { return clockStart + d.opt.clock.Since(d.started) }
 
 // event is what the task takes in one step.
 type event interface{ apply(s *state) }
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -66,7 +66,7 @@
 	wait := newBackoff()
 	for d.ctx.Err() == nil {
 		asOf := d.shared.asOf.Load()
-		if asOf == 0 || d.shared.turn.Load() >= watchers || time.Since(d.started) < watchAfter {
+		if asOf == 0 || d.shared.turn.Load() >= watchers || d.now()-clockStart < watchAfter {
 			d.pause(lookEvery)
 			continue
 		}
--- a/internal/dispatch/lag.go
+++ b/internal/dispatch/lag.go
@@ -31,7 +31,7 @@
 			return
 		}
 		sent := time.Duration(binary.LittleEndian.Uint64(buf[:]))
-		d.post(lagged{d.now() - sent})
+		d.post(lagged{time.Since(d.begun) - sent})
 	}
 }
 
@@ -46,7 +46,7 @@
 		case <-d.ctx.Done():
 			return
 		case due := <-tick.C:
-			at := clockStart + due.Sub(d.started)
+			at := due.Sub(d.begun)
 			binary.LittleEndian.PutUint64(buf[:], uint64(at))
 			if _, err := w.Write(buf[:]); err != nil {
 				return
--- a/internal/dispatch/screen.go
+++ b/internal/dispatch/screen.go
@@ -73,7 +73,7 @@
 	}
 	// Balancers send a caller to the same router again: one that comes back soon is
 	// refused again, in the time that is left for work.
-	later := front.RetryLater(time.Until(r.Deadline))
+	later := front.RetryLater(d.opt.clock.Until(r.Deadline))
 	if !within {
 		return errOverShare.After(later)
 	}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -12,9 +12,11 @@
 
 // state is what the task owns.
 type state struct {
-	d         *Dispatcher
-	now       time.Duration
-	lastRun   time.Duration
+	d       *Dispatcher
+	now     time.Duration
+	lastRun time.Duration
+	// suspended is for how long the machine had been suspended by lastRun.
+	suspended time.Duration
 	core      *admit.Core
 	catalog   *catalog.Catalog
 	roster    *roster.Roster
@@ -74,7 +76,7 @@
 	self := roster.Member{Address: d.id.Address, Name: d.id.Name, Zone: d.id.Zone, Inc: d.id.Inc, Capacity: d.id.Capacity}
 	now := d.now()
 	s := &state{
-		d: d, now: now, lastRun: now,
+		d: d, now: now, lastRun: now, suspended: d.opt.clock.Suspended(),
 		core:      admit.New(admit.Router{Address: d.id.Address, Zone: d.id.Zone, Capacity: d.id.Capacity}, admit.WithSeed(d.id.Inc)),
 		roster:    roster.New(self, d.opt.seeds),
 		allowance: allowance.New(d.opt.rule, now),
@@ -93,16 +95,23 @@
 
 func (s *state) apply(ev event) {
 	s.now = s.d.now()
-	if gap := s.now - s.lastRun; gap >= pausedAfter {
-		s.d.opt.log.Warn("router_was_paused", "gap_ms", gap.Milliseconds())
-	}
-	s.lastRun = s.now
+	s.notePause()
 	ev.apply(s)
 	if s.core.HasSuspectNews() {
 		s.tellSuspects()
 	}
 }
 
+// notePause logs that this router stood still, and by how much each clock moved.
+func (s *state) notePause() {
+	gap, suspended := s.now-s.lastRun, s.d.opt.clock.Suspended()
+	if gap >= pausedAfter {
+		missing := suspended - s.suspended
+		s.d.opt.log.Warn("router_was_paused", "gap_ms", gap.Milliseconds(), "suspended_ms", missing.Milliseconds(), "steady_ms", (gap - missing).Milliseconds())
+	}
+	s.lastRun, s.suspended = s.now, suspended
+}
+
 // step lets the core take an event and does what it says.
 func (s *state) step(ev admit.Event) {
 	for _, a := range s.core.Step(s.now, ev) {
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -60,6 +60,8 @@
 	// Calls is how many calls of the platform were made, 0 if its source does
 	// not tell.
 	Calls int64 `json:"platform_calls"`
+	// SuspendedMillis is for how long the machine was suspended since the start.
+	SuspendedMillis int64 `json:"suspended_ms"`
 }
 
 // counter is a Source that counts its calls.
@@ -75,7 +77,7 @@
 		Name: s.d.id.Name, Zone: s.d.id.Zone, Incarnation: s.d.id.Inc, AsOf: s.catalog.AsOf(), Turn: s.d.shared.turn.Load(),
 		VerifiedMillisAgo: (s.now - time.Duration(s.d.shared.verified.Load())).Milliseconds(),
 		Live:              s.roster.Live(s.now), Relay: s.talk.Relay, Owned: s.core.Owned(), Waiting: s.core.Waiting(),
-		ClosedZones: s.closed, Warming: s.core.Warming(),
+		ClosedZones: s.closed, Warming: s.core.Warming(), SuspendedMillis: s.suspended.Milliseconds(),
 	}
 	st.Unusable, st.UnusableCount = s.unusableEntries()
 	st.Damaged = s.catalog.Damaged()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 	"github.com/yarrowmast/yarrowmast/internal/peer"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
@@ -50,6 +51,7 @@
 
 // Forwarder hands connections on, and serves those that others hand on.
 type Forwarder struct {
+	clock *clock.Clock
 	send  Sender
 	front Front
 	// gather is for how long answers are collected before more of them is sent back.
@@ -78,12 +80,15 @@
 // WithGather sets for how long answers are collected before more of them is sent back.
 func WithGather(gather func() time.Duration) Option { return func(f *Forwarder) { f.gather = gather } }
 
+// WithClock sets the clock by which streams are given up.
+func WithClock(c *clock.Clock) Option { return func(f *Forwarder) { f.clock = c } }
+
 // New returns a forwarder that knows no neighbours, and neither takes nor hands on
 // anything before Use.
 func New(opts ...Option) *Forwarder {
 	f := &Forwarder{
-		gather: func() time.Duration { return 0 },
-		busy:   map[string]time.Time{}, out: map[uint64]*outgoing{}, in: map[inKey]*incoming{},
+		clock: clock.System(), gather: func() time.Duration { return 0 },
+		busy: map[string]time.Time{}, out: map[uint64]*outgoing{}, in: map[inKey]*incoming{},
 	}
 	for _, o := range opts {
 		o(f)
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
@@ -37,6 +38,7 @@
 
 // outgoing is a stream that was handed on.
 type outgoing struct {
+	clock  *clock.Clock
 	send   Sender
 	id     uint64
 	to     string
@@ -66,7 +68,7 @@
 func (f *Forwarder) Forward(caller net.Conn, first []byte, revision uint64, until time.Time) Forwarded {
 	did := Forwarded{Read: first}
 	for range tries {
-		to, ok := f.choose(time.Now(), did.To)
+		to, ok := f.choose(f.clock.Now(), did.To)
 		if !ok {
 			break
 		}
@@ -79,7 +81,7 @@
 			return did
 		}
 		did.Read = append(did.Read, o.more...)
-		f.noteBusy(to, time.Now())
+		f.noteBusy(to, f.clock.Now())
 	}
 	return did
 }
@@ -98,7 +100,7 @@
 	defer f.mu.Unlock()
 	f.lastID++
 	o := &outgoing{
-		send: f.send, id: f.lastID, to: to, caller: caller, answers: make(chan *wire.ForwardData, mostWaiting),
+		clock: f.clock, send: f.send, id: f.lastID, to: to, caller: caller, answers: make(chan *wire.ForwardData, mostWaiting),
 		lost: make(chan struct{}), left: make(chan struct{}), read: make(chan struct{}),
 	}
 	f.out[o.id] = o
@@ -128,8 +130,9 @@
 	// What was read before was bounded in time.
 	_ = o.caller.SetReadDeadline(time.Time{})
 	go o.readCaller()
-	timeout := time.NewTimer(time.Until(until))
-	defer timeout.Stop()
+	timeout := make(chan struct{})
+	timer := o.clock.AfterFunc(o.clock.Until(until), func() { close(timeout) })
+	defer timer.Stop()
 	for n := uint64(1); ; n++ {
 		select {
 		case m := <-o.answers:
@@ -151,7 +154,7 @@
 			return o.broken(true)
 		case <-o.lost:
 			return o.broken(false)
-		case <-timeout.C:
+		case <-timeout:
 			return o.broken(true)
 		}
 	}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -13,14 +13,14 @@
 	o.Attempts++
 	req := a.request()
 	req.Waited, req.Attempt = o.Waited, o.Attempts-1
-	asked := time.Now()
+	asked := s.clock().Now()
 	g, err := s.scheduler.Acquire(ctx, req)
 	if err != nil {
-		o.Waited += time.Since(asked)
+		o.Waited += s.clock().Since(asked)
 		return backend.Result{}, acquireFailed(ctx, err)
 	}
 	o.Waited = g.Waited
-	started := time.Now()
+	started := s.clock().Now()
 	result := s.backend.Do(ctx, s.call(a, r, g), out)
 	o.Tokens = s.tokens(a, g, started)
 	s.scheduler.Release(g, Usage{
@@ -52,7 +52,7 @@
 	}
 	s.opt.log.Info("attempt_end", "request", a.id, "attempt", o.Attempts, "backend", g.Backend, "why", g.Why, "copied_from", g.FetchFrom,
 		"ahead", g.Ahead, "running", g.Running, "expected_ms", g.Expected.Milliseconds(), "first_ms", first,
-		"total_ms", time.Since(started).Milliseconds(), "sent", result.Sent, "events", result.LastEvent, "code", code)
+		"total_ms", s.clock().Since(started).Milliseconds(), "sent", result.Sent, "events", result.LastEvent, "code", code)
 	s.logSaid(a, g, o, result.Said)
 }
 
@@ -71,7 +71,7 @@
 	if a.events {
 		return g.Served.Load()
 	}
-	return max(1, time.Since(started).Milliseconds())
+	return max(1, s.clock().Since(started).Milliseconds())
 }
 
 // acquireFailed tells a deadline from a caller that left.
--- a/internal/front/connections.go
+++ b/internal/front/connections.go
@@ -203,7 +203,7 @@
 
 // Full reports whether callers were refused lately because as many connections
 // were in use as there may be.
-func (s *Server) Full() bool { return s.connections.full(time.Now()) }
+func (s *Server) Full() bool { return s.connections.full(s.clock().Now()) }
 
 // connKey is the context's key of a request's connection.
 type connKey struct{}
@@ -251,7 +251,7 @@
 func (s *Server) logCrowd() {
 	counts := s.Connections()
 	total := counts.Refused + counts.Evicted
-	if since, due := s.crowdLog.due(time.Now(), total); due && since > 0 {
+	if since, due := s.crowdLog.due(s.clock().Now(), total); due && since > 0 {
 		s.opt.log.Warn("callers_crowded", "open", counts.Open, "idle", counts.Idle,
 			"refused", counts.Refused, "evicted", counts.Evicted, "since_last", since)
 	}
--- a/internal/front/early.go
+++ b/internal/front/early.go
@@ -61,8 +61,8 @@
 func (s *Server) lookAt(c *conn, addr net.Addr) {
 	buf := earlyBuffers.Get().(*[earlyHead]byte)
 	defer earlyBuffers.Put(buf)
-	arrived := time.Now()
-	_ = c.Conn.SetReadDeadline(arrived.Add(earlyTime))
+	arrived := s.clock().Now()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(earlyTime))
 	n, head := readHead(c.Conn, buf[:])
 	if h, plain := s.plainHead(buf[:n], head); plain {
 		if s.endEarly(c, h, buf, n, n-head, arrived) {
@@ -137,7 +137,7 @@
 	}
 	return &head{
 		request: Request{
-			ID: f.id, Account: account.Name, Model: route.Pick(rand.Float64()), Deadline: time.Now().Add(wait),
+			ID: f.id, Account: account.Name, Model: route.Pick(rand.Float64()), Deadline: s.clock().Now().Add(wait),
 			Prompt: stated.tokens, Output: stated.output, Target: route.Target,
 		},
 		body: f.body, stated: stated,
@@ -171,7 +171,7 @@
 		_, _ = c.Conn.Write(appendRefusal(buf[:0], &s.opt.dialect, a.id, err))
 	}
 	_ = c.Close()
-	out := Outcome{Account: h.request.Account, Model: a.model, Status: err.Status, Code: err.Code, Verdict: err.Verdict.String(), Total: time.Since(arrived)}
+	out := Outcome{Account: h.request.Account, Model: a.model, Status: err.Status, Code: err.Code, Verdict: err.Verdict.String(), Total: s.clock().Since(arrived)}
 	s.opt.observer.Answered(out)
 	s.log(a, &out)
 }
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -37,11 +37,11 @@
 	if s.opt.forwarder == nil || refusal.Code != CodeOverloaded || !s.scheduler.MayForward(h.request) {
 		return all, refusal
 	}
-	begun := time.Now()
+	begun := s.clock().Now()
 	did := s.opt.forwarder.Forward(c, bytes.Clone(all), s.scheduler.Table().Revision, h.request.Deadline.Add(forwardGrace))
 	s.opt.log.LogAttrs(context.Background(), slog.LevelInfo, "request_forwarded", slog.String("request", h.request.ID),
 		slog.String("account", h.request.Account), slog.String("to", did.To), slog.String("outcome", did.Outcome.String()),
-		slog.Int64("total_ms", time.Since(begun).Milliseconds()))
+		slog.Int64("total_ms", s.clock().Since(begun).Milliseconds()))
 	switch did.Outcome {
 	case forward.Ended:
 		return nil, nil
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -44,7 +44,7 @@
 
 // handle runs one request of the own interfaces from its admission to its end.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request, read func(*ask) *verdict.Error) {
-	a := &ask{id: s.requestID(), arrived: time.Now(), method: r.Method, host: r.Host}
+	a := &ask{id: s.requestID(), arrived: s.clock().Now(), method: r.Method, host: r.Host}
 	s.serve(w, r, a, func() *verdict.Error {
 		err := s.admit(a, r)
 		if err == nil {
@@ -79,7 +79,7 @@
 		outcome.Status = err.Status
 		outcome.Verdict = err.Verdict.String()
 	}
-	outcome.Total = time.Since(a.arrived)
+	outcome.Total = s.clock().Since(a.arrived)
 	s.opt.observer.Answered(outcome)
 	s.log(a, &outcome)
 	if err != nil && out.began {
@@ -112,7 +112,7 @@
 
 // schedule tries the request until it ends, by the rules of verdicts.
 func (s *Server) schedule(ctx context.Context, a *ask, r *http.Request, out *answer, o *Outcome) *verdict.Error {
-	ctx, cancel := context.WithDeadline(ctx, a.deadline)
+	ctx, cancel := s.clock().WithDeadline(ctx, a.deadline)
 	defer cancel()
 	if a.key == "" {
 		return s.tryAll(ctx, a, r, out, o)
@@ -244,7 +244,7 @@
 
 // refuseUnrouted answers a request that no route or interface takes.
 func (s *Server) refuseUnrouted(w http.ResponseWriter, r *http.Request, err *verdict.Error) {
-	a := &ask{id: r.Header.Get(s.opt.dialect.RequestID), arrived: time.Now()}
+	a := &ask{id: r.Header.Get(s.opt.dialect.RequestID), arrived: s.clock().Now()}
 	if a.id == "" {
 		a.id = s.requestID()
 	}
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -148,7 +148,7 @@
 // admitted takes a connection in among the callers'. It returns nil for one that cannot
 // even be refused, which it closes.
 func (s *Server) admitted(nc net.Conn) *conn {
-	c := s.connections.admit(nc, s.callers.Load().MaxConnections, time.Now())
+	c := s.connections.admit(nc, s.callers.Load().MaxConnections, s.clock().Now())
 	if c == nil {
 		_ = nc.Close()
 	}
--- a/internal/front/reserved.go
+++ b/internal/front/reserved.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"sync/atomic"
-	"time"
 )
 
 // reserved drops the headers that only the fleet may set on what it sends to
@@ -35,7 +34,7 @@
 	if len(found) == 0 {
 		return
 	}
-	if since, due := s.reserved.logged.due(time.Now(), s.reserved.dropped.Load()); due {
+	if since, due := s.reserved.logged.due(s.clock().Now(), s.reserved.dropped.Load()); due {
 		s.opt.log.Warn("reserved_headers_dropped", "request", r.Header.Get(s.opt.dialect.RequestID), "headers", found, "since_last", since)
 	}
 }
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -58,7 +58,7 @@
 // routed serves a request by its route.
 func (s *Server) routed(w http.ResponseWriter, r *http.Request, t *table.Table, route *table.Route) {
 	a := &ask{
-		id: r.Header.Get(s.opt.dialect.RequestID), arrived: time.Now(), method: r.Method, host: r.Host, path: r.RequestURI,
+		id: r.Header.Get(s.opt.dialect.RequestID), arrived: s.clock().Now(), method: r.Method, host: r.Host, path: r.RequestURI,
 		route: &routing{Route: route}, model: route.Pick(rand.Float64()),
 		events: route.Stream, once: route.Repeat == table.RepeatNever,
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/backend"
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 )
 
 // The defaults of the callers' listener.
@@ -115,6 +116,7 @@
 	dialect    Dialect
 	routesOnly bool
 	forwarder  Forwarder
+	clock      *clock.Clock
 }
 
 // Option changes a new Server.
@@ -172,6 +174,9 @@
 // WithDialect sets the headers that callers of routes speak.
 func WithDialect(d Dialect) Option { return func(o *options) { o.dialect = d } }
 
+// WithClock sets the clock by which deadlines are told.
+func WithClock(c *clock.Clock) Option { return func(o *options) { o.clock = c } }
+
 // WithRoutesOnly leaves out the interfaces that need no route.
 func WithRoutesOnly() Option { return func(o *options) { o.routesOnly = true } }
 
@@ -184,6 +189,7 @@
 	srv := &Server{
 		opt: options{
 			callers: DefaultCallers(), log: slog.Default(), observer: noObserver{}, dialect: OwnDialect(),
+			clock: clock.System(),
 		},
 		scheduler: s, backend: b, name: name,
 		idBase: name + "-" + strconv.FormatUint(inc, 36) + "-",
@@ -195,6 +201,9 @@
 	return srv
 }
 
+// clock is that by which deadlines are told.
+func (s *Server) clock() *clock.Clock { return s.opt.clock }
+
 // protocols allows HTTP/1.1 and HTTP/2, the latter without TLS too.
 func protocols() *http.Protocols {
 	p := &http.Protocols{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/yarrowmast/yarrowmast/internal/admin"
 	"github.com/yarrowmast/yarrowmast/internal/backend"
 	"github.com/yarrowmast/yarrowmast/internal/burn"
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 	"github.com/yarrowmast/yarrowmast/internal/config"
 	"github.com/yarrowmast/yarrowmast/internal/dispatch"
 	"github.com/yarrowmast/yarrowmast/internal/forward"
@@ -54,6 +55,7 @@
 	backend   *backend.Client
 	loads     *backend.Loads
 	log       *slog.Logger
+	clock     *clock.Clock
 	failed    chan error
 	stop      context.CancelFunc
 	ls        *listeners
@@ -88,6 +90,7 @@
 	router    []router.Option
 	observer  front.Observer
 	scheduler func(*router.Router) front.Scheduler
+	clock     *clock.Clock
 }
 
 // Option changes a new Node.
@@ -99,6 +102,9 @@
 // WithLogger sets where events are logged.
 func WithLogger(l *slog.Logger) Option { return func(o *options) { o.log = l } }
 
+// WithClock sets the clock by which the router's beliefs age and its deadlines end.
+func WithClock(c *clock.Clock) Option { return func(o *options) { o.clock = c } }
+
 // WithPlatforms adds platforms by the names that settings give them.
 func WithPlatforms(p map[string]Platform) Option { return func(o *options) { o.platforms = p } }
 
@@ -124,11 +130,12 @@
 		dialer:    &net.Dialer{Timeout: dialTimeout},
 		log:       slog.Default(),
 		scheduler: func(r *router.Router) front.Scheduler { return r },
+		clock:     clock.System(),
 	}
 	for _, f := range opts {
 		f(&o)
 	}
-	n := &Node{Settings: s, log: o.log.With("router", s.Name), failed: make(chan error, 3), drainNotice: s.DrainNotice}
+	n := &Node{Settings: s, log: o.log.With("router", s.Name), failed: make(chan error, 3), drainNotice: s.DrainNotice, clock: o.clock}
 	if err := n.start(s, o); err != nil {
 		return nil, fmt.Errorf("node %s: %w", s.Name, err)
 	}
@@ -152,11 +159,11 @@
 	n.burn = burn.New(s.Name, s.Objectives)
 	inc := uint64(time.Now().UnixNano())
 	backendOpts := []backend.Option{
-		backend.WithDialer(o.dialer), backend.WithIdle(s.Backends.Idle), backend.WithMaxAnswer(s.Backends.MaxAnswerBytes),
+		backend.WithDialer(o.dialer), backend.WithIdle(s.Backends.Idle), backend.WithMaxAnswer(s.Backends.MaxAnswerBytes), backend.WithClock(n.clock),
 	}
 	frontOpts := []front.Option{
 		front.WithCallers(callersOf(s)), front.WithTLS(t.callers), front.WithLogger(n.log),
-		front.WithObserver(observers{n.metrics, n.burn, o.observer}),
+		front.WithObserver(observers{n.metrics, n.burn, o.observer}), front.WithClock(n.clock),
 	}
 	var scheduler front.Scheduler
 	var source admin.Source
@@ -188,11 +195,11 @@
 // startDispatcher makes the scheduler of a router that follows a platform.
 func (n *Node) startDispatcher(s config.Settings, o options, t tlsAll, p Platform, inc uint64) {
 	id := dispatch.Identity{Name: s.Name, Address: n.ls.peers.Addr().String(), Zone: s.Zone, Inc: inc, Capacity: s.Machine.Processors, Listens: n.ls.addresses()}
-	n.forwarder = forward.New(forward.WithGather(n.gatherForwarded))
+	n.forwarder = forward.New(forward.WithGather(n.gatherForwarded), forward.WithClock(n.clock))
 	n.Peers = peer.New(id.Name, id.Zone, id.Inc, n.ls.peers, append(n.peerOptions(o, t), peer.WithAddress(id.Address), peer.WithTaken(n.forwarder.Take))...)
 	n.Dispatch = dispatch.New(id, p.Source(s.Platform, o.dialer), n.Peers,
 		dispatch.WithLogger(n.log), dispatch.WithSeeds(s.Seeds), dispatch.WithApplyWithin(s.ApplyWithin),
-		dispatch.WithRule(ruleOf(s.Retries)), dispatch.WithForwarder(n.forwarder))
+		dispatch.WithRule(ruleOf(s.Retries)), dispatch.WithForwarder(n.forwarder), dispatch.WithClock(n.clock))
 }
 
 // gatherPart is the part of the time within which an event is to reach its caller for
@@ -231,6 +238,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
+	go n.watchClock(ctx)
 	go n.gauge(ctx)
 	n.log.Info("router_started", "zone", n.Settings.Zone, "callers", ls.callers.Addr().String(),
 		"peers", ls.peers.Addr().String(), "admin", ls.admin.Addr().String())
@@ -318,12 +326,7 @@
 	n.admin.Leave()
 	n.Front.Leave()
 	n.log.Info("router_leaving", "notice_ms", n.notice().Milliseconds())
-	notice := time.NewTimer(n.notice())
-	defer notice.Stop()
-	select {
-	case <-notice.C:
-	case <-ctx.Done():
-	}
+	n.clock.Sleep(ctx, n.notice())
 	n.Front.Drain()
 	n.core.Drain()
 	err := n.Front.Shutdown(ctx)
--- a/internal/router/acquire.go
+++ b/internal/router/acquire.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 	"github.com/yarrowmast/yarrowmast/internal/front"
 	"github.com/yarrowmast/yarrowmast/pkg/hold"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
@@ -69,7 +70,7 @@
 
 // deadline returns a wall time on the router's clock.
 func (r *Router) deadline(t time.Time) time.Duration {
-	return r.now() + time.Until(t)
+	return r.now() + clock.System().Until(t)
 }
 
 // Release implements front.Scheduler.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 	"github.com/yarrowmast/yarrowmast/internal/peer"
 	"github.com/yarrowmast/yarrowmast/internal/platform"
 	"github.com/yarrowmast/yarrowmast/pkg/hold"
@@ -119,7 +120,7 @@
 	r := &Router{
 		id: id, net: n, platform: p, loads: loads,
 		opt:     options{log: slog.Default()},
-		started: time.Now(),
+		started: clock.System().Now(),
 		events:  make(chan event, inboxSize),
 		ctx:     ctx, cancel: cancel,
 	}
@@ -159,7 +160,7 @@
 	if r.opt.clock != nil {
 		return r.opt.clock()
 	}
-	return time.Duration(r.started.UnixNano()) + time.Since(r.started)
+	return time.Duration(r.started.UnixNano()) + clock.System().Since(r.started)
 }
 
 // run is the task that owns the core.
--- a/internal/tlsconf/tlsconf.go
+++ b/internal/tlsconf/tlsconf.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 	"github.com/yarrowmast/yarrowmast/internal/config"
 )
 
@@ -93,10 +94,10 @@
 func (s *source) get() (*tls.Certificate, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.pair != nil && time.Since(s.checked) < checkEvery {
+	if s.pair != nil && clock.System().Since(s.checked) < checkEvery {
 		return s.pair, nil
 	}
-	s.checked = time.Now()
+	s.checked = clock.System().Now()
 	info, err := os.Stat(s.files.Cert)
 	if err == nil && s.pair != nil && info.ModTime().Equal(s.changed) {
 		return s.pair, nil
