Let a place lapse that a router did not use while it stood still

Callers of two routers found more requests at a backend server than it has slots after one of these had stood still: its owner had given its place to another after three seconds. Cause: a reply that lay in a socket for seconds was taken as given now; a place that was given was used whenever the router woke; a deadline that had passed meanwhile was looked at by the next tick only; and the owner, whose answer lay there too, was taken for unresponsive, so that the request was sent on this router's own estimate. Change: a place is used within a second of the question, and sent within what the owner keeps it for (3 s); replies are waited for from the end of a pause on; the deadline is looked at when the place comes. What is not sent for that says nothing of the backend server.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -57,6 +57,7 @@
 	if got.err != nil {
 		return front.Grant{}, got.err
 	}
+	given := d.opt.clock.Now()
 	return front.Grant{
 		ID: got.id, Backend: got.start.Backend.Name, Address: got.start.Backend.Address, Born: got.start.Backend.Born, Why: got.start.Why,
 		FetchFrom: got.start.FetchFrom, Connections: d.connectionsPart(r.Model),
@@ -65,6 +66,8 @@
 		First:   func() { d.post(began{got.id}) },
 		Said:    func(w backend.Said) { d.post(said{got.id, w}) },
 		Hurried: d.Hurried,
+		// A router that stood still for longer has lost its place to another.
+		MayStart: func() bool { return d.opt.clock.Since(given) < admit.EntryLostAfter },
 	}, nil
 }
 
@@ -125,7 +128,7 @@
 		return admit.Failed
 	case "backend-replaced":
 		return admit.Unreached
-	case "caller-gone", "deadline":
+	case "caller-gone", "deadline", "lease-expired":
 		return admit.Unknown
 	default:
 		return admit.Broken
--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -43,14 +43,14 @@
 	w.in <- peer.Inbound{From: from, Name: from, Zone: "b", Inc: 1, Msg: msg}
 }
 
-// TestWaitingRequestIsKnown: thirty tries of a request waited for a place when the first
-// backend server ended under another try of it. What waited had no identity, so that it was
-// placed like any other when a place was free, one after the other, and as many servers ended
-// as found a place; only what came later was refused.
-func TestWaitingRequestIsKnown(t *testing.T) {
-	const digest, generous = 7, 15 * time.Second
+// generous bounds waits for things that must happen.
+const generous = 15 * time.Second
+
+// startOne starts a dispatcher before a backend server of one slot.
+func startOne(t *testing.T, opts ...Option) (*Dispatcher, oneWire) {
+	t.Helper()
 	net := oneWire{make(chan peer.Inbound)}
-	d := New(Identity{Name: "r-0", Address: "r-0", Zone: "a", Inc: 1}, oneServer{}, net, WithLogger(slog.New(slog.DiscardHandler)))
+	d := New(Identity{Name: "r-0", Address: "r-0", Zone: "a", Inc: 1}, oneServer{}, net, append(opts, WithLogger(slog.New(slog.DiscardHandler)))...)
 	d.Start()
 	t.Cleanup(d.Close)
 	for end := time.Now().Add(generous); d.Table() == nil; time.Sleep(time.Millisecond) {
@@ -58,6 +58,16 @@
 			t.Fatal("there is no table")
 		}
 	}
+	return d, net
+}
+
+// TestWaitingRequestIsKnown: thirty tries of a request waited for a place when the first
+// backend server ended under another try of it. What waited had no identity, so that it was
+// placed like any other when a place was free, one after the other, and as many servers ended
+// as found a place; only what came later was refused.
+func TestWaitingRequestIsKnown(t *testing.T) {
+	const digest = 7
+	d, net := startOne(t)
 	ask := func(digest uint64) front.Request {
 		return front.Request{Model: "reader", Deadline: time.Now().Add(generous), Digest: func() uint64 { return digest }}
 	}
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -18,6 +18,10 @@
 	// to the time that a request waits for an answer: for the answer itself, and for
 	// what its lateness changes until it is measured again.
 	waysHeard = 2
+	// PlaceFor is for how long a place may be used after it was asked for: an owner gives
+	// away what it heard nothing of for three seconds, and sooner what its holder does not
+	// list among its requests. Only a router that stood still is so late.
+	PlaceFor = time.Second
 	// unresponsiveFor is how long such an owner is not asked, unless it is heard.
 	unresponsiveFor = 500 * time.Millisecond
 	// spillAfter is the part of its patience after which a request may go
@@ -166,7 +170,8 @@
 // request was admitted without them.
 func (c *Core) expireAsks(r *request) bool {
 	for _, a := range r.asks {
-		if a.state != askSent || c.now-a.at < replyWithin+waysHeard*c.late {
+		// While this router stood still it could hear no reply.
+		if a.state != askSent || c.now-max(a.at, c.stood.to) < replyWithin+waysHeard*c.late {
 			continue
 		}
 		a.state = askUnanswered
@@ -248,8 +253,7 @@
 		return
 	}
 	switch {
-	case m.State == wire.PlaceGranted && (!c.takes(a.server) || c.caution(r) > a.caution || c.behindTwin(r)):
-		// Closed, marked, turned away or suspected since the place was asked for: it lapses.
+	case m.State == wire.PlaceGranted && c.lapsed(r, a):
 		c.send(from, &wire.Note{ID: m.ID, Server: m.Server, Kind: wire.NoteEnded, Result: uint8(Unknown)})
 		a.state = askDenied
 		c.advance(r)
@@ -264,6 +268,13 @@
 	}
 }
 
+// lapsed reports whether a place that was given is not to be used: the backend server was
+// closed, marked or turned away, or the request suspected, since it was asked for, or its time
+// has passed or the owner may have given the place away.
+func (c *Core) lapsed(r *request, a *ask) bool {
+	return !c.takes(a.server) || c.caution(r) > a.caution || c.behindTwin(r) || c.now >= r.Deadline || c.now-a.at >= PlaceFor
+}
+
 func (r *request) askOf(server wire.Key) *ask {
 	if r == nil {
 		return nil
