Take no other router for lost because this one stood still

Callers of a router that woke saw their requests sent to backend servers that were full: it had heard nobody for seconds by its clock, took itself for the only router and for the owner of every backend server, until it had read what lay in its sockets. Cause: a gap in the own clock counted as the others' silence. Change: what is known of others is as old after a pause as it was before (Roster.Paused).

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -102,10 +102,11 @@
 	}
 }
 
-// notePause logs that this router stood still, and by how much each clock moved.
+// notePause takes in that this router stood still, and logs by how much each clock moved.
 func (s *state) notePause() {
 	gap, suspended := s.now-s.lastRun, s.d.opt.clock.Suspended()
 	if gap >= pausedAfter {
+		s.roster.Paused(gap)
 		missing := suspended - s.suspended
 		s.d.opt.log.Warn("router_was_paused", "gap_ms", gap.Milliseconds(), "suspended_ms", missing.Milliseconds(), "steady_ms", (gap - missing).Milliseconds())
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -323,3 +323,23 @@
 	}
 	return m.Member, true
 }
+
+// Paused takes in that this router stood still for a time: it could hear nobody, which says
+// nothing of the others. A router that woke would else take itself for the only one, and for
+// the owner of every backend server, until it has read what lies in its sockets.
+func (r *Roster) Paused(gap time.Duration) {
+	r.relaysKnown = nil
+	for _, m := range r.members {
+		m.known += gap
+		m.tried += gap
+		if m.heard > 0 {
+			m.heard += gap
+		}
+		if m.unanswered > 0 {
+			m.unanswered += gap
+		}
+	}
+	for _, v := range r.vouched {
+		v.at += gap
+	}
+}
