Excuse silences after a pause only until sockets are read

Cause: to move all ages by the pause kept lost routers alive where a router without time has gaps again and again. Change: for 150 ms after a pause a router that lived when it began is not taken for lost; then ages count as they are.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -106,7 +106,7 @@
 func (s *state) notePause() {
 	gap, suspended := s.now-s.lastRun, s.d.opt.clock.Suspended()
 	if gap >= pausedAfter {
-		s.roster.Paused(gap)
+		s.roster.Paused(s.lastRun, s.now)
 		missing := suspended - s.suspended
 		s.d.opt.log.Warn("router_was_paused", "gap_ms", gap.Milliseconds(), "suspended_ms", missing.Milliseconds(), "steady_ms", (gap - missing).Milliseconds())
 	}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -101,6 +101,8 @@
 	interval time.Duration
 	// started is when this router first looked whom to try, 0 before.
 	started time.Duration
+	// pause is the last time during which this router stood still.
+	pause pause
 	// relaysKnown are the relays as of relaysAt, nil once something else is known.
 	relaysKnown map[string][]string
 	relaysAt    time.Duration
@@ -179,7 +181,7 @@
 
 // hears reports whether messages of the router come here.
 func (r *Roster) hears(now time.Duration, m *member) bool {
-	return m.heard > 0 && now-m.heard < r.silentAfter()
+	return m.heard > 0 && !r.isSilent(now, m.heard)
 }
 
 // lives reports whether the router is heard here, or by a relay that is.
@@ -188,7 +190,7 @@
 		return true
 	}
 	for _, v := range r.vouched {
-		if v.lives[m.Address] && now-v.at < r.silentAfter() {
+		if v.lives[m.Address] && !r.isSilent(now, v.at) {
 			return true
 		}
 	}
@@ -283,6 +285,9 @@
 // Forget drops routers that nobody has heard of for long.
 func (r *Roster) Forget(now time.Duration) {
 	r.relaysKnown = nil
+	if now < r.pause.to+pauseGrace {
+		return
+	}
 	maps.DeleteFunc(r.members, func(_ string, m *member) bool {
 		return !m.seed && now-m.known >= ForgetAfter
 	})
@@ -324,22 +329,28 @@
 	return m.Member, true
 }
 
+// pauseGrace is how long a router that stood still takes, with a margin, to read what came
+// meanwhile: eight routers that start hear of each other within 10 ms.
+const pauseGrace = 150 * time.Millisecond
+
+// pause is a time during which this router stood still.
+type pause struct{ from, to time.Duration }
+
 // Paused takes in that this router stood still for a time: it could hear nobody, which says
-// nothing of the others. A router that woke would else take itself for the only one, and for
-// the owner of every backend server, until it has read what lies in its sockets.
-func (r *Roster) Paused(gap time.Duration) {
+// nothing of the others until it has read what came meanwhile. It would else take itself for
+// the only router, and for the owner of every backend server.
+func (r *Roster) Paused(from, to time.Duration) {
 	r.relaysKnown = nil
-	for _, m := range r.members {
-		m.known += gap
-		m.tried += gap
-		if m.heard > 0 {
-			m.heard += gap
-		}
-		if m.unanswered > 0 {
-			m.unanswered += gap
-		}
-	}
-	for _, v := range r.vouched {
-		v.at += gap
-	}
+	r.pause = pause{from, to}
+}
+
+// excuses reports whether a silence since at is no sign yet: it had not lasted for long when
+// this router stood still, and what came meanwhile may not have been read.
+func (r *Roster) excuses(now, at time.Duration) bool {
+	return now < r.pause.to+pauseGrace && r.pause.from-at < r.silentAfter()
+}
+
+// isSilent reports whether nothing came since at for too long.
+func (r *Roster) isSilent(now, at time.Duration) bool {
+	return now-at >= r.silentAfter() && !r.excuses(now, at)
 }
