--- a/GNUmakefile
+++ b/GNUmakefile
@@ -32,7 +32,7 @@
 	script/fuzz
 
 soak:
-	$(GO) build -o $(BIN)/ ./cmd/yarrowmast ./test/soak
+	$(GO) build -tags soak -o $(BIN)/ ./cmd/yarrowmast ./test/soak
 	$(BIN)/soak --seeds $(SEEDS)
 
 fmt:
--- a/cmd/yarrowctl/status_row.go
+++ b/cmd/yarrowctl/status_row.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/dispatch"
 	"github.com/yarrowmast/yarrowmast/internal/router"
@@ -61,7 +62,7 @@
 	if len(d.ClosedZones) > 0 {
 		closed = strings.Join(d.ClosedZones, ",")
 	}
-	return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t-\t-\t-\t%s\t%s\t%s\t%s\t%s", d.Name, d.Zone, d.Table, len(d.Owned), d.Waiting, closed, unusableOf(d), wordsOf(d), suspectsOf(d), stateOf(d.Draining, d.Table))
+	return fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t-\t-\t-\t%s\t%s\t%s\t%s\t%s", d.Name, d.Zone, d.Table, len(d.Owned), d.Waiting, closed, unusableOf(d), wordsOf(d), suspectsOf(d), stateOf(d.Draining, d.Table)+suspendedOf(d))
 }
 
 // unusableOf tells how many entries of the directory cannot be used, and names the first.
@@ -90,6 +91,14 @@
 	return fmt.Sprintf("%d: %s %d ends", d.SuspectCount, worst.Digest, worst.Ends)
 }
 
+// suspendedOf tells for how long the router's machine was suspended.
+func suspendedOf(d *dispatch.Status) string {
+	if d.SuspendedMillis == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", was suspended for %v", (time.Duration(d.SuspendedMillis) * time.Millisecond).Round(100*time.Millisecond))
+}
+
 // stateOf says in a word whether a router with a table's revision, 0 for none, serves.
 func stateOf(draining bool, revision uint64) string {
 	switch {
--- a/cmd/yarrowctl/status_row_test.go
+++ b/cmd/yarrowctl/status_row_test.go
@@ -27,6 +27,9 @@
 		"servers that leave and rest, and suspects": {
 			dispatch.Status{Name: "b", Zone: "y", Table: 9, Leaving: []string{"i-1"}, Resting: map[string]int64{"i-2": 900, "i-3": 20}, SuspectCount: 12, Suspects: []dispatch.Suspect{{Digest: "0a", Ends: 3}, {Digest: "0b", Ends: 1}}},
 			[]string{"b", "y", "9", "0", "0", "-", "-", "-", "-", "-", "1, 2", "12: 0a 3 ends", "serving"}},
+		"suspended before": {
+			dispatch.Status{Name: "b", Zone: "y", Table: 9, SuspendedMillis: 6240},
+			[]string{"b", "y", "9", "0", "0", "-", "-", "-", "-", "-", "-", "-", "serving, was suspended for 6.2s"}},
 		"starting": {dispatch.Status{Name: "c", Zone: "y"}, []string{"c", "y", "0", "0", "0", "-", "-", "-", "-", "-", "-", "-", "starting"}},
 		"stopping": {dispatch.Status{Name: "c", Zone: "y", Table: 1, Draining: true}, []string{"c", "y", "1", "0", "0", "-", "-", "-", "-", "-", "-", "-", "stopping"}},
 	}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -83,14 +83,14 @@
 
 // read reads both clocks, as close together as a few tries bring them.
 func (c *Clock) read() (reading, error) {
-	best := reading{steady: time.Now(), within: time.Hour}
+	best := reading{steady: steady(), within: time.Hour}
 	for range readTries {
-		before := time.Now()
+		before := steady()
 		boot, err := c.readBoot()
 		if err != nil {
 			return best, err
 		}
-		if took := time.Since(before); took < best.within {
+		if took := steady().Sub(before); took < best.within {
 			best = reading{steady: before.Add(took / 2), boot: boot, within: took}
 		}
 		if best.within <= sharpWithin {
@@ -115,7 +115,7 @@
 
 // Now returns the time.
 func (c *Clock) Now() time.Time {
-	t := time.Now()
+	t := steady()
 	if (c.driftAt(t) - time.Duration(c.drift.Load())).Abs() > driftTolerance {
 		// The machine was suspended, or somebody set the time of day.
 		c.Look()
@@ -123,9 +123,12 @@
 	return t.Add(time.Duration(c.missing.Load()))
 }
 
+// steady reads the steady clock, with the time of day beside it.
+func steady() time.Time { return time.Now().Add(-setBack()) }
+
 // driftAt returns by how much the time of day has moved against the steady clock.
 func (c *Clock) driftAt(t time.Time) time.Duration {
-	return t.Round(0).Sub(c.base.steady.Round(0)) - t.Sub(c.base.steady)
+	return t.Round(0).Sub(c.base.steady.Round(0)) - t.Sub(c.base.steady) + setBack()
 }
 
 // Since returns the time since t.
@@ -163,7 +166,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.fault != nil {
-		c.drift.Store(int64(c.driftAt(time.Now())))
+		c.drift.Store(int64(c.driftAt(steady())))
 		return
 	}
 	jump, err := c.jump()
@@ -173,7 +176,7 @@
 	}
 	if jump > 0 {
 		c.missing.Add(int64(jump))
-		c.fireDue(time.Now().Add(time.Duration(c.missing.Load())))
+		c.fireDue(steady().Add(time.Duration(c.missing.Load())))
 	}
 }
 
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -43,6 +44,8 @@
 	cmd             *exec.Cmd
 	exited          chan struct{}
 	settingsVersion int
+	// suspended is for how long the process that runs was suspended.
+	suspended time.Duration
 	// restarting is held while a fault ends and starts the process.
 	restarting sync.Mutex
 }
@@ -188,6 +191,27 @@
 func (r *router) settings() string { return filepath.Join(r.dir, r.name+".yaml") }
 func (r *router) log() string      { return filepath.Join(r.dir, r.name+".log") }
 
+// suspensions is the file by which the process learns for how long it was suspended.
+func (r *router) suspensions() string { return filepath.Join(r.dir, r.name+".suspended") }
+
+// writeSuspended has the steady clock of the process stand still for a time so far. r.mu is
+// held.
+func (r *router) writeSuspended(d time.Duration) error {
+	r.suspended = d
+	return os.WriteFile(r.suspensions(), binary.LittleEndian.AppendUint64(nil, uint64(d)), 0o600)
+}
+
+// suspend stops the process for a time that its steady clock does not show.
+func (r *router) suspend(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stopped := time.Now()
+	_ = r.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	_ = r.writeSuspended(r.suspended + time.Since(stopped))
+	_ = r.cmd.Process.Signal(syscall.SIGCONT)
+}
+
 // write writes the router's settings; each version differs from the last.
 func (f *fleet) write(r *router) error {
 	r.settingsVersion++
@@ -215,7 +239,13 @@
 		return err
 	}
 	defer func() { _ = out.Close() }()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.writeSuspended(0); err != nil {
+		return err
+	}
 	cmd := exec.Command(f.binary, "--settings", r.settings())
+	cmd.Env = append(os.Environ(), "YARROWMAST_SOAK_SUSPENDED="+r.suspensions())
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("soak: start %s: %w", r.name, err)
@@ -225,8 +255,6 @@
 		_ = cmd.Wait()
 		close(exited)
 	}()
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.cmd, r.exited = cmd, exited
 	return nil
 }
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -46,6 +46,8 @@
 	// is spoilt under an id of its own.
 	EntrySpoilt Fault = "entry-spoilt"
 	EntryStray  Fault = "entry-stray"
+	// Suspend stops a router's process for a while, which its steady clock does not show.
+	Suspend Fault = "suspend"
 	// RequestDeadly has a caller send a request under which workers end, again and again.
 	RequestDeadly Fault = "request-deadly"
 )
@@ -74,6 +76,8 @@
 	shortest  = 200 * time.Millisecond
 	longest   = 2500 * time.Millisecond
 	calmStart = time.Second
+	// suspendGaps is how many times meanGap lies between suspensions.
+	suspendGaps = 6
 	// writerGaps is how many times meanGap lies between the faults of writers.
 	writerGaps = 3
 )
@@ -97,6 +101,7 @@
 		plan = append(plan, s)
 	}
 	plan = append(plan, drawWriters(rand.New(rand.NewPCG(seed, 1)), length, workers)...)
+	plan = append(plan, drawSuspensions(rand.New(rand.NewPCG(seed, 3)), length, routers)...)
 	plan = append(plan, drawDeadly(rand.New(rand.NewPCG(seed, 2)), length)...)
 	slices.SortStableFunc(plan, func(a, b Step) int { return int(a.At - b.At) })
 	return plan
@@ -116,6 +121,20 @@
 	}
 }
 
+// drawSuspensions draws when the machines of routers are suspended.
+func drawSuspensions(rng *rand.Rand, length time.Duration, routers int) []Step {
+	var plan []Step
+	for at := calmStart; ; {
+		at += time.Duration(rng.ExpFloat64() * suspendGaps * float64(meanGap))
+		if at >= length-shortest {
+			return plan
+		}
+		s := Step{At: at, For: shortest + time.Duration(rng.Int64N(int64(longest-shortest))), Fault: Suspend, Target: rng.IntN(routers)}
+		s.For = min(s.For, length-at)
+		plan = append(plan, s)
+	}
+}
+
 // drawDeadly draws when one request under which workers end is sent, in half of the runs.
 // Its kind is that of Target.
 func drawDeadly(rng *rand.Rand, length time.Duration) []Step {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -168,6 +168,8 @@
 		r.signal(syscall.SIGSTOP)
 		time.Sleep(s.For)
 		r.signal(syscall.SIGCONT)
+	case Suspend:
+		r.suspend(s.For)
 	case Reload:
 		_ = f.write(r)
 		if s.For > (shortest+longest)/2 {
