Dial a router at once that has just been heard

Callers of a router that had started again saw it send a request under which four servers had ended to two more: what the others told it when they heard it had been lost. Cause: within 100 ms of a failed dial nothing is dialled, and what is sent is dropped; a router that starts is heard in that time, and is told whom the others know, what is published and what ends servers just then. The next telling of suspects comes after two seconds for each router. Ruled out: that it was not told (member_heard at the others, which tell all then). Change: a peer that connects here may be dialled at once.

--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -49,6 +49,7 @@
 		}
 		return
 	}
+	n.noteHeard(hello)
 	r := bufio.NewReader(conn)
 	dec := wire.NewDecoder()
 	for {
@@ -79,12 +80,26 @@
 	return hello, nameInCertificate(conn, hello.Name)
 }
 
+// identityOf returns what identifies a peer: its address if it says one, else its name.
+func identityOf(hello *wire.Hello) string {
+	if hello.Address != "" {
+		return hello.Address
+	}
+	return hello.Name
+}
+
+// noteHeard notes that a peer has connected here.
+func (n *Net) noteHeard(hello *wire.Hello) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if o, ok := n.out[identityOf(hello)]; ok {
+		o.heard.Store(true)
+	}
+}
+
 func (n *Net) deliver(hello *wire.Hello, msgs []any) bool {
 	for _, msg := range msgs {
-		in := Inbound{From: hello.Name, Name: hello.Name, Zone: hello.Zone, Inc: hello.Inc, Msg: msg}
-		if hello.Address != "" {
-			in.From = hello.Address
-		}
+		in := Inbound{From: identityOf(hello), Name: hello.Name, Zone: hello.Zone, Inc: hello.Inc, Msg: msg}
 		if n.opt.taken != nil && n.opt.taken(in) {
 			continue
 		}
--- a/internal/peer/net_test.go
+++ b/internal/peer/net_test.go
@@ -134,3 +134,38 @@
 		t.Errorf("%d tries, want 3 at least", n)
 	}
 }
+
+// TestHeardPeerIsDialledAtOnce: a router started again, and what all others told it when they
+// heard it was lost, since a dial to it had failed a moment before: for a second and longer it
+// did not know under which request backend servers had ended, and sent that to two more. Its own
+// log had request_at_end with ends=1 while all others had ends=4.
+func TestHeardPeerIsDialledAtOnce(t *testing.T) {
+	a, addressA := start(t, "a")
+	defer func() { _ = a.Close() }()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := ln.Addr().String()
+	_ = ln.Close()
+	a.SetAddresses(map[string]string{"b": address})
+	a.Send("b", &wire.TableAsk{Have: 1})
+	select {
+	case <-a.Losses():
+	case <-time.After(generous):
+		t.Fatal("the failed dial is not told")
+	}
+	if ln, err = net.Listen("tcp", address); err != nil {
+		t.Fatalf("its port was taken meanwhile: %v", err)
+	}
+	b := peer.New("b", "z", 2, ln, peer.WithLogger(slog.New(slog.DiscardHandler)))
+	defer func() { _ = b.Close() }()
+	b.SetAddresses(map[string]string{"a": addressA})
+	b.Send("a", &wire.TableAsk{Have: 2})
+	receive(t, a)
+	a.Send("b", &wire.TableAsk{Have: 3})
+	in := receive(t, b)
+	if ask, ok := in.Msg.(*wire.TableAsk); !ok || ask.Have != 3 {
+		t.Errorf("it hears %+v", in)
+	}
+}
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
@@ -19,6 +20,8 @@
 	conn  net.Conn
 	// failedAt is when the last dial failed; the zero time if it did not.
 	failedAt time.Time
+	// heard says that the peer has connected here since: it listens.
+	heard atomic.Bool
 	// ended delivers a connection that the other side closed.
 	ended chan net.Conn
 	buf   bytes.Buffer
@@ -120,7 +123,8 @@
 	if o.conn != nil {
 		return nil
 	}
-	if time.Since(o.failedAt) < redialAfter {
+	// One that is heard has just started, and is told at once what it lacks.
+	if !o.heard.Swap(false) && time.Since(o.failedAt) < redialAfter {
 		return errDialFailed
 	}
 	conn, err := o.dial()
