Lapse only places that were given while this router stood still

Change: a place lapses if it was asked for before a pause of a second or more, and comes within 0.2 s after it. On platforms where each start has a name of its own, and refuses what is meant for another, an answer to what was sent after an end takes that back again. Measured: TestBegunGoesFirst failed, and passes; TestPlaceLapsesInAPause as before; all tests of the package pass.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/yarrowmast/yarrowmast/internal/forward"
 	"github.com/yarrowmast/yarrowmast/internal/front"
 	"github.com/yarrowmast/yarrowmast/internal/peer"
+	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/pkg/allowance"
 	"github.com/yarrowmast/yarrowmast/pkg/catalog"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
@@ -118,6 +119,8 @@
 	// forwarder is told of the other routers, nil if nothing is handed on.
 	forwarder Forwarder
 	clock     *clock.Clock
+	// core are passed on to the decisions.
+	core []admit.Option
 }
 
 // Forwarder hands callers' connections on to other routers.
@@ -151,6 +154,12 @@
 // WithClock sets the clock by which all that is believed ages.
 func WithClock(c *clock.Clock) Option { return func(o *options) { o.clock = c } }
 
+// WithUniqueStarts says that each start of a backend server has a name of its own unless the
+// directory gives it a number, and refuses what is meant for another.
+func WithUniqueStarts() Option {
+	return func(o *options) { o.core = append(o.core, admit.WithUniqueStarts()) }
+}
+
 // WithDraws sets what draws from 0 up to 1 which requests of an account are let in where
 // only a part of them is; by default by chance.
 func WithDraws(draw func() float64) Option { return func(o *options) { o.draw = draw } }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -77,7 +77,7 @@
 	now := d.now()
 	s := &state{
 		d: d, now: now, lastRun: now, suspended: d.opt.clock.Suspended(),
-		core:      admit.New(admit.Router{Address: d.id.Address, Zone: d.id.Zone, Capacity: d.id.Capacity}, admit.WithSeed(d.id.Inc)),
+		core:      admit.New(admit.Router{Address: d.id.Address, Zone: d.id.Zone, Capacity: d.id.Capacity}, append(d.opt.core, admit.WithSeed(d.id.Inc))...),
 		roster:    roster.New(self, d.opt.seeds),
 		allowance: allowance.New(d.opt.rule, now),
 		rule:      d.opt.rule,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,9 +197,14 @@
 	id := dispatch.Identity{Name: s.Name, Address: n.ls.peers.Addr().String(), Zone: s.Zone, Inc: inc, Capacity: s.Machine.Processors, Listens: n.ls.addresses()}
 	n.forwarder = forward.New(forward.WithGather(n.gatherForwarded), forward.WithClock(n.clock))
 	n.Peers = peer.New(id.Name, id.Zone, id.Inc, n.ls.peers, append(n.peerOptions(o, t), peer.WithAddress(id.Address), peer.WithTaken(n.forwarder.Take))...)
-	n.Dispatch = dispatch.New(id, p.Source(s.Platform, o.dialer), n.Peers,
+	opts := []dispatch.Option{
 		dispatch.WithLogger(n.log), dispatch.WithSeeds(s.Seeds), dispatch.WithApplyWithin(s.ApplyWithin),
-		dispatch.WithRule(ruleOf(s.Retries)), dispatch.WithForwarder(n.forwarder), dispatch.WithClock(n.clock))
+		dispatch.WithRule(ruleOf(s.Retries)), dispatch.WithForwarder(n.forwarder), dispatch.WithClock(n.clock),
+	}
+	if p.Backends.Instance != "" {
+		opts = append(opts, dispatch.WithUniqueStarts())
+	}
+	n.Dispatch = dispatch.New(id, p.Source(s.Platform, o.dialer), n.Peers, opts...)
 }
 
 // gatherPart is the part of the time within which an event is to reach its caller for
--- a/pkg/admit/alive.go
+++ b/pkg/admit/alive.go
@@ -28,10 +28,15 @@
 }
 
 // lives takes in that a backend server answers a request which it was sent at a time: the
-// start that took it has not ended meanwhile. An answer to what was sent after an end says
-// nothing of that, since a server may start again under its name before the directory tells.
+// start that took it has not ended meanwhile. An answer to what was sent after an end says that
+// it had not ended only where no other start can bear its name: servers may start again under
+// their names before the directory tells.
 func (c *Core) lives(s *server, sent time.Duration) {
 	s.heard = c.now
+	if c.opt.uniqueStarts && s.Born == 0 {
+		s.alive = span{to: max(s.alive.to, sent)}
+		c.suspects.Lives(suspect.Server(s.key), s.alive.from, s.alive.to)
+	}
 	now := span{from: sent + aliveMargin, to: c.now - aliveMargin - waysHeard*c.late}
 	if sent < c.stood.to {
 		// It may have been answered at any moment while this router stood still.
--- a/pkg/admit/alive_test.go
+++ b/pkg/admit/alive_test.go
@@ -21,19 +21,26 @@
 		// late is how much later than the answer the router is told of the end.
 		late time.Duration
 		want int
+		// unique says that names of starts are.
+		unique bool
 	}{
-		"sent before and answered after": {0, 2000 * ms, 4000 * ms, 0, 0, 0},
-		"the same, told later":           {0, 2000 * ms, 4000 * ms, 0, 2000 * ms, 0},
-		"sent after":                     {3000 * ms, 2000 * ms, 5000 * ms, 0, 0, 1},
-		"answered before":                {0, 2000 * ms, 1500 * ms, 0, 0, 1},
-		"answered a moment after":        {0, 2000 * ms, 2200 * ms, 0, 0, 1},
-		"sent a moment before":           {1900 * ms, 2000 * ms, 4000 * ms, 0, 0, 1},
-		"heard after a pause":            {0, 2000 * ms, 6000 * ms, 5000 * ms, 0, 1},
+		"sent before and answered after": {0, 2000 * ms, 4000 * ms, 0, 0, 0, false},
+		"the same, told later":           {0, 2000 * ms, 4000 * ms, 0, 2000 * ms, 0, false},
+		"sent after":                     {3000 * ms, 2000 * ms, 5000 * ms, 0, 0, 1, false},
+		"sent after, to a unique start":  {3000 * ms, 2000 * ms, 5000 * ms, 0, 0, 0, true},
+		"answered before":                {0, 2000 * ms, 1500 * ms, 0, 0, 1, false},
+		"answered a moment after":        {0, 2000 * ms, 2200 * ms, 0, 0, 1, false},
+		"sent a moment before":           {1900 * ms, 2000 * ms, 4000 * ms, 0, 0, 1, false},
+		"heard after a pause":            {0, 2000 * ms, 6000 * ms, 5000 * ms, 0, 1, false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			b := table.Backend{Name: "s", Zone: "a", Models: []string{service}, Slots: 8, Mark: table.Serving}
-			c := admit.New(admit.Router{Address: "r", Zone: "a"})
+			var opts []admit.Option
+			if tc.unique {
+				opts = append(opts, admit.WithUniqueStarts())
+			}
+			c := admit.New(admit.Router{Address: "r", Zone: "a"}, opts...)
 			now := time.Hour
 			start := now
 			key := wire.KeyOf(b.Incarnation().String())
--- a/pkg/admit/caution_test.go
+++ b/pkg/admit/caution_test.go
@@ -335,3 +335,37 @@
 		t.Errorf("%d requests are remembered of one message", n)
 	}
 }
+
+// TestPolledBesideADeadlyRequest has callers poll, all with the same request, while another one
+// ends servers, and routers start anew: the polled one is at each end, and is refused to nobody
+// for that, since it ran to its end a moment before.
+func TestPolledBesideADeadlyRequest(t *testing.T) {
+	const end = 12 * time.Second
+	for seed := range uint64(40) {
+		w := newWorld(seed, 4, []string{"a"}, 3)
+		x := withCrashes(w, map[suspect.Digest]time.Duration{7: time.Millisecond})
+		x.away = 500 * time.Millisecond
+		w.every(10*time.Millisecond, func() {
+			if w.now < end-time.Second {
+				w.ask(w.order[w.rng.IntN(len(w.order))], admit.Request{Prompt: 300, Output: 20, Digest: 8})
+			}
+		})
+		w.deadly(7, 2*time.Second, end, 150*time.Millisecond)
+		for i, at := range []time.Duration{1900, 2050, 2200} {
+			w.at(at*time.Millisecond, func() { w.restart(w.order[i]) })
+		}
+		w.run(end)
+		served := 0
+		for id, s := range w.starts {
+			if w.asked[id].request.Digest == 8 && s.at > 6*time.Second && s.first > 0 {
+				served++
+			}
+		}
+		if x.barred > 0 || served < 300 {
+			t.Errorf("seed %d: %d are refused for ends of servers, %d served once these are past; %d ended under the deadly one", seed, x.barred, served, x.under[7])
+		}
+		if x.under[7] > suspect.MostEnds+2 {
+			t.Errorf("seed %d: %d servers ended under the deadly request", seed, x.under[7])
+		}
+	}
+}
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -144,6 +144,8 @@
 type options struct {
 	self Router
 	seed uint64
+	// uniqueStarts says that each start of a backend server has a name of its own.
+	uniqueStarts bool
 }
 
 // Option changes a new Core.
@@ -152,6 +154,11 @@
 // WithSeed sets the seed of the choices among equals.
 func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
 
+// WithUniqueStarts says that each start of a backend server has a name of its own unless the
+// directory gives it a number, and refuses what is meant for another: an answer is the word of
+// the start that it was asked of.
+func WithUniqueStarts() Option { return func(o *options) { o.uniqueStarts = true } }
+
 // New returns the core of a router that knows nothing.
 func New(self Router, opts ...Option) *Core {
 	c := &Core{
--- a/pkg/admit/crash_world_test.go
+++ b/pkg/admit/crash_world_test.go
@@ -169,7 +169,7 @@
 // come later.
 func (x *crashes) startAsAnother(server string) {
 	w := x.w
-	w.at(time.Second, func() {
+	w.at(min(time.Second, x.away/2), func() {
 		w.change(func(t *table.Table) {
 			t.Backends = slices.DeleteFunc(t.Backends, func(b table.Backend) bool { return b.Name == server })
 		})
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -18,10 +18,12 @@
 	// to the time that a request waits for an answer: for the answer itself, and for
 	// what its lateness changes until it is measured again.
 	waysHeard = 2
-	// PlaceFor is for how long a place may be used after it was asked for: an owner gives
-	// away what it heard nothing of for three seconds, and sooner what its holder does not
-	// list among its requests. Only a router that stood still is so late.
-	PlaceFor = time.Second
+	// placeFor is for how long a router may stand still and use a place that it was given
+	// meanwhile: an owner gives away what it heard nothing of for three seconds, and sooner
+	// what its holder does not list among its requests. wakeFor is for how long after that
+	// what it hears may have been sent meanwhile.
+	placeFor = time.Second
+	wakeFor  = 200 * time.Millisecond
 	// unresponsiveFor is how long such an owner is not asked, unless it is heard.
 	unresponsiveFor = 500 * time.Millisecond
 	// spillAfter is the part of its patience after which a request may go
@@ -272,7 +274,14 @@
 // closed, marked or turned away, or the request suspected, since it was asked for, or its time
 // has passed or the owner may have given the place away.
 func (c *Core) lapsed(r *request, a *ask) bool {
-	return !c.takes(a.server) || c.caution(r) > a.caution || c.behindTwin(r) || c.now >= r.Deadline || c.now-a.at >= PlaceFor
+	return !c.takes(a.server) || c.caution(r) > a.caution || c.behindTwin(r) || c.now >= r.Deadline || c.mayBeStale(a)
+}
+
+// mayBeStale reports whether the answer to a question may have lain here while this router
+// stood still for so long that its owner has given the place to another.
+func (c *Core) mayBeStale(a *ask) bool {
+	long := c.stood.to-c.stood.from >= placeFor
+	return long && a.at <= c.stood.from && c.now-c.stood.to < wakeFor
 }
 
 func (r *request) askOf(server wire.Key) *ask {
