Give a request the more trials the more often it ran just before

Callers who poll with one request were refused it for ten minutes and longer by all routers: while another request ended three engines of three, some of their tries were at each end. Cause: a request that ran lately had one trial more, however often it had run; four engines ended within two seconds, so that no run came between. Change: one trial more for a run within the last 30 to 60 s, and one each time that there were twice as many, eight ends at most; kept with the ends, since the runs are forgotten sooner.

--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -91,6 +92,8 @@
 type request struct {
 	// ends are of different servers, the oldest first.
 	ends []End
+	// more is how many more than MostEnds there may be, by how often it had run before.
+	more int
 }
 
 func (r *request) last() time.Duration { return r.ends[len(r.ends)-1].At }
@@ -98,7 +101,7 @@
 // bar returns for how long after the last end the request gets nothing if it is barred.
 func (r *request) bar() time.Duration {
 	d := barredFor
-	for range min(len(r.ends), mostServers) - MostEnds {
+	for range len(r.ends) - MostEnds - r.more {
 		d = min(longestBar, barredGrowth*d)
 	}
 	return d
@@ -106,7 +109,7 @@
 
 // kept returns for how long after the last end it is remembered.
 func (r *request) kept() time.Duration {
-	if len(r.ends) < MostEnds {
+	if len(r.ends) < MostEnds+r.more {
 		return endsKept
 	}
 	return max(endsKept, keptAfterBar*r.bar())
@@ -141,15 +144,15 @@
 	cleared []Cleared
 	// at counts the ends that are remembered of each server.
 	at map[Server]int
-	// ran are the requests that ran to their end since ranSince, ranBefore those of the
-	// time before that.
-	ran, ranBefore map[Digest]bool
+	// ran counts how often requests ran to their end since ranSince, ranBefore in the time
+	// before that.
+	ran, ranBefore map[Digest]int
 	ranSince       time.Duration
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{requests: map[Digest]*request{}, at: map[Server]int{}, ran: map[Digest]bool{}}
+	return &Table{requests: map[Digest]*request{}, at: map[Server]int{}, ran: map[Digest]int{}}
 }
 
 // Len returns how many requests are remembered.
@@ -168,6 +171,7 @@
 		r = &request{}
 		t.requests[e.Digest] = r
 	}
+	r.more = max(r.more, t.trialsMore(e.Digest))
 	if i := slices.IndexFunc(r.ends, func(x End) bool { return x.Server == e.Server }); i >= 0 {
 		return r.join(i, e)
 	}
@@ -217,9 +221,9 @@
 		return false
 	}
 	if len(t.ran) >= mostRan || now-t.ranSince >= ranFor {
-		t.ran, t.ranBefore, t.ranSince = make(map[Digest]bool, len(t.ran)), t.ran, now
+		t.ran, t.ranBefore, t.ranSince = make(map[Digest]int, len(t.ran)), t.ran, now
 	}
-	t.ran[d] = true
+	t.ran[d]++
 	r, ok := t.requests[d]
 	if ok {
 		t.take(d, r, WhyRan, allEnds)
@@ -235,12 +239,12 @@
 	}
 	s := Standing{Ends: len(r.ends), Last: r.last()}
 	if s.Ends < MostEnds {
-		if !t.ranLately(d) && t.standsOut(r) {
+		if r.more == 0 && t.standsOut(r) {
 			s.Until = s.Last + firstBar
 		}
 		return s
 	}
-	if (r.repeated() || r.last()-r.ends[0].At > oneMoment) && (s.Ends > MostEnds || !t.ranLately(d)) {
+	if (r.repeated() || r.last()-r.ends[0].At > oneMoment) && s.Ends >= MostEnds+r.more {
 		s.Until = r.last() + r.bar()
 	}
 	return s
@@ -292,10 +296,13 @@
 // 0.5 s, all sent before the first end, the ends were 60 to 250 ms apart.
 const oneMoment = 150 * time.Millisecond
 
-// ranLately reports whether a request ran to its end lately. Callers poll with such a
-// request, so that some of its tries are at each end of a server, whatever the cause: it is
-// given one trial more, which takes all back if it runs.
-func (t *Table) ranLately(d Digest) bool { return t.ran[d] || t.ranBefore[d] }
+// trialsMore returns how many more trials a request gets since it ran to its end lately: one
+// for a run, and one more each time that there were twice as many. Callers poll with such a
+// request, so that some of its tries are at each end of a server, whatever the cause. A run
+// takes all ends back.
+func (t *Table) trialsMore(d Digest) int {
+	return min(mostServers-MostEnds, bits.Len(uint(t.ran[d]+t.ranBefore[d])))
+}
 
 // repeated reports whether any of the ends was under a try that was sent after the first
 // end.
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -31,6 +31,13 @@
 			x.Note(at, suspect.End{Digest: d, Server: server, At: at, Sent: at - 100*ms, Unanswered: true})
 		}
 	}
+	ranOften := func(times int) func(*suspect.Table) {
+		return func(x *suspect.Table) {
+			for range times {
+				x.Ran(1, 7)
+			}
+		}
+	}
 	ran := func(at time.Duration) func(*suspect.Table) {
 		return func(x *suspect.Table) { x.Ran(at, 7) }
 	}
@@ -76,6 +83,10 @@
 		"it has run to its end":            {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2), func(x *suspect.Table) { x.Ran(3, 7) }}, time.Second, 0, false},
 		"it ran to its end just before":    {[]func(*suspect.Table){ran(1), end(2, 2), end(3, 3), end(4, 4)}, minute, 3, false},
 		"and a fourth end":                 {[]func(*suspect.Table){ran(1), end(2, 2), end(3, 3), end(4, 4), end(5, 5)}, minute, 4, true},
+		"it ran many times before, polled": {[]func(*suspect.Table){ranOften(40), end(2, 2), end(3, 3), end(4, 4), end(5, 5), end(6, 6), end(7, 7), end(8, 8)}, minute, 7, false},
+		"and an eighth end":                {[]func(*suspect.Table){ranOften(40), end(2, 2), end(3, 3), end(4, 4), end(5, 5), end(6, 6), end(7, 7), end(8, 8), end(9, 9)}, minute, 8, true},
+		"it ran a few times before":        {[]func(*suspect.Table){ranOften(3), end(2, 2), end(3, 3), end(4, 4), end(5, 5)}, minute, 4, false},
+		"and a fifth end":                  {[]func(*suspect.Table){ranOften(3), end(2, 2), end(3, 3), end(4, 4), end(5, 5), end(6, 6)}, minute, 5, true},
 		"it ran to its end long before":    {[]func(*suspect.Table){ran(1), func(x *suspect.Table) { x.Ran(minute, 8); x.Ran(2*minute, 8) }, end(2, 2*minute), end(3, 2*minute+1), end(4, 2*minute+2)}, 2*minute + second, 3, true},
 		"another one has run":              {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2), func(x *suspect.Table) { x.Ran(3, 8) }}, time.Second, 3, true},
 		"told as of a time to come":        {[]func(*suspect.Table){func(x *suspect.Table) { x.Note(1, suspect.End{Digest: 7, Server: 1, At: time.Hour}) }}, 21 * minute, 0, false},
