--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -45,6 +45,7 @@
 	e.Server = suspect.Server(s.key)
 	if c.suspects.Note(c.now, e) {
 		c.act(Suspected{Digest: e.Digest, Backend: s.Name, Ends: c.suspects.Standing(c.now, e.Digest).Ends})
+		e.More = c.suspects.MoreOf(e.Digest)
 		addBounded(&c.ownNews.ends, e)
 	}
 }
@@ -96,7 +97,7 @@
 	at := c.now - time.Duration(x.AgoMillis)*time.Millisecond
 	e := suspect.End{
 		Digest: suspect.Digest(x.Digest), Server: suspect.Server(x.Server), At: at, Sent: at - time.Duration(x.SentMillis)*time.Millisecond,
-		Unanswered: x.Unanswered,
+		Unanswered: x.Unanswered, More: x.More,
 	}
 	name := ""
 	if s, ok := c.servers[x.Server]; ok {
@@ -160,7 +161,7 @@
 func toTell(now time.Duration, ends []suspect.End) []wire.SuspectEnd {
 	list := make([]wire.SuspectEnd, 0, len(ends))
 	for _, e := range ends {
-		list = append(list, wire.SuspectEnd{Digest: uint64(e.Digest), Server: wire.Key(e.Server), AgoMillis: (now - e.At).Milliseconds(), SentMillis: (e.At - e.Sent).Milliseconds(), Unanswered: e.Unanswered})
+		list = append(list, wire.SuspectEnd{Digest: uint64(e.Digest), Server: wire.Key(e.Server), AgoMillis: (now - e.At).Milliseconds(), SentMillis: (e.At - e.Sent).Milliseconds(), Unanswered: e.Unanswered, More: e.More})
 	}
 	return list
 }
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -73,6 +73,9 @@
 	Sent time.Duration
 	// Unanswered says that it had not begun to answer.
 	Unanswered bool
+	// More is how many more ends than MostEnds the request may have, by what the router that
+	// tells of it knows.
+	More int
 }
 
 // Standing is what the ends of a request say of it.
@@ -171,7 +174,8 @@
 		r = &request{}
 		t.requests[e.Digest] = r
 	}
-	r.more = max(r.more, t.trialsMore(e.Digest))
+	r.more = min(mostServers-MostEnds, max(r.more, e.More, t.trialsMore(e.Digest)))
+	e.More = 0
 	if i := slices.IndexFunc(r.ends, func(x End) bool { return x.Server == e.Server }); i >= 0 {
 		return r.join(i, e)
 	}
@@ -327,11 +331,22 @@
 		if len(list)+len(r.ends) > most {
 			break
 		}
-		list = append(list, r.ends...)
+		for _, e := range r.ends {
+			e.More = r.more
+			list = append(list, e)
+		}
 	}
 	return list
 }
 
+// MoreOf returns how many more ends than MostEnds a request may have.
+func (t *Table) MoreOf(d Digest) int {
+	if r, ok := t.requests[d]; ok {
+		return r.more
+	}
+	return 0
+}
+
 // byEnds returns the requests with the most ends first, of equals the latest.
 func (t *Table) byEnds() []*request {
 	list := make([]*request, 0, len(t.requests))
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -87,6 +87,8 @@
 		"and an eighth end":                {[]func(*suspect.Table){ranOften(40), end(2, 2), end(3, 3), end(4, 4), end(5, 5), end(6, 6), end(7, 7), end(8, 8), end(9, 9)}, minute, 8, true},
 		"it ran a few times before":        {[]func(*suspect.Table){ranOften(3), end(2, 2), end(3, 3), end(4, 4), end(5, 5)}, minute, 4, false},
 		"and a fifth end":                  {[]func(*suspect.Table){ranOften(3), end(2, 2), end(3, 3), end(4, 4), end(5, 5), end(6, 6)}, minute, 5, true},
+		"told by one that saw it run":      {[]func(*suspect.Table){func(x *suspect.Table) { x.Note(2, suspect.End{Digest: 7, Server: 2, At: 2, More: 2}) }, end(3, 3), end(4, 4), end(5, 5)}, minute, 4, false},
+		"told of more than there may be":   {[]func(*suspect.Table){func(x *suspect.Table) { x.Note(2, suspect.End{Digest: 7, Server: 2, At: 2, More: 99}) }, end(3, 3), end(4, 4), end(5, 5), end(6, 6), end(7, 7), end(8, 8), end(9, 9)}, minute, 8, true},
 		"it ran to its end long before":    {[]func(*suspect.Table){ran(1), func(x *suspect.Table) { x.Ran(minute, 8); x.Ran(2*minute, 8) }, end(2, 2*minute), end(3, 2*minute+1), end(4, 2*minute+2)}, 2*minute + second, 3, true},
 		"another one has run":              {[]func(*suspect.Table){end(1, 0), end(2, 1), end(3, 2), func(x *suspect.Table) { x.Ran(3, 8) }}, time.Second, 3, true},
 		"told as of a time to come":        {[]func(*suspect.Table){func(x *suspect.Table) { x.Note(1, suspect.End{Digest: 7, Server: 1, At: time.Hour}) }}, 21 * minute, 0, false},
--- a/pkg/wire/suspects.go
+++ b/pkg/wire/suspects.go
@@ -21,4 +21,7 @@
 	AgoMillis, SentMillis int64
 	// Unanswered says that the try had not begun to answer.
 	Unanswered bool
+	// More is how many more ends the request may have than one that never ran, since it ran
+	// to its end before them.
+	More int
 }
