Log when the platform's revision or epoch goes back

What callers saw: changes that the store had acknowledged 2 s before were not in force. The logs could not tell a store that is not reached from one whose revisions are given out again: they had as_of, never what the store answered.

No decision changed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,7 +36,7 @@
 	// catalog.ErrForgotten if the platform does not remember them.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (catalog.News, error)
 	// Revision returns the platform's revision as it is now.
-	Revision(ctx context.Context) (uint64, error)
+	Revision(ctx context.Context) (catalog.Revision, error)
 }
 
 // Net carries messages to other routers by their addresses.
@@ -99,6 +99,8 @@
 	verified atomic.Int64
 	// applyWithin is the option of that name, in nanoseconds.
 	applyWithin atomic.Int64
+	// answered is the revision that the platform told last.
+	answered atomic.Pointer[catalog.Revision]
 	// readFails counts the reads of the platform that failed since one did not.
 	readFails atomic.Int64
 	// lack is why there is no table, nil if that is not known.
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -72,7 +72,7 @@
 		}
 		n, err := d.source.Watch(d.ctx, asOf, watchFor)
 		if errors.Is(err, catalog.ErrForgotten) {
-			n, err = d.source.Read(d.ctx)
+			n, err = d.read()
 		}
 		if err != nil {
 			d.readFailed("watch", err)
@@ -87,6 +87,26 @@
 	}
 }
 
+// read reads everything that is published.
+func (d *Dispatcher) read() (catalog.News, error) {
+	n, err := d.source.Read(d.ctx)
+	if err == nil {
+		d.noteAnswered("read", catalog.Revision{Epoch: n.Epoch, Number: n.AsOf})
+	}
+	return n, err
+}
+
+// noteAnswered logs where the platform's revision or epoch is not as it should follow from
+// the answer before.
+func (d *Dispatcher) noteAnswered(what string, r catalog.Revision) {
+	before := d.shared.answered.Swap(&r)
+	if before == nil || before.Epoch == r.Epoch && before.Number <= r.Number {
+		return
+	}
+	d.opt.log.Warn("platform_went_back", "what", what, "epoch", r.Epoch, "revision", r.Number,
+		"before_epoch", before.Epoch, "before_revision", before.Number, "as_of", d.shared.asOf.Load())
+}
+
 func (d *Dispatcher) readFailed(what string, err error) {
 	if d.ctx.Err() == nil {
 		d.shared.readFails.Add(1)
@@ -156,14 +176,15 @@
 		if err != nil {
 			return err
 		}
-		if revision <= asOf {
+		d.noteAnswered("verify", revision)
+		if revision.Number <= asOf {
 			d.verifiedAt(begun)
 			d.post(verifiedHere{})
 			return nil
 		}
 		begun = d.now()
 	}
-	n, err := d.source.Read(d.ctx)
+	n, err := d.read()
 	if err != nil {
 		return err
 	}
--- a/internal/dispatch/rosters_test.go
+++ b/internal/dispatch/rosters_test.go
@@ -31,8 +31,8 @@
 // noSource is a platform that is never read.
 type noSource struct{}
 
-func (noSource) Read(context.Context) (catalog.News, error) { return catalog.News{}, nil }
-func (noSource) Revision(context.Context) (uint64, error)   { return 0, nil }
+func (noSource) Read(context.Context) (catalog.News, error)         { return catalog.News{}, nil }
+func (noSource) Revision(context.Context) (catalog.Revision, error) { return catalog.Revision{}, nil }
 func (noSource) Watch(context.Context, uint64, time.Duration) (catalog.News, error) {
 	return catalog.News{}, nil
 }
--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -31,7 +31,9 @@
 	return catalog.News{}, ctx.Err()
 }
 
-func (oneServer) Revision(context.Context) (uint64, error) { return 5, nil }
+func (oneServer) Revision(context.Context) (catalog.Revision, error) {
+	return catalog.Revision{Number: 5}, nil
+}
 
 // oneWire hands what a test puts in to the dispatcher.
 type oneWire struct{ in chan peer.Inbound }
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -32,6 +32,8 @@
 
 // News is a part of what the platform publishes.
 type News struct {
+	// Epoch is the platform's epoch, of which all revisions are.
+	Epoch uint64 `msgpack:"-"`
 	// After is the revision since which the news are complete; 0 means that
 	// they hold everything.
 	After uint64
