--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -34,7 +34,7 @@
 	Read(ctx context.Context) (catalog.News, error)
 	// Watch waits for changes after a revision. Its error is
 	// catalog.ErrForgotten if the platform does not remember them.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (catalog.News, error)
+	Watch(ctx context.Context, after catalog.Revision, wait time.Duration) (catalog.News, error)
 	// Revision returns the platform's revision as it is now.
 	Revision(ctx context.Context) (catalog.Revision, error)
 }
@@ -92,8 +92,10 @@
 	hurried, refusing atomic.Bool
 	// pace is how well it keeps up, nil before that was measured.
 	pace atomic.Pointer[Pace]
-	// asOf is the platform's revision up to which all is known.
-	asOf atomic.Uint64
+	// asOf is the platform's revision up to which all is known, nil before anything is.
+	asOf atomic.Pointer[catalog.Revision]
+	// endWatch ends the watch that waits, nil if there is none.
+	endWatch atomic.Pointer[context.CancelFunc]
 	// verified is when that was last known to be the newest, on the
 	// dispatcher's clock; 0 if never.
 	verified atomic.Int64
@@ -269,6 +271,14 @@
 	}
 }
 
+// asOf returns the platform's revision up to which all is known.
+func (d *Dispatcher) asOf() catalog.Revision {
+	if r := d.shared.asOf.Load(); r != nil {
+		return *r
+	}
+	return catalog.Revision{}
+}
+
 // Table implements front.Scheduler.
 func (d *Dispatcher) Table() *table.Table { return d.shared.view.Load() }
 
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -65,14 +66,14 @@
 func (d *Dispatcher) watch() {
 	wait := newBackoff()
 	for d.ctx.Err() == nil {
-		asOf := d.shared.asOf.Load()
-		if asOf == 0 || d.shared.turn.Load() >= watchers || d.now()-clockStart < watchAfter {
+		asOf := d.asOf()
+		if asOf.IsZero() || d.shared.turn.Load() >= watchers || d.now()-clockStart < watchAfter {
 			d.pause(lookEvery)
 			continue
 		}
-		n, err := d.source.Watch(d.ctx, asOf, watchFor)
-		if errors.Is(err, catalog.ErrForgotten) {
-			n, err = d.read()
+		n, err := d.watchOnce(asOf)
+		if errors.Is(err, errEpochEnded) {
+			continue
 		}
 		if err != nil {
 			d.readFailed("watch", err)
@@ -96,6 +97,26 @@
 	return n, err
 }
 
+// errEpochEnded ends a watch from a revision that the platform has no longer.
+var errEpochEnded = errors.New("dispatch: the platform came back from a copy")
+
+// watchOnce waits for changes after a revision, and reads everything if they are forgotten.
+func (d *Dispatcher) watchOnce(asOf catalog.Revision) (catalog.News, error) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	defer cancel()
+	d.shared.endWatch.Store(&cancel)
+	n, err := d.source.Watch(ctx, asOf, watchFor)
+	d.shared.endWatch.Store(nil)
+	switch {
+	case errors.Is(err, catalog.ErrForgotten):
+		return d.read()
+	case err != nil && d.asOf().Epoch != asOf.Epoch:
+		return n, errEpochEnded
+	default:
+		return n, err
+	}
+}
+
 // noteAnswered logs where the platform's revision or epoch is not as it should follow from
 // the answer before.
 func (d *Dispatcher) noteAnswered(what string, r catalog.Revision) {
@@ -104,20 +125,20 @@
 		return
 	}
 	d.opt.log.Warn("platform_went_back", "what", what, "epoch", r.Epoch, "revision", r.Number,
-		"before_epoch", before.Epoch, "before_revision", before.Number, "as_of", d.shared.asOf.Load())
+		"before_epoch", before.Epoch, "before_revision", before.Number, "as_of", d.asOf().Number)
 }
 
 func (d *Dispatcher) readFailed(what string, err error) {
 	if d.ctx.Err() == nil {
 		d.shared.readFails.Add(1)
-		d.opt.log.Warn("platform_read_failed", "what", what, "as_of", d.shared.asOf.Load(), "error", err)
+		d.opt.log.Warn("platform_read_failed", "what", what, "as_of", d.asOf().Number, "error", err)
 	}
 }
 
 // readAgain logs that the platform can be read again after failures.
 func (d *Dispatcher) readAgain() {
 	if n := d.shared.readFails.Swap(0); n > 0 {
-		d.opt.log.Info("platform_read_again", "failures", n, "as_of", d.shared.asOf.Load())
+		d.opt.log.Info("platform_read_again", "failures", n, "as_of", d.asOf().Number)
 	}
 }
 
@@ -154,7 +175,7 @@
 	verified := time.Duration(d.shared.verified.Load())
 	switch {
 	case verified > 0:
-	case d.shared.asOf.Load() > 0:
+	case !d.asOf().IsZero():
 		// Another router told everything; its own bound on its age holds here too.
 		verified = clockStart
 	case len(d.opt.seeds) == 0 || slices.Contains(d.opt.seeds, d.id.Address):
@@ -170,14 +191,16 @@
 }
 
 func (d *Dispatcher) verifyOnce(begun time.Duration) error {
-	asOf := d.shared.asOf.Load()
-	if asOf > 0 {
+	if asOf := d.asOf(); !asOf.IsZero() {
 		revision, err := d.source.Revision(d.ctx)
 		if err != nil {
 			return err
 		}
 		d.noteAnswered("verify", revision)
-		if revision.Number <= asOf {
+		if revision.Before(asOf) {
+			return fmt.Errorf("dispatch: the platform answers with revision %d of epoch %d, which is older than what is known; see to it that it does not go back", revision.Number, revision.Epoch)
+		}
+		if revision == asOf {
 			d.verifiedAt(begun)
 			d.post(verifiedHere{})
 			return nil
@@ -240,22 +263,29 @@
 	changed := s.catalog.Merge(s.now, e.News)
 	s.logUnusable(&e.News, e.from)
 	asOf := s.catalog.AsOf()
-	s.d.shared.asOf.Store(asOf)
-	if e.at > 0 && e.AsOf >= asOf {
+	s.d.shared.asOf.Store(&asOf)
+	if e.at > 0 && !e.reach().Before(asOf) {
 		s.d.verifiedAt(e.at)
 	}
 	if changed {
 		s.inForce(e.from)
 	}
 	switch {
-	case asOf > before:
-		s.spread(before, e.sender)
-	case asOf == 0:
+	case asOf.Epoch != before.Epoch && !before.IsZero():
+		s.entered(before, e.from)
+	case before.Before(asOf):
+		s.spread(before.Number, e.sender)
+	case asOf.IsZero():
 		// Who was asked knew nothing either: the next may be asked at once.
 		s.askedNews = 0
+	case changed && e.Kept != nil && s.talk.Relay:
+		s.tellKept(e.sender)
 	}
 }
 
+// reach is the revision up to which the news are complete.
+func (e heard) reach() catalog.Revision { return catalog.Revision{Epoch: e.Epoch, Number: e.AsOf} }
+
 // inForce puts the catalog's view in force.
 func (s *state) inForce(from string) {
 	v := s.catalog.View()
@@ -263,7 +293,7 @@
 		return
 	}
 	s.d.shared.view.Store(v)
-	s.d.opt.log.Info("table_in_force", "revision", v.Revision, "edition", v.Edition, "as_of", s.catalog.AsOf(), "from", from,
+	s.d.opt.log.Info("table_in_force", "revision", v.Revision, "edition", v.Edition, "as_of", s.catalog.AsOf().Number, "epoch", s.catalog.AsOf().Epoch, "from", from,
 		"routes", len(v.Routes), "accounts", len(v.Accounts), "backends", len(v.Backends))
 	s.noteZones(v, from)
 	s.step(admit.View{Table: v})
--- a/internal/dispatch/follow_test.go
+++ b/internal/dispatch/follow_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/catalog"
 )
 
 // TestWhoReadsAtTheStart looks in how long a router that has just started reads
@@ -23,7 +25,7 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			d := New(Identity{Name: "a", Address: self, Zone: "x"}, noSource{}, &sentNet{}, WithSeeds(tc.seeds), WithApplyWithin(within))
-			d.shared.asOf.Store(tc.asOf)
+			d.shared.asOf.Store(&catalog.Revision{Number: tc.asOf})
 			if got := d.verifyDue(clockStart); got != tc.want {
 				t.Errorf("it reads in %v, want %v", got, tc.want)
 			}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -5,6 +5,7 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/peer"
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
+	"github.com/yarrowmast/yarrowmast/pkg/catalog"
 	"github.com/yarrowmast/yarrowmast/pkg/roster"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
@@ -46,8 +47,11 @@
 		if _, told := e.Msg.(*wire.Roster); !told {
 			s.tellRoster(e.From, true)
 		}
-		if s.catalog.AsOf() == 0 {
-			s.askNews(e.From, 0)
+		if s.catalog.AsOf().IsZero() {
+			s.askNews(e.From)
+		}
+		if m := s.keptNews(); m != nil {
+			s.d.net.Send(e.From, m)
 		}
 		s.tellAllSuspects(e.From)
 		s.heardOfMembers()
@@ -60,15 +64,23 @@
 	case *wire.Roster:
 		s.learnRoster(e.From, m)
 	case *wire.NewsAsk:
-		s.d.net.Send(e.From, s.newsSince(m.After))
+		s.d.net.Send(e.From, s.newsFor(m))
 	case *wire.News:
-		if m.Table != nil {
-			m.Table.Index()
-		}
+		indexTables(&m.News)
 		heard{News: m.Checked(), from: e.Name, sender: e.From}.apply(s)
 	}
 }
 
+// indexTables makes the tables of received news ready to be searched.
+func indexTables(n *catalog.News) {
+	if n.Table != nil {
+		n.Table.Index()
+	}
+	if n.Kept != nil && n.Kept.Table != nil {
+		n.Kept.Table.Index()
+	}
+}
+
 func (s *state) link(to string) *link {
 	l, ok := s.links[to]
 	if !ok {
@@ -94,12 +106,12 @@
 	if s.accepts(from, m.Scope) {
 		s.step(admit.State{From: from.From, Zone: from.Zone, Msg: m, Silent: silentTellings * s.talk.Interval})
 	}
-	asOf := s.catalog.AsOf()
-	if m.AsOf > asOf {
-		s.askNews(from.From, asOf)
+	asOf, theirs := s.catalog.AsOf(), catalog.Revision{Epoch: m.Epoch, Number: m.AsOf}
+	if asOf.Before(theirs) {
+		s.askNews(from.From)
 		return
 	}
-	if m.AsOf == asOf && m.Age >= 0 && m.Echo > 0 {
+	if theirs == asOf && m.Age >= 0 && m.Echo > 0 {
 		s.hearVerified(from, m)
 	}
 }
@@ -125,33 +137,37 @@
 
 // allNews is all that the platform published, as collected for somebody who asked.
 type allNews struct {
-	msg *wire.News
-	at  time.Duration
+	msg  *wire.News
+	asOf catalog.Revision
+	at   time.Duration
 }
 
-// newsSince returns what the platform published after a revision. All of it is collected
-// once for all who ask at a start of the fleet: what waits to be sent to 100 routers
-// would else hold 60 MB at 3,000 backend servers. The message is not changed any more.
-func (s *state) newsSince(after uint64) *wire.News {
-	if after > 0 {
-		return &wire.News{News: s.catalog.Since(after)}
+// newsFor returns what the platform published after a revision. All of it is collected
+// once for all who ask at a start of the fleet, or of an epoch: what waits to be sent to 100
+// routers would else hold 60 MB at 3,000 backend servers. The message is not changed any more.
+func (s *state) newsFor(ask *wire.NewsAsk) *wire.News {
+	asOf := s.catalog.AsOf()
+	if ask.After > 0 && ask.Epoch == asOf.Epoch {
+		return &wire.News{News: s.catalog.Since(ask.After)}
 	}
-	if s.all.msg == nil || s.all.msg.AsOf != s.catalog.AsOf() || s.now-s.all.at >= allNewsFor {
-		s.all = allNews{msg: &wire.News{News: s.catalog.Since(0)}, at: s.now}
+	if s.all.msg == nil || s.all.asOf != asOf || s.now-s.all.at >= allNewsFor {
+		s.all = allNews{msg: &wire.News{News: s.catalog.Since(0)}, asOf: asOf, at: s.now}
 	}
 	return s.all.msg
 }
 
-func (s *state) askNews(from string, after uint64) {
+// askNews asks another router for what it knows beyond what is known here.
+func (s *state) askNews(from string) {
+	after := s.catalog.AsOf()
 	every := askNewsEvery
-	if after == 0 {
+	if after.IsZero() {
 		every = askAllEvery
 	}
 	if s.now-s.askedNews < every {
 		return
 	}
 	s.askedNews = s.now
-	s.d.net.Send(from, &wire.NewsAsk{After: after})
+	s.d.net.Send(from, &wire.NewsAsk{Epoch: after.Epoch, After: after.Number})
 }
 
 // spread tells others at once what came after a revision: what this router has
--- a/internal/dispatch/rosters_test.go
+++ b/internal/dispatch/rosters_test.go
@@ -33,7 +33,7 @@
 
 func (noSource) Read(context.Context) (catalog.News, error)         { return catalog.News{}, nil }
 func (noSource) Revision(context.Context) (catalog.Revision, error) { return catalog.Revision{}, nil }
-func (noSource) Watch(context.Context, uint64, time.Duration) (catalog.News, error) {
+func (noSource) Watch(context.Context, catalog.Revision, time.Duration) (catalog.News, error) {
 	return catalog.News{}, nil
 }
 
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -72,6 +72,11 @@
 // backend servers are kept whose entries vanish together.
 const keepPart = 0.6
 
+// lostPart is the same for those that a platform which came back from a copy does not list:
+// a backend server enters itself again with its next heartbeat, and one that was removed is
+// out in time.
+const lostPart = 0.75
+
 func newState(d *Dispatcher) *state {
 	self := roster.Member{Address: d.id.Address, Name: d.id.Name, Zone: d.id.Zone, Inc: d.id.Inc, Capacity: d.id.Capacity}
 	now := d.now()
@@ -86,7 +91,8 @@
 		pace:      admit.NewPace(d.id.Capacity),
 		waiting:   map[uint64]*attempt{},
 	}
-	s.catalog = catalog.New(catalog.WithKeep(time.Duration(keepPart*float64(d.opt.applyWithin))), catalog.WithOwn(s.isOwn))
+	part := func(p float64) time.Duration { return time.Duration(p * float64(d.opt.applyWithin)) }
+	s.catalog = catalog.New(catalog.WithKeep(part(keepPart)), catalog.WithLost(part(lostPart)), catalog.WithOwn(s.isOwn))
 	return s
 }
 
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -19,8 +19,9 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Table is the revision in force, 0 before there is one.
 	Table uint64 `json:"table"`
-	// AsOf is the platform's revision up to which all is known, and
+	// Epoch and AsOf are the platform's revision up to which all is known, and
 	// VerifiedMillisAgo how long ago that was known to be the newest.
+	Epoch             uint64 `json:"epoch"`
 	AsOf              uint64 `json:"as_of"`
 	VerifiedMillisAgo int64  `json:"verified_ms_ago"`
 	// Turn is the place among the readers of the platform.
@@ -74,7 +75,7 @@
 	s.status = s.now
 	s.logTrust()
 	st := &Status{
-		Name: s.d.id.Name, Zone: s.d.id.Zone, Incarnation: s.d.id.Inc, AsOf: s.catalog.AsOf(), Turn: s.d.shared.turn.Load(),
+		Name: s.d.id.Name, Zone: s.d.id.Zone, Incarnation: s.d.id.Inc, Epoch: s.catalog.AsOf().Epoch, AsOf: s.catalog.AsOf().Number, Turn: s.d.shared.turn.Load(),
 		VerifiedMillisAgo: (s.now - time.Duration(s.d.shared.verified.Load())).Milliseconds(),
 		Live:              s.roster.Live(s.now), Relay: s.talk.Relay, Owned: s.core.Owned(), Waiting: s.core.Waiting(),
 		ClosedZones: s.closed, Warming: s.core.Warming(), SuspendedMillis: s.suspended.Milliseconds(),
--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -26,7 +26,7 @@
 	}}, nil
 }
 
-func (oneServer) Watch(ctx context.Context, _ uint64, _ time.Duration) (catalog.News, error) {
+func (oneServer) Watch(ctx context.Context, _ catalog.Revision, _ time.Duration) (catalog.News, error) {
 	<-ctx.Done()
 	return catalog.News{}, ctx.Err()
 }
--- a/internal/dispatch/unusable_test.go
+++ b/internal/dispatch/unusable_test.go
@@ -38,8 +38,8 @@
 	if count != 1 || len(list) != 1 || list[0] != (Entry{"bad", "wrong-type", "slots"}) || s.catalog.Damaged()["wrong-type"] != perSecond*seconds {
 		t.Errorf("%v of %d, counted %v", list, count, s.catalog.Damaged())
 	}
-	if b, ok := d.Table().Backend("good"); !ok || b.Mark != table.Serving || s.catalog.AsOf() != 2+perSecond*seconds {
-		t.Errorf("the good entry is %+v as of %d", b, s.catalog.AsOf())
+	if b, ok := d.Table().Backend("good"); !ok || b.Mark != table.Serving || s.catalog.AsOf().Number != 2+perSecond*seconds {
+		t.Errorf("the good entry is %+v as of %d", b, s.catalog.AsOf().Number)
 	}
 }
 
--- a/internal/dispatch/verified.go
+++ b/internal/dispatch/verified.go
@@ -56,7 +56,8 @@
 // stateFor returns what this router tells another one besides flows and copies.
 func (s *state) stateFor(to string) *wire.State {
 	l := s.link(to)
-	m := &wire.State{Stamp: wire.StampOf(s.now), AsOf: s.catalog.AsOf(), Age: -1, Leaving: s.d.Draining()}
+	asOf := s.catalog.AsOf()
+	m := &wire.State{Stamp: wire.StampOf(s.now), Epoch: asOf.Epoch, AsOf: asOf.Number, Age: -1, Leaving: s.d.Draining()}
 	if l.stamp > 0 {
 		m.Echo, m.Held = l.stamp, (s.now - l.stampAt).Milliseconds()
 	}
--- a/internal/dispatch/zones.go
+++ b/internal/dispatch/zones.go
@@ -19,11 +19,11 @@
 		if backends == 0 {
 			level = slog.LevelWarn
 		}
-		s.d.opt.log.Log(s.d.ctx, level, "zone_closed", "zone", zone, "backends", backends, "as_of", s.catalog.AsOf(), "from", from)
+		s.d.opt.log.Log(s.d.ctx, level, "zone_closed", "zone", zone, "backends", backends, "as_of", s.catalog.AsOf().Number, "from", from)
 	}
 	for _, zone := range s.closed {
 		if !slices.Contains(closed, zone) {
-			s.d.opt.log.Info("zone_opened", "zone", zone, "backends", backendsIn(v, zone), "as_of", s.catalog.AsOf(), "from", from)
+			s.d.opt.log.Info("zone_opened", "zone", zone, "backends", backendsIn(v, zone), "as_of", s.catalog.AsOf().Number, "from", from)
 		}
 	}
 	s.closed = closed
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/clock"
 	"github.com/yarrowmast/yarrowmast/internal/peer"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
@@ -25,7 +26,7 @@
 type Front interface {
 	// TakesForwarded reports whether it has time for one more, and knows the table of
 	// a revision.
-	TakesForwarded(revision uint64) bool
+	TakesForwarded(by table.Version) bool
 	// ServeForwarded serves a connection to its end.
 	ServeForwarded(c net.Conn)
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/forward"
 	"github.com/yarrowmast/yarrowmast/internal/peer"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
@@ -79,8 +80,8 @@
 	ran   []string
 }
 
-func (s *server) TakesForwarded(uint64) bool { return s.takes }
-func (s *server) ServeForwarded(c net.Conn)  { s.conns <- c }
+func (s *server) TakesForwarded(table.Version) bool { return s.takes }
+func (s *server) ServeForwarded(c net.Conn)         { s.conns <- c }
 func (s *server) Accept() (net.Conn, error) {
 	c, ok := <-s.conns
 	if !ok {
@@ -163,7 +164,7 @@
 	}
 	became = make(chan forward.Forwarded, 1)
 	go func() {
-		did := w.first.Forward(c, []byte(first), 1, time.Now().Add(until))
+		did := w.first.Forward(c, []byte(first), table.Version{Revision: 1}, time.Now().Add(until))
 		if did.Outcome != forward.Ended {
 			_ = c.Close()
 		}
--- a/internal/forward/incoming.go
+++ b/internal/forward/incoming.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/peer"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
@@ -37,7 +38,7 @@
 // accept takes a connection that another router hands on, unless there is no time for it
 // here either.
 func (f *Forwarder) accept(in peer.Inbound, m *wire.Forward, send Sender, front Front) {
-	if !front.TakesForwarded(m.Revision) {
+	if !front.TakesForwarded(table.Version{Edition: m.Edition, Revision: m.Revision}) {
 		send.Send(in.From, &wire.ForwardData{Stream: m.Stream, Answer: true, Number: 1, Refused: true, End: true})
 		return
 	}
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/clock"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
@@ -65,7 +66,7 @@
 
 // Forward hands a connection on with what was read from it, and passes on what comes
 // either way until it ends, or until a time by which the caller has left.
-func (f *Forwarder) Forward(caller net.Conn, first []byte, revision uint64, until time.Time) Forwarded {
+func (f *Forwarder) Forward(caller net.Conn, first []byte, by table.Version, until time.Time) Forwarded {
 	did := Forwarded{Read: first}
 	for range tries {
 		to, ok := f.choose(f.clock.Now(), did.To)
@@ -74,7 +75,7 @@
 		}
 		did.To = to
 		o := f.newOutgoing(caller, to)
-		o.send.Send(to, &wire.Forward{Stream: o.id, Revision: revision, Data: did.Read})
+		o.send.Send(to, &wire.Forward{Stream: o.id, Edition: by.Edition, Revision: by.Revision, Data: did.Read})
 		did.Outcome = o.run(until)
 		f.forgetOut(o.id)
 		if did.Outcome != NotTaken {
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -9,12 +9,13 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/forward"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
 
 // Forwarder hands callers' connections on to other routers.
 type Forwarder interface {
-	Forward(caller net.Conn, first []byte, revision uint64, until time.Time) forward.Forwarded
+	Forward(caller net.Conn, first []byte, by table.Version, until time.Time) forward.Forwarded
 }
 
 // WithForwarder sets what hands on the connections that this router has no time for.
@@ -38,7 +39,7 @@
 		return all, refusal
 	}
 	begun := s.clock().Now()
-	did := s.opt.forwarder.Forward(c, bytes.Clone(all), s.scheduler.Table().Revision, h.request.Deadline.Add(forwardGrace))
+	did := s.opt.forwarder.Forward(c, bytes.Clone(all), s.scheduler.Table().Version(), h.request.Deadline.Add(forwardGrace))
 	s.opt.log.LogAttrs(context.Background(), slog.LevelInfo, "request_forwarded", slog.String("request", h.request.ID),
 		slog.String("account", h.request.Account), slog.String("to", did.To), slog.String("outcome", did.Outcome.String()),
 		slog.Int64("total_ms", s.clock().Since(begun).Milliseconds()))
@@ -53,9 +54,9 @@
 }
 
 // TakesForwarded implements forward.Front.
-func (s *Server) TakesForwarded(revision uint64) bool {
+func (s *Server) TakesForwarded(by table.Version) bool {
 	t := s.scheduler.Table()
-	return t != nil && t.Revision >= revision && !s.scheduler.Refusing() && !s.scheduler.Overloaded() &&
+	return t != nil && !by.NewerThan(t.Version()) && !s.scheduler.Refusing() && !s.scheduler.Overloaded() &&
 		!s.leaving.Load() && !s.draining.Load() && !s.connections.crowded(s.callers.Load().MaxConnections)
 }
 
--- a/internal/front/forward_test.go
+++ b/internal/front/forward_test.go
@@ -12,6 +12,7 @@
 	"github.com/yarrowmast/yarrowmast/internal/backend"
 	"github.com/yarrowmast/yarrowmast/internal/forward"
 	"github.com/yarrowmast/yarrowmast/internal/front"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
 
@@ -21,7 +22,7 @@
 	asked   chan string
 }
 
-func (h *handsOn) Forward(c net.Conn, first []byte, revision uint64, until time.Time) forward.Forwarded {
+func (h *handsOn) Forward(c net.Conn, first []byte, by table.Version, until time.Time) forward.Forwarded {
 	h.asked <- string(first)
 	did := forward.Forwarded{Outcome: h.outcome, To: "b", Read: first}
 	switch h.outcome {
@@ -105,7 +106,7 @@
 // slowly hands a connection on until it is told to end.
 type slowly struct{ begun, end chan struct{} }
 
-func (h *slowly) Forward(c net.Conn, _ []byte, _ uint64, _ time.Time) forward.Forwarded {
+func (h *slowly) Forward(c net.Conn, _ []byte, _ table.Version, _ time.Time) forward.Forwarded {
 	close(h.begun)
 	<-h.end
 	_ = c.Close()
--- a/pkg/catalog/bench_test.go
+++ b/pkg/catalog/bench_test.go
@@ -22,7 +22,7 @@
 			c.Merge(0, n)
 			marks := []table.Mark{table.Leaving, table.Serving}
 			for i := 1; b.Loop(); i++ {
-				asOf := c.AsOf()
+				asOf := c.AsOf().Number
 				s := serving(n.Servers[servers/2].Backend.Name, asOf+1)
 				s.Backend.Mark = marks[i%2]
 				now := time.Duration(i) * time.Millisecond
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -22,8 +22,10 @@
 type Server struct {
 	// Revision is the entry's last change; it only grows.
 	Revision uint64
-	// Gone says that the entry was removed at Revision.
+	// Gone says that the entry was removed at Revision, and Last is its last change before
+	// that, 0 if it is not known.
 	Gone bool
+	Last uint64
 	// Unusable says why the entry names no backend server to use.
 	Unusable Unusable
 	// Backend is the entry; only its name counts if it is gone or cannot be used.
@@ -33,7 +35,9 @@
 // News is a part of what the platform publishes.
 type News struct {
 	// Epoch is the platform's epoch, of which all revisions are.
-	Epoch uint64 `msgpack:"-"`
+	Epoch uint64
+	// EpochAge is how long ago the sender first heard of the epoch.
+	EpochAge time.Duration
 	// After is the revision since which the news are complete; 0 means that
 	// they hold everything.
 	After uint64
@@ -47,6 +51,8 @@
 	// Zones are the marks of availability zones that changed. If After is 0,
 	// zones that are not listed are open.
 	Zones []Zone
+	// Kept is what a router keeps of earlier epochs, nil if nothing.
+	Kept *Kept
 	// Skipped is what was published besides and says nothing. It is for the log of the
 	// router that read it.
 	Skipped []Skipped `msgpack:"-"`
@@ -54,16 +60,30 @@
 
 // Empty reports whether the news say nothing but how far they reach.
 func (n *News) Empty() bool {
-	return n.Table == nil && len(n.Servers) == 0 && len(n.Zones) == 0 && n.After > 0
+	return n.Table == nil && len(n.Servers) == 0 && len(n.Zones) == 0 && n.Kept == nil && n.After > 0
 }
 
 // Catalog is the merged state. Its zero value is not ready; use New.
 type Catalog struct {
 	// now is the time of the last Merge or Refresh.
-	now     time.Duration
-	asOf    uint64
+	now  time.Duration
+	asOf Revision
+	// enteredAt is when the current epoch was first heard of by anybody.
+	enteredAt time.Duration
+	// change is what was known before, while a list of a new epoch is taken in.
+	change *epochChange
+	// history is of the current epoch.
+	history history
 	table   *table.Table
-	servers map[string]Server
+	// servers are the entries as the current epoch has them. Those of keptServers stand
+	// above them; the same holds for zones. tableKept says that the table is of an earlier
+	// epoch.
+	servers     map[string]Server
+	keptServers map[string]kept[Server]
+	keptZones   map[string]kept[Zone]
+	tableKept   bool
+	// lostFor is for how long entries are kept that a new epoch does not list.
+	lostFor time.Duration
 	// names are those of the entries, sorted; nil once there are new ones.
 	names []string
 	zones map[string]zone
@@ -104,6 +124,7 @@
 	c := &Catalog{
 		servers: map[string]Server{}, zones: map[string]zone{}, warmUntil: map[string]time.Duration{},
 		goneAt: map[string]time.Duration{}, vanished: map[string]vanished{}, unusable: map[string]bool{}, damaged: map[Reason]int64{},
+		keptServers: map[string]kept[Server]{}, keptZones: map[string]kept[Zone]{}, lostFor: DefaultLost,
 	}
 	for _, f := range opts {
 		f(c)
@@ -116,38 +137,63 @@
 const forgetAfter = 5 * time.Minute
 
 // AsOf returns the revision up to which the catalog is complete.
-func (c *Catalog) AsOf() uint64 { return c.asOf }
+func (c *Catalog) AsOf() Revision { return c.asOf }
 
 // View returns the table in force with all backend servers of the directory,
 // nil before there is a table. It is never changed once returned.
 func (c *Catalog) View() *table.Table { return c.view }
 
-// Merge takes news in at the time now and reports whether the view changed.
+// Merge takes news in at the time now and reports whether the view changed. News of an
+// earlier epoch say nothing, nor do those of a later one unless they hold everything.
 func (c *Catalog) Merge(now time.Duration, n News) bool {
 	c.now = now
-	changed := false
-	if n.Table != nil && (c.table == nil || n.Table.Revision > c.table.Revision) {
-		c.table = n.Table
-		changed = true
+	whole := n.After == 0 && n.AsOf > 0
+	if n.Epoch < c.asOf.Epoch || n.Epoch > c.asOf.Epoch && !whole {
+		return c.Refresh(now)
+	}
+	if n.Epoch > c.asOf.Epoch {
+		c.enter(now, &n)
 	}
+	changed := c.mergeTable(n.Table)
 	for _, s := range n.Servers {
 		changed = c.mergeServer(now, s) || changed
 	}
 	for _, z := range n.Zones {
 		changed = c.mergeZone(now, z) || changed
 	}
-	if n.After == 0 && n.AsOf > 0 {
+	if c.change != nil {
+		c.change.finish(now)
+		c.change = nil
+	}
+	if whole {
 		changed = c.dropUnlisted(now, &n) || changed
 		changed = c.openUnlisted(now, &n) || changed
 	}
-	if n.After <= c.asOf {
-		c.asOf = max(c.asOf, n.AsOf)
+	if n.Kept != nil {
+		changed = c.mergeKept(now, n.Kept) || changed
+	}
+	if n.After <= c.asOf.Number {
+		c.asOf.Number = max(c.asOf.Number, n.AsOf)
 	}
 	c.forget(now)
 	c.dirty = c.dirty || changed
 	return c.Refresh(now)
 }
 
+// mergeTable takes in a table of the current epoch.
+func (c *Catalog) mergeTable(t *table.Table) bool {
+	if t == nil {
+		return false
+	}
+	c.history.note(t.Revision, digestOf(t))
+	isWrittenAgain := c.tableKept && c.table.Edition == t.Edition
+	if c.table != nil && !isWrittenAgain && !t.Version().NewerThan(c.table.Version()) {
+		return false
+	}
+	c.table, c.tableKept = t, false
+	return true
+}
+
 // joinEach bounds how often the view is made anew: not sooner after the last time than
 // so long for each backend server. To make it takes 1 us for each, so that at 3,000,
 // where the entries of a release change 20 times a second, it would else take a third of
@@ -171,7 +217,16 @@
 	if known && old.Revision >= s.Revision {
 		return false
 	}
+	c.history.note(s.Revision, s.digest())
+	if k, isKept := c.keptServers[name]; isKept {
+		old, known = k.item, true
+		delete(c.keptServers, name)
+		c.names = nil
+	}
 	s = c.checked(s, old)
+	if s.Gone && s.Last == 0 {
+		s.Last = old.lastLive()
+	}
 	c.servers[name] = s
 	if !known {
 		c.names = nil
@@ -194,6 +249,14 @@
 	return later || !known || old.Gone || !old.Backend.SameButWarmup(&s.Backend)
 }
 
+// lastLive returns the last change of an entry while it was there, 0 if it is not known.
+func (s *Server) lastLive() uint64 {
+	if s.Gone {
+		return s.Last
+	}
+	return s.Revision
+}
+
 // mergeUnusable takes in an entry that cannot be used, and reports whether the view
 // changes: a backend server that was used before is left.
 func (c *Catalog) mergeUnusable(s, old Server) bool {
@@ -220,7 +283,9 @@
 		if listed[name] || s.Gone || s.Revision > n.AsOf {
 			continue
 		}
-		c.servers[name] = Server{Revision: n.AsOf, Gone: true, Backend: table.Backend{Name: name}}
+		s, _ = c.current(name)
+		delete(c.keptServers, name)
+		c.servers[name] = Server{Revision: n.AsOf, Gone: true, Last: s.lastLive(), Backend: table.Backend{Name: name}}
 		c.goneAt[name] = now
 		delete(c.warmUntil, name)
 		delete(c.unusable, name)
@@ -243,7 +308,13 @@
 // were forgotten.
 func (c *Catalog) sortedNames() []string {
 	if c.names == nil {
-		c.names = slices.Sorted(maps.Keys(c.servers))
+		c.names = slices.Collect(maps.Keys(c.servers))
+		for name := range c.keptServers {
+			if _, isListed := c.servers[name]; !isListed {
+				c.names = append(c.names, name)
+			}
+		}
+		slices.Sort(c.names)
 	}
 	return c.names
 }
@@ -254,7 +325,7 @@
 	t.Backends = make([]table.Backend, 0, len(c.table.Backends)+len(c.servers))
 	t.Backends = append(t.Backends, c.table.Backends...)
 	for _, name := range c.sortedNames() {
-		if s, ok := c.servers[name]; ok && !s.Gone {
+		if s, ok := c.current(name); ok && !s.Gone {
 			if s.Unusable.Is() && s.Backend.Mark == "" || !c.inTable(&s.Backend) {
 				continue
 			}
@@ -281,18 +352,21 @@
 	})
 }
 
-// Since returns what changed after a revision, everything for 0.
+// Since returns what changed after a number of the current epoch, everything for 0.
 func (c *Catalog) Since(after uint64) News {
-	n := News{After: after, AsOf: c.asOf}
-	if after >= c.asOf {
-		n.After = c.asOf
+	n := News{Epoch: c.asOf.Epoch, EpochAge: c.now - c.enteredAt, After: after, AsOf: c.asOf.Number}
+	if after >= c.asOf.Number {
+		n.After = c.asOf.Number
 		return n
 	}
+	if after == 0 {
+		n.Kept = c.Kept()
+	}
 	if c.table != nil && c.table.Revision > after {
 		n.Table = c.table
 	}
 	for name, s := range c.servers {
-		if s.Revision > after && (after > 0 || !s.Gone) {
+		if s.Revision > after {
 			if s.Unusable.Is() {
 				s.Backend = table.Backend{Name: name}
 			}
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -42,7 +42,7 @@
 }
 
 func stateOf(c *catalog.Catalog) state {
-	s := state{AsOf: c.AsOf()}
+	s := state{AsOf: c.AsOf().Number}
 	if v := c.View(); v != nil {
 		s.Table = v.Revision
 		for _, b := range v.Backends {
@@ -132,7 +132,7 @@
 		for _, n := range rapid.Permutation(history).Draw(t, "order") {
 			shuffled.Merge(time.Second, n)
 		}
-		shuffled.Merge(time.Second, straight.Since(shuffled.AsOf()))
+		shuffled.Merge(time.Second, straight.Since(shuffled.AsOf().Number))
 		if diff := cmp.Diff(stateOf(straight), stateOf(shuffled)); diff != "" {
 			t.Errorf("catalogs differ (-straight +shuffled):\n%s", diff)
 		}
--- /dev/null
+++ b/pkg/catalog/epoch_test.go
@@ -0,0 +1,214 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/yarrowmast/yarrowmast/pkg/catalog"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+)
+
+// edition is a version of the operators' table.
+func edition(number, revision uint64) *table.Table {
+	t := tableAt(revision)
+	t.Edition = number
+	return t
+}
+
+func leaving(name string, revision uint64) catalog.Server {
+	s := serving(name, revision)
+	s.Backend.Mark = table.Leaving
+	return s
+}
+
+func born(at int64, s catalog.Server) catalog.Server {
+	s.Backend.Born = at
+	return s
+}
+
+// shown is what a catalog shows, with the backend servers' marks.
+type shown struct {
+	Edition  uint64
+	Backends map[string]table.Mark
+	Closed   []string
+}
+
+func show(c *catalog.Catalog) shown {
+	v := c.View()
+	s := shown{Edition: v.Edition, Backends: map[string]table.Mark{}, Closed: v.ClosedZones()}
+	for _, b := range v.Backends {
+		s.Backends[b.Name] = b.Mark
+	}
+	return s
+}
+
+const (
+	lostFor = time.Second
+	settled = time.Minute
+)
+
+// TestCopy lets a catalog know of changes that the platform then lost, and of what it lists
+// when it is back.
+func TestCopy(t *testing.T) {
+	type servers = []catalog.Server
+	// The copy holds revision 5: edition 10 at 1, a at 2, b at 3, c at 4, zone z closed at 5.
+	start := catalog.News{Epoch: 1, AsOf: 5, Table: edition(10, 1), Servers: servers{serving("a", 2), serving("b", 3), serving("c", 4)}, Zones: []catalog.Zone{closed("z", 5)}}
+	back := func(asOf uint64, list servers, zones ...catalog.Zone) catalog.News {
+		return catalog.News{Epoch: 2, AsOf: asOf, Table: edition(10, 1), Servers: list, Zones: append(zones, closed("z", 5))}
+	}
+	abc := servers{serving("a", 2), serving("b", 3), serving("c", 4)}
+	all := map[string]table.Mark{"a": table.Serving, "b": table.Serving, "c": table.Serving}
+	with := func(more map[string]table.Mark) map[string]table.Mark {
+		m := map[string]table.Mark{"a": table.Serving, "b": table.Serving, "c": table.Serving}
+		for name, mark := range more {
+			if m[name] = mark; mark == "" {
+				delete(m, name)
+			}
+		}
+		return m
+	}
+	z := []string{"z"}
+	tests := map[string]struct {
+		lost  []catalog.News
+		back  []catalog.News
+		first shown
+		// later is what is shown when all that is kept has ended.
+		later shown
+	}{
+		"nothing was lost": {nil, []catalog.News{back(5, abc)}, shown{10, all, z}, shown{10, all, z}},
+		"a version": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 6, Table: edition(12, 6)}}, []catalog.News{back(5, abc)},
+			shown{12, all, z}, shown{12, all, z}},
+		"a version is written with a known number": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 9, Table: edition(12, 9)}},
+			[]catalog.News{back(5, abc), {Epoch: 2, After: 5, AsOf: 6, Table: edition(14, 6)}},
+			shown{14, all, z}, shown{14, all, z}},
+		"an older version is written again": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 9, Table: edition(12, 9)}},
+			[]catalog.News{back(5, abc), {Epoch: 2, After: 5, AsOf: 6, Table: edition(11, 6)}},
+			shown{12, all, z}, shown{12, all, z}},
+		"a server that leaves, which then lapses": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Servers: servers{leaving("a", 8)}}},
+			[]catalog.News{back(5, abc), {Epoch: 2, After: 5, AsOf: 6, Servers: servers{gone("a", 6)}}},
+			shown{10, with(map[string]table.Mark{"a": ""}), z}, shown{10, with(map[string]table.Mark{"a": ""}), z}},
+		"a server that leaves": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Servers: servers{leaving("a", 8)}}}, []catalog.News{back(5, abc)},
+			shown{10, with(map[string]table.Mark{"a": table.Leaving}), z}, shown{10, all, z}},
+		"a server that leaves says it again": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Servers: servers{leaving("a", 8)}}},
+			[]catalog.News{back(5, abc), {Epoch: 2, After: 5, AsOf: 6, Servers: servers{leaving("a", 6)}}},
+			shown{10, with(map[string]table.Mark{"a": table.Leaving}), z}, shown{10, with(map[string]table.Mark{"a": table.Leaving}), z}},
+		"a server that leaves says it before the list is read": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 9, Servers: servers{serving("b", 9)}}},
+			[]catalog.News{back(6, servers{leaving("a", 6), serving("b", 3), serving("c", 4)})},
+			shown{10, with(map[string]table.Mark{"a": table.Leaving}), z}, shown{10, with(map[string]table.Mark{"a": table.Leaving}), z}},
+		"a server that has gone": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Servers: servers{gone("a", 8)}}}, []catalog.News{back(5, abc)},
+			shown{10, with(map[string]table.Mark{"a": ""}), z}, shown{10, all, z}},
+		"a server that has gone starts again": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Servers: servers{gone("a", 8)}}},
+			[]catalog.News{back(6, servers{born(7, serving("a", 6)), serving("b", 3), serving("c", 4)})},
+			shown{10, all, z}, shown{10, all, z}},
+		"a new server that is not in the copy": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Servers: servers{serving("d", 8)}}}, []catalog.News{back(5, abc)},
+			shown{10, with(map[string]table.Mark{"d": table.Serving}), z}, shown{10, all, z}},
+		"a new server that is not in the copy enters itself again": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Servers: servers{serving("d", 8)}}},
+			[]catalog.News{back(5, abc), {Epoch: 2, After: 5, AsOf: 6, Servers: servers{serving("d", 6)}}},
+			shown{10, with(map[string]table.Mark{"d": table.Serving}), z}, shown{10, with(map[string]table.Mark{"d": table.Serving}), z}},
+		"a server that the copy held goes before the list is read": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Servers: servers{serving("c", 8)}}},
+			[]catalog.News{back(6, servers{serving("b", 3), serving("c", 4)})},
+			shown{10, with(map[string]table.Mark{"a": ""}), z}, shown{10, with(map[string]table.Mark{"a": ""}), z}},
+		"a zone that was opened": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Zones: []catalog.Zone{opened("z", 8)}}}, []catalog.News{back(5, abc)},
+			shown{10, all, nil}, shown{10, all, z}},
+		"a zone that was closed": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Zones: []catalog.Zone{closed("y", 8)}}}, []catalog.News{back(5, abc)},
+			shown{10, all, []string{"y", "z"}}, shown{10, all, z}},
+		"a zone that was closed is opened": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Zones: []catalog.Zone{closed("y", 8)}}},
+			[]catalog.News{back(5, abc), {Epoch: 2, After: 5, AsOf: 7, Zones: []catalog.Zone{opened("y", 7)}}},
+			shown{10, all, z}, shown{10, all, z}},
+		"twice": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Servers: servers{leaving("a", 8)}, Table: edition(12, 7)}},
+			[]catalog.News{
+				back(5, abc), {Epoch: 2, After: 5, AsOf: 6, Servers: servers{leaving("b", 6)}},
+				{Epoch: 3, AsOf: 5, Table: edition(10, 1), Servers: abc, Zones: []catalog.Zone{closed("z", 5)}},
+			},
+			shown{12, with(map[string]table.Mark{"a": table.Leaving, "b": table.Leaving}), z}, shown{12, all, z}},
+		"late news of the epoch before": {
+			nil, []catalog.News{back(5, abc), {Epoch: 1, After: 5, AsOf: 9, Table: edition(9, 9), Servers: servers{gone("a", 9)}}},
+			shown{10, all, z}, shown{10, all, z}},
+		"a part of a later epoch": {
+			nil, []catalog.News{{Epoch: 2, After: 5, AsOf: 6, Servers: servers{leaving("a", 6)}}},
+			shown{10, all, z}, shown{10, all, z}},
+		"a platform that begins to tell its epoch": {
+			nil, []catalog.News{{Epoch: 7, AsOf: 5, Table: edition(10, 1), Servers: abc, Zones: []catalog.Zone{closed("z", 5)}}},
+			shown{10, all, z}, shown{10, all, z}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := catalog.New(catalog.WithLost(lostFor))
+			c.Merge(0, start)
+			for _, n := range append(tc.lost, tc.back...) {
+				c.Merge(0, n)
+			}
+			if diff := cmp.Diff(tc.first, show(c)); diff != "" {
+				t.Errorf("at first (-want +got):\n%s", diff)
+			}
+			c.Refresh(settled)
+			if diff := cmp.Diff(tc.later, show(c)); diff != "" {
+				t.Errorf("in the end (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestServerThatTheCopyLacks looks for how long a backend server is kept that the copy does not
+// list: until it can have entered itself again, also where another router tells of it.
+func TestServerThatTheCopyLacks(t *testing.T) {
+	start := catalog.News{Epoch: 1, AsOf: 2, Table: edition(10, 1), Servers: []catalog.Server{serving("a", 2)}}
+	back := catalog.News{Epoch: 2, AsOf: 2, Table: edition(10, 1), Servers: []catalog.Server{serving("a", 2)}}
+	knew, other := catalog.New(catalog.WithLost(lostFor)), catalog.New(catalog.WithLost(lostFor))
+	knew.Merge(0, start)
+	knew.Merge(0, catalog.News{Epoch: 1, After: 2, AsOf: 3, Servers: []catalog.Server{serving("b", 3)}})
+	knew.Merge(0, back)
+	other.Merge(0, back)
+	told := catalog.News{Epoch: 2, After: 2, AsOf: 2, Kept: knew.Kept()}
+	other.Merge(lostFor/2, told)
+	for name, c := range map[string]*catalog.Catalog{"it knew": knew, "it was told": other} {
+		if got := show(c).Backends; got["b"] != table.Serving {
+			t.Errorf("%s: at first %v", name, got)
+		}
+		c.Refresh(lostFor * 3 / 2)
+		if got := show(c).Backends; got["b"] != "" || got["a"] != table.Serving {
+			t.Errorf("%s: later %v", name, got)
+		}
+		c.Merge(2*lostFor, told)
+	}
+}
+
+// TestWhoIsToldOfALaterEpoch has one catalog tell another, which knows of lost changes that the
+// first does not, all that it has: neither goes back, and both show the same.
+func TestWhoIsToldOfALaterEpoch(t *testing.T) {
+	start := catalog.News{Epoch: 1, AsOf: 4, Table: edition(10, 1), Servers: []catalog.Server{serving("a", 2), serving("b", 3), serving("c", 4)}}
+	read, cut := catalog.New(), catalog.New()
+	read.Merge(0, start)
+	cut.Merge(0, start)
+	cut.Merge(0, catalog.News{Epoch: 1, After: 4, AsOf: 6, Table: edition(13, 6), Servers: []catalog.Server{leaving("a", 5)}})
+	back := start
+	back.Epoch = 2
+	read.Merge(0, back)
+	read.Merge(0, catalog.News{Epoch: 2, After: 4, AsOf: 5, Servers: []catalog.Server{gone("b", 5)}})
+	cut.Merge(0, read.Since(0))
+	read.Merge(0, catalog.News{Epoch: 2, After: 5, AsOf: 5, Kept: cut.Kept()})
+	want := shown{Edition: 13, Backends: map[string]table.Mark{"a": table.Leaving, "c": table.Serving}}
+	for name, c := range map[string]*catalog.Catalog{"read": read, "cut": cut} {
+		if diff := cmp.Diff(want, show(c)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
--- a/pkg/catalog/unusable.go
+++ b/pkg/catalog/unusable.go
@@ -94,9 +94,20 @@
 		}
 		n.Servers[i].Unusable = why
 	}
+	n.Kept = n.Kept.checked()
 	return n
 }
 
+// checked returns what is kept without the entries that cannot be used.
+func (k *Kept) checked() *Kept {
+	if k == nil {
+		return nil
+	}
+	return &Kept{Table: k.Table, Zones: k.Zones, Servers: slices.DeleteFunc(slices.Clone(k.Servers), func(x KeptServer) bool {
+		return !x.Server.Gone && Check(&x.Server.Backend).Is()
+	})}
+}
+
 // checked returns an entry as it counts: one that cannot be used says nothing but that,
 // and leaves what was known of its backend server before, which gets nothing new.
 func (c *Catalog) checked(s Server, old Server) Server {
--- a/pkg/catalog/warmup_test.go
+++ b/pkg/catalog/warmup_test.go
@@ -115,9 +115,9 @@
 	}
 	c.Merge(time.Second, start)
 	leave := func(now time.Duration, name string) bool {
-		s := serving(name, c.AsOf()+1)
+		s := serving(name, c.AsOf().Number+1)
 		s.Backend.Mark = table.Leaving
-		return c.Merge(now, catalog.News{After: c.AsOf(), AsOf: c.AsOf() + 1, Servers: []catalog.Server{s}})
+		return c.Merge(now, catalog.News{After: c.AsOf().Number, AsOf: c.AsOf().Number + 1, Servers: []catalog.Server{s}})
 	}
 	if !leave(2*time.Second, "i-1") {
 		t.Error("the first change does not show at once")
--- a/pkg/catalog/zone.go
+++ b/pkg/catalog/zone.go
@@ -31,12 +31,15 @@
 	if old.Revision >= z.Revision {
 		return false
 	}
+	c.history.note(z.Revision, z.digest())
+	wasClosed := c.isClosed(z.Name)
+	delete(c.keptZones, z.Name)
 	next := zone{Zone: z, opened: old.opened}
-	if old.Closed && !z.Closed {
+	if wasClosed && !z.Closed {
 		next.opened = now
 	}
 	c.zones[z.Name] = next
-	return old.Closed != z.Closed
+	return wasClosed != z.Closed
 }
 
 // openUnlisted opens the zones that complete news do not list as closed.
@@ -60,8 +63,10 @@
 // zoneRows returns the closed zones as rows of the table.
 func (c *Catalog) zoneRows() []table.ZoneRow {
 	rows := slices.Clone(c.table.Zones)
-	for _, name := range slices.Sorted(maps.Keys(c.zones)) {
-		if c.zones[name].Closed {
+	names := slices.AppendSeq(slices.Collect(maps.Keys(c.zones)), maps.Keys(c.keptZones))
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
+		if c.isClosed(name) {
 			rows = append(rows, table.ZoneRow{Name: name, Mark: table.ZoneClosed})
 		}
 	}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -92,10 +92,11 @@
 // Table is one version of the operators' table. It is never changed once
 // parsed, so tasks may share it.
 type Table struct {
-	// Revision is the platform's revision of the value; it only grows.
+	// Revision is the platform's revision of the value; it grows until the platform comes
+	// back from a copy.
 	Revision uint64 `yaml:"-" json:"revision"`
-	// Edition is the operators' own number of the version, for logs; 0 if
-	// they give none.
+	// Edition is the operators' own number of the version, which only grows, whatever
+	// becomes of the platform; 0 if they give none.
 	Edition uint64 `yaml:"-" json:"edition,omitempty"`
 	// Accounts is in the order of the file.
 	Accounts []Account `yaml:"accounts" json:"accounts"`
@@ -119,6 +120,21 @@
 	closedZones map[string]bool
 }
 
+// Version is what orders the versions of a table.
+type Version struct{ Edition, Revision uint64 }
+
+// Version returns the table's version.
+func (t *Table) Version() Version { return Version{t.Edition, t.Revision} }
+
+// NewerThan reports whether a version is a newer one than another: by the operators' number
+// where they differ in it.
+func (v Version) NewerThan(other Version) bool {
+	if v.Edition != other.Edition {
+		return v.Edition > other.Edition
+	}
+	return v.Revision > other.Revision
+}
+
 // Account returns the row of the named account.
 func (t *Table) Account(name string) (Account, bool) {
 	i, ok := t.accounts[name]
--- a/pkg/wire/forward.go
+++ b/pkg/wire/forward.go
@@ -5,8 +5,8 @@
 type Forward struct {
 	// Stream is unique at the sender.
 	Stream uint64
-	// Revision is that of the table by which the sender looked at the request.
-	Revision uint64
+	// Edition and Revision are those of the table by which the sender looked at the request.
+	Edition, Revision uint64
 	// Data is what the caller sent first: the head of a request, and as much of its body
 	// as came with it.
 	Data []byte
--- a/pkg/wire/place.go
+++ b/pkg/wire/place.go
@@ -158,8 +158,8 @@
 	// Held is how many milliseconds ago the sender received that: on the receiver's
 	// clock, this was sent at Echo plus Held at the earliest.
 	Held int64
-	// AsOf is the platform's revision up to which the sender knows all.
-	AsOf uint64
+	// Epoch and AsOf are the platform's revision up to which the sender knows all.
+	Epoch, AsOf uint64
 	// Age is how long ago, in milliseconds, the sender knew that the platform
 	// had nothing newer than AsOf; -1 if it never did.
 	Age int64
@@ -205,8 +205,9 @@
 	Answer bool
 }
 
-// NewsAsk asks for what the platform published after a revision.
-type NewsAsk struct{ After uint64 }
+// NewsAsk asks for what the platform published after a revision: for everything if After is
+// 0, or if the platform is in another epoch by now.
+type NewsAsk struct{ Epoch, After uint64 }
 
 // News is what the platform published.
 type News struct{ catalog.News }
