Succeed a former start of a router whose clock was set back meanwhile

What was seen, by test: a router that starts again by a time of day before its former start is not heard by any other for 30 s. Each takes its number for that of an older start; it serves callers, but owns and relays nothing, and counts in nobody's shares.

Found by reading the code for it.

Change: who learns that others know a later start at its own address takes a number above that, and says so in a second Hello on the connections that there are and on later ones (as SWIM's members refute). incarnation_raised tells it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -42,6 +42,8 @@
 // Net carries messages to other routers by their addresses.
 type Net interface {
 	Send(to string, msg any)
+	// SetIncarnation changes of which start others are told that this router is.
+	SetIncarnation(inc uint64)
 	Inbox() <-chan peer.Inbound
 	Losses() <-chan peer.Lost
 }
--- a/internal/dispatch/fleet_model_test.go
+++ b/internal/dispatch/fleet_model_test.go
@@ -41,6 +41,8 @@
 )
 
 // Send implements Net.
+func (r *modelRouter) SetIncarnation(uint64) {}
+
 func (r *modelRouter) Send(to string, msg any) {
 	at := r.model.now + modelLink
 	r.model.underWay[at] = append(r.model.underWay[at], modelMessage{r.address, to, msg})
--- a/internal/dispatch/rosters.go
+++ b/internal/dispatch/rosters.go
@@ -109,8 +109,18 @@
 	if len(m.Entries) > 0 && !s.roster.Learn(s.now, from, roster.Report{Digest: m.Digest, Base: m.Base, List: list}) {
 		s.askRoster(from)
 	}
+	s.succeed()
 	if m.Answer {
 		s.tellRoster(from, false)
 	}
 	s.heardOfMembers()
 }
+
+// succeed takes a later incarnation if others know this router by one that is not before its
+// own, and so would not hear it.
+func (s *state) succeed() {
+	if inc := s.roster.Succeed(); inc > 0 {
+		s.d.opt.log.Warn("incarnation_raised", "incarnation", inc)
+		s.d.net.SetIncarnation(inc)
+	}
+}
--- a/internal/dispatch/rosters_test.go
+++ b/internal/dispatch/rosters_test.go
@@ -15,6 +15,7 @@
 // sentNet keeps what is sent.
 type sentNet struct{ sent []any }
 
+func (n *sentNet) SetIncarnation(uint64)      {}
 func (n *sentNet) Send(_ string, msg any)     { n.sent = append(n.sent, msg) }
 func (n *sentNet) Inbox() <-chan peer.Inbound { return nil }
 func (n *sentNet) Losses() <-chan peer.Lost   { return nil }
--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -39,6 +39,7 @@
 type oneWire struct{ in chan peer.Inbound }
 
 func (oneWire) Send(string, any)             {}
+func (oneWire) SetIncarnation(uint64)        {}
 func (w oneWire) Inbox() <-chan peer.Inbound { return w.in }
 func (oneWire) Losses() <-chan peer.Lost     { return nil }
 func (w oneWire) hear(from string, msg any) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,6 +91,7 @@
 	observer  front.Observer
 	scheduler func(*router.Router) front.Scheduler
 	clock     *clock.Clock
+	wall      func() time.Time
 }
 
 // Option changes a new Node.
@@ -105,6 +106,9 @@
 // WithClock sets the clock by which the router's beliefs age and its deadlines end.
 func WithClock(c *clock.Clock) Option { return func(o *options) { o.clock = c } }
 
+// WithWallClock sets what tells the time of day, by which the router's starts are told apart.
+func WithWallClock(now func() time.Time) Option { return func(o *options) { o.wall = now } }
+
 // WithPlatforms adds platforms by the names that settings give them.
 func WithPlatforms(p map[string]Platform) Option { return func(o *options) { o.platforms = p } }
 
@@ -131,6 +135,7 @@
 		log:       slog.Default(),
 		scheduler: func(r *router.Router) front.Scheduler { return r },
 		clock:     clock.System(),
+		wall:      time.Now,
 	}
 	for _, f := range opts {
 		f(&o)
@@ -157,7 +162,7 @@
 	}
 	n.ls = ls
 	n.burn = burn.New(s.Name, s.Objectives)
-	inc := uint64(time.Now().UnixNano())
+	inc := uint64(o.wall().UnixNano())
 	backendOpts := []backend.Option{
 		backend.WithDialer(o.dialer), backend.WithIdle(s.Backends.Idle), backend.WithMaxAnswer(s.Backends.MaxAnswerBytes), backend.WithClock(n.clock),
 	}
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -99,6 +99,10 @@
 
 func (n *Net) deliver(hello *wire.Hello, msgs []any) bool {
 	for _, msg := range msgs {
+		if again, isHello := msg.(*wire.Hello); isHello {
+			hello.Inc = again.Inc
+			continue
+		}
 		in := Inbound{From: identityOf(hello), Name: hello.Name, Zone: hello.Zone, Inc: hello.Inc, Msg: msg}
 		if n.opt.taken != nil && n.opt.taken(in) {
 			continue
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -9,7 +9,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -77,7 +79,6 @@
 
 // Net is a router's end of all connections to its peers.
 type Net struct {
-	hello  wire.Hello
 	opt    options
 	ln     net.Listener
 	inbox  chan Inbound
@@ -88,6 +89,7 @@
 	tasks  sync.WaitGroup
 
 	mu    sync.Mutex
+	hello wire.Hello
 	addrs map[string]string
 	out   map[string]*outbox
 	// waiting counts the messages that were not written yet.
@@ -175,6 +177,25 @@
 	return name, true
 }
 
+// SetIncarnation tells all peers, over the connections that there are and at the beginning of
+// later ones, that this router is of another start than it said.
+func (n *Net) SetIncarnation(inc uint64) {
+	n.mu.Lock()
+	n.hello.Inc = inc
+	hello := n.hello
+	to := slices.Collect(maps.Keys(n.out))
+	n.mu.Unlock()
+	for _, peer := range to {
+		n.Send(peer, &hello)
+	}
+}
+
+func (n *Net) currentHello() wire.Hello {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.hello
+}
+
 // Send puts a message into the peer's outbox and does not wait. It must not
 // be called after Close.
 func (n *Net) Send(to string, msg any) {
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -153,7 +153,7 @@
 	if c := o.net.opt.tls; c != nil {
 		conn = tls.Client(conn, clientConfig(c, o.to))
 	}
-	if err := writeHello(conn, o.net.hello); err != nil {
+	if err := writeHello(conn, o.net.currentHello()); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
--- a/pkg/roster/report.go
+++ b/pkg/roster/report.go
@@ -55,7 +55,11 @@
 		lives = before.lives
 	}
 	for _, k := range report.List {
-		if k.Address == r.self.Address || k.Ago >= ForgetAfter {
+		if k.Address == r.self.Address {
+			r.noteFormer(k.Inc)
+			continue
+		}
+		if k.Ago >= ForgetAfter {
 			continue
 		}
 		m := r.learnOf(now, k)
@@ -74,6 +78,13 @@
 	return fits || !relay
 }
 
+// noteFormer notes which start of this router another one knows of.
+func (r *Roster) noteFormer(inc uint64) {
+	if inc > r.self.Inc {
+		r.former = max(r.former, inc)
+	}
+}
+
 // believesAll reports whether this router believes all that another one says to
 // live: a relay of its zone, which serves it.
 func (r *Roster) believesAll(now time.Duration, from string) bool {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -99,6 +99,9 @@
 	vouched map[string]*vouching
 	// interval is the one in force.
 	interval time.Duration
+	// former is the latest start at this router's address that others know of, if that is
+	// not before this one.
+	former uint64
 	// started is when this router first looked whom to try, 0 before.
 	started time.Duration
 	// pause is the last time during which this router stood still.
@@ -146,6 +149,17 @@
 	return news
 }
 
+// Succeed gives this router a later incarnation than that of a former start at its address,
+// which others know of, and returns it: a time of day that was set back gives a start a
+// number that others take for a former one. It returns 0 if there is none to succeed.
+func (r *Roster) Succeed() uint64 {
+	if r.former == 0 {
+		return 0
+	}
+	r.self.Inc, r.former = r.former+1, 0
+	return r.self.Inc
+}
+
 func (r *Roster) get(now time.Duration, address string) *member {
 	m, ok := r.members[address]
 	if !ok {
