Tell everything to who asks for what came after a removal that is forgotten

What was seen, by test: a router that was suspended or cut off for over five minutes and then asks another one for what it missed keeps a backend server whose entry was removed meanwhile, until some router reads everything again. Callers' requests would go to its former address.

Cause: removals are remembered for five minutes, and news after a revision were told without those, as if complete.

TestRemovalThatIsForgotten failed before (a is shown still) and passes.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -91,6 +91,8 @@
 	warmUntil map[string]time.Duration
 	// goneAt is when an entry was heard to be gone, by name.
 	goneAt map[string]time.Duration
+	// forgotten is the last removal in this epoch that is not remembered any more.
+	forgotten uint64
 	// vanished are the entries that were removed within keep without having
 	// been marked first, by name; kept is how many of them the view holds.
 	vanished map[string]vanished
@@ -298,6 +300,7 @@
 func (c *Catalog) forget(now time.Duration) {
 	for name, at := range c.goneAt {
 		if now-at >= forgetAfter {
+			c.forgotten = max(c.forgotten, c.servers[name].Revision)
 			delete(c.goneAt, name)
 			delete(c.servers, name)
 		}
@@ -352,8 +355,12 @@
 	})
 }
 
-// Since returns what changed after a number of the current epoch, everything for 0.
+// Since returns what changed after a number of the current epoch, everything for 0 and where
+// a removal after it is forgotten.
 func (c *Catalog) Since(after uint64) News {
+	if after < c.forgotten {
+		after = 0
+	}
 	n := News{Epoch: c.asOf.Epoch, EpochAge: c.now - c.enteredAt, After: after, AsOf: c.asOf.Number}
 	if after >= c.asOf.Number {
 		n.After = c.asOf.Number
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -189,3 +189,18 @@
 		})
 	}
 }
+
+// TestRemovalThatIsForgotten asks a catalog for what came after a revision before a removal
+// which it has forgotten meanwhile: the entry does not stay for ever with who asks.
+func TestRemovalThatIsForgotten(t *testing.T) {
+	start := catalog.News{AsOf: 5, Table: tableAt(1), Servers: []catalog.Server{server("a", 2), server("b", 3)}}
+	told, suspended := catalog.New(), catalog.New()
+	told.Merge(0, start)
+	suspended.Merge(0, start)
+	told.Merge(0, catalog.News{After: 5, AsOf: 6, Servers: []catalog.Server{gone("a", 6)}})
+	told.Merge(time.Hour, catalog.News{After: 6, AsOf: 7, Servers: []catalog.Server{server("c", 7)}})
+	suspended.Merge(time.Hour, told.Since(suspended.AsOf().Number))
+	if diff := cmp.Diff(stateOf(told), stateOf(suspended)); diff != "" {
+		t.Errorf("catalogs differ (-told +suspended):\n%s", diff)
+	}
+}
