Have the soak's store come back from a copy, in a new era

The fault store-copy loses what was written in the 0.2 to 2.5 s before, once in 4.8 s on average, beside all other faults; operators and workers write it again within 1.2 s.

--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -284,6 +284,11 @@
 // configure writes a new version of the configuration.
 func (f *fleet) configure() {
 	f.version += 3
+	f.configureAgain()
+}
+
+// configureAgain writes the last version of the configuration.
+func (f *fleet) configureAgain() {
 	keys := []string{key}
 	if !f.revoked {
 		keys = append(keys, keyRevoked)
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -26,6 +26,9 @@
 	StoreDeaf   Fault = "store-deaf"
 	// StoreForget has the store forget its history.
 	StoreForget Fault = "store-forget"
+	// StoreCopy has the store be away and come back from a copy, which lacks what was
+	// written while the fault lasted, in a new era. What was lost is written again.
+	StoreCopy Fault = "store-copy"
 	// Configure writes a new version of the configuration.
 	Configure Fault = "configure"
 	// LinkSilent, LinkReset and LinkSlow harm the way to a worker.
@@ -78,6 +81,8 @@
 	calmStart = time.Second
 	// suspendGaps is how many times meanGap lies between suspensions.
 	suspendGaps = 6
+	// copyGaps is how many times meanGap lies between returns of the store from a copy.
+	copyGaps = 8
 	// writerGaps is how many times meanGap lies between the faults of writers.
 	writerGaps = 3
 )
@@ -102,6 +107,7 @@
 	}
 	plan = append(plan, drawWriters(rand.New(rand.NewPCG(seed, 1)), length, workers)...)
 	plan = append(plan, drawSuspensions(rand.New(rand.NewPCG(seed, 3)), length, routers)...)
+	plan = append(plan, drawCopies(rand.New(rand.NewPCG(seed, 4)), length)...)
 	plan = append(plan, drawDeadly(rand.New(rand.NewPCG(seed, 2)), length)...)
 	slices.SortStableFunc(plan, func(a, b Step) int { return int(a.At - b.At) })
 	return plan
@@ -135,6 +141,20 @@
 	}
 }
 
+// drawCopies draws when the store comes back from a copy.
+func drawCopies(rng *rand.Rand, length time.Duration) []Step {
+	var plan []Step
+	for at := calmStart; ; {
+		at += time.Duration(rng.ExpFloat64() * copyGaps * float64(meanGap))
+		if at >= length-shortest {
+			return plan
+		}
+		s := Step{At: at, For: shortest + time.Duration(rng.Int64N(int64(longest-shortest))), Fault: StoreCopy}
+		s.For = min(s.For, length-at)
+		plan = append(plan, s)
+	}
+}
+
 // drawDeadly draws when one request under which workers end is sent, in half of the runs.
 // Its kind is that of Target.
 func drawDeadly(rng *rand.Rand, length time.Duration) []Step {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -179,6 +179,8 @@
 		changes.Lock()
 		defer changes.Unlock()
 		f.configure()
+	case StoreCopy:
+		f.storeFromCopy(s, changes)
 	case StoreForget:
 		f.store.Forget()
 	case CallersReset:
@@ -247,6 +249,40 @@
 	}
 }
 
+// The times of a return from a copy: for how long the store is away, and within what time
+// operators and workers write again what they wrote.
+const (
+	leastAway  = 50 * time.Millisecond
+	mostAway   = 400 * time.Millisecond
+	againAfter = 1200 * time.Millisecond
+)
+
+// storeFromCopy has the store lose what is written during a fault. Operators and workers
+// write it again a moment later, each at a time of its own.
+func (f *fleet) storeFromCopy(s Step, changes *sync.Mutex) {
+	rng := f.draws(s)
+	held := f.store.Copy()
+	time.Sleep(s.For)
+	f.store.ComeBack(held, leastAway+time.Duration(rng.Int64N(int64(mostAway-leastAway))), nil)
+	var writers sync.WaitGroup
+	write := func(do func()) {
+		after := time.Duration(rng.Int64N(int64(againAfter)))
+		writers.Go(func() {
+			time.Sleep(after)
+			do()
+		})
+	}
+	write(func() {
+		changes.Lock()
+		defer changes.Unlock()
+		f.configureAgain()
+	})
+	for i := range f.workers {
+		write(func() { f.enterAgain(i) })
+	}
+	writers.Wait()
+}
+
 // draws returns what draws the details of a fault, the same for a seed each time.
 func (f *fleet) draws(s Step) *rand.Rand {
 	return rand.New(rand.NewPCG(uint64(s.At), uint64(s.Target)))
