--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -262,6 +262,7 @@
 	before := s.catalog.AsOf()
 	changed := s.catalog.Merge(s.now, e.News)
 	s.logUnusable(&e.News, e.from)
+	s.logOlder(&e)
 	asOf := s.catalog.AsOf()
 	s.d.shared.asOf.Store(&asOf)
 	if e.at > 0 && !e.reach().Before(asOf) {
@@ -283,6 +284,15 @@
 	}
 }
 
+// logOlder logs that what was read holds an older version of the table than the one in force,
+// as after the platform came back from a copy. Another router tells only what it has in force.
+func (s *state) logOlder(e *heard) {
+	if v := s.catalog.View(); v != nil && e.Table != nil && e.from == "" && v.Version().NewerThan(e.Table.Version()) {
+		s.d.opt.log.Warn("table_older", "edition", e.Table.Edition, "revision", e.Table.Revision, "epoch", e.Epoch,
+			"in_force_edition", v.Edition, "in_force_revision", v.Revision)
+	}
+}
+
 // reach is the revision up to which the news are complete.
 func (e heard) reach() catalog.Revision { return catalog.Revision{Epoch: e.Epoch, Number: e.AsOf} }
 
