--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -147,7 +147,7 @@
 // routers would else hold 60 MB at 3,000 backend servers. The message is not changed any more.
 func (s *state) newsFor(ask *wire.NewsAsk) *wire.News {
 	asOf := s.catalog.AsOf()
-	if ask.After > 0 && ask.Epoch == asOf.Epoch {
+	if ask.Epoch == asOf.Epoch && s.catalog.Remembers(ask.After) {
 		return &wire.News{News: s.catalog.Since(ask.After)}
 	}
 	if s.all.msg == nil || s.all.asOf != asOf || s.now-s.all.at >= allNewsFor {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -143,6 +143,7 @@
 type ticked struct{}
 
 func (ticked) apply(s *state) {
+	s.catalog.Verified(time.Duration(s.d.shared.verified.Load()))
 	if s.catalog.Refresh(s.now) {
 		s.inForce("")
 	}
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -45,11 +45,11 @@
 	AsOf uint64
 	// Table is the operators' table, nil if it did not change.
 	Table *table.Table
-	// Servers are the directory's entries that changed. If After is 0, those
-	// that are not listed are gone.
+	// Servers are the directory's entries that changed. Those that changed after After
+	// and are not listed are gone.
 	Servers []Server
-	// Zones are the marks of availability zones that changed. If After is 0,
-	// zones that are not listed are open.
+	// Zones are the marks of availability zones that changed. Zones that were closed
+	// after After and are not listed are open.
 	Zones []Zone
 	// Kept is what a router keeps of earlier epochs, nil if nothing.
 	Kept *Kept
@@ -70,6 +70,8 @@
 	asOf Revision
 	// enteredAt is when the current epoch was first heard of by anybody.
 	enteredAt time.Duration
+	// verifiedAt is when nothing newer than asOf was known to be published.
+	verifiedAt time.Duration
 	// change is what was known before, while a list of a new epoch is taken in.
 	change *epochChange
 	// history is of the current epoch.
@@ -91,8 +93,12 @@
 	warmUntil map[string]time.Duration
 	// goneAt is when an entry was heard to be gone, by name.
 	goneAt map[string]time.Duration
-	// forgotten is the last removal in this epoch that is not remembered any more.
-	forgotten uint64
+	// recordFrom is the number of the current epoch after which all removals are remembered:
+	// what was there before this catalog knew anything may have gone unheard of.
+	recordFrom uint64
+	// jumps are the latest steps between whole lists after that: what came and went within
+	// one is not known.
+	jumps []jump
 	// vanished are the entries that were removed within keep without having
 	// been marked first, by name; kept is how many of them the view holds.
 	vanished map[string]vanished
@@ -156,6 +162,9 @@
 	if n.Epoch > c.asOf.Epoch {
 		c.enter(now, &n)
 	}
+	if whole {
+		c.noteJump(n.AsOf)
+	}
 	changed := c.mergeTable(n.Table)
 	for _, s := range n.Servers {
 		changed = c.mergeServer(now, s) || changed
@@ -167,7 +176,7 @@
 		c.change.finish(now)
 		c.change = nil
 	}
-	if whole {
+	if n.AsOf > c.asOf.Number {
 		changed = c.dropUnlisted(now, &n) || changed
 		changed = c.openUnlisted(now, &n) || changed
 	}
@@ -213,10 +222,12 @@
 	return c.view == nil || len(c.servers) <= joinsAtOnce || now-c.joinedAt >= joinEach*time.Duration(len(c.servers))
 }
 
+// mergeServer takes in an entry unless a later change of it is known, or all is known up to its
+// own.
 func (c *Catalog) mergeServer(now time.Duration, s Server) bool {
 	name := s.Backend.Name
 	old, known := c.servers[name]
-	if known && old.Revision >= s.Revision {
+	if known && old.Revision >= s.Revision || s.Revision <= c.asOf.Number {
 		return false
 	}
 	c.history.note(s.Revision, s.digest())
@@ -271,7 +282,8 @@
 	return kept || old.Backend.Mark != s.Backend.Mark
 }
 
-// dropUnlisted takes away the entries that complete news do not hold.
+// dropUnlisted takes away the entries that changed last after the revision since which the
+// news are complete, and which they do not hold: they are gone by now.
 func (c *Catalog) dropUnlisted(now time.Duration, n *News) bool {
 	listed := make(map[string]bool, len(n.Servers))
 	for _, s := range n.Servers {
@@ -282,7 +294,7 @@
 	}
 	changed := false
 	for name, s := range c.servers {
-		if listed[name] || s.Gone || s.Revision > n.AsOf {
+		if s.Gone || s.Revision <= n.After || s.Revision > n.AsOf || listed[name] {
 			continue
 		}
 		s, _ = c.current(name)
@@ -300,7 +312,7 @@
 func (c *Catalog) forget(now time.Duration) {
 	for name, at := range c.goneAt {
 		if now-at >= forgetAfter {
-			c.forgotten = max(c.forgotten, c.servers[name].Revision)
+			c.recordFrom = max(c.recordFrom, c.servers[name].Revision)
 			delete(c.goneAt, name)
 			delete(c.servers, name)
 		}
@@ -356,11 +368,9 @@
 }
 
 // Since returns what changed after a number of the current epoch, everything for 0 and where
-// a removal after it is forgotten.
+// not all removals after it are remembered.
 func (c *Catalog) Since(after uint64) News {
-	if after < c.forgotten {
-		after = 0
-	}
+	after = c.recordedFrom(after)
 	n := News{Epoch: c.asOf.Epoch, EpochAge: c.now - c.enteredAt, After: after, AsOf: c.asOf.Number}
 	if after >= c.asOf.Number {
 		n.After = c.asOf.Number
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -77,6 +77,12 @@
 		"entry removed": {[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 12)}}}, state{12, 4, []string{"b"}, nil}},
 		"late news do not bring an entry back": {
 			[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 12)}}, whole}, state{12, 4, []string{"b"}, nil}},
+		"late news of an entry that went unheard of": {
+			[]catalog.News{{AsOf: 9, Table: tableAt(4), Servers: []catalog.Server{server("b", 9)}}, {AsOf: 8, Table: tableAt(4), Servers: []catalog.Server{server("a", 7)}, Zones: []catalog.Zone{closed("x", 6)}}},
+			state{9, 4, []string{"b"}, nil}},
+		"late news of an entry that came and went unheard of": {
+			[]catalog.News{whole, {After: 10, AsOf: 11, Servers: []catalog.Server{gone("a", 11)}}, {AsOf: 14, Table: tableAt(4), Servers: []catalog.Server{server("b", 9)}}, {After: 11, AsOf: 12, Servers: []catalog.Server{server("a", 12)}}},
+			state{14, 4, []string{"b"}, nil}},
 		"an entry written anew comes back": {
 			[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 12)}}, {After: 12, AsOf: 13, Servers: []catalog.Server{server("a", 13)}}},
 			state{13, 4, []string{"a", "b"}, nil}},
@@ -204,3 +210,38 @@
 		t.Errorf("catalogs differ (-told +suspended):\n%s", diff)
 	}
 }
+
+// TestRemovalThatTheTellerNeverHeardOf asks a catalog that knows nothing from before a removal
+// for what came after a revision before it.
+func TestRemovalThatTheTellerNeverHeardOf(t *testing.T) {
+	before := catalog.News{AsOf: 5, Table: tableAt(1), Servers: []catalog.Server{server("a", 2), server("b", 3)}, Zones: []catalog.Zone{closed("x", 4)}}
+	after := catalog.News{AsOf: 8, Table: tableAt(1), Servers: []catalog.Server{server("b", 3), server("c", 8)}}
+	tests := map[string][]catalog.News{
+		"who has just started":                {after},
+		"and follows the platform since":      {after, {After: 8, AsOf: 9, Servers: []catalog.Server{server("d", 9)}}},
+		"who read all again":                  {{AsOf: 6, Table: tableAt(1), Servers: []catalog.Server{server("b", 3)}, Zones: []catalog.Zone{closed("x", 4)}}, after},
+		"who never knew what came and went":   {{AsOf: 5, Table: tableAt(1), Servers: []catalog.Server{server("a", 2), server("b", 3)}, Zones: []catalog.Zone{closed("x", 4)}}, after},
+		"who was told all by one of the same": {after, after},
+	}
+	for name, heard := range tests {
+		t.Run(name, func(t *testing.T) {
+			teller, asks := catalog.New(), catalog.New()
+			for _, n := range heard {
+				teller.Merge(0, n)
+			}
+			asks.Merge(0, before)
+			// It hears of what comes and goes again meanwhile, and not that it goes.
+			asks.Merge(0, catalog.News{After: 5, AsOf: 7, Servers: []catalog.Server{gone("a", 6), server("e", 7)}})
+			asks.Merge(0, teller.Since(asks.AsOf().Number))
+			if diff := cmp.Diff(stateOf(teller), stateOf(asks)); diff != "" {
+				t.Errorf("catalogs differ (-teller +asks):\n%s", diff)
+			}
+			late := catalog.New()
+			late.Merge(0, before)
+			late.Merge(0, teller.Since(late.AsOf().Number))
+			if diff := cmp.Diff(stateOf(teller), stateOf(late)); diff != "" {
+				t.Errorf("catalogs differ (-teller +late):\n%s", diff)
+			}
+		})
+	}
+}
--- a/pkg/catalog/epoch.go
+++ b/pkg/catalog/epoch.go
@@ -72,6 +72,10 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.keptServers)) {
 		x := c.keptServers[name]
+		if x.item.Gone && x.Over == 0 {
+			// It only stands against what others keep.
+			continue
+		}
 		k.Servers = append(k.Servers, KeptServer{Server: x.item, Stands: x.at(c.now)})
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.keptZones)) {
@@ -96,7 +100,7 @@
 	e.servers, e.zones = c.allServers(), c.allZones()
 	c.asOf = Revision{Epoch: n.Epoch}
 	c.enteredAt = now - n.EpochAge
-	c.history, c.forgotten = history{}, 0
+	c.history = history{}
 	c.keptServers, c.keptZones = map[string]kept[Server]{}, map[string]kept[Zone]{}
 	c.tableKept = c.table != nil
 	for name, s := range c.servers {
@@ -147,16 +151,14 @@
 	}
 	delete(c.servers, name)
 	delete(c.goneAt, name)
-	switch {
-	case old.item.Gone:
-	case e.wasListed(old.Origin):
+	if !old.item.Gone && e.wasListed(old.Origin) {
 		// The copy had it, so it was removed since.
 		c.servers[name] = Server{Revision: e.listed.AsOf, Gone: true, Backend: table.Backend{Name: name}}
 		c.goneAt[name] = now
 		c.vanish(now, old.item)
-	default:
-		c.keptServers[name] = kept[Server]{item: old.item, until: c.enteredAt + c.lostFor, Stands: Stands{Origin: old.Origin}}
+		return
 	}
+	c.keptServers[name] = kept[Server]{item: old.item, until: c.enteredAt + c.lostFor, Stands: Stands{Origin: old.Origin}}
 }
 
 func (e *epochChange) finishZone(name string, old kept[Zone]) {
@@ -305,9 +307,11 @@
 // dropKept ends what was kept for long enough, and reports whether there was any.
 func (c *Catalog) dropKept(now time.Duration) bool {
 	before := len(c.keptServers) + len(c.keptZones)
-	maps.DeleteFunc(c.keptServers, func(_ string, k kept[Server]) bool { return now >= k.until })
+	maps.DeleteFunc(c.keptServers, func(_ string, k kept[Server]) bool {
+		return c.hasEnded(now, k.until) || k.Over == 0 && now >= k.until
+	})
 	maps.DeleteFunc(c.keptZones, func(name string, k kept[Zone]) bool {
-		if now < k.until {
+		if !c.hasEnded(now, k.until) {
 			return false
 		}
 		if z := c.zones[name]; k.item.Closed && !z.Closed {
@@ -323,6 +327,15 @@
 	return true
 }
 
+// Verified notes that nothing newer was published at a time than what is known.
+func (c *Catalog) Verified(at time.Duration) { c.verifiedAt = max(c.verifiedAt, at) }
+
+// hasEnded reports whether something has been kept for long enough: it is only given up by who
+// has heard since that nothing else is published.
+func (c *Catalog) hasEnded(now, until time.Duration) bool {
+	return now >= until && c.verifiedAt >= until
+}
+
 // current returns an entry as it counts.
 func (c *Catalog) current(name string) (s Server, ok bool) {
 	if k, isKept := c.keptServers[name]; isKept {
--- a/pkg/catalog/epoch_test.go
+++ b/pkg/catalog/epoch_test.go
@@ -159,6 +159,7 @@
 			if diff := cmp.Diff(tc.first, show(c)); diff != "" {
 				t.Errorf("at first (-want +got):\n%s", diff)
 			}
+			c.Verified(settled)
 			c.Refresh(settled)
 			if diff := cmp.Diff(tc.later, show(c)); diff != "" {
 				t.Errorf("in the end (-want +got):\n%s", diff)
--- a/pkg/catalog/zone.go
+++ b/pkg/catalog/zone.go
@@ -24,11 +24,11 @@
 	opened time.Duration
 }
 
-// mergeZone takes a mark in unless a newer one is known, so that an older closing
-// cannot overtake an opening.
+// mergeZone takes a mark in unless a newer one is known, or all is known up to its own, so
+// that an older closing cannot overtake an opening.
 func (c *Catalog) mergeZone(now time.Duration, z Zone) bool {
 	old := c.zones[z.Name]
-	if old.Revision >= z.Revision {
+	if old.Revision >= z.Revision || z.Revision <= c.asOf.Number {
 		return false
 	}
 	c.history.note(z.Revision, z.digest())
@@ -42,7 +42,8 @@
 	return wasClosed != z.Closed
 }
 
-// openUnlisted opens the zones that complete news do not list as closed.
+// openUnlisted opens the zones that were closed after the revision since which the news are
+// complete, and which they do not list.
 func (c *Catalog) openUnlisted(now time.Duration, n *News) bool {
 	listed := make(map[string]bool, len(n.Zones))
 	for _, z := range n.Zones {
@@ -53,7 +54,7 @@
 	}
 	changed := false
 	for _, name := range slices.Sorted(maps.Keys(c.zones)) {
-		if z := c.zones[name]; z.Closed && !listed[name] && z.Revision < n.AsOf {
+		if z := c.zones[name]; z.Closed && !listed[name] && z.Revision > n.After && z.Revision < n.AsOf {
 			changed = c.mergeZone(now, Zone{Revision: n.AsOf, Name: name}) || changed
 		}
 	}
