--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -13,6 +13,10 @@
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
 
+// errDraining is a refusal that has not run.
+var errDraining = verdict.New(verdict.PhaseAdmit, http.StatusServiceUnavailable, "draining",
+	"this entry instance is stopping; send the request again")
+
 var errGone = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "stopping", "this entry instance is stopping; send the request again")
 
 // decision is what became of an attempt.
@@ -21,6 +25,10 @@
 	start  admit.Start
 	err    *verdict.Error
 	waited time.Duration
+	// at is when it was taken.
+	at time.Duration
+	// served counts its tokens, where it was started.
+	served *atomic.Int64
 }
 
 // attempt is a request that a caller's task waits for.
@@ -57,20 +65,27 @@
 	if got.err != nil {
 		return front.Grant{}, got.err
 	}
-	given := d.opt.clock.Now()
 	return front.Grant{
 		ID: got.id, Backend: got.start.Backend.Name, Address: got.start.Backend.Address, Born: got.start.Backend.Born, Why: got.start.Why,
 		FetchFrom: got.start.FetchFrom, Connections: d.connectionsPart(r.Model),
 		Ahead: got.start.Ahead, Expected: got.start.Expected, Running: got.start.Running,
-		Served: &atomic.Int64{}, Waited: r.Waited + got.waited,
+		Served: got.served, Waited: r.Waited + got.waited,
 		First:   func() { d.post(began{got.id}) },
 		Said:    func(w backend.Said) { d.post(said{got.id, w}) },
 		Hurried: d.Hurried,
 		// A router that stood still for longer has lost its place to another.
-		MayStart: func() bool { return d.opt.clock.Since(given) < admit.EntryLostAfter },
+		MayStart: func() bool { return d.now()-got.at < d.startWithin() },
 	}, nil
 }
 
+// startWithin is how long a place may be used after it was given.
+func (d *Dispatcher) startWithin() time.Duration {
+	if d.opt.weights {
+		return admit.StartWithin
+	}
+	return admit.EntryLostAfter
+}
+
 // restingPart of the connections that a backend server takes is divided among the
 // routers; the rest is for those that carry requests, of which one router may have
 // many while others have none.
@@ -96,7 +111,7 @@
 
 // Release implements front.Scheduler.
 func (d *Dispatcher) Release(g front.Grant, u front.Usage) {
-	e := ended{id: g.ID, result: resultOf(u), request: u.Request, cut: wasCut(u), whole: u.Error == nil && u.Status < http.StatusInternalServerError}
+	e := ended{id: g.ID, tokens: u.Tokens, result: resultOf(u), request: u.Request, cut: wasCut(u), whole: u.Error == nil && u.Status < http.StatusInternalServerError}
 	if u.Digest != nil {
 		e.digest = suspect.Digest(u.Digest())
 	}
@@ -165,6 +180,10 @@
 	s.nextID++
 	id := s.nextID
 	s.waiting[id] = e.attempt
+	if s.d.opt.weights && s.d.Draining() {
+		s.reply(id, decision{err: errDraining.After(time.Second)})
+		return
+	}
 	r := &e.request
 	if r.Attempt == 0 {
 		s.allowance.Request(s.now, r.Model)
@@ -173,7 +192,7 @@
 		ID: id, Service: r.Model, Account: r.Account, AccountRank: r.AccountRank, Rank: r.Rank, Prefix: r.Prefix,
 		Prompt: r.Prompt, Shared: r.Shared, Output: r.Output, Target: r.Target, Patience: r.Patience,
 		Deadline: s.now + r.Deadline.Sub(e.at), Again: r.Attempt > 0, Begun: r.Begun, Avoid: r.Avoid,
-		Answering: r.Answering, Digest: e.digest,
+		Answering: r.Answering, Digest: e.digest, Priority: r.Priority,
 	}})
 }
 
@@ -184,7 +203,7 @@
 		return
 	}
 	delete(s.waiting, id)
-	got.id = id
+	got.id, got.at = id, s.now
 	a.answer <- got
 }
 
@@ -202,11 +221,25 @@
 	}
 	select {
 	case got := <-e.answer:
+		delete(s.served, got.id)
 		s.step(admit.Cancel{ID: got.id})
 	default:
 	}
 }
 
+// drained has what waits refused: the router takes nothing more.
+type drained struct{}
+
+func (drained) apply(s *state) {
+	if !s.d.opt.weights {
+		return
+	}
+	for id := range s.waiting {
+		s.step(admit.Cancel{ID: id})
+		s.reply(id, decision{err: errDraining.After(time.Second)})
+	}
+}
+
 type began struct{ id uint64 }
 
 func (e began) apply(s *state) { s.step(admit.First{ID: e.id}) }
@@ -228,12 +261,15 @@
 	request    string
 	digest     suspect.Digest
 	cut, whole bool
+	// tokens is what it has used.
+	tokens int64
 }
 
 func (e ended) apply(s *state) {
 	result := blamed(e.result, s.d.Hurried())
 	s.ending = e.request
-	s.step(admit.End{ID: e.id, Result: result, Digest: e.digest, Cut: e.cut && result != admit.Unknown, Whole: e.whole})
+	delete(s.served, e.id)
+	s.step(admit.End{ID: e.id, Tokens: e.tokens, Result: result, Digest: e.digest, Cut: e.cut && result != admit.Unknown, Whole: e.whole})
 	s.ending = ""
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,7 +12,6 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/clock"
 	"github.com/yarrowmast/yarrowmast/internal/forward"
-	"github.com/yarrowmast/yarrowmast/internal/front"
 	"github.com/yarrowmast/yarrowmast/internal/peer"
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/pkg/allowance"
@@ -125,8 +124,14 @@
 	// forwarder is told of the other routers, nil if nothing is handed on.
 	forwarder Forwarder
 	clock     *clock.Clock
+	// wall tells the time of day, by which callers say when they first used a key.
+	wall func() time.Time
 	// core are passed on to the decisions.
 	core []admit.Option
+	// weights says that accounts are served by their weights.
+	weights bool
+	// loads reads those of backend servers, nil if nobody does.
+	loads Loads
 }
 
 // Forwarder hands callers' connections on to other routers.
@@ -179,7 +184,7 @@
 	d := &Dispatcher{
 		id: id, source: source, net: n, begun: time.Now(),
 		opt: options{
-			log: slog.Default(), rule: allowance.DefaultRule(), applyWithin: DefaultApplyWithin, draw: rand.Float64, clock: clock.System(),
+			log: slog.Default(), rule: allowance.DefaultRule(), applyWithin: DefaultApplyWithin, draw: rand.Float64, clock: clock.System(), wall: time.Now,
 		},
 		events: make(chan event, inboxSize), ctx: ctx, cancel: cancel, screen: newScreen(),
 	}
@@ -207,7 +212,11 @@
 
 // Start starts the tasks.
 func (d *Dispatcher) Start() {
-	for _, task := range []func(){d.run, d.watch, d.verify, d.measureLag} {
+	tasks := []func(){d.run, d.watch, d.verify, d.measureLag}
+	if l, ok := d.source.(Lister); ok {
+		tasks = append(tasks, func() { d.watchInstances(l) })
+	}
+	for _, task := range tasks {
 		d.tasks.Add(1)
 		go func() {
 			defer d.tasks.Done()
@@ -222,6 +231,9 @@
 	d.tasks.Wait()
 }
 
+// Closed reports whether Close was called.
+func (d *Dispatcher) Closed() bool { return d.ctx.Err() != nil }
+
 // clockStart is what the dispatcher's clock shows at its start, so that no
 // moment is the zero time.
 const clockStart = time.Hour
@@ -284,14 +296,11 @@
 // Table implements front.Scheduler.
 func (d *Dispatcher) Table() *table.Table { return d.shared.view.Load() }
 
-// Claim implements front.Scheduler.
-func (d *Dispatcher) Claim(context.Context, front.Claim) error { return nil }
-
-// Unclaim implements front.Scheduler.
-func (d *Dispatcher) Unclaim(front.Claim) {}
-
 // Drain makes the router leave: others are told, and what waits is refused.
-func (d *Dispatcher) Drain() { d.shared.draining.Store(true) }
+func (d *Dispatcher) Drain() {
+	d.shared.draining.Store(true)
+	d.post(drained{})
+}
 
 // Draining reports whether Drain was called.
 func (d *Dispatcher) Draining() bool { return d.shared.draining.Load() }
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -61,6 +61,10 @@
 		s.hear(e.Inbound, m)
 	case *wire.Ask, *wire.Reply, *wire.Note, *wire.Sync, *wire.Leaving, *wire.Suspects:
 		s.step(admit.Message{From: e.From, Msg: m})
+	case *wire.Uses:
+		s.hearUses(e.Inbound, m)
+	case *wire.Claim, *wire.ClaimVoid, *wire.ClaimAnswer:
+		s.receiveClaim(e.From, m)
 	case *wire.Roster:
 		s.learnRoster(e.From, m)
 	case *wire.NewsAsk:
@@ -251,12 +255,16 @@
 // tell sends one router what it is to know.
 func (s *state) tell(to string, t *admit.Telling, scope wire.Scope, copies []wire.Copy) {
 	m := s.stateFor(to)
-	m.Scope, m.Accounts, m.Copies = scope, t.For(scope, to), copies
+	m.Scope, m.Copies = scope, copies
+	if !s.d.opt.weights {
+		m.Accounts = t.For(scope, to)
+	}
 	if s.talk.Relay {
 		m.Roster = s.digest
 		s.tellRosterChanges(to, s.link(to))
 	}
 	s.d.net.Send(to, m)
+	s.tellUses(to, t, scope)
 }
 
 // gossip tells one router in turn whom this one knows, where there are no relays
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
@@ -39,6 +41,15 @@
 	// each router in it came to be told as it is.
 	changes uint64
 	changed map[string]rosterChange
+	// keys is this router's part in the use of idempotency keys.
+	keys *keys
+	// served counts the tokens of requests that run, by their ids, where accounts are served
+	// by their weights.
+	served map[uint64]*atomic.Int64
+	// loads ends the readers of loads by the names of backend servers; ownedAt is when was
+	// last looked which are owned.
+	loads   map[string]context.CancelFunc
+	ownedAt time.Duration
 	// ending is the caller's id of the request whose attempt's end is taken in now.
 	ending string
 	// cleared counts ends of requests that are not remembered any more, by the reason.
@@ -87,6 +98,9 @@
 		allowance: allowance.New(d.opt.rule, now),
 		rule:      d.opt.rule,
 		links:     map[string]*link{},
+		keys:      newKeys(d.id.Address, now, d.opt.wall()),
+		served:    map[uint64]*atomic.Int64{},
+		loads:     map[string]context.CancelFunc{},
 		cleared:   map[suspect.Why]int64{},
 		pace:      admit.NewPace(d.id.Capacity),
 		waiting:   map[uint64]*attempt{},
@@ -112,19 +126,27 @@
 func (s *state) notePause() {
 	gap, suspended := s.now-s.lastRun, s.d.opt.clock.Suspended()
 	if gap >= pausedAfter {
-		s.roster.Paused(s.lastRun, s.now)
+		s.stoodStill(s.lastRun)
 		missing := suspended - s.suspended
 		s.d.opt.log.Warn("router_was_paused", "gap_ms", gap.Milliseconds(), "suspended_ms", missing.Milliseconds(), "steady_ms", (gap - missing).Milliseconds())
 	}
 	s.lastRun, s.suspended = s.now, suspended
 }
 
+// stoodStill takes in that this router did nothing since a moment.
+func (s *state) stoodStill(from time.Duration) {
+	s.roster.Paused(from, s.now)
+	if s.now-from >= vouchesUpTo {
+		s.keys.homes.Woke(s.now + s.keys.wall)
+	}
+}
+
 // step lets the core take an event and does what it says.
 func (s *state) step(ev admit.Event) {
 	for _, a := range s.core.Step(s.now, ev) {
 		switch a := a.(type) {
 		case admit.Start:
-			s.reply(a.ID, decision{start: a, waited: a.Waited})
+			s.reply(a.ID, decision{start: a, waited: a.Waited, served: s.countFor(a.ID)})
 		case admit.Refuse:
 			s.logHeldBack(a)
 			s.reply(a.ID, decision{err: a.Err, waited: a.Waited})
@@ -147,7 +169,10 @@
 	if s.catalog.Refresh(s.now) {
 		s.inForce("")
 	}
+	s.noteProgress()
 	s.step(admit.Tick{})
+	s.tickKeys()
+	s.followLoads()
 	if s.membersDue {
 		s.heardOfMembers()
 	}
--- /dev/null
+++ b/internal/dispatch/world_test.go
@@ -0,0 +1,591 @@
+package dispatch
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/front"
+	"github.com/yarrowmast/yarrowmast/internal/peer"
+	"github.com/yarrowmast/yarrowmast/internal/platform"
+	"github.com/yarrowmast/yarrowmast/pkg/admit"
+	"github.com/yarrowmast/yarrowmast/pkg/catalog"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// world runs the states of several routers on a simulated clock, network,
+// platform and backend servers, in one goroutine and always in one order.
+type world struct {
+	now     time.Duration
+	routers map[string]*simRouter
+	names   []string
+	// links are what is under way, by its moment and then by its order.
+	links   []delivery
+	order   uint64
+	cut     map[string]bool // a zone or a router that is cut off
+	paused  map[string]bool
+	servers map[string]*simServer
+	table   table.Table
+	rev     uint64
+	stale   bool
+	shown   uint64
+	past    map[uint64]table.Table
+	asks    map[string]*simAsk
+	log     []string
+	broken  []string
+	highest map[string]uint64
+	granted map[string]string // idempotency key to the request that may run
+	used    map[string]int64  // idempotency key to its first use
+	// faultAt is the last moment at which anything was cut, paused, down or
+	// stale: promises with a time count from there.
+	faultAt time.Duration
+	// splitAt is the last moment at which a router was cut off from its own
+	// zone, so that a pool could have two owners.
+	splitAt time.Duration
+}
+
+type delivery struct {
+	at       time.Duration
+	order    uint64
+	from, to string
+	zone     string
+	inc      uint64
+	payload  []byte
+}
+
+type simServer struct {
+	row      table.Backend
+	inFlight int
+	most     int
+	closedAt time.Duration
+}
+
+type simRouter struct {
+	w    *world
+	name string
+	zone string
+	up   bool
+	inc  uint64
+	// startedAt is when it was started, toldAt when it last ran.
+	startedAt, lastAt time.Duration
+	*state
+	out map[string]*simLink
+	in  map[string]*wire.Decoder
+}
+
+type simLink struct {
+	buf bytes.Buffer
+	enc *wire.Encoder
+}
+
+type simAsk struct {
+	id      string
+	router  string
+	req     front.Request
+	key     string
+	tokens  int64
+	attempt *attempt
+	until   time.Duration
+	claim   chan error
+	// grant is the number of its attempt at the router.
+	grant   uint64
+	done    bool
+	started bool
+	server  string
+	inc     uint64
+	// ends is when the backend server will have served all tokens.
+	ends time.Duration
+}
+
+const (
+	simStep    = 10 * time.Millisecond
+	nearDelay  = time.Millisecond
+	farDelay   = 3 * time.Millisecond
+	tokenEvery = 5 * time.Millisecond
+	simStart   = 1_700_000_000 * time.Second
+)
+
+func newWorld(zones map[string]int, servers []table.Backend, accounts []table.Account) *world {
+	w := &world{
+		now: simStart, routers: map[string]*simRouter{}, cut: map[string]bool{}, paused: map[string]bool{},
+		servers: map[string]*simServer{}, past: map[uint64]table.Table{}, asks: map[string]*simAsk{},
+		highest: map[string]uint64{}, granted: map[string]string{}, used: map[string]int64{},
+	}
+	for i := range accounts {
+		sum := sha256.Sum256([]byte(accounts[i].Name))
+		accounts[i].KeySHA256 = hex.EncodeToString(sum[:])
+		accounts[i].Limits.Queued = table.DefaultQueued
+	}
+	w.table = table.Table{Accounts: accounts, Backends: servers}
+	for _, s := range servers {
+		w.servers[s.Name] = &simServer{row: s}
+	}
+	w.publish()
+	for _, z := range sortedNames(zones) {
+		for i := range zones[z] {
+			name := fmt.Sprintf("%s-%d", z, i)
+			w.routers[name] = &simRouter{w: w, name: name, zone: z}
+			w.names = append(w.names, name)
+		}
+	}
+	sort.Strings(w.names)
+	for _, n := range w.names {
+		w.start(n)
+	}
+	return w
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for n := range m {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (w *world) note(format string, args ...any) {
+	at := (w.now - simStart).Milliseconds()
+	w.log = append(w.log, fmt.Sprintf("%6d ms  %s", at, fmt.Sprintf(format, args...)))
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("at %s: ", w.now-simStart)+fmt.Sprintf(format, args...))
+}
+
+func (w *world) publish() {
+	w.rev++
+	t := w.table
+	t.Backends = append([]table.Backend(nil), w.table.Backends...)
+	t.Accounts = append([]table.Account(nil), w.table.Accounts...)
+	w.past[w.rev] = t
+	if !w.stale {
+		w.shown = w.rev
+	}
+}
+
+// start starts a router without memory, as a replaced instance.
+func (w *world) start(name string) {
+	r := w.routers[name]
+	r.up = true
+	r.inc = uint64(w.now)
+	r.out = map[string]*simLink{}
+	r.in = map[string]*wire.Decoder{}
+	r.startedAt, r.lastAt = w.now, w.now
+	d := New(Identity{Name: name, Address: name, Zone: r.zone, Inc: r.inc}, noSource{}, r,
+		WithLogger(slog.New(slog.DiscardHandler)), WithWeights())
+	d.opt.wall = func() time.Time { return time.Unix(0, int64(w.now)) }
+	r.state = newState(d)
+	r.step(listed{platform.Instances{Revision: 1, Instances: w.list()}})
+}
+
+func (w *world) stop(name string) {
+	r := w.routers[name]
+	r.up = false
+	r.d.Close()
+	for _, n := range w.names {
+		w.breakLink(delivery{from: n, to: name, inc: w.routers[n].inc})
+	}
+	for _, id := range sortedNames(w.asks) {
+		a := w.asks[id]
+		if a.router != name || a.done {
+			continue
+		}
+		a.done = true
+		w.note("%s: %s ends with its router", name, id)
+		if a.started {
+			w.servers[a.server].inFlight--
+		}
+	}
+}
+
+func (w *world) list() []platform.Instance {
+	var list []platform.Instance
+	for _, n := range w.names {
+		list = append(list, platform.Instance{Name: n, Zone: w.routers[n].zone, Address: n, State: "live"})
+	}
+	return list
+}
+
+// Send implements Net: the message goes through the real codec.
+func (r *simRouter) SetIncarnation(uint64) {}
+
+func (r *simRouter) Send(to string, msg any) {
+	l, ok := r.out[to]
+	if !ok {
+		l = &simLink{}
+		l.enc = wire.NewEncoder(&l.buf)
+		r.out[to] = l
+	}
+	l.buf.Reset()
+	if err := l.enc.Append(msg); err != nil {
+		panic(err)
+	}
+	delay := nearDelay
+	other, known := r.w.routers[to]
+	if known && other.zone != r.zone {
+		delay = farDelay
+	}
+	r.w.order++
+	r.w.links = append(r.w.links, delivery{
+		at: r.w.now + delay, order: r.w.order, from: r.name, to: to, zone: r.zone, inc: r.inc,
+		payload: append([]byte(nil), l.buf.Bytes()...),
+	})
+}
+
+func (r *simRouter) Inbox() <-chan peer.Inbound { return nil }
+func (r *simRouter) Losses() <-chan peer.Lost   { return nil }
+
+// step has a router take in an event, as its task would.
+func (r *simRouter) step(ev event) {
+	s := r.state
+	s.now = clockStart + r.w.now - r.startedAt
+	if r.w.now-r.lastAt >= pausedAfter {
+		s.stoodStill(clockStart + r.lastAt - r.startedAt)
+	}
+	r.lastAt = r.w.now
+	before := r.tableRevision()
+	ev.apply(s)
+	if rev := r.tableRevision(); rev != before {
+		r.w.inForce(r, rev)
+	}
+}
+
+func (r *simRouter) tableRevision() uint64 {
+	if t := r.d.Table(); t != nil {
+		return t.Revision
+	}
+	return 0
+}
+
+// inForce checks that no router goes back to an older table.
+func (w *world) inForce(r *simRouter, rev uint64) {
+	w.note("%s: table %d in force", r.name, rev)
+	if rev < w.highest[r.name] {
+		w.fail("%s went back from table %d to %d", r.name, w.highest[r.name], rev)
+	}
+	w.highest[r.name] = rev
+}
+
+// joined reports whether messages pass between two routers now.
+func (w *world) joined(a, b *simRouter) bool {
+	if w.cut[a.name] || w.cut[b.name] {
+		return false
+	}
+	return a.zone == b.zone || !w.cut[a.zone] && !w.cut[b.zone]
+}
+
+// run lets time pass, calling each before every step.
+func (w *world) run(until time.Duration, each func()) {
+	for w.now < until {
+		w.now += simStep
+		each()
+		if w.faulty() {
+			w.faultAt = w.now
+		}
+		for _, n := range w.names {
+			if w.cut[n] {
+				w.splitAt = w.now
+			}
+		}
+		w.deliver()
+		for _, n := range w.names {
+			r := w.routers[n]
+			if !r.up || w.paused[n] {
+				continue
+			}
+			w.readPlatform(r)
+			r.step(ticked{})
+		}
+		w.feedLoads()
+		w.deliver()
+		w.collect()
+	}
+}
+
+// settled is how long after a split a zone may still have two owners.
+const settled = 5 * time.Second
+
+// allowed is the stated bound on what runs on a backend server: its slots, or
+// twice that while its zone is split and may have two owners.
+func (w *world) allowed(s *simServer) int {
+	if w.splitAt > 0 && w.now-w.splitAt < settled {
+		return 2 * s.row.Slots
+	}
+	return s.row.Slots
+}
+
+func (w *world) faulty() bool {
+	bad := w.stale
+	for _, n := range w.names {
+		bad = bad || !w.routers[n].up
+	}
+	for _, m := range []map[string]bool{w.cut, w.paused} {
+		for _, on := range m {
+			bad = bad || on
+		}
+	}
+	return bad
+}
+
+// readPlatform has a router whose turn it is follow the platform.
+func (w *world) readPlatform(r *simRouter) {
+	if w.cut["platform"] || w.cut[r.zone] || w.cut[r.name] {
+		return
+	}
+	now := clockStart + w.now - r.startedAt
+	asOf := r.d.asOf().Number
+	watches := asOf > 0 && r.d.shared.turn.Load() < watchers && now-clockStart >= watchAfter
+	due := r.d.verifyDue(now) <= 0
+	switch {
+	case due && w.shown < asOf:
+		// It answers with an older revision than what is known, which is an error.
+	case due && asOf > 0 && w.shown == asOf:
+		r.d.verifiedAt(now)
+		r.step(verifiedHere{})
+	case due:
+		r.step(heard{News: catalog.News{AsOf: w.shown, Table: w.tableAt(w.shown)}, at: now})
+	case watches && w.shown > asOf:
+		r.step(heard{News: catalog.News{After: asOf, AsOf: w.shown, Table: w.tableAt(w.shown)}})
+	}
+}
+
+func (w *world) tableAt(rev uint64) *table.Table {
+	t := w.past[rev]
+	t.Revision = rev
+	t.Index()
+	return &t
+}
+
+// deliver hands over what is due. What is under way over a cut is lost, and
+// its sender is told; what is for a paused router waits.
+func (w *world) deliver() {
+	sort.SliceStable(w.links, func(i, j int) bool {
+		if w.links[i].at != w.links[j].at {
+			return w.links[i].at < w.links[j].at
+		}
+		return w.links[i].order < w.links[j].order
+	})
+	for d, ok := w.nextDue(); ok; d, ok = w.nextDue() {
+		w.handOver(d)
+	}
+}
+
+// nextDue takes the first message out whose time has come.
+func (w *world) nextDue() (delivery, bool) {
+	for i, d := range w.links {
+		if d.at > w.now {
+			return delivery{}, false
+		}
+		if !w.paused[d.to] {
+			w.links = append(w.links[:i:i], w.links[i+1:]...)
+			return d, true
+		}
+	}
+	return delivery{}, false
+}
+
+func (w *world) handOver(d delivery) {
+	to, from := w.routers[d.to], w.routers[d.from]
+	sameStart := from.up && from.inc == d.inc
+	if !to.up || !w.joined(from, to) {
+		w.breakLink(d)
+		if sameStart {
+			from.step(lost{peer.Lost{Peer: d.to, Refused: !to.up}})
+		}
+		return
+	}
+	dec, ok := to.in[d.connection()]
+	if !ok {
+		dec = wire.NewDecoder()
+		to.in[d.connection()] = dec
+	}
+	msgs, err := dec.Decode(d.payload)
+	if err != nil {
+		return
+	}
+	for _, m := range msgs {
+		to.step(inbound{peer.Inbound{From: d.from, Name: d.from, Zone: d.zone, Inc: d.inc, Msg: m}})
+	}
+}
+
+func (d *delivery) connection() string { return fmt.Sprintf("%s/%d", d.from, d.inc) }
+
+// breakLink ends the connection of a lost message: what is behind it is lost
+// too, and both ends begin anew.
+func (w *world) breakLink(lost delivery) {
+	kept := w.links[:0]
+	for _, d := range w.links {
+		if d.from != lost.from || d.to != lost.to || d.inc != lost.inc {
+			kept = append(kept, d)
+		}
+	}
+	w.links = kept
+	delete(w.routers[lost.to].in, lost.connection())
+	if from := w.routers[lost.from]; from.inc == lost.inc {
+		delete(from.out, lost.to)
+	}
+}
+
+// feedLoads has the owners read the loads of their backend servers.
+func (w *world) feedLoads() {
+	if (w.now-simStart)%loadEvery != 0 {
+		return
+	}
+	for _, n := range w.names {
+		r := w.routers[n]
+		if !r.up || w.paused[n] {
+			continue
+		}
+		for _, b := range r.core.OwnedBackends() {
+			if !w.cut[n] && (b.Zone == r.zone || !w.cut[r.zone] && !w.cut[b.Zone]) {
+				r.step(loadRead{b.Name, w.servers[b.Name].inFlight})
+			}
+		}
+	}
+}
+
+// request sends a caller's request to a router.
+func (w *world) request(id, router, account, model, key string, tokens int64, wait time.Duration) {
+	r := w.routers[router]
+	a := &simAsk{id: id, router: router, key: key, tokens: tokens, inc: r.inc,
+		req: front.Request{Account: account, Model: model}}
+	w.asks[id] = a
+	if !r.up || w.paused[router] {
+		a.done = true
+		w.note("%s: %s finds no router", router, id)
+		return
+	}
+	a.until = w.now + wait
+	if key == "" {
+		w.queueAsk(r, a)
+		return
+	}
+	a.claim = make(chan error, 1)
+	if _, again := w.used[key]; !again {
+		w.used[key] = w.now.Milliseconds()
+	}
+	msg := &wire.Claim{Key: account + "\x00" + key, Request: id, At: w.used[key]}
+	r.step(claimKey{&claiming{msg: msg, answer: a.claim}})
+}
+
+func (w *world) queueAsk(r *simRouter, a *simAsk) {
+	at := time.Unix(0, int64(w.now))
+	req := a.req
+	req.Deadline = at.Add(a.until - w.now)
+	a.attempt = &attempt{request: req, at: at, answer: make(chan decision, 1)}
+	r.step(arrive{a.attempt})
+}
+
+// collect takes the routers' answers to requests and lets the backend servers
+// work on those that may run.
+func (w *world) collect() {
+	for _, id := range sortedNames(w.asks) {
+		a := w.asks[id]
+		r := w.routers[a.router]
+		if a.done || w.paused[a.router] || !r.up || r.inc != a.inc {
+			continue
+		}
+		w.collectClaim(r, a)
+		if a.attempt != nil {
+			select {
+			case got := <-a.attempt.answer:
+				w.answered(r, a, got)
+			default:
+			}
+		}
+		w.serve(r, a)
+	}
+}
+
+func (w *world) collectClaim(r *simRouter, a *simAsk) {
+	select {
+	case err := <-a.claim:
+		if err != nil {
+			a.done = true
+			w.note("%s: %s is refused: %s", a.router, a.id, short(err))
+			return
+		}
+		other, twice := w.granted[a.key]
+		if twice {
+			w.fail("key %s was granted to %s and to %s", a.key, other, a.id)
+		}
+		w.granted[a.key] = a.id
+		w.queueAsk(r, a)
+	default:
+	}
+}
+
+func short(err error) string { return strings.SplitN(err.Error(), ":", 2)[0] }
+
+func (w *world) answered(r *simRouter, a *simAsk, got decision) {
+	if got.err != nil {
+		a.done = true
+		w.note("%s: %s is refused: %s", a.router, a.id, short(got.err))
+		return
+	}
+	a.grant = got.id
+	if clockStart+w.now-r.startedAt-got.at >= r.d.startWithin() {
+		w.note("%s: %s does not start, its place is too old", a.router, a.id)
+		r.step(ended{id: got.id, result: admit.Unknown})
+		w.queueAsk(r, a)
+		return
+	}
+	s := w.servers[got.start.Backend.Name]
+	s.inFlight++
+	s.most = max(s.most, s.inFlight)
+	if allowed := w.allowed(s); s.inFlight > allowed {
+		w.fail("%d run on %s where %d may", s.inFlight, got.start.Backend.Name, allowed)
+	}
+	a.started, a.server = true, got.start.Backend.Name
+	a.ends = w.now + time.Duration(a.tokens)*tokenEvery
+	w.note("%s: %s starts on %s", a.router, a.id, got.start.Backend.Name)
+	if told := max(s.closedAt, w.faultAt); s.closedAt > 0 && w.now-told > 2*time.Second {
+		w.fail("%s started on %s %s after its mark", a.id, got.start.Backend.Name, w.now-told)
+	}
+}
+
+// serve ends a request whose tokens have all come.
+func (w *world) serve(r *simRouter, a *simAsk) {
+	if !a.started || a.done {
+		return
+	}
+	left := int64((a.ends - w.now) / tokenEvery)
+	if n, ok := r.served[a.grant]; ok {
+		n.Store(max(0, a.tokens-max(0, left)))
+	}
+	if w.now < a.ends {
+		return
+	}
+	a.done = true
+	w.servers[a.server].inFlight--
+	w.note("%s: %s ends on %s", a.router, a.id, a.server)
+	r.step(ended{id: a.grant, result: admit.Answered, whole: true, tokens: a.tokens})
+}
+
+// mark marks a backend server and publishes the table.
+func (w *world) mark(server string, m table.Mark) {
+	for i := range w.table.Backends {
+		if w.table.Backends[i].Name == server {
+			w.table.Backends[i].Mark = m
+		}
+	}
+	w.servers[server].closedAt = 0
+	if m != table.Serving {
+		w.servers[server].closedAt = w.now
+	}
+	w.publish()
+}
+
+// close ends the routers.
+func (w *world) close() {
+	for _, n := range w.names {
+		w.routers[n].d.Close()
+	}
+}
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -29,6 +29,9 @@
 	PolicyFleet   = "fleet"
 	PolicyLocal   = "local"
 	PolicyCentral = "central"
+	// PolicyOwners is the fleet with the owners of backend servers that serve operators'
+	// platforms.
+	PolicyOwners = "owners"
 )
 
 const (
@@ -158,6 +161,8 @@
 	switch c.policy {
 	case PolicyCentral:
 		opts = append(opts, node.WithScheduler(c.central.schedulerFor(zone)))
+	case PolicyOwners:
+		opts = append(opts, node.WithOwners())
 	case PolicyLocal:
 		opts = append(opts, node.WithScheduler(newBaseline(c, name).schedulerFor(zone)))
 	}
@@ -168,6 +173,9 @@
 	s.Listen = n.Listening()
 	c.fixed[name] = s
 	c.nodes[name] = n
+	if n.Router == nil {
+		go c.versions.follow(name, n.Dispatch)
+	}
 	for _, a := range []string{s.Listen.Callers, s.Listen.Peers, s.Listen.Admin} {
 		c.fabric.Place(a, zone, name)
 	}
@@ -205,7 +213,7 @@
 	for time.Now().Before(deadline) {
 		ready := true
 		c.each(func(_ string, n *node.Node) {
-			ready = ready && n.Router.Table() != nil && c.knowsZone(n)
+			ready = ready && isReady(n) && c.knowsZone(n)
 		})
 		if ready {
 			time.Sleep(pool.DefaultTTL)
@@ -216,7 +224,18 @@
 	return fmt.Errorf("measure: routers were not ready within %s", readyTimeout)
 }
 
+// isReady reports whether a router has the table.
+func isReady(n *node.Node) bool {
+	if n.Router != nil {
+		return n.Router.Table() != nil
+	}
+	return n.Dispatch.Table() != nil
+}
+
 func (c *cluster) knowsZone(n *node.Node) bool {
+	if n.Router == nil {
+		return len(n.Dispatch.Status().Live)+1 >= len(c.fixed)
+	}
 	s := n.Router.Status()
 	known := 1
 	for _, m := range s.Members {
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/internal/dispatch"
+	"github.com/yarrowmast/yarrowmast/internal/node"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 )
 
@@ -57,6 +59,20 @@
 	}
 }
 
+// followEvery is the interval at which is looked which table is in force.
+const followEvery = 5 * time.Millisecond
+
+// follow observes a router that tells nobody which table came into force.
+func (v *versions) follow(name string, d *dispatch.Dispatcher) {
+	at, last := v.of(name), uint64(0)
+	for ; !d.Closed(); time.Sleep(followEvery) {
+		if t := d.Table(); t != nil && t.Revision != last {
+			last = t.Revision
+			at.TableInForce(last)
+		}
+	}
+}
+
 func (v *versions) publish(c *cluster) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -176,7 +192,7 @@
 	}
 	c.state.set(c.state.away, name, true)
 	c.fabric.Freeze(name, true)
-	thaw := n.Router.Freeze()
+	thaw := freeze(n)
 	return func() {
 		thaw()
 		c.fabric.Freeze(name, false)
@@ -184,6 +200,14 @@
 	}
 }
 
+// freeze stops what decides in a router.
+func freeze(n *node.Node) (thaw func()) {
+	if n.Router != nil {
+		return n.Router.Freeze()
+	}
+	return n.Dispatch.Freeze()
+}
+
 // mark marks a backend server; the mark stays.
 func (c *cluster) mark(name string, m table.Mark) (mend func()) {
 	c.mu.Lock()
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -16,16 +16,19 @@
 	hold []hold.Option
 }
 
-// parsePolicy reads a policy's name: fleet, local, central, or fleet followed
+// parsePolicy reads a policy's name: fleet, owners, local, central, or fleet followed
 // by changes such as /share=100ms, /report=250ms or /as-last-shared.
 func parsePolicy(name string) (variant, error) {
 	parts := strings.Split(name, "/")
 	var v variant
+	if name == PolicyOwners {
+		return v, nil
+	}
 	if parts[0] != PolicyFleet {
 		if len(parts) == 1 && (parts[0] == PolicyLocal || parts[0] == PolicyCentral) {
 			return v, nil
 		}
-		return v, fmt.Errorf("policy %q is unknown; write fleet, local, central, or fleet/ and a change", name)
+		return v, fmt.Errorf("policy %q is unknown; write fleet, owners, local, central, or fleet/ and a change", name)
 	}
 	for _, change := range parts[1:] {
 		if err := v.add(change); err != nil {
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -94,12 +94,20 @@
 		all[n] = control{
 			bytes:    p.BytesOut.Load() + p.BytesIn.Load(),
 			messages: p.MessagesOut.Load(),
-			busy:     n.Router.Busy() + time.Duration(p.CodecNanos.Load()),
+			busy:     busyOf(n) + time.Duration(p.CodecNanos.Load()),
 		}
 	})
 	return all
 }
 
+// busyOf returns the time that a router has spent on decisions, 0 if it does not count it.
+func busyOf(n *node.Node) time.Duration {
+	if n.Router == nil {
+		return 0
+	}
+	return n.Router.Busy()
+}
+
 // Run runs one policy of a scenario. Progress is told of what happens.
 func Run(s *Scenario, policy string, progress func(string)) (*Report, error) {
 	c, err := startCluster(s, policy)
@@ -126,7 +134,11 @@
 	l.finish()
 	r := c.report(l)
 	r.Policy = policy
-	c.each(func(_ string, n *node.Node) { r.Owners.Add(n.Router.Status().Owner) })
+	c.each(func(_ string, n *node.Node) {
+		if n.Router != nil {
+			r.Owners.Add(n.Router.Status().Owner)
+		}
+	})
 	r.addControl(before, after, s.Duration, float64(callsAfter-calls))
 	return r, nil
 }
--- a/internal/measure/run_test.go
+++ b/internal/measure/run_test.go
@@ -24,19 +24,23 @@
 // TestFleetKeepsItsPromises runs real routers over loopback under faults. It
 // asserts counts that must be 0 whatever the timing, and no time.
 func TestFleetKeepsItsPromises(t *testing.T) {
-	s, err := Parse("small.yaml", []byte(small))
-	if err != nil {
-		t.Fatal(err)
-	}
-	r, err := Run(s, PolicyFleet, func(string) {})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if broken := r.Broken(); len(broken) > 0 {
-		t.Errorf("broken: %v", broken)
-	}
-	if r.Answered == 0 || r.Requests != r.Answered+r.RefusedNotRun+r.MayHaveRun {
-		t.Errorf("counts do not add up: %+v", r)
+	for _, policy := range []string{PolicyFleet, PolicyOwners} {
+		t.Run(policy, func(t *testing.T) {
+			s, err := Parse("small.yaml", []byte(small))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := Run(s, policy, func(string) {})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if broken := r.Broken(); len(broken) > 0 {
+				t.Errorf("broken: %v", broken)
+			}
+			if r.Answered == 0 || r.Requests != r.Answered+r.RefusedNotRun+r.MayHaveRun {
+				t.Errorf("counts do not add up: %+v", r)
+			}
+		})
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/yarrowmast/yarrowmast/internal/peer"
 	"github.com/yarrowmast/yarrowmast/internal/platform"
 	"github.com/yarrowmast/yarrowmast/internal/router"
+	"github.com/yarrowmast/yarrowmast/internal/values"
 	"github.com/yarrowmast/yarrowmast/pkg/allowance"
 )
 
@@ -92,6 +93,8 @@
 	scheduler func(*router.Router) front.Scheduler
 	clock     *clock.Clock
 	wall      func() time.Time
+	// owners says that the product's own interface is served by owners of backend servers.
+	owners bool
 }
 
 // Option changes a new Node.
@@ -103,6 +106,10 @@
 // WithLogger sets where events are logged.
 func WithLogger(l *slog.Logger) Option { return func(o *options) { o.log = l } }
 
+// WithOwners has the product's own interface served by the owners of backend servers that
+// serve operators' platforms, in place of owners of pools.
+func WithOwners() Option { return func(o *options) { o.owners = true } }
+
 // WithClock sets the clock by which the router's beliefs age and its deadlines end.
 func WithClock(c *clock.Clock) Option { return func(o *options) { o.clock = c } }
 
@@ -172,10 +179,14 @@
 	}
 	var scheduler front.Scheduler
 	var source admin.Source
-	if s.PlatformKind == config.PlatformValues {
+	switch {
+	case s.PlatformKind == config.PlatformValues && o.owners:
+		n.startOwners(s, o, t, inc)
+		n.core, scheduler, source = n.Dispatch, n.Dispatch, n.Dispatch
+	case s.PlatformKind == config.PlatformValues:
 		n.startRouter(s, o, t, inc)
 		n.core, scheduler, source = n.Router, o.scheduler(n.Router), n.Router
-	} else {
+	default:
 		p, ok := o.platforms[s.PlatformKind]
 		if !ok {
 			return errors.Join(fmt.Errorf("platform_kind %q is unknown; write one of %v", s.PlatformKind, slices.Sorted(maps.Keys(o.platforms))), ls.close())
@@ -212,6 +223,17 @@
 	n.Dispatch = dispatch.New(id, p.Source(s.Platform, o.dialer), n.Peers, opts...)
 }
 
+// startOwners makes the scheduler of a router that follows values of the platform.
+func (n *Node) startOwners(s config.Settings, o options, t tlsAll, inc uint64) {
+	id := dispatch.Identity{Name: s.Name, Address: n.ls.peers.Addr().String(), Zone: s.Zone, Inc: inc, Capacity: s.Machine.Processors, Listens: n.ls.addresses()}
+	n.Peers = peer.New(id.Name, id.Zone, id.Inc, n.ls.peers, append(n.peerOptions(o, t), peer.WithAddress(id.Address))...)
+	n.Platform = platform.New(s.Platform, platform.WithTransport(&http.Transport{DialContext: o.dialer.DialContext}))
+	n.loads = backend.NewLoads(o.dialer)
+	n.Dispatch = dispatch.New(id, values.New(n.Platform), n.Peers,
+		dispatch.WithLogger(n.log), dispatch.WithSeeds(s.Seeds), dispatch.WithApplyWithin(s.ApplyWithin),
+		dispatch.WithRule(ruleOf(s.Retries)), dispatch.WithClock(n.clock), dispatch.WithWeights(), dispatch.WithLoads(n.loads))
+}
+
 // gatherPart is the part of the time within which an event is to reach its caller for
 // which pieces of an answer are collected before they go back to the router that has the
 // caller: each takes it as long as a piece of its own answers.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -46,6 +46,9 @@
 	State string `json:"state"`
 }
 
+// Live is the state of an instance that is not about to stop.
+const Live = "live"
+
 // Instances is one version of the list.
 type Instances struct {
 	Revision  uint64     `json:"revision"`
@@ -96,6 +99,24 @@
 	return Value{Revision: rev, Data: data}, true, nil
 }
 
+// Newer returns the named value if its revision is above after, and does not wait for news.
+func (c *Client) Newer(ctx context.Context, name string, after uint64) (v Value, ok bool, err error) {
+	data, rev, err := c.get(ctx, "v1/values/"+name, after, noWait(after))
+	if err != nil || data == nil {
+		return Value{}, false, err
+	}
+	return Value{Revision: rev, Data: data}, true, nil
+}
+
+// noWait is the shortest time that a read which names a revision may wait: without any the
+// platform answers with the value as it is.
+func noWait(after uint64) time.Duration {
+	if after == 0 {
+		return 0
+	}
+	return time.Millisecond
+}
+
 // WatchInstances is Watch for the list of instances.
 func (c *Client) WatchInstances(ctx context.Context, after uint64) (list Instances, ok bool, err error) {
 	data, rev, err := c.get(ctx, "v1/instances", after, wait(after))
--- a/internal/router/session_test.go
+++ b/internal/router/session_test.go
@@ -115,11 +115,11 @@
 	return b.String()
 }
 
-// TestSessions plays each session in testdata/sessions and compares all that
-// the routers decided with the golden file beside it. Run with -update after
+// TestSessions plays each session in the testdata of dispatch and compares all that
+// the routers decided with its golden file here. Run with -update after
 // a change that is meant to change decisions, and read the difference.
 func TestSessions(t *testing.T) {
-	files, err := filepath.Glob("testdata/sessions/*.yaml")
+	files, err := filepath.Glob("../dispatch/testdata/sessions/*.yaml")
 	if err != nil || len(files) == 0 {
 		t.Fatalf("sessions: %v, %v", files, err)
 	}
--- /dev/null
+++ b/internal/values/source_test.go
@@ -0,0 +1,85 @@
+package values
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/yarrowmast/yarrowmast/internal/platform"
+	"github.com/yarrowmast/yarrowmast/pkg/catalog"
+)
+
+// valuesOnly is a platform that holds values and counts the reads of each.
+type valuesOnly struct {
+	values map[string]platform.Value
+	reads  map[string]int
+}
+
+func (p *valuesOnly) Newer(_ context.Context, name string, after uint64) (platform.Value, bool, error) {
+	p.reads[name]++
+	v, ok := p.values[name]
+	return v, ok && v.Revision > after, nil
+}
+
+func (p *valuesOnly) Watch(ctx context.Context, name string, after uint64) (platform.Value, bool, error) {
+	return p.Newer(ctx, name, after)
+}
+
+func (p *valuesOnly) WatchInstances(context.Context, uint64) (platform.Instances, bool, error) {
+	return platform.Instances{}, false, nil
+}
+
+func (p *valuesOnly) Calls() int64 { return 0 }
+
+func account(name string, n int) []byte {
+	return fmt.Appendf(nil, "accounts: [{name: %s, weight: 1, key_sha256: %q}]", name, fmt.Sprintf("%064x", n))
+}
+
+func TestPagesOfTheTable(t *testing.T) {
+	p := &valuesOnly{reads: map[string]int{}, values: map[string]platform.Value{
+		"one": {Revision: 4, Data: account("moka", 1)},
+		"two": {Revision: 7, Data: account("savanne", 2)},
+	}}
+	s := New(p)
+	index := func(rev, one, two uint64) {
+		p.values[TableName] = platform.Value{Revision: rev, Data: fmt.Appendf(nil, "pages: {one: %d, two: %d}", one, two)}
+	}
+	index(10, 4, 7)
+	got, err := s.Read(context.Background())
+	if err != nil || len(got.Skipped) > 0 || len(got.Table.Accounts) != 2 || got.Table.Revision != 10 {
+		t.Fatalf("news %+v, %v", got, err)
+	}
+	p.values["two"] = platform.Value{Revision: 8, Data: account("savanne", 3)}
+	index(11, 4, 8)
+	if got, err = s.Watch(context.Background(), catalog.Revision{Number: 10}, 0); err != nil || got.Table == nil || got.After != 10 || got.AsOf != 11 {
+		t.Fatalf("news %+v, %v", got, err)
+	}
+	if p.reads["one"] != 1 || p.reads["two"] != 2 {
+		t.Errorf("reads %v: a page that did not change was read again", p.reads)
+	}
+	index(12, 4, 9)
+	if _, err = s.Watch(context.Background(), catalog.Revision{Number: 11}, 0); !errors.Is(err, errPagesAhead) {
+		t.Errorf("a page at another revision was taken: %v", err)
+	}
+	p.values["two"] = platform.Value{Revision: 9, Data: account("moka", 4)}
+	got, err = s.Watch(context.Background(), catalog.Revision{Number: 11}, 0)
+	if err != nil || got.Table != nil || len(got.Skipped) != 1 || !strings.Contains(got.Skipped[0].Unusable.Field, "two:1: accounts[0].name") {
+		t.Errorf("an account on two pages was taken: %+v, %v", got, err)
+	}
+	if got.AsOf != 12 {
+		t.Errorf("a table with errors is read up to %d, want 12: it would be read again without end", got.AsOf)
+	}
+	if rev, err := s.Revision(context.Background()); err != nil || rev.Number != 12 {
+		t.Errorf("revision %v, %v", rev, err)
+	}
+}
+
+func TestNoNews(t *testing.T) {
+	p := &valuesOnly{reads: map[string]int{}, values: map[string]platform.Value{TableName: {Revision: 3, Data: account("moka", 1)}}}
+	got, err := New(p).Watch(context.Background(), catalog.Revision{Number: 3}, 0)
+	if err != nil || got.Table != nil || got.After != 3 || got.AsOf != 3 {
+		t.Errorf("news %+v, %v", got, err)
+	}
+}
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -103,6 +103,8 @@
 	// waiting are the requests that have no place yet, by age.
 	waiting  []*request
 	accounts *accounts
+	// weights is the service of accounts by their weights, nil where it is by what they ask.
+	weights *weights
 	// stated is how many tokens a second the table states that engines give.
 	stated  float64
 	reports map[reportSource]*usageReport
@@ -146,6 +148,8 @@
 	seed uint64
 	// uniqueStarts says that each start of a backend server has a name of its own.
 	uniqueStarts bool
+	// weights says that accounts are served by their weights.
+	weights bool
 }
 
 // Option changes a new Core.
@@ -178,6 +182,9 @@
 	for _, f := range opts {
 		f(&c.opt)
 	}
+	if c.opt.weights {
+		c.weights = newWeights()
+	}
 	c.silentAfter = DefaultSilentAfter
 	c.rng = rand.New(rand.NewPCG(c.opt.seed, 0))
 	return c
@@ -284,6 +291,17 @@
 	return names
 }
 
+// OwnedBackends returns the rows of the backend servers that this router owns.
+func (c *Core) OwnedBackends() []table.Backend {
+	var rows []table.Backend
+	for _, s := range c.ordered {
+		if s.owner == c.opt.self.Address {
+			rows = append(rows, s.Backend)
+		}
+	}
+	return rows
+}
+
 // Counted returns how many requests this router counts at each backend server
 // that it owns or has owned, by name; of one that has started again, at its last start.
 func (c *Core) Counted() map[string]int {
--- a/pkg/admit/owned.go
+++ b/pkg/admit/owned.go
@@ -14,6 +14,7 @@
 	entries map[entryKey]*entry
 	// queue is what waits for a place, in no order.
 	queue []*asking
+	load  load
 	// known are the prompts' beginnings that were read there lately.
 	known recent
 	// pace spaces the places while it warms up.
@@ -67,6 +68,7 @@
 	o.remove(key)
 	o.entries[key] = e
 	o.running++
+	o.load.most = max(o.load.most, o.running)
 	o.unread += e.unread
 }
 
@@ -98,6 +100,9 @@
 		c.send(from, &wire.Reply{ID: m.ID, Server: m.Server, State: wire.PlaceDenied})
 		return
 	}
+	if c.weights != nil && from != c.opt.self.Address {
+		c.weights.asked(useKey{wire.KeyOf(c.serviceOf(s).name), m.Account}, c.now)
+	}
 	o := c.ownedOf(s)
 	firstAsk := !m.Spill && !m.Begun
 	if firstAsk {
@@ -114,10 +119,10 @@
 	}
 	switch {
 	case granted:
-	case m.Spill || c.now >= a.until:
+	case m.Spill || c.now >= a.until || c.weights != nil && s.owner != c.opt.self.Address:
 		c.answer(s, a, wire.PlaceDenied)
 	default:
-		o.queue = append(o.queue, a)
+		o.queue = append(slices.DeleteFunc(o.queue, func(x *asking) bool { return x.from == from && x.ID == m.ID }), a)
 		c.answer(s, a, wire.PlaceQueued)
 	}
 }
@@ -143,6 +148,9 @@
 		o.setApart(key, c.now)
 	}
 	c.noteStart(s)
+	if c.weights != nil && a.from != c.opt.self.Address {
+		c.weights.noteGiven(useKey{wire.KeyOf(sv.name), a.Account}, c.now)
+	}
 	if a.Prefix != 0 {
 		o.known.note(a.Prefix, c.now)
 	}
@@ -183,6 +191,10 @@
 	if len(o.queue) == 0 {
 		return
 	}
+	if c.weights != nil {
+		c.serveByWeight(s)
+		return
+	}
 	c.order(o.queue)
 	left := o.queue[:0]
 	for _, a := range o.queue {
@@ -198,6 +210,27 @@
 	o.queue = left
 }
 
+// serveByWeight gives places to the accounts that had the least service, one after the other:
+// each place that is given changes the order.
+func (c *Core) serveByWeight(s *server) {
+	o := s.owned
+	o.queue = slices.DeleteFunc(o.queue, func(a *asking) bool {
+		if c.now < a.until && s.open() && s.owner == c.opt.self.Address {
+			return false
+		}
+		c.tellLeaving(s, a.from)
+		c.answer(s, a, wire.PlaceDenied)
+		return true
+	})
+	for len(o.queue) > 0 {
+		first := slices.MinFunc(o.queue, func(a, b *asking) int { return cmp.Or(compareFirst(a.Begun, b.Begun), c.compareLag(s, a, b)) })
+		if !c.grant(s, first) {
+			return
+		}
+		o.queue = slices.DeleteFunc(o.queue, func(a *asking) bool { return a == first })
+	}
+}
+
 // order sorts what waits: what has begun before, then by rank, by what the
 // account has had, by when the first event is due.
 func (c *Core) order(queue []*asking) {
@@ -307,7 +340,7 @@
 	for _, s := range c.held {
 		for key := range s.owned.entries {
 			if key.holder == from {
-				s.owned.remove(key)
+				s.owned.giveUp(key, c.now)
 			}
 		}
 		s.owned.queue = slices.DeleteFunc(s.owned.queue, func(a *asking) bool { return a.from == from })
@@ -322,7 +355,7 @@
 func (o *owned) dropLost(now time.Duration) {
 	for key, e := range o.entries {
 		if now-e.heard >= EntryLostAfter {
-			o.remove(key)
+			o.giveUp(key, now)
 		}
 	}
 }
--- a/pkg/admit/part.go
+++ b/pkg/admit/part.go
@@ -25,7 +25,7 @@
 // partFor is the part of its target that a request of the account may use:
 // the more the account had beyond its share, the less.
 func (c *Core) partFor(account wire.Key) float64 {
-	if account == 0 {
+	if account == 0 || c.weights != nil {
 		return 1
 	}
 	most := 1.0
--- a/pkg/admit/peer.go
+++ b/pkg/admit/peer.go
@@ -31,6 +31,9 @@
 
 func (e PeerGone) apply(c *Core) {
 	c.forgetFlows(reportSource{wire.ScopeOwn, e.From})
+	if c.weights != nil {
+		c.weights.forget(reportSource{wire.ScopeOwn, e.From}, c.now)
+	}
 	c.dropHolder(e.From)
 	c.dropTrials(e.From)
 	for _, r := range slices.Clone(c.waiting) {
@@ -63,13 +66,7 @@
 	if e.Msg.Scope == wire.ScopeNone {
 		return
 	}
-	from := reportSource{scope: e.Msg.Scope}
-	switch e.Msg.Scope {
-	case wire.ScopeOwn:
-		from.name = e.From
-	case wire.ScopeZone:
-		from.name = e.Zone
-	}
+	from := sourceOf(e.Msg.Scope, e.From, e.Zone)
 	c.silentAfter = max(DefaultSilentAfter, e.Silent)
 	c.forgetFlows(from)
 	t := &usageReport{heard: c.now, flows: make(map[wire.Key]flow, len(e.Msg.Accounts))}
@@ -121,6 +118,9 @@
 	for from, t := range c.reports {
 		if c.now-t.heard >= c.silentAfter {
 			c.forgetFlows(from)
+			if c.weights != nil {
+				c.weights.forget(from, c.now)
+			}
 		}
 	}
 	c.held = slices.DeleteFunc(c.held, func(s *server) bool {
--- a/pkg/admit/place.go
+++ b/pkg/admit/place.go
@@ -55,6 +55,9 @@
 	if o.isApart(c.now) {
 		return false
 	}
+	if c.weights != nil {
+		return c.hasSlot(s)
+	}
 	if !sv.engine {
 		return float64(o.running) < float64(s.Slots)*queueAtService
 	}
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -39,6 +39,9 @@
 	Avoid []string
 	// Answering says that its answer has begun.
 	Answering bool
+	// Priority orders the requests of an account where accounts are served by weights, from
+	// 0 to 9; the higher goes first.
+	Priority int
 	// Digest identifies it, whichever try it is; 0 if nobody can.
 	Digest suspect.Digest
 }
@@ -58,6 +61,10 @@
 	started time.Duration
 	// unread is its tokens to be read; 0 once its first event came.
 	unread int64
+	// turn orders it among its account's requests, where accounts are served by weights.
+	turn time.Duration
+	// charged is what it is counted as for its account's weight, in tokens.
+	charged int64
 }
 
 // ask is a question to the owner of a backend server.
@@ -106,6 +113,8 @@
 	Cut bool
 	// Whole says that the request has run to its end.
 	Whole bool
+	// Tokens is what it has used.
+	Tokens int64
 }
 
 // Refusals. None of the requests has run.
@@ -130,6 +139,13 @@
 		}
 	}
 	c.requests[r.ID] = r
+	if c.weights != nil {
+		if err := c.weights.enqueue(r, c.now); err != nil {
+			delete(c.requests, r.ID)
+			c.act(Refuse{ID: r.ID, Err: err})
+			return
+		}
+	}
 	c.waiting = append(c.waiting, r)
 	c.advance(r)
 }
@@ -144,6 +160,7 @@
 		return
 	}
 	c.endTrial(r, false)
+	c.finishUse(r, 0)
 	c.end(r, Unknown)
 }
 
@@ -169,9 +186,17 @@
 	if r.account != 0 && (e.Result == Refused || e.Result == Unreached) {
 		c.accounts.get(r.account).begun.add(c.now, -r.cost)
 	}
+	c.finishUse(r, e.Tokens)
 	c.end(r, e.Result)
 }
 
+// finishUse counts what a request that ran has used.
+func (c *Core) finishUse(r *request, tokens int64) {
+	if c.weights != nil {
+		c.weights.finish(r, tokens, c.now)
+	}
+}
+
 // learnOfEnd takes in what an attempt's end says of the request and of whether its backend
 // server lives.
 func (c *Core) learnOfEnd(r *request, e End) {
@@ -211,6 +236,10 @@
 	if r.account != 0 {
 		c.accounts.get(r.account).begun.add(c.now, r.cost)
 	}
+	if c.weights != nil {
+		c.weights.leave(r, c.now)
+		c.weights.begin(r, c.now)
+	}
 	c.beginTrial(r)
 	s.health.started(c.now)
 	a.ID, a.Backend, a.Waited = r.ID, s.Backend, c.now-r.arrived
@@ -240,6 +269,9 @@
 	delete(c.requests, r.ID)
 	c.unwait(r)
 	c.withdraw(r, nil)
+	if c.weights != nil {
+		c.weights.leave(r, c.now)
+	}
 }
 
 func (c *Core) refuse(r *request, err *verdict.Error) {
--- a/pkg/admit/seek.go
+++ b/pkg/admit/seek.go
@@ -80,10 +80,16 @@
 		c.refuse(r, err)
 		return
 	}
-	if c.expireAsks(r) || r.pending() || c.behindTwin(r) {
+	if c.expireAsks(r) {
 		return
 	}
-	if r.queued() && !c.maySpill(r) || len(r.asks) >= mostAsks {
+	if c.weights != nil {
+		c.askAgain(r)
+	}
+	if r.pending() || c.behindTwin(r) || !c.mayAsk(r) || !c.withinLimits(r) {
+		return
+	}
+	if r.queued() && !c.maySpill(r) || len(r.asks) >= c.mostAsks(r) {
 		return
 	}
 	if s, why := c.candidate(r); s != nil {
@@ -91,6 +97,39 @@
 	}
 }
 
+// mostAsks bounds how many owners are asked for a request. One that may wait asks more the
+// longer it does: no backend server is to be idle meanwhile.
+func (c *Core) mostAsks(r *request) int {
+	if c.weights == nil {
+		return mostAsks
+	}
+	if len(r.asks) == 0 {
+		return 1
+	}
+	return min(mostAsks, 1+int((c.now-r.asks[0].at)/moreAsksEvery))
+}
+
+// askAgain asks the owners anew that have had a request in their queues for long, and drops
+// the questions that nobody answers any more, so that others are asked instead.
+func (c *Core) askAgain(r *request) {
+	r.asks = slices.DeleteFunc(r.asks, func(a *ask) bool {
+		switch a.state {
+		case askDenied:
+			return c.now >= a.server.busyUntil
+		case askUnanswered:
+			return !c.isUnresponsive(a.owner)
+		default:
+			return a.owner != a.server.owner
+		}
+	})
+	for _, a := range r.asks {
+		if a.state == askQueued && c.now-a.at >= askAgainAfter {
+			a.at = c.now
+			c.sendAsk(r, a)
+		}
+	}
+}
+
 func (c *Core) refusal(r *request) *verdict.Error {
 	switch {
 	case c.now >= r.Deadline:
@@ -194,7 +233,7 @@
 // estimate of what is under way there and of what is kept there.
 func (c *Core) admitLocally(r *request, a *ask) bool {
 	s := a.server
-	if !c.takes(s) || s.isWarming(c.now) || float64(s.running(c.now)) >= localSlots*float64(s.Slots) {
+	if c.weights != nil || !c.takes(s) || s.isWarming(c.now) || float64(s.running(c.now)) >= localSlots*float64(s.Slots) {
 		return false
 	}
 	if c.service(r.Service).engine && s.ownUnread() > 0 {
@@ -222,10 +261,19 @@
 		c.admitLocally(r, a)
 		return
 	}
+	c.sendAsk(r, a)
+}
+
+// sendAsk sends a question to the owner of a backend server.
+func (c *Core) sendAsk(r *request, a *ask) {
+	s, why := a.server, a.why
 	target := r.Target
 	if target == 0 {
 		target = defaultTarget
 	}
+	if c.weights != nil {
+		target -= time.Duration(r.Priority) * priorityLead
+	}
 	wait := r.Deadline - c.now
 	if r.Patience > 0 && !r.Begun {
 		wait = min(wait, r.arrived+r.Patience-c.now)
@@ -274,7 +322,7 @@
 // closed, marked or turned away, or the request suspected, since it was asked for, or its time
 // has passed or the owner may have given the place away.
 func (c *Core) lapsed(r *request, a *ask) bool {
-	return !c.takes(a.server) || c.caution(r) > a.caution || c.behindTwin(r) || c.now >= r.Deadline || c.mayBeStale(a)
+	return !c.takes(a.server) || !c.withinLimits(r) || c.caution(r) > a.caution || c.behindTwin(r) || c.now >= r.Deadline || c.mayBeStale(a)
 }
 
 // mayBeStale reports whether the answer to a question may have lain here while this router
--- a/pkg/admit/view.go
+++ b/pkg/admit/view.go
@@ -21,6 +21,9 @@
 		c.service(row.Name).engine = row.Engine
 	}
 	c.stated = e.Table.Bounds.TokensPerSecond
+	if c.weights != nil {
+		c.weights.setRows(e.Table.Accounts, c.now)
+	}
 	if relisted {
 		c.relist(e.Table)
 	}
--- a/pkg/admit/world_test.go
+++ b/pkg/admit/world_test.go
@@ -39,6 +39,11 @@
 	hold, base time.Duration
 	// crash is what ends servers, nil if nothing does.
 	crash *crashes
+	// tokens is what each request uses, and ended what each account's have used in all.
+	tokens int64
+	ended  map[string]int64
+	// weighed says that routers tell each other what accounts have used.
+	weighed bool
 }
 
 type askedOf struct {
@@ -96,11 +101,11 @@
 
 // newWorld starts routers in zones, named "zone-0" and so on, and a backend
 // server for each address in servers, given as "zone/name".
-func newWorld(seed uint64, routersEach int, zones []string, serversEach int) *world {
+func newWorld(seed uint64, routersEach int, zones []string, serversEach int, opts ...admit.Option) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), cores: map[string]*admit.Core{}, down: map[string]bool{}, cut: map[[2]string]bool{},
 		engines: map[string]*engine{}, starts: map[uint64]startOf{}, refusals: map[uint64]time.Duration{}, asked: map[uint64]askedOf{},
-		hold: 300 * time.Millisecond, base: baseTime, sent: map[string][]time.Duration{},
+		hold: 300 * time.Millisecond, base: baseTime, sent: map[string][]time.Duration{}, ended: map[string]int64{},
 	}
 	t := &table.Table{Revision: 1, Services: []table.ServiceRow{{Name: service, Engine: true}}}
 	for _, z := range zones {
@@ -117,7 +122,7 @@
 	}
 	w.table = t
 	for i, name := range w.order {
-		w.cores[name] = admit.New(admit.Router{Address: name, Zone: zoneOf(name)}, admit.WithSeed(seed+uint64(i)))
+		w.cores[name] = admit.New(admit.Router{Address: name, Zone: zoneOf(name)}, append([]admit.Option{admit.WithSeed(seed + uint64(i))}, opts...)...)
 		w.step(name, admit.View{Table: t})
 	}
 	w.tellRouters()
@@ -194,6 +199,9 @@
 	for _, other := range w.order {
 		if other != name {
 			w.deliver(name, other, &wire.State{Accounts: t.For(wire.ScopeOwn, other), Copies: t.Copies()})
+			if w.weighed {
+				w.deliver(name, other, &wire.Uses{Scope: wire.ScopeOwn, Accounts: t.Uses(wire.ScopeOwn, other)})
+			}
 		}
 	}
 }
@@ -206,11 +214,14 @@
 		if w.down[to] {
 			return
 		}
-		if m, ok := msg.(*wire.State); ok {
+		switch m := msg.(type) {
+		case *wire.State:
 			w.step(to, admit.State{From: from, Zone: zoneOf(from), Msg: m})
-			return
+		case *wire.Uses:
+			w.step(to, admit.Uses{From: from, Zone: zoneOf(from), Msg: m})
+		default:
+			w.step(to, admit.Message{From: from, Msg: msg})
 		}
-		w.step(to, admit.Message{From: from, Msg: msg})
 	})
 }
 
@@ -265,7 +276,8 @@
 		e.running--
 		if !w.crash.isDead(a.ID) && !w.crash.isDeadly(r.Digest) {
 			w.crash.ended(a.ID)
-			w.step(name, admit.End{ID: a.ID, Result: admit.Answered, Digest: r.Digest, Whole: true})
+			w.ended[r.Account] += w.tokens
+			w.step(name, admit.End{ID: a.ID, Result: admit.Answered, Digest: r.Digest, Whole: true, Tokens: w.tokens})
 		}
 	})
 }
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -122,6 +122,22 @@
 	return r
 }
 
+// SetSeeds replaces the addresses of the routers to begin with.
+func (r *Roster) SetSeeds(addresses []string) {
+	for _, m := range r.members {
+		m.seed = false
+	}
+	for _, address := range addresses {
+		if address == r.self.Address {
+			continue
+		}
+		if _, ok := r.members[address]; !ok {
+			r.members[address] = &member{Member: Member{Address: address}, tried: -TryEvery}
+		}
+		r.members[address].seed = true
+	}
+}
+
 // Heard notes that a message of a router came. It reports whether the router
 // was not believed to live before, or has started anew. One that a relay vouches
 // for is no news: routers that only ask each other for places need not tell each
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -47,6 +47,7 @@
 	KindForwarded  Kind = 27
 	KindLeaving    Kind = 28
 	KindSuspects   Kind = 29
+	KindUses       Kind = 30
 )
 
 // Protocol is the version of the frames this program writes. A router talks
@@ -122,6 +123,7 @@
 	KindForwarded:  func() any { return &ForwardData{} },
 	KindLeaving:    func() any { return &Leaving{} },
 	KindSuspects:   func() any { return &Suspects{} },
+	KindUses:       func() any { return &Uses{} },
 }
 
 // Encoder encodes the messages of one connection. A name that was sent before
