Hold each rule on what is kept of earlier epochs by a test of its own

Of 23 mechanisms taken back one at a time, the tests of pkg/catalog or the random play found all but three: that what is kept is given up only by who has verified what is listed, that what another router keeps counts only above an older origin and only over what is listed here; and numbers that were something else's were looked at by a fleet only. TestKeptWhileCutOff, TestKeptByOthers and two rows of TestCopy fail without them. No decision changed.

--- a/pkg/catalog/epoch_test.go
+++ b/pkg/catalog/epoch_test.go
@@ -111,6 +111,14 @@
 			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Servers: servers{gone("a", 8)}}},
 			[]catalog.News{back(6, servers{born(7, serving("a", 6)), serving("b", 3), serving("c", 4)})},
 			shown{10, all, z}, shown{10, all, z}},
+		"another start, with a number that was something else's": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 9, Servers: servers{serving("b", 7), born(1, serving("a", 9))}}},
+			[]catalog.News{back(7, servers{born(2, leaving("a", 7)), serving("b", 3), serving("c", 4)})},
+			shown{10, with(map[string]table.Mark{"a": table.Leaving}), z}, shown{10, with(map[string]table.Mark{"a": table.Leaving}), z}},
+		"another start, of which nobody knows whether it is the later": {
+			[]catalog.News{{Epoch: 1, After: 5, AsOf: 9, Servers: servers{born(1, serving("a", 9))}}},
+			[]catalog.News{back(7, servers{born(2, leaving("a", 7)), serving("b", 3), serving("c", 4)})},
+			shown{10, all, z}, shown{10, with(map[string]table.Mark{"a": table.Leaving}), z}},
 		"a new server that is not in the copy": {
 			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Servers: servers{serving("d", 8)}}}, []catalog.News{back(5, abc)},
 			shown{10, with(map[string]table.Mark{"d": table.Serving}), z}, shown{10, all, z}},
@@ -213,3 +221,64 @@
 		}
 	}
 }
+
+// TestKeptWhileCutOff has a router that heard of a new epoch hear of nothing else: it does not
+// go back to what the copy lists because time passes.
+func TestKeptWhileCutOff(t *testing.T) {
+	start := catalog.News{Epoch: 1, AsOf: 3, Table: edition(10, 1), Servers: []catalog.Server{serving("a", 2), serving("b", 3)}}
+	back := start
+	back.Epoch = 2
+	c := catalog.New(catalog.WithLost(lostFor))
+	c.Merge(0, start)
+	c.Merge(0, catalog.News{Epoch: 1, After: 3, AsOf: 5, Servers: []catalog.Server{leaving("a", 4), gone("b", 5)}})
+	c.Merge(0, back)
+	c.Refresh(settled)
+	want := shown{Edition: 10, Backends: map[string]table.Mark{"a": table.Leaving}}
+	if diff := cmp.Diff(want, show(c)); diff != "" {
+		t.Errorf("while it is cut off (-want +got):\n%s", diff)
+	}
+	c.Verified(settled)
+	c.Refresh(settled)
+	want.Backends = map[string]table.Mark{"a": table.Serving, "b": table.Serving}
+	if diff := cmp.Diff(want, show(c)); diff != "" {
+		t.Errorf("once it has heard that this is still listed (-want +got):\n%s", diff)
+	}
+}
+
+// TestKeptByOthers has other routers tell what they keep of earlier epochs, which counts only
+// where nothing later is known here.
+func TestKeptByOthers(t *testing.T) {
+	start := catalog.News{Epoch: 1, AsOf: 3, Table: edition(10, 1), Servers: []catalog.Server{serving("a", 2)}}
+	back := start
+	back.Epoch = 2
+	kept := func(s catalog.Server, over uint64) catalog.News {
+		stands := catalog.Stands{Origin: catalog.Revision{Epoch: 1, Number: s.Revision}, Over: over, Left: time.Second}
+		return catalog.News{Epoch: 2, After: 3, AsOf: 3, Kept: &catalog.Kept{Servers: []catalog.KeptServer{{Server: s, Stands: stands}}}}
+	}
+	tests := map[string]struct {
+		before, after []catalog.News
+		told          catalog.News
+		want          map[string]table.Mark
+	}{
+		"nothing is known of it":         {nil, nil, kept(leaving("a", 5), 2), map[string]table.Mark{"a": table.Leaving}},
+		"later is known":                 {[]catalog.News{{Epoch: 1, After: 3, AsOf: 6, Servers: []catalog.Server{gone("a", 6)}}}, nil, kept(leaving("a", 5), 2), map[string]table.Mark{}},
+		"earlier is known":               {[]catalog.News{{Epoch: 1, After: 3, AsOf: 4, Servers: []catalog.Server{leaving("a", 4)}}}, nil, kept(gone("a", 5), 2), map[string]table.Mark{}},
+		"it was written again meanwhile": {nil, []catalog.News{{Epoch: 2, After: 3, AsOf: 4, Servers: []catalog.Server{serving("a", 4)}}}, kept(leaving("a", 5), 2), map[string]table.Mark{"a": table.Serving}},
+		"not listed, and gone here":      {[]catalog.News{{Epoch: 1, After: 3, AsOf: 7, Servers: []catalog.Server{gone("c", 7)}}}, nil, kept(serving("c", 5), 0), map[string]table.Mark{"a": table.Serving}},
+		"not listed":                     {nil, nil, kept(serving("c", 5), 0), map[string]table.Mark{"a": table.Serving, "c": table.Serving}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := catalog.New()
+			for _, n := range append(append([]catalog.News{start}, tc.before...), back) {
+				c.Merge(0, n)
+			}
+			for _, n := range append(tc.after, tc.told) {
+				c.Merge(0, n)
+			}
+			if diff := cmp.Diff(tc.want, show(c).Backends); diff != "" {
+				t.Errorf("it shows (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
