Look for entries that went only where one may have changed in the range of news

platform_went_back is told against what was known when the question was asked: two questions at a time may be answered in either order.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -102,8 +102,6 @@
 	verified atomic.Int64
 	// applyWithin is the option of that name, in nanoseconds.
 	applyWithin atomic.Int64
-	// answered is the revision that the platform told last.
-	answered atomic.Pointer[catalog.Revision]
 	// readFails counts the reads of the platform that failed since one did not.
 	readFails atomic.Int64
 	// lack is why there is no table, nil if that is not known.
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -90,9 +90,10 @@
 
 // read reads everything that is published.
 func (d *Dispatcher) read() (catalog.News, error) {
+	known := d.asOf()
 	n, err := d.source.Read(d.ctx)
 	if err == nil {
-		d.noteAnswered("read", catalog.Revision{Epoch: n.Epoch, Number: n.AsOf})
+		d.noteAnswered("read", known, catalog.Revision{Epoch: n.Epoch, Number: n.AsOf})
 	}
 	return n, err
 }
@@ -117,15 +118,14 @@
 	}
 }
 
-// noteAnswered logs where the platform's revision or epoch is not as it should follow from
-// the answer before.
-func (d *Dispatcher) noteAnswered(what string, r catalog.Revision) {
-	before := d.shared.answered.Swap(&r)
-	if before == nil || before.Epoch == r.Epoch && before.Number <= r.Number {
+// noteAnswered logs an answer of another epoch than what was known when it was asked for, or
+// of an older revision.
+func (d *Dispatcher) noteAnswered(what string, known, r catalog.Revision) {
+	if known.IsZero() || known.Epoch == r.Epoch && known.Number <= r.Number {
 		return
 	}
 	d.opt.log.Warn("platform_went_back", "what", what, "epoch", r.Epoch, "revision", r.Number,
-		"before_epoch", before.Epoch, "before_revision", before.Number, "as_of", d.asOf().Number)
+		"known_epoch", known.Epoch, "as_of", known.Number)
 }
 
 func (d *Dispatcher) readFailed(what string, err error) {
@@ -196,7 +196,7 @@
 		if err != nil {
 			return err
 		}
-		d.noteAnswered("verify", revision)
+		d.noteAnswered("verify", asOf, revision)
 		if revision.Before(asOf) {
 			return fmt.Errorf("dispatch: the platform answers with revision %d of epoch %d, which is older than what is known; see to it that it does not go back", revision.Number, revision.Epoch)
 		}
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -96,6 +96,8 @@
 	// recordFrom is the number of the current epoch after which all removals are remembered:
 	// what was there before this catalog knew anything may have gone unheard of.
 	recordFrom uint64
+	// highest is the number of the latest change of an entry or mark that was taken in.
+	highest uint64
 	// jumps are the latest steps between whole lists after that: what came and went within
 	// one is not known.
 	jumps []jump
@@ -165,6 +167,7 @@
 	if whole {
 		c.noteJump(n.AsOf)
 	}
+	highest := c.highest
 	changed := c.mergeTable(n.Table)
 	for _, s := range n.Servers {
 		changed = c.mergeServer(now, s) || changed
@@ -176,7 +179,7 @@
 		c.change.finish(now)
 		c.change = nil
 	}
-	if n.AsOf > c.asOf.Number {
+	if n.AsOf > c.asOf.Number && highest > n.After {
 		changed = c.dropUnlisted(now, &n) || changed
 		changed = c.openUnlisted(now, &n) || changed
 	}
@@ -230,6 +233,7 @@
 	if known && old.Revision >= s.Revision || s.Revision <= c.asOf.Number {
 		return false
 	}
+	c.highest = max(c.highest, s.Revision)
 	c.history.note(s.Revision, s.digest())
 	if k, isKept := c.keptServers[name]; isKept {
 		old, known = k.item, true
--- a/pkg/catalog/epoch.go
+++ b/pkg/catalog/epoch.go
@@ -100,7 +100,7 @@
 	e.servers, e.zones = c.allServers(), c.allZones()
 	c.asOf = Revision{Epoch: n.Epoch}
 	c.enteredAt = now - n.EpochAge
-	c.history = history{}
+	c.history, c.highest = history{}, 0
 	c.keptServers, c.keptZones = map[string]kept[Server]{}, map[string]kept[Zone]{}
 	c.tableKept = c.table != nil
 	for name, s := range c.servers {
--- a/pkg/catalog/zone.go
+++ b/pkg/catalog/zone.go
@@ -31,6 +31,7 @@
 	if old.Revision >= z.Revision || z.Revision <= c.asOf.Number {
 		return false
 	}
+	c.highest = max(c.highest, z.Revision)
 	c.history.note(z.Revision, z.digest())
 	wasClosed := c.isClosed(z.Name)
 	delete(c.keptZones, z.Name)
