--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -279,8 +279,8 @@
 	case asOf.IsZero():
 		// Who was asked knew nothing either: the next may be asked at once.
 		s.askedNews = 0
-	case changed && e.Kept != nil && s.talk.Relay:
-		s.tellKept(e.sender)
+	case changed && e.Retained != nil && s.talk.Relay:
+		s.tellRetained(e.sender)
 	}
 }
 
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -50,7 +50,7 @@
 		if s.catalog.AsOf().IsZero() {
 			s.askNews(e.From)
 		}
-		if m := s.keptNews(); m != nil {
+		if m := s.retainedNews(); m != nil {
 			s.d.net.Send(e.From, m)
 		}
 		s.tellAllSuspects(e.From)
@@ -80,8 +80,8 @@
 	if n.Table != nil {
 		n.Table.Index()
 	}
-	if n.Kept != nil && n.Kept.Table != nil {
-		n.Kept.Table.Index()
+	if n.Retained != nil && n.Retained.Table != nil {
+		n.Retained.Table.Index()
 	}
 }
 
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -83,10 +83,10 @@
 // backend servers are kept whose entries vanish together.
 const keepPart = 0.6
 
-// lostPart is the same for those that a platform which came back from a copy does not list:
+// missingPart is the same for those that a platform which came back from a copy does not list:
 // a backend server enters itself again with its next heartbeat, and one that was removed is
 // out in time.
-const lostPart = 0.75
+const missingPart = 0.75
 
 func newState(d *Dispatcher) *state {
 	self := roster.Member{Address: d.id.Address, Name: d.id.Name, Zone: d.id.Zone, Inc: d.id.Inc, Capacity: d.id.Capacity}
@@ -106,7 +106,7 @@
 		waiting:   map[uint64]*attempt{},
 	}
 	part := func(p float64) time.Duration { return time.Duration(p * float64(d.opt.applyWithin)) }
-	s.catalog = catalog.New(catalog.WithKeep(part(keepPart)), catalog.WithLost(part(lostPart)), catalog.WithOwn(s.isOwn))
+	s.catalog = catalog.New(catalog.WithKeep(part(keepPart)), catalog.WithMissing(part(missingPart)), catalog.WithOwn(s.isOwn))
 	return s
 }
 
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -5,7 +5,6 @@
 package catalog
 
 import (
-	"cmp"
 	"errors"
 	"maps"
 	"slices"
@@ -51,8 +50,8 @@
 	// Zones are the marks of availability zones that changed. Zones that were closed
 	// after After and are not listed are open.
 	Zones []Zone
-	// Kept is what a router keeps of earlier epochs, nil if nothing.
-	Kept *Kept
+	// Retained is what a router keeps of earlier epochs, nil if nothing.
+	Retained *Retained
 	// Skipped is what was published besides and says nothing. It is for the log of the
 	// router that read it.
 	Skipped []Skipped `msgpack:"-"`
@@ -60,7 +59,7 @@
 
 // Empty reports whether the news say nothing but how far they reach.
 func (n *News) Empty() bool {
-	return n.Table == nil && len(n.Servers) == 0 && len(n.Zones) == 0 && n.Kept == nil && n.After > 0
+	return n.Table == nil && len(n.Servers) == 0 && len(n.Zones) == 0 && n.Retained == nil && n.After > 0
 }
 
 // Catalog is the merged state. Its zero value is not ready; use New.
@@ -77,15 +76,15 @@
 	// history is of the current epoch.
 	history history
 	table   *table.Table
-	// servers are the entries as the current epoch has them. Those of keptServers stand
-	// above them; the same holds for zones. tableKept says that the table is of an earlier
+	// servers are the entries as the current epoch has them. Those of retainedServers stand
+	// above them; the same holds for zones. tableRetained says that the table is of an earlier
 	// epoch.
-	servers     map[string]Server
-	keptServers map[string]kept[Server]
-	keptZones   map[string]kept[Zone]
-	tableKept   bool
-	// lostFor is for how long entries are kept that a new epoch does not list.
-	lostFor time.Duration
+	servers         map[string]Server
+	retainedServers map[string]retained[Server]
+	retainedZones   map[string]retained[Zone]
+	tableRetained   bool
+	// missingFor is for how long entries are kept that a new epoch does not list.
+	missingFor time.Duration
 	// names are those of the entries, sorted; nil once there are new ones.
 	names []string
 	zones map[string]zone
@@ -134,7 +133,7 @@
 	c := &Catalog{
 		servers: map[string]Server{}, zones: map[string]zone{}, warmUntil: map[string]time.Duration{},
 		goneAt: map[string]time.Duration{}, vanished: map[string]vanished{}, unusable: map[string]bool{}, damaged: map[Reason]int64{},
-		keptServers: map[string]kept[Server]{}, keptZones: map[string]kept[Zone]{}, lostFor: DefaultLost,
+		retainedServers: map[string]retained[Server]{}, retainedZones: map[string]retained[Zone]{}, missingFor: DefaultMissing,
 	}
 	for _, f := range opts {
 		f(c)
@@ -183,8 +182,8 @@
 		changed = c.dropUnlisted(now, &n) || changed
 		changed = c.openUnlisted(now, &n) || changed
 	}
-	if n.Kept != nil {
-		changed = c.mergeKept(now, n.Kept) || changed
+	if n.Retained != nil {
+		changed = c.mergeRetained(now, n.Retained) || changed
 	}
 	if n.After <= c.asOf.Number {
 		c.asOf.Number = max(c.asOf.Number, n.AsOf)
@@ -200,11 +199,11 @@
 		return false
 	}
 	c.history.note(t.Revision, digestOf(t))
-	isWrittenAgain := c.tableKept && c.table.Edition == t.Edition
+	isWrittenAgain := c.tableRetained && c.table.Edition == t.Edition
 	if c.table != nil && !isWrittenAgain && !t.Version().NewerThan(c.table.Version()) {
 		return false
 	}
-	c.table, c.tableKept = t, false
+	c.table, c.tableRetained = t, false
 	return true
 }
 
@@ -235,9 +234,9 @@
 	}
 	c.highest = max(c.highest, s.Revision)
 	c.history.note(s.Revision, s.digest())
-	if k, isKept := c.keptServers[name]; isKept {
+	if k, isRetained := c.retainedServers[name]; isRetained {
 		old, known = k.item, true
-		delete(c.keptServers, name)
+		delete(c.retainedServers, name)
 		c.names = nil
 	}
 	s = c.checked(s, old)
@@ -302,7 +301,7 @@
 			continue
 		}
 		s, _ = c.current(name)
-		delete(c.keptServers, name)
+		delete(c.retainedServers, name)
 		c.servers[name] = Server{Revision: n.AsOf, Gone: true, Last: s.lastLive(), Backend: table.Backend{Name: name}}
 		c.goneAt[name] = now
 		delete(c.warmUntil, name)
@@ -328,7 +327,7 @@
 func (c *Catalog) sortedNames() []string {
 	if c.names == nil {
 		c.names = slices.Collect(maps.Keys(c.servers))
-		for name := range c.keptServers {
+		for name := range c.retainedServers {
 			if _, isListed := c.servers[name]; !isListed {
 				c.names = append(c.names, name)
 			}
@@ -370,32 +369,3 @@
 		return ok
 	})
 }
-
-// Since returns what changed after a number of the current epoch, everything for 0 and where
-// not all removals after it are remembered.
-func (c *Catalog) Since(after uint64) News {
-	after = c.recordedFrom(after)
-	n := News{Epoch: c.asOf.Epoch, EpochAge: c.now - c.enteredAt, After: after, AsOf: c.asOf.Number}
-	if after >= c.asOf.Number {
-		n.After = c.asOf.Number
-		return n
-	}
-	if after == 0 {
-		n.Kept = c.Kept()
-	}
-	if c.table != nil && c.table.Revision > after {
-		n.Table = c.table
-	}
-	for name, s := range c.servers {
-		if s.Revision > after {
-			if s.Unusable.Is() {
-				s.Backend = table.Backend{Name: name}
-			}
-			s.Backend.WarmupLeft = max(0, c.warmUntil[name]-c.now)
-			n.Servers = append(n.Servers, s)
-		}
-	}
-	slices.SortFunc(n.Servers, func(a, b Server) int { return cmp.Compare(a.Backend.Name, b.Backend.Name) })
-	n.Zones = c.zonesSince(after)
-	return n
-}
--- a/pkg/catalog/epoch_test.go
+++ b/pkg/catalog/epoch_test.go
@@ -45,8 +45,8 @@
 }
 
 const (
-	lostFor = time.Second
-	settled = time.Minute
+	missingFor = time.Second
+	settled    = time.Minute
 )
 
 // TestCopy lets a catalog know of changes that the platform then lost, and of what it lists
@@ -159,7 +159,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := catalog.New(catalog.WithLost(lostFor))
+			c := catalog.New(catalog.WithMissing(missingFor))
 			c.Merge(0, start)
 			for _, n := range append(tc.lost, tc.back...) {
 				c.Merge(0, n)
@@ -181,22 +181,22 @@
 func TestServerThatTheCopyLacks(t *testing.T) {
 	start := catalog.News{Epoch: 1, AsOf: 2, Table: edition(10, 1), Servers: []catalog.Server{serving("a", 2)}}
 	back := catalog.News{Epoch: 2, AsOf: 2, Table: edition(10, 1), Servers: []catalog.Server{serving("a", 2)}}
-	knew, other := catalog.New(catalog.WithLost(lostFor)), catalog.New(catalog.WithLost(lostFor))
+	knew, other := catalog.New(catalog.WithMissing(missingFor)), catalog.New(catalog.WithMissing(missingFor))
 	knew.Merge(0, start)
 	knew.Merge(0, catalog.News{Epoch: 1, After: 2, AsOf: 3, Servers: []catalog.Server{serving("b", 3)}})
 	knew.Merge(0, back)
 	other.Merge(0, back)
-	told := catalog.News{Epoch: 2, After: 2, AsOf: 2, Kept: knew.Kept()}
-	other.Merge(lostFor/2, told)
+	told := catalog.News{Epoch: 2, After: 2, AsOf: 2, Retained: knew.Retained()}
+	other.Merge(missingFor/2, told)
 	for name, c := range map[string]*catalog.Catalog{"it knew": knew, "it was told": other} {
 		if got := show(c).Backends; got["b"] != table.Serving {
 			t.Errorf("%s: at first %v", name, got)
 		}
-		c.Refresh(lostFor * 3 / 2)
+		c.Refresh(missingFor * 3 / 2)
 		if got := show(c).Backends; got["b"] != "" || got["a"] != table.Serving {
 			t.Errorf("%s: later %v", name, got)
 		}
-		c.Merge(2*lostFor, told)
+		c.Merge(2*missingFor, told)
 	}
 }
 
@@ -213,7 +213,7 @@
 	read.Merge(0, back)
 	read.Merge(0, catalog.News{Epoch: 2, After: 4, AsOf: 5, Servers: []catalog.Server{gone("b", 5)}})
 	cut.Merge(0, read.Since(0))
-	read.Merge(0, catalog.News{Epoch: 2, After: 5, AsOf: 5, Kept: cut.Kept()})
+	read.Merge(0, catalog.News{Epoch: 2, After: 5, AsOf: 5, Retained: cut.Retained()})
 	want := shown{Edition: 13, Backends: map[string]table.Mark{"a": table.Leaving, "c": table.Serving}}
 	for name, c := range map[string]*catalog.Catalog{"read": read, "cut": cut} {
 		if diff := cmp.Diff(want, show(c)); diff != "" {
@@ -228,7 +228,7 @@
 	start := catalog.News{Epoch: 1, AsOf: 3, Table: edition(10, 1), Servers: []catalog.Server{serving("a", 2), serving("b", 3)}}
 	back := start
 	back.Epoch = 2
-	c := catalog.New(catalog.WithLost(lostFor))
+	c := catalog.New(catalog.WithMissing(missingFor))
 	c.Merge(0, start)
 	c.Merge(0, catalog.News{Epoch: 1, After: 3, AsOf: 5, Servers: []catalog.Server{leaving("a", 4), gone("b", 5)}})
 	c.Merge(0, back)
@@ -252,8 +252,8 @@
 	back := start
 	back.Epoch = 2
 	kept := func(s catalog.Server, over uint64) catalog.News {
-		stands := catalog.Stands{Origin: catalog.Revision{Epoch: 1, Number: s.Revision}, Over: over, Left: time.Second}
-		return catalog.News{Epoch: 2, After: 3, AsOf: 3, Kept: &catalog.Kept{Servers: []catalog.KeptServer{{Server: s, Stands: stands}}}}
+		override := catalog.Override{Origin: catalog.Revision{Epoch: 1, Number: s.Revision}, Over: over, Left: time.Second}
+		return catalog.News{Epoch: 2, After: 3, AsOf: 3, Retained: &catalog.Retained{Servers: []catalog.RetainedServer{{Server: s, Override: override}}}}
 	}
 	tests := map[string]struct {
 		before, after []catalog.News
--- a/pkg/catalog/jump.go
+++ b/pkg/catalog/since.go
@@ -1,6 +1,40 @@
 package catalog
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+)
+
+// Since returns what changed after a number of the current epoch, everything for 0 and where
+// not all removals after it are remembered.
+func (c *Catalog) Since(after uint64) News {
+	after = c.recordedFrom(after)
+	n := News{Epoch: c.asOf.Epoch, EpochAge: c.now - c.enteredAt, After: after, AsOf: c.asOf.Number}
+	if after >= c.asOf.Number {
+		n.After = c.asOf.Number
+		return n
+	}
+	if after == 0 {
+		n.Retained = c.Retained()
+	}
+	if c.table != nil && c.table.Revision > after {
+		n.Table = c.table
+	}
+	for name, s := range c.servers {
+		if s.Revision > after {
+			if s.Unusable.Is() {
+				s.Backend = table.Backend{Name: name}
+			}
+			s.Backend.WarmupLeft = max(0, c.warmUntil[name]-c.now)
+			n.Servers = append(n.Servers, s)
+		}
+	}
+	slices.SortFunc(n.Servers, func(a, b Server) int { return cmp.Compare(a.Backend.Name, b.Backend.Name) })
+	n.Zones = c.zonesSince(after)
+	return n
+}
 
 // jump is a step from what was known up to a number to a whole list as of another one.
 type jump struct{ from, to uint64 }
--- a/pkg/catalog/unusable.go
+++ b/pkg/catalog/unusable.go
@@ -11,7 +11,7 @@
 // Reason says in a word why an entry of the directory cannot be used.
 type Reason string
 
-// The reasons. The field that is the matter stands beside them.
+// The reasons. The field that is the matter override beside them.
 const (
 	// Unreadable: its bytes are not what an entry is written in.
 	Unreadable Reason = "unreadable"
@@ -94,16 +94,16 @@
 		}
 		n.Servers[i].Unusable = why
 	}
-	n.Kept = n.Kept.checked()
+	n.Retained = n.Retained.checked()
 	return n
 }
 
 // checked returns what is kept without the entries that cannot be used.
-func (k *Kept) checked() *Kept {
+func (k *Retained) checked() *Retained {
 	if k == nil {
 		return nil
 	}
-	return &Kept{Table: k.Table, Zones: k.Zones, Servers: slices.DeleteFunc(slices.Clone(k.Servers), func(x KeptServer) bool {
+	return &Retained{Table: k.Table, Zones: k.Zones, Servers: slices.DeleteFunc(slices.Clone(k.Servers), func(x RetainedServer) bool {
 		return !x.Server.Gone && Check(&x.Server.Backend).Is()
 	})}
 }
--- a/pkg/catalog/vanish.go
+++ b/pkg/catalog/vanish.go
@@ -34,7 +34,7 @@
 	if len(c.vanished) < before && c.kept > 0 {
 		c.dirty = true
 	}
-	c.dirty = c.dropKept(now) || c.dirty
+	c.dirty = c.expireRetained(now) || c.dirty
 	if !c.dirty || !c.mayJoin(now) {
 		return false
 	}
--- a/pkg/catalog/zone.go
+++ b/pkg/catalog/zone.go
@@ -34,7 +34,7 @@
 	c.highest = max(c.highest, z.Revision)
 	c.history.note(z.Revision, z.digest())
 	wasClosed := c.isClosed(z.Name)
-	delete(c.keptZones, z.Name)
+	delete(c.retainedZones, z.Name)
 	next := zone{Zone: z, opened: old.opened}
 	if wasClosed && !z.Closed {
 		next.opened = now
@@ -65,7 +65,7 @@
 // zoneRows returns the closed zones as rows of the table.
 func (c *Catalog) zoneRows() []table.ZoneRow {
 	rows := slices.Clone(c.table.Zones)
-	names := slices.AppendSeq(slices.Collect(maps.Keys(c.zones)), maps.Keys(c.keptZones))
+	names := slices.AppendSeq(slices.Collect(maps.Keys(c.zones)), maps.Keys(c.retainedZones))
 	slices.Sort(names)
 	for _, name := range slices.Compact(names) {
 		if c.isClosed(name) {
