Heal by whole readings, hand on what jumps hide, guard against returns in a row

What callers would see: a backend server that a watch left out gets nothing at one router for ever; one that went is used by a router for as long as no other change has it read everything; after two returns of the store within seconds, requests to a server that had said that it leaves.

- that nothing counts which is not above what is known completely held for whole readings too, which then could not tell what a watch had left out: two rows of TestMerge failed.
A whole list as of now or later is taken in as it is.
Whether what is listed may be older than an item of two epochs ago goes by the number as of which the epoch between was entered.
Removals are no evidence of the common history; a row of TestCopy.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -50,6 +50,8 @@
 	// Zones are the marks of availability zones that changed. Zones that were closed
 	// after After and are not listed are open.
 	Zones []Zone
+	// Jumps are those of the router that tells the news.
+	Jumps []Jump
 	// Retained is what a router keeps of earlier epochs, nil if nothing.
 	Retained *Retained
 	// Skipped is what was published besides and says nothing. It is for the log of the
@@ -69,6 +71,8 @@
 	asOf Revision
 	// enteredAt is when the current epoch was first heard of by anybody.
 	enteredAt time.Duration
+	// enteredNumber is the number as of which this catalog entered it.
+	enteredNumber uint64
 	// verifiedAt is when nothing newer than asOf was known to be published.
 	verifiedAt time.Duration
 	// change is what was known before, while a list of a new epoch is taken in.
@@ -99,7 +103,7 @@
 	highest uint64
 	// jumps are the latest steps between whole lists after that: what came and went within
 	// one is not known.
-	jumps []jump
+	jumps []Jump
 	// vanished are the entries that were removed within keep without having
 	// been marked first, by name; kept is how many of them the view holds.
 	vanished map[string]vanished
@@ -164,15 +168,22 @@
 		c.enter(now, &n)
 	}
 	if whole {
-		c.noteJump(n.AsOf)
+		c.noteWhole(n.AsOf)
+	}
+	for _, j := range n.Jumps {
+		c.noteJump(j)
+	}
+	highest, settled := c.highest, c.asOf.Number
+	if whole && n.AsOf >= settled {
+		// The list is of now: it tells what was missed as well.
+		settled = 0
 	}
-	highest := c.highest
 	changed := c.mergeTable(n.Table)
 	for _, s := range n.Servers {
-		changed = c.mergeServer(now, s) || changed
+		changed = c.mergeServer(now, s, settled) || changed
 	}
 	for _, z := range n.Zones {
-		changed = c.mergeZone(now, z) || changed
+		changed = c.mergeZone(now, z, settled) || changed
 	}
 	if c.change != nil {
 		c.change.finish(now)
@@ -224,16 +235,18 @@
 	return c.view == nil || len(c.servers) <= joinsAtOnce || now-c.joinedAt >= joinEach*time.Duration(len(c.servers))
 }
 
-// mergeServer takes in an entry unless a later change of it is known, or all is known up to its
-// own.
-func (c *Catalog) mergeServer(now time.Duration, s Server) bool {
+// mergeServer takes in an entry unless a later change of it is known, or it is not above a
+// number up to which everything is.
+func (c *Catalog) mergeServer(now time.Duration, s Server, settled uint64) bool {
 	name := s.Backend.Name
 	old, known := c.servers[name]
-	if known && old.Revision >= s.Revision || s.Revision <= c.asOf.Number {
+	if known && old.Revision >= s.Revision || s.Revision <= settled {
 		return false
 	}
 	c.highest = max(c.highest, s.Revision)
-	c.history.note(s.Revision, s.digest())
+	if !s.Gone {
+		c.history.note(s.Revision, s.digest())
+	}
 	if k, isRetained := c.retainedServers[name]; isRetained {
 		old, known = k.item, true
 		delete(c.retainedServers, name)
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -83,6 +83,12 @@
 		"late news of an entry that came and went unheard of": {
 			[]catalog.News{whole, {After: 10, AsOf: 11, Servers: []catalog.Server{gone("a", 11)}}, {AsOf: 14, Table: tableAt(4), Servers: []catalog.Server{server("b", 9)}}, {After: 11, AsOf: 12, Servers: []catalog.Server{server("a", 12)}}},
 			state{14, 4, []string{"b"}, nil}},
+		"a whole read tells what a watch left out": {
+			[]catalog.News{whole, {After: 10, AsOf: 13}, {AsOf: 14, Table: tableAt(4), Servers: []catalog.Server{server("a", 7), server("b", 9), server("c", 12)}, Zones: []catalog.Zone{closed("x", 13)}}},
+			state{14, 4, []string{"a", "b", "c"}, []string{"x"}}},
+		"a whole read at the same revision tells it, too": {
+			[]catalog.News{whole, {After: 10, AsOf: 13}, {AsOf: 13, Table: tableAt(4), Servers: []catalog.Server{server("a", 7), server("b", 9), server("c", 12)}}},
+			state{13, 4, []string{"a", "b", "c"}, nil}},
 		"an entry written anew comes back": {
 			[]catalog.News{whole, {After: 10, AsOf: 12, Servers: []catalog.Server{gone("a", 12)}}, {After: 12, AsOf: 13, Servers: []catalog.Server{server("a", 13)}}},
 			state{13, 4, []string{"a", "b"}, nil}},
@@ -217,8 +223,11 @@
 	before := catalog.News{AsOf: 5, Table: tableAt(1), Servers: []catalog.Server{server("a", 2), server("b", 3)}, Zones: []catalog.Zone{closed("x", 4)}}
 	after := catalog.News{AsOf: 8, Table: tableAt(1), Servers: []catalog.Server{server("b", 3), server("c", 8)}}
 	tests := map[string][]catalog.News{
-		"who has just started":                {after},
-		"and follows the platform since":      {after, {After: 8, AsOf: 9, Servers: []catalog.Server{server("d", 9)}}},
+		"who has just started":           {after},
+		"and follows the platform since": {after, {After: 8, AsOf: 9, Servers: []catalog.Server{server("d", 9)}}},
+		"who was told by one that read all again": {
+			{AsOf: 6, Table: tableAt(1), Servers: []catalog.Server{server("b", 3)}, Zones: []catalog.Zone{closed("x", 4)}},
+			{After: 6, AsOf: 8, Jumps: []catalog.Jump{{From: 6, To: 8}}, Servers: []catalog.Server{server("c", 8)}, Zones: []catalog.Zone{opened("x", 8)}}},
 		"who read all again":                  {{AsOf: 6, Table: tableAt(1), Servers: []catalog.Server{server("b", 3)}, Zones: []catalog.Zone{closed("x", 4)}}, after},
 		"who never knew what came and went":   {{AsOf: 5, Table: tableAt(1), Servers: []catalog.Server{server("a", 2), server("b", 3)}, Zones: []catalog.Zone{closed("x", 4)}}, after},
 		"who was told all by one of the same": {after, after},
--- a/pkg/catalog/epoch.go
+++ b/pkg/catalog/epoch.go
@@ -14,10 +14,10 @@
 
 // enter begins a new epoch with all that it lists.
 func (c *Catalog) enter(now time.Duration, n *News) {
-	e := epochChange{c: c, from: c.asOf.Epoch, listed: n, evidence: c.compareHistories(n)}
+	e := epochChange{c: c, from: c.asOf.Epoch, fromEntered: c.enteredNumber, listed: n, evidence: c.compareHistories(n)}
 	e.servers, e.zones = c.allServers(), c.allZones()
 	c.asOf = Revision{Epoch: n.Epoch}
-	c.enteredAt = now - n.EpochAge
+	c.enteredAt, c.enteredNumber = now-n.EpochAge, n.AsOf
 	c.history, c.highest = history{}, 0
 	c.retainedServers, c.retainedZones = map[string]retained[Server]{}, map[string]retained[Zone]{}
 	c.tableRetained = c.table != nil
@@ -38,12 +38,14 @@
 
 // epochChange is what was known when a new epoch began, while its list is taken in.
 type epochChange struct {
-	c        *Catalog
-	from     uint64
-	listed   *News
-	evidence evidence
-	servers  map[string]retained[Server]
-	zones    map[string]retained[Zone]
+	c *Catalog
+	// from is the epoch before, fromEntered the number as of which that was entered: later
+	// ones were given out in it.
+	from, fromEntered uint64
+	listed            *News
+	evidence          evidence
+	servers           map[string]retained[Server]
+	zones             map[string]retained[Zone]
 }
 
 // finish keeps what the list of the new epoch, now taken in, lacks or has older.
@@ -108,10 +110,10 @@
 	if number >= e.evidence.foreign {
 		return false
 	}
-	if old.Origin.Epoch < e.from {
+	if old.Origin.Epoch < e.from && number > e.fromEntered {
 		return number <= old.Over
 	}
-	return number < old.Origin.Number
+	return number <= old.Over || number < old.Origin.Number
 }
 
 // isNewStart reports whether an entry was written after the last one that was known before it
@@ -160,10 +162,14 @@
 		}
 	}
 	for i := range n.Servers {
-		observe(n.Servers[i].Revision, n.Servers[i].digest())
+		if !n.Servers[i].Gone {
+			observe(n.Servers[i].Revision, n.Servers[i].digest())
+		}
 	}
 	for _, z := range n.Zones {
-		observe(z.Revision, z.digest())
+		if z.Closed {
+			observe(z.Revision, z.digest())
+		}
 	}
 	if n.Table != nil {
 		observe(n.Table.Revision, digestOf(n.Table))
--- a/pkg/catalog/epoch_test.go
+++ b/pkg/catalog/epoch_test.go
@@ -130,6 +130,15 @@
 			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Servers: servers{serving("c", 8)}}},
 			[]catalog.News{back(6, servers{serving("b", 3), serving("c", 4)})},
 			shown{10, with(map[string]table.Mark{"a": ""}), z}, shown{10, with(map[string]table.Mark{"a": ""}), z}},
+		"a server that leaves, beside an opening found out by a list": {
+			[]catalog.News{
+				{Epoch: 1, After: 5, AsOf: 6, Servers: servers{serving("a", 6)}},
+				{Epoch: 1, AsOf: 6, Table: edition(10, 1), Servers: servers{serving("a", 6), serving("b", 3), serving("c", 4)}},
+				{Epoch: 1, AsOf: 7, Table: edition(10, 1), Servers: servers{serving("a", 6), serving("b", 7), serving("c", 4)}},
+				{Epoch: 1, After: 7, AsOf: 8, Servers: servers{leaving("a", 8)}},
+			},
+			[]catalog.News{{Epoch: 2, AsOf: 7, Table: edition(10, 1), Servers: servers{serving("a", 6), serving("b", 7), serving("c", 4)}}},
+			shown{10, with(map[string]table.Mark{"a": table.Leaving}), nil}, shown{10, all, nil}},
 		"a zone that was opened": {
 			[]catalog.News{{Epoch: 1, After: 5, AsOf: 8, Zones: []catalog.Zone{opened("z", 8)}}}, []catalog.News{back(5, abc)},
 			shown{10, all, nil}, shown{10, all, z}},
--- a/pkg/catalog/history.go
+++ b/pkg/catalog/history.go
@@ -20,7 +20,8 @@
 
 type published struct{ number, digest uint64 }
 
-// note remembers what a revision was of.
+// note remembers what a revision was of. It is not for removals: that of one that was found out
+// by a list bears the number of the list, which was of something else.
 func (h *history) note(number, digest uint64) {
 	if at := &h.ring[number%historySize]; at.number <= number {
 		*at = published{number, digest}
@@ -35,14 +36,14 @@
 
 // digest is of what does not change while an entry does not.
 func (s *Server) digest() uint64 {
-	if s.Gone || s.Unusable.Is() {
-		return digestWords("server", s.Backend.Name, strconv.FormatBool(s.Gone))
+	if s.Unusable.Is() {
+		return digestWords("server", s.Backend.Name)
 	}
 	b := &s.Backend
 	return digestWords("server", b.Name, string(b.Mark), b.Address, strconv.FormatInt(b.Born, 10), strconv.Itoa(b.Slots))
 }
 
-func (z *Zone) digest() uint64 { return digestWords("zone", z.Name, strconv.FormatBool(z.Closed)) }
+func (z *Zone) digest() uint64 { return digestWords("zone", z.Name) }
 
 func digestOf(t *table.Table) uint64 {
 	return digestWords("table", strconv.FormatUint(t.Edition, 10))
--- a/pkg/catalog/retained.go
+++ b/pkg/catalog/retained.go
@@ -123,27 +123,36 @@
 	return listed == x.Over && retainedOrigin.Before(x.Origin) && x.Left > 0
 }
 
-// expireRetained drops what has expired, and reports whether anything has.
+// expireRetained drops what has expired, and reports whether the view changes by that.
 func (c *Catalog) expireRetained(now time.Duration) bool {
-	before := len(c.retainedServers) + len(c.retainedZones)
-	maps.DeleteFunc(c.retainedServers, func(_ string, k retained[Server]) bool {
-		return c.hasExpired(now, k.until) || k.Over == 0 && now >= k.until
-	})
-	maps.DeleteFunc(c.retainedZones, func(name string, k retained[Zone]) bool {
+	changed := false
+	for name, k := range c.retainedServers {
+		isMissing := k.Over == 0 && !k.item.Gone
+		switch {
+		case isMissing && now >= k.until:
+			// It has gone, and guards against an older entry.
+			k.item = Server{Revision: k.item.Revision, Gone: true, Last: k.item.Revision, Backend: table.Backend{Name: name}}
+			k.until = c.enteredAt + settleFor
+			c.retainedServers[name] = k
+			changed = true
+		case c.hasExpired(now, k.until):
+			delete(c.retainedServers, name)
+			c.names = nil
+			changed = true
+		}
+	}
+	for name, k := range c.retainedZones {
 		if !c.hasExpired(now, k.until) {
-			return false
+			continue
 		}
+		delete(c.retainedZones, name)
 		if z := c.zones[name]; k.item.Closed && !z.Closed {
 			z.Name, z.opened = name, now
 			c.zones[name] = z
 		}
-		return true
-	})
-	if len(c.retainedServers)+len(c.retainedZones) == before {
-		return false
+		changed = true
 	}
-	c.names = nil
-	return true
+	return changed
 }
 
 // Verified notes that nothing newer was published at a time than what is known.
--- a/pkg/catalog/since.go
+++ b/pkg/catalog/since.go
@@ -19,6 +19,11 @@
 	if after == 0 {
 		n.Retained = c.Retained()
 	}
+	for _, j := range c.jumps {
+		if j.To > after {
+			n.Jumps = append(n.Jumps, j)
+		}
+	}
 	if c.table != nil && c.table.Revision > after {
 		n.Table = c.table
 	}
@@ -36,26 +41,35 @@
 	return n
 }
 
-// jump is a step from what was known up to a number to a whole list as of another one.
-type jump struct{ from, to uint64 }
+// Jump is a step from what was known up to a number to a whole list as of another one: what
+// came and went within it is not known.
+type Jump struct{ From, To uint64 }
 
 // mostJumps bounds the jumps that are remembered. Who asks for what came after an earlier
 // one is told everything.
 const mostJumps = 16
 
-// noteJump takes in that everything is listed as of a number.
-func (c *Catalog) noteJump(to uint64) {
-	from := c.asOf.Number
-	switch {
-	case from == 0:
+// noteWhole takes in that everything is listed as of a number.
+func (c *Catalog) noteWhole(to uint64) {
+	if c.asOf.Number == 0 {
 		c.recordFrom, c.jumps = to, nil
-	case to > from:
-		c.jumps = append(c.jumps, jump{from, to})
+		return
 	}
-	if len(c.jumps) > mostJumps {
-		c.recordFrom = max(c.recordFrom, c.jumps[0].to)
-		c.jumps = slices.Delete(c.jumps, 0, 1)
+	c.noteJump(Jump{From: c.asOf.Number, To: to})
+}
+
+// noteJump takes in a jump of this catalog's own, or of one that told it news.
+func (c *Catalog) noteJump(j Jump) {
+	if j.To <= j.From+1 || slices.Contains(c.jumps, j) {
+		return
+	}
+	c.jumps = append(c.jumps, j)
+	if len(c.jumps) <= mostJumps {
+		return
 	}
+	slices.SortFunc(c.jumps, func(a, b Jump) int { return cmp.Compare(a.To, b.To) })
+	c.recordFrom = max(c.recordFrom, c.jumps[0].To)
+	c.jumps = slices.Delete(c.jumps, 0, 1)
 }
 
 // Remembers reports whether all that changed after a number of the current epoch can be told
@@ -65,10 +79,12 @@
 // recordedFrom returns the last number up to one since which all changes can be told, 0 if
 // everything is to be told.
 func (c *Catalog) recordedFrom(number uint64) uint64 {
-	for _, j := range c.jumps {
-		if number > j.from && number < j.to {
-			number = j.from
+	for {
+		i := slices.IndexFunc(c.jumps, func(j Jump) bool { return number > j.From && number < j.To })
+		if i < 0 {
+			break
 		}
+		number = c.jumps[i].From
 	}
 	if number < c.recordFrom {
 		return 0
--- a/pkg/catalog/zone.go
+++ b/pkg/catalog/zone.go
@@ -24,15 +24,17 @@
 	opened time.Duration
 }
 
-// mergeZone takes a mark in unless a newer one is known, or all is known up to its own, so
-// that an older closing cannot overtake an opening.
-func (c *Catalog) mergeZone(now time.Duration, z Zone) bool {
+// mergeZone takes a mark in unless a newer one is known, or it is not above a number up to which
+// everything is, so that an older closing cannot overtake an opening.
+func (c *Catalog) mergeZone(now time.Duration, z Zone, settled uint64) bool {
 	old := c.zones[z.Name]
-	if old.Revision >= z.Revision || z.Revision <= c.asOf.Number {
+	if old.Revision >= z.Revision || z.Revision <= settled {
 		return false
 	}
 	c.highest = max(c.highest, z.Revision)
-	c.history.note(z.Revision, z.digest())
+	if z.Closed {
+		c.history.note(z.Revision, z.digest())
+	}
 	wasClosed := c.isClosed(z.Name)
 	delete(c.retainedZones, z.Name)
 	next := zone{Zone: z, opened: old.opened}
@@ -56,7 +58,7 @@
 	changed := false
 	for _, name := range slices.Sorted(maps.Keys(c.zones)) {
 		if z := c.zones[name]; z.Closed && !listed[name] && z.Revision > n.After && z.Revision < n.AsOf {
-			changed = c.mergeZone(now, Zone{Revision: n.AsOf, Name: name}) || changed
+			changed = c.mergeZone(now, Zone{Revision: n.AsOf, Name: name}, 0) || changed
 		}
 	}
 	return changed
