End each soak with a store that loses more than is written again

After the last fault the store now loses 60 changes that all know, comes back, and a key is taken away: every router refuses it within 8 s.

--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -60,7 +60,8 @@
 	links   []*proxy
 	ports   givenPorts
 	version int
-	revoked bool
+	// revoked and lastRevoked say that keyRevoked and keyLast were taken away.
+	revoked, lastRevoked bool
 	// endsUnder counts the workers that ended under a deadly request.
 	endsUnder atomic.Int64
 	// states are the last that workers wrote of themselves, by number.
@@ -293,6 +294,9 @@
 	if !f.revoked {
 		keys = append(keys, keyRevoked)
 	}
+	if !f.lastRevoked {
+		keys = append(keys, keyLast)
+	}
 	route := func(kind Kind, repeat, service string) standin.Route {
 		return standin.Route{
 			Name: string(kind), Kind: repeat, Service: service, Public: kind == Submit, Resumable: kind == Read,
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -28,7 +28,7 @@
 	p.UInt64(&r.Seed, "s", "seed", "the first seed; drawn by the time where none is given")
 	p.Int(&seeds, "n", "seeds", "how many seeds to play, one after the other")
 	p.Duration(&r.Length, "l", "length", "for how long faults are drawn")
-	p.String(&r.Plant, "p", "plant", "break a promise on purpose: twice, refused-but-ran, mixed, revoked-key, leaving, recover")
+	p.String(&r.Plant, "p", "plant", "break a promise on purpose: twice, refused-but-ran, mixed, revoked-key, leaving, recover, copy")
 	p.Bool(&verbose, "v", "verbose", "print each fault")
 	if err := p.ParseArgs(args); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -101,6 +101,8 @@
 	r.strike(f, j, t, plan)
 	if err := r.awaitServing(t, "end"); err != nil {
 		j.breach(RuleRecover, "-", err.Error())
+	} else {
+		f.checkCopy(j, r.Plant)
 	}
 	time.Sleep(calmEnd)
 	stop()
