--- a/test/soak/copy.go
+++ b/test/soak/copy.go
@@ -9,7 +9,8 @@
 	"github.com/yarrowmast/yarrowmast/platform/standin"
 )
 
-// RuleCopy: what is written after the store came back from a copy comes into force.
+// RuleCopy is the promise that what is written after the store came back from a copy comes into
+// force.
 const RuleCopy = "copy"
 
 const (
