Blame no backend server for a dial that ends at the call's deadline

Cause: net.Dialer sets a timer of its own for the context's deadline. Ruled out: a slow machine alone; the two timers are independent. Before: TestDialTimeout, at the deadline: backend-unreachable. After: deadline. A dial that times out before the deadline is still the server's.

--- a/internal/backend/canceled_test.go
+++ b/internal/backend/canceled_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -54,3 +55,40 @@
 		}
 	}
 }
+
+// pendingContext is a context whose deadline has passed but whose timer has not fired yet.
+type pendingContext struct {
+	context.Context
+	deadline time.Time
+}
+
+func (c pendingContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
+// timeoutDialer fails as a dialer does whose own timer fired.
+type timeoutDialer struct{}
+
+func (timeoutDialer) DialContext(context.Context, string, string) (net.Conn, error) {
+	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+}
+
+// TestDialTimeout checks that a dial that ends at the call's deadline is not blamed on the backend
+// server, even if the context has not ended yet, and that a dial that ends before it is.
+func TestDialTimeout(t *testing.T) {
+	for name, tc := range map[string]struct {
+		left time.Duration
+		code string
+	}{
+		"at the deadline":     {left: 0, code: "deadline"},
+		"before the deadline": {left: time.Hour, code: "backend-unreachable"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := backend.New(backend.WithHeaders(testHeaders()), backend.WithDialer(timeoutDialer{}))
+			defer c.Close()
+			ctx := pendingContext{t.Context(), time.Now().Add(tc.left)}
+			got := c.Do(ctx, routedCall("192.0.2.1:1"), &recorder{})
+			if got.Err == nil || got.Err.Code != tc.code {
+				t.Errorf("call ended with %v, want %s", got.Err, tc.code)
+			}
+		})
+	}
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
@@ -47,7 +48,7 @@
 }
 
 func (x *roundTrip) run(ctx context.Context) {
-	x.cancelCause = func() error { return context.Cause(ctx) }
+	x.cancelCause = func() error { return cancelCause(ctx) }
 	if x.call.MayStart != nil && !x.call.MayStart() {
 		x.failLeaseExpired()
 		return
@@ -235,6 +236,15 @@
 	return true
 }
 
+// cancelCause returns why a context ended, nil if it did not. A dialer sets a timer of its own for
+// the context's deadline, which may fire before the context's.
+func cancelCause(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok && ctx.Err() == nil && time.Until(deadline) <= 0 {
+		return context.DeadlineExceeded
+	}
+	return context.Cause(ctx)
+}
+
 // recordStall records whether the connection timed out. It fails the call and returns
 // true if the request is to move to another backend server.
 func (x *roundTrip) recordStall() bool {
