Process requests only in the regions that their route and account allow

Cause: the restriction (regions of a route or an account) was read nowhere; table, admission and prefix copies knew no region, so that a request could be sent anywhere, for any reason: prefix, spill, a silent owner, a second attempt. Change: rows have regions, settings the region of each zone; pkg/admit keeps one list of servers for each set of regions, from which every choice is made, and checks a grant and a local admission against it once more. No server there: refused at once as no-region. A table that restricts further applies to waiting requests. Connections are forwarded within a zone already. The older scheduler cannot keep this and refuses such a table. Ruled out: asking at each choice by itself (five places, and the 256 first of an order may lie in other regions altogether).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -105,6 +105,9 @@
 	Name string `yaml:"name"`
 	// Zone is the availability zone. Required.
 	Zone string `yaml:"zone"`
+	// Regions holds the region of each availability zone of the fleet. Requests that the table
+	// restricts to some regions need it. Default none.
+	Regions map[string]string `yaml:"regions"`
 	// Platform is the IP address and port of the platform. Required.
 	Platform string `yaml:"platform"`
 	// PlatformKind selects the platform client: values, or the name of one that is compiled
@@ -189,6 +192,11 @@
 	address(d, s.Listen.Callers, "listen", "callers")
 	address(d, s.Listen.Peers, "listen", "peers")
 	address(d, s.Listen.Admin, "listen", "admin")
+	for zone, region := range s.Regions {
+		if zone == "" || region == "" {
+			d.Add("needs the name of a region for each zone", "regions", zone)
+		}
+	}
 	for i, seed := range s.Seeds {
 		address(d, seed, "seeds", i)
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -172,6 +172,12 @@
 	return func(o *options) { o.coreOptions = append(o.coreOptions, admit.WithUniqueIncarnations()) }
 }
 
+// WithRegions sets the region of each availability zone, which the restrictions of routes and
+// accounts to some regions refer to.
+func WithRegions(byZone map[string]string) Option {
+	return func(o *options) { o.coreOptions = append(o.coreOptions, admit.WithRegions(byZone)) }
+}
+
 // WithRandom sets the source of random numbers in [0, 1) that selects which requests are
 // admitted when an account is throttled. The default is rand.Float64.
 func WithRandom(randomFloat func() float64) Option {
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -24,6 +24,8 @@
 	"servers-rest": {"every backend server of the service had refused this router and asked for rest; it did not run",
 		"backend_word of this router: which ones, and for how long"},
 	"no-backend": {"no backend server of the service took requests; it did not run", "the number of backend servers in the table then"},
+	"no-region": {"no backend server in the regions that its route and its account allow took requests; it did not run",
+		"regions of both rows in the table in force, and of the zones in this router's settings"},
 	"zone-closed": {"operators have closed every zone with backend servers of the service that this router reaches; it did not run",
 		"zone_closed and zone_opened of this router; yarrowctl status"},
 	"no-table": {"the router had just started and knew no table; it did not run", "router_started, and the platform's reads"},
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -179,6 +179,7 @@
 func (in *inboundRequest) schedulerRequest() Request {
 	req := Request{
 		ID: in.id, Account: in.account.Name, Model: in.model, Priority: in.priority, Deadline: in.deadline, Digest: in.digest,
+		Regions: table.NewRegionSet(in.account.Regions),
 	}
 	if in.route != nil {
 		in.route.fillRequest(&req)
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -133,6 +133,7 @@
 
 // fillRequest fills in the fields that depend on the route and earlier attempts.
 func (state *routeState) fillRequest(req *Request) {
+	req.Route, req.Regions = state.Name, req.Regions.Intersect(table.NewRegionSet(state.Route.Regions))
 	req.Prefix = state.prefix
 	req.Rank = state.Rank
 	req.Prompt, req.Shared, req.Output = state.tokens, state.shared, state.output
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -43,7 +43,11 @@
 	// share.
 	Forwarded bool
 
-	Account  string
+	Account string
+	// Route is the name of the route, "" if there is none.
+	Route string
+	// Regions are the regions in which the rows of the route and the account allow the request.
+	Regions  table.RegionSet
 	Model    string
 	Priority int
 	Deadline time.Time
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -212,7 +212,7 @@
 	n.Peers = peer.New(id.Name, id.Zone, id.Incarnation, n.listeners.peers, append(n.peerOptions(o, t), peer.WithAddress(id.Address), peer.WithInterceptor(n.forwarder.Handle))...)
 	opts := []dispatch.Option{
 		dispatch.WithLogger(n.log), dispatch.WithSeeds(s.Seeds), dispatch.WithApplyWithin(s.ApplyWithin),
-		dispatch.WithRetryBudget(retryBudget(s.Retries)), dispatch.WithForwarder(n.forwarder), dispatch.WithClock(n.clock),
+		dispatch.WithRetryBudget(retryBudget(s.Retries)), dispatch.WithForwarder(n.forwarder), dispatch.WithClock(n.clock), dispatch.WithRegions(s.Regions),
 	}
 	if p.Backends.Instance != "" {
 		opts = append(opts, dispatch.WithUniqueIncarnations())
@@ -228,7 +228,7 @@
 	n.loads = backend.NewLoadReader(o.dialer)
 	n.Dispatch = dispatch.New(id, values.New(n.Platform), n.Peers,
 		dispatch.WithLogger(n.log), dispatch.WithSeeds(s.Seeds), dispatch.WithApplyWithin(s.ApplyWithin),
-		dispatch.WithRetryBudget(retryBudget(s.Retries)), dispatch.WithClock(n.clock), dispatch.WithWeightedAccounts(), dispatch.WithLoadReader(n.loads))
+		dispatch.WithRetryBudget(retryBudget(s.Retries)), dispatch.WithClock(n.clock), dispatch.WithRegions(s.Regions), dispatch.WithWeightedAccounts(), dispatch.WithLoadReader(n.loads))
 }
 
 // forwardedBatchFraction is the fraction of the event delay limit for which responses to another
--- a/internal/router/pages.go
+++ b/internal/router/pages.go
@@ -18,6 +18,9 @@
 // lists, because page and index are not written atomically.
 var errPageMismatch = errors.New("router: a page of the table is not at the revision that the index lists")
 
+// errRegions is returned for a table that restricts requests to some regions.
+var errRegions = errors.New("router: the table restricts accounts or routes to regions, which this platform_kind cannot keep; remove regions from its rows")
+
 // pageIndex is the table's value if the table is split into pages. It lists the
 // revision of each page's value. The index's own revision is that of the table:
 // an edit writes a page first and then the index.
@@ -41,7 +44,7 @@
 	var index pageIndex
 	if err := yaml.Unmarshal(v.Data, &index); err != nil || len(index.Pages) == 0 {
 		t, err := table.Parse(TableName, v.Data)
-		return tableRead{tablesync.PlatformValue{Revision: v.Revision, Table: t, Err: err}}, nil
+		return newTableRead(v.Revision, t, err), nil
 	}
 	var list []table.Page
 	for _, name := range slices.Sorted(maps.Keys(index.Pages)) {
@@ -52,7 +55,16 @@
 		list = append(list, table.Page{Name: name, Data: page.Data})
 	}
 	t, err := table.ParsePages(list)
-	return tableRead{tablesync.PlatformValue{Revision: v.Revision, Table: t, Err: err}}, nil
+	return newTableRead(v.Revision, t, err), nil
+}
+
+// newTableRead returns a parsed table, or an error for one with restrictions that the scheduler
+// would not keep.
+func newTableRead(revision uint64, t *table.Table, err error) tableRead {
+	if err == nil && t.LimitsRegions() {
+		t, err = nil, errRegions
+	}
+	return tableRead{tablesync.PlatformValue{Revision: revision, Table: t, Err: err}}
 }
 
 func (r *pageReader) page(ctx context.Context, name string, revision uint64) (platform.Value, error) {
--- a/internal/router/pages_test.go
+++ b/internal/router/pages_test.go
@@ -61,3 +61,15 @@
 		t.Errorf("an account on two pages was accepted: %v, %v", got.Err, err)
 	}
 }
+
+// TestRegionsAreRefused guards against a table whose restrictions to regions would be ignored.
+func TestRegionsAreRefused(t *testing.T) {
+	restricted := fmt.Appendf(nil, "accounts: [{name: moka, weight: 1, key_sha256: %q, regions: [north]}]", fmt.Sprintf("%064x", 1))
+	p := &valuesOnly{reads: map[string]int{}, values: map[string]platform.Value{"one": {Revision: 4, Data: restricted}}}
+	for name, data := range map[string][]byte{"one value": restricted, "pages": []byte("pages: {one: 4}")} {
+		got, err := newPageReader(p).read(context.Background(), platform.Value{Revision: 5, Data: data})
+		if err != nil || !errors.Is(got.Err, errRegions) || got.Table != nil {
+			t.Errorf("%s: got %+v, %v", name, got, err)
+		}
+	}
+}
--- a/pkg/admit/choose.go
+++ b/pkg/admit/choose.go
@@ -26,7 +26,7 @@
 // request may wait no longer, it takes the least loaded one. A rare prefix is thus processed at
 // one backend server, a frequent one at as many as needed.
 func (c *Core) chooseByPrefix(svc *service, r *request, eligible []*server) (*server, string) {
-	preferred := c.preferredServer(svc, r.Prefix)
+	preferred := c.preferredServer(svc, r)
 	if eligible[0] == preferred && c.now >= preferred.busyUntil {
 		return preferred, reasonPreferred
 	}
@@ -88,7 +88,7 @@
 // eligibleServers returns the backend servers that may get the request, in prefix order. It
 // leaves out those at which the request failed, unless there are no others.
 func (c *Core) eligibleServers(svc *service, r *request) []*server {
-	order := c.prefixOrder(svc, r.Prefix)
+	order := c.prefixOrder(svc, r)
 	reachable, preferred := make([]*server, 0, len(order)), make([]*server, 0, len(order))
 	for _, s := range order {
 		if !c.isReachable(s) || s.isBackingOff(c.now) {
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -88,6 +88,8 @@
 	ownedServers  []*server
 	services      map[string]*service
 	requests      map[uint64]*request
+	// table is the current table, nil before the first one.
+	table *table.Table
 	// suspects are the requests that were in flight at backend servers that crashed. ownUpdates
 	// and relayUpdates are changes to send to other routers.
 	suspects                 *suspect.Tracker
@@ -148,6 +150,8 @@
 	uniqueIncarnations bool
 	// weighted says that accounts are scheduled by weight.
 	weighted bool
+	// regions holds the region of each availability zone.
+	regions map[string]string
 }
 
 // Option configures a new Core.
@@ -161,6 +165,12 @@
 // response then always comes from the incarnation to which the request was sent.
 func WithUniqueIncarnations() Option { return func(o *options) { o.uniqueIncarnations = true } }
 
+// WithRegions sets the region of each availability zone. Requests that are restricted to some
+// regions are not sent to backend servers in zones without one.
+func WithRegions(byZone map[string]string) Option {
+	return func(o *options) { o.regions = byZone }
+}
+
 // New returns a Core without a table and without other routers.
 func New(self Router, opts ...Option) *Core {
 	c := &Core{
--- a/pkg/admit/notice.go
+++ b/pkg/admit/notice.go
@@ -146,11 +146,11 @@
 	}
 }
 
-// backoffEnd returns when the first of a service's backend servers accepts requests again. It
-// returns false unless all reachable ones are backing off.
-func (c *Core) backoffEnd(svc *service) (time.Duration, bool) {
+// backoffEnd returns when the first of the backend servers that may process a request accepts
+// requests again. It returns false unless all reachable ones are backing off.
+func (c *Core) backoffEnd(r *request) (time.Duration, bool) {
 	earliest := time.Duration(0)
-	for _, s := range svc.servers {
+	for _, s := range c.serversFor(c.service(r.Service), r.Regions) {
 		if !c.isReachable(s) {
 			continue
 		}
@@ -172,7 +172,7 @@
 // nil if there is none. A request that may have run waits instead if the backoff ends before
 // its deadline.
 func (c *Core) backoffRefusal(r *request) *verdict.Error {
-	end, all := c.backoffEnd(c.service(r.Service))
+	end, all := c.backoffEnd(r)
 	if !all || r.MayHaveRun && end < r.Deadline {
 		return nil
 	}
--- a/pkg/admit/order.go
+++ b/pkg/admit/order.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 )
 
 const (
@@ -20,28 +21,36 @@
 	orderMargin = 1.25
 )
 
-// prefixOrder returns the backend servers of a service in the order of preference for a prompt
-// prefix, by rendezvous hashing. It is the same at every router and does not prefer the
+// prefixOrder returns the backend servers of a service that may process a request, in the order of
+// preference for its prompt prefix, by rendezvous hashing. It is the same at every router and does not prefer the
 // router's own zone, so that overload in one zone spreads over all engines and a prefix is not
 // processed in every zone. Without a prefix it is the order of the table.
 //
 // Orders are cached until the directory changes, because sorting is much slower than the rest
 // of an admission decision.
-func (c *Core) prefixOrder(svc *service, prefix uint64) []*server {
-	if prefix == 0 {
-		return svc.servers
+func (c *Core) prefixOrder(svc *service, r *request) []*server {
+	candidates := c.serversFor(svc, r.Regions)
+	if r.Prefix == 0 {
+		return candidates
 	}
-	if order, ok := svc.orders[prefix]; ok {
+	key := orderKey{r.Prefix, r.Regions}
+	if order, ok := svc.orders[key]; ok {
 		return order
 	}
 	if svc.orders == nil || len(svc.orders) >= maxOrders {
-		svc.orders = map[uint64][]*server{}
+		svc.orders = map[orderKey][]*server{}
 	}
-	order := computeOrder(svc, prefix)
-	svc.orders[prefix] = order
+	order := computeOrder(candidates, r.Prefix)
+	svc.orders[key] = order
 	return order
 }
 
+// orderKey identifies a cached order.
+type orderKey struct {
+	prefix  uint64
+	regions table.RegionSet
+}
+
 // minWeight returns the least weight with which backend servers are selected for sorting.
 func minWeight(servers int) uint64 {
 	fraction := orderMargin * maxOrderLen / float64(servers)
@@ -51,14 +60,14 @@
 	return uint64((1 - fraction) * math.MaxUint64)
 }
 
-func computeOrder(svc *service, prefix uint64) []*server {
+func computeOrder(servers []*server, prefix uint64) []*server {
 	type weightedServer struct {
 		*server
 		weight uint64
 	}
-	threshold := minWeight(len(svc.servers))
-	all := make([]weightedServer, 0, min(len(svc.servers), 2*maxOrderLen))
-	for _, s := range svc.servers {
+	threshold := minWeight(len(servers))
+	all := make([]weightedServer, 0, min(len(servers), 2*maxOrderLen))
+	for _, s := range servers {
 		if weight := rendezvous.WeightHashed(prefix, s.Name); weight >= threshold {
 			all = append(all, weightedServer{s, weight})
 		}
@@ -71,10 +80,10 @@
 	return order
 }
 
-// preferredServer returns the first reachable backend server in the order for a prefix, nil if
+// preferredServer returns the first reachable backend server in the order for a request, nil if
 // there is none.
-func (c *Core) preferredServer(svc *service, prefix uint64) *server {
-	for _, s := range c.prefixOrder(svc, prefix) {
+func (c *Core) preferredServer(svc *service, r *request) *server {
+	for _, s := range c.prefixOrder(svc, r) {
 		if c.isReachable(s) {
 			return s
 		}
--- a/pkg/admit/prefix_copy.go
+++ b/pkg/admit/prefix_copy.go
@@ -24,11 +24,11 @@
 		return nil
 	}
 	svc := c.service(r.Service)
-	byZone := c.preferredByZone(svc, r.Prefix)
+	byZone := c.preferredByZone(svc, r)
 	isPreferred := func(s *server) bool { return byZone[s.Zone] == s }
 	hasPrefix := func(s *server) bool { return s.prefixes.has(r.Prefix, c.now) }
 	var sources []*server
-	for _, s := range c.prefixOrder(svc, r.Prefix) {
+	for _, s := range c.prefixOrder(svc, r) {
 		if s == to || s.health.ejectedUntil != 0 || c.unreachableZones[s.Zone] {
 			continue
 		}
@@ -47,9 +47,9 @@
 
 // preferredByZone returns the first backend server of each zone in prefix order, including
 // those that are leaving.
-func (c *Core) preferredByZone(svc *service, prefix uint64) map[string]*server {
+func (c *Core) preferredByZone(svc *service, r *request) map[string]*server {
 	preferred := map[string]*server{}
-	for _, s := range c.prefixOrder(svc, prefix) {
+	for _, s := range c.prefixOrder(svc, r) {
 		if preferred[s.Zone] == nil {
 			preferred[s.Zone] = s
 		}
@@ -63,7 +63,7 @@
 	if r.Shared < minCopyTokens {
 		return false
 	}
-	preferred := c.preferredServer(c.service(r.Service), r.Prefix)
+	preferred := c.preferredServer(c.service(r.Service), r)
 	return preferred != nil && preferred.health.ejectedUntil == 0
 }
 
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/suspect"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
@@ -16,8 +17,12 @@
 	ID uint64
 	// Service is the name of the service or model.
 	Service string
-	// Account is the name of the client account, "" if there is none.
-	Account string
+	// Account is the name of the client account, "" if there is none. Route is the name of the
+	// route, "" if there is none.
+	Account, Route string
+	// Regions are the regions in which the request may be processed, according to the rows of the
+	// route and the account when it came. Later tables may restrict it further.
+	Regions table.RegionSet
 	// AccountRank and Rank order waiting requests. Lower values go first.
 	AccountRank, Rank int
 	// Prefix is a hash of the shared prompt prefix, 0 if there is none.
@@ -133,6 +138,7 @@
 func (e Arrive) apply(c *Core) {
 	r := &request{Request: e.Request, arrivedAt: c.now}
 	r.cost = Cost(r.Prompt, r.Output)
+	c.restrictRegions(r)
 	if r.Account != "" {
 		r.account = wire.HashName(r.Account)
 		if !r.Retry {
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -104,8 +104,10 @@
 type service struct {
 	name    string
 	servers []*server
-	// orders caches prefixOrder by prefix.
-	orders map[uint64][]*server
+	// regional caches the servers in each set of regions.
+	regional map[table.RegionSet][]*server
+	// orders caches prefixOrder.
+	orders map[orderKey][]*server
 	// median is the median failure rate of the servers as of medianAt.
 	median   float64
 	medianAt time.Duration
--- a/pkg/admit/slot_request.go
+++ b/pkg/admit/slot_request.go
@@ -45,6 +45,9 @@
 	retryAfterNoServer = 250 * time.Millisecond
 	// retryAfterClosed is the retry delay if operators have closed the zones.
 	retryAfterClosed = time.Second
+	// retryAfterNoRegion is the retry delay if the allowed regions have no backend server of the
+	// service, which only operators can change.
+	retryAfterNoRegion = time.Second
 	// localSlotFraction is the fraction of its slots that a router uses at a backend server
 	// whose owner does not reply.
 	localSlotFraction = 0.75
@@ -131,8 +134,8 @@
 	switch {
 	case c.now >= r.Deadline:
 		return errDeadline
-	case !r.MayHaveRun && !c.anyReachable(r.Service):
-		return c.noServerError(r.Service)
+	case !r.MayHaveRun && !c.anyReachable(r):
+		return c.noServerError(r)
 	}
 	if err := cmp.Or(c.crashRefusal(r), c.backoffRefusal(r)); err != nil {
 		return err
@@ -148,10 +151,10 @@
 	}
 }
 
-// anyReachable reports whether any backend server of a service takes new requests and is
-// reachable from this router.
-func (c *Core) anyReachable(service string) bool {
-	return slices.ContainsFunc(c.service(service).servers, c.isReachable)
+// anyReachable reports whether any backend server that may process a request takes new requests
+// and is reachable from this router.
+func (c *Core) anyReachable(r *request) bool {
+	return slices.ContainsFunc(c.serversFor(c.service(r.Service), r.Regions), c.isReachable)
 }
 
 // isReachable reports whether a backend server takes new requests and its zone is reachable.
@@ -170,13 +173,20 @@
 	}
 }
 
-// noServerError returns the refusal for a service of which no backend server takes new
-// requests.
-func (c *Core) noServerError(service string) *verdict.Error {
-	if slices.ContainsFunc(c.service(service).servers, func(s *server) bool { return s.zoneClosed }) {
+// noServerError returns the refusal of a request for which no backend server takes new requests.
+func (c *Core) noServerError(r *request) *verdict.Error {
+	svc := c.service(r.Service)
+	allowed := c.serversFor(svc, r.Regions)
+	switch {
+	case slices.ContainsFunc(allowed, func(s *server) bool { return s.zoneClosed }):
 		return errZoneClosed.WithRetryAfter(retryAfterClosed)
+	case len(allowed) == 0 && len(svc.servers) > 0:
+		return errNoRegion.WithRetryAfter(retryAfterNoRegion)
+	case len(allowed) < len(svc.servers):
+		return errNoRegion.WithRetryAfter(retryAfterNoServer)
+	default:
+		return errNoServer.WithRetryAfter(retryAfterNoServer)
 	}
-	return errNoServer.WithRetryAfter(retryAfterNoServer)
 }
 
 // maxWait returns how long a request may wait here. While a reply may have arrived without
@@ -228,7 +238,7 @@
 // the backend server.
 func (c *Core) admitLocally(r *request, a *slotRequest) bool {
 	s := a.server
-	if c.weighted != nil || !c.accepts(s) || s.isWarming(c.now) || float64(s.running(c.now)) >= localSlotFraction*float64(s.Slots) {
+	if c.weighted != nil || !c.accepts(s) || !c.mayProcess(s, r.Regions) || s.isWarming(c.now) || float64(s.running(c.now)) >= localSlotFraction*float64(s.Slots) {
 		return false
 	}
 	if c.service(r.Service).engine && s.ownPrefill() > 0 {
@@ -313,11 +323,11 @@
 }
 
 // grantExpired reports whether a granted slot must not be used: since the slot request was
-// sent, the backend server may have stopped taking requests, the account may have reached its
-// limits, the request may need stricter isolation or have passed its deadline, or the owner may
+// sent, the backend server may have stopped taking requests, the table may have restricted the
+// request to other regions, the account may have reached its limits, the request may need stricter isolation or have passed its deadline, or the owner may
 // have reassigned the slot.
 func (c *Core) grantExpired(r *request, a *slotRequest) bool {
-	return !c.accepts(a.server) || !c.withinLimits(r) || c.isolation(r) > a.isolation || c.waitsForTrial(r) || c.now >= r.Deadline || c.mayBeReassigned(a)
+	return !c.accepts(a.server) || !c.mayProcess(a.server, r.Regions) || !c.withinLimits(r) || c.isolation(r) > a.isolation || c.waitsForTrial(r) || c.now >= r.Deadline || c.mayBeReassigned(a)
 }
 
 // mayBeReassigned reports whether the reply may have arrived during a pause of this process so
--- a/pkg/admit/update.go
+++ b/pkg/admit/update.go
@@ -14,6 +14,10 @@
 
 func (e TableUpdate) apply(c *Core) {
 	c.generation++
+	c.table = e.Table
+	for _, r := range c.waiting {
+		c.restrictRegions(r)
+	}
 	changed := c.applyRows(e.Table)
 	changed = c.dropUnlisted() || changed
 	c.dropNotices()
@@ -50,6 +54,7 @@
 		}
 		if s.Zone != b.Zone {
 			s.owner = ""
+			changed = true
 		}
 		s.Backend, s.generation, s.vanished = b, c.generation, false
 		if s.notice != nil {
@@ -86,7 +91,7 @@
 // is too slow in large fleets for every change of a row.
 func (c *Core) indexServers(t *table.Table) {
 	for _, svc := range c.services {
-		svc.servers, svc.orders = nil, nil
+		svc.servers, svc.orders, svc.regional = nil, nil, nil
 	}
 	for _, b := range t.Backends {
 		s := c.servers[incarnationKey(&b)]
--- a/pkg/table/parse.go
+++ b/pkg/table/parse.go
@@ -119,6 +119,7 @@
 		c.doc.Add(fmt.Sprintf("is %d; write 0 to %d", a.Priority, maxPriority), "accounts", i, "priority")
 	}
 	c.accountKeys(i, a)
+	c.regions(a.Regions, "accounts", i, "regions")
 	c.limits(i, &a.Limits)
 }
 
--- a/pkg/table/parse_route.go
+++ b/pkg/table/parse_route.go
@@ -24,6 +24,7 @@
 		}
 	}
 	c.repeat(i, r)
+	c.regions(r.Regions, "routes", i, "regions")
 	for _, d := range []struct {
 		field string
 		value time.Duration
--- a/pkg/table/route.go
+++ b/pkg/table/route.go
@@ -60,6 +60,8 @@
 	Rank int `yaml:"rank" json:"rank"`
 	// Public routes need no key.
 	Public bool `yaml:"public" json:"public"`
+	// Regions lists the regions in which requests may be processed; empty means all.
+	Regions []string `yaml:"regions" json:"regions,omitempty"`
 }
 
 // DefaultAttempts is the number of attempts if a route does not set it.
@@ -148,7 +150,9 @@
 // indexRoutes indexes services by name, and routes by host with the longest prefix first.
 func (t *Table) indexRoutes() {
 	t.hosts = make(map[string][]int)
+	t.routeNames = make(map[string]int, len(t.Routes))
 	for i := range t.Routes {
+		t.routeNames[t.Routes[i].Name] = i
 		host := CanonicalHost(t.Routes[i].Host)
 		t.hosts[host] = append(t.hosts[host], i)
 	}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -59,6 +59,9 @@
 	// first.
 	Rank   int    `yaml:"rank" json:"rank"`
 	Limits Limits `yaml:"limits" json:"limits"`
+	// Regions lists the regions in which the account's requests may be processed; empty means
+	// all.
+	Regions []string `yaml:"regions" json:"regions,omitempty"`
 }
 
 // Backend is the row of a backend server.
@@ -112,7 +115,9 @@
 	backends map[string]int
 	keys     map[string]int
 	hosts    map[string][]int
-	services map[string]int
+	// routeNames holds the index of each route by name.
+	routeNames map[string]int
+	services   map[string]int
 	// closedZones are the names of the closed availability zones.
 	closedZones map[string]bool
 }
