Send the regions of rows in a message of their own

Cause: between routers a row is an array whose length the decoder checks, so a new field in Route and Account would have made older routers refuse every table, also those without regions, while routers are replaced one by one. Change: the field stays out of the rows' encoding; a table that restricts something travels as RestrictedUpdate (kind 31), which older routers skip; any other as before. Ruled out: the field at the end of the row (the decoder refuses an array of another length). Tests: TestRestrictionsAreSent (table, retained table, both, none); round trip of the kind.

--- a/internal/dispatch/epoch.go
+++ b/internal/dispatch/epoch.go
@@ -30,11 +30,11 @@
 }
 
 // retainedUpdate returns what is retained of earlier epochs, nil if nothing is.
-func (s *state) retainedUpdate() *wire.PlatformUpdate {
+func (s *state) retainedUpdate() any {
 	retained := s.catalog.Retained()
 	if retained == nil {
 		return nil
 	}
 	asOf := s.catalog.AsOf()
-	return &wire.PlatformUpdate{Update: catalog.Update{Epoch: asOf.Epoch, After: asOf.Number, AsOf: asOf.Number, Retained: retained}}
+	return wire.NewPlatformUpdate(catalog.Update{Epoch: asOf.Epoch, After: asOf.Number, AsOf: asOf.Number, Retained: retained})
 }
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -67,11 +67,18 @@
 	case *wire.PlatformUpdateRequest:
 		s.d.transport.Send(e.From, s.updateSince(m))
 	case *wire.PlatformUpdate:
-		indexTables(&m.Update)
-		updateEvent{Update: m.Checked(), senderName: e.Name, senderAddress: e.From}.apply(s)
+		s.mergeUpdate(e.Inbound, m.Update)
+	case *wire.RestrictedUpdate:
+		s.mergeUpdate(e.Inbound, m.Restore())
 	}
 }
 
+// mergeUpdate merges an update of another router.
+func (s *state) mergeUpdate(from peer.Inbound, u catalog.Update) {
+	indexTables(&u)
+	updateEvent{Update: u.Checked(), senderName: from.Name, senderAddress: from.From}.apply(s)
+}
+
 // indexTables indexes the tables of a received update for lookups.
 func indexTables(u *catalog.Update) {
 	if u.Table != nil {
@@ -137,7 +144,7 @@
 
 // cachedUpdate is a full update built for an earlier request.
 type cachedUpdate struct {
-	msg  *wire.PlatformUpdate
+	msg  any
 	asOf catalog.Revision
 	at   time.Duration
 }
@@ -145,13 +152,13 @@
 // updateSince returns what was published after a revision. Full updates are cached, since many
 // routers request one when the fleet starts and queued copies would need much memory. The
 // message must not be modified.
-func (s *state) updateSince(request *wire.PlatformUpdateRequest) *wire.PlatformUpdate {
+func (s *state) updateSince(request *wire.PlatformUpdateRequest) any {
 	asOf := s.catalog.AsOf()
 	if request.Epoch == asOf.Epoch && s.catalog.HasHistorySince(request.After) {
-		return &wire.PlatformUpdate{Update: s.catalog.Since(request.After)}
+		return wire.NewPlatformUpdate(s.catalog.Since(request.After))
 	}
 	if s.fullUpdate.msg == nil || s.fullUpdate.asOf != asOf || s.now-s.fullUpdate.at >= fullUpdateTTL {
-		s.fullUpdate = cachedUpdate{msg: &wire.PlatformUpdate{Update: s.catalog.Since(0)}, asOf: asOf, at: s.now}
+		s.fullUpdate = cachedUpdate{msg: wire.NewPlatformUpdate(s.catalog.Since(0)), asOf: asOf, at: s.now}
 	}
 	return s.fullUpdate.msg
 }
@@ -186,7 +193,7 @@
 	if update.Empty() {
 		return
 	}
-	s.broadcast(&wire.PlatformUpdate{Update: update}, sender)
+	s.broadcast(wire.NewPlatformUpdate(update), sender)
 }
 
 // broadcast sends a message to all peers except one, "" for none. The message must not be
--- a/pkg/table/region.go
+++ b/pkg/table/region.go
@@ -93,6 +93,38 @@
 	return set
 }
 
+// Restrictions are the regions that rows list, by the name of the row. Between routers they travel
+// apart from the rows, whose encoding never changes.
+type Restrictions struct {
+	Routes, Accounts map[string][]string
+}
+
+// Restrictions returns the regions of all rows that list some.
+func (t *Table) Restrictions() Restrictions {
+	r := Restrictions{Routes: map[string][]string{}, Accounts: map[string][]string{}}
+	for i := range t.Routes {
+		if row := &t.Routes[i]; len(row.Regions) > 0 {
+			r.Routes[row.Name] = row.Regions
+		}
+	}
+	for i := range t.Accounts {
+		if row := &t.Accounts[i]; len(row.Regions) > 0 {
+			r.Accounts[row.Name] = row.Regions
+		}
+	}
+	return r
+}
+
+// Restrict sets the regions of all rows. Only the goroutine that made the table may call it.
+func (t *Table) Restrict(r Restrictions) {
+	for i := range t.Routes {
+		t.Routes[i].Regions = r.Routes[t.Routes[i].Name]
+	}
+	for i := range t.Accounts {
+		t.Accounts[i].Regions = r.Accounts[t.Accounts[i].Name]
+	}
+}
+
 // LimitsRegions reports whether any row restricts the regions of requests.
 func (t *Table) LimitsRegions() bool {
 	return slices.ContainsFunc(t.Routes, func(r Route) bool { return len(r.Regions) > 0 }) ||
--- a/pkg/table/route.go
+++ b/pkg/table/route.go
@@ -61,7 +61,7 @@
 	// Public routes need no key.
 	Public bool `yaml:"public" json:"public"`
 	// Regions lists the regions in which requests may be processed; empty means all.
-	Regions []string `yaml:"regions" json:"regions,omitempty"`
+	Regions []string `yaml:"regions" json:"regions,omitempty" msgpack:"-"`
 }
 
 // DefaultAttempts is the number of attempts if a route does not set it.
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -61,7 +61,7 @@
 	Limits Limits `yaml:"limits" json:"limits"`
 	// Regions lists the regions in which the account's requests may be processed; empty means
 	// all.
-	Regions []string `yaml:"regions" json:"regions,omitempty"`
+	Regions []string `yaml:"regions" json:"regions,omitempty" msgpack:"-"`
 }
 
 // Backend is the row of a backend server.
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -48,6 +48,7 @@
 	KindLeaving               Kind = 28
 	KindSuspectUpdate         Kind = 29
 	KindUsage                 Kind = 30
+	KindRestrictedUpdate      Kind = 31
 )
 
 // Protocol is the version of the protocol that this program writes, OldestProtocol the
@@ -123,6 +124,7 @@
 	KindLeaving:               func() any { return &Leaving{} },
 	KindSuspectUpdate:         func() any { return &SuspectUpdate{} },
 	KindUsage:                 func() any { return &Usage{} },
+	KindRestrictedUpdate:      func() any { return &RestrictedUpdate{} },
 }
 
 // Encoder encodes the messages of one connection. It sends an interned string only
