Keep a router's view of the fleet until something may change it

Cause: each message from another router threw the relays of all zones away, and the next question sorted all members by hash again; each report interval planned, listed, hashed and sorted all members several times. Law: messages x members x log(members); at a relay the messages grow with its zone, so that it grew with the square of the fleet. Change: pkg/roster keeps a view (live and active routers, relays, plan, digest) until an event that may change it or until the first silence would be too long; a message from a router that is heard already refreshes a time only. Membership is recomputed for a new version of the view only. A router that only a relay reports alive is no longer forgotten after 30 s without full reports, and is counted for the retry budget: until now the full rosters of the seeds every 15 s kept it known. Ruled out: a longer interval between recomputations; the cost a message stays the same.

--- /dev/null
+++ b/internal/dispatch/emulator_test.go
@@ -0,0 +1,458 @@
+package dispatch
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"log/slog"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/peer"
+	"github.com/yarrowmast/yarrowmast/pkg/catalog"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+// emulator runs the event loops of a whole fleet in one goroutine, on a simulated clock, network
+// and platform. It serves no requests: what it counts is what the fleet's own upkeep costs.
+type emulator struct {
+	now     time.Duration
+	routers map[string]*emulatedRouter
+	// order holds the routers' addresses.
+	order []string
+	// underWay holds the messages in flight by arrival time, in sending order.
+	underWay map[time.Duration][]emulatedMessage
+	store    emulatedStore
+	// costs counts what was sent since the last resetCosts, by role and kind of message.
+	costs map[costKey]*cost
+	// sizes caches the encoded size of the message that was sent last, which often goes to many.
+	sizes struct {
+		msg   any
+		bytes int
+	}
+	zones int
+	seeds []string
+	// within is the time in which changes must be in force.
+	within time.Duration
+}
+
+// costKey is a role of a router and a kind of message.
+type costKey struct{ role, kind string }
+
+// cost counts messages and their bytes. maxBytes is the most that one router sent.
+type cost struct {
+	messages, bytes int
+	byRouter        map[string]int
+}
+
+// emulatedRouter is one router. It implements Transport.
+type emulatedRouter struct {
+	*state
+	emulator *emulator
+	address  string
+	index    int
+	up       bool
+	// incarnation is that of the current start.
+	incarnation uint64
+	// reads is when the read under way ends, 0 if there is none.
+	readsUntil time.Duration
+	fullRead   bool
+	watching   bool
+}
+
+type emulatedMessage struct {
+	from, to string
+	// incarnation is the sender's.
+	incarnation uint64
+	msg         any
+}
+
+// emulatedStore is the operators' platform.
+type emulatedStore struct {
+	revision uint64
+	table    *table.Table
+	servers  map[string]catalog.Server
+	// changes are the changed entries by revision.
+	changes []catalog.Server
+	// away says that it answers nobody.
+	away  bool
+	calls int
+}
+
+const (
+	// emulatedStep is the resolution of the emulator's clock.
+	emulatedStep = 2 * time.Millisecond
+	// emulatedDelay is the time that a message takes.
+	emulatedDelay = 2 * time.Millisecond
+	// emulatedCall is the time that the platform takes to answer, emulatedPage the number of
+	// entries of an answer.
+	emulatedCall = 4 * time.Millisecond
+	emulatedPage = 200
+	// serversPerRouter is the number of backend servers for each router.
+	serversPerRouter = 10
+	emulatedAccounts = 200
+)
+
+// newEmulator creates a fleet that is not running yet. The first router of each of the first three
+// zones is a seed, and every twentieth router has more processors than the others.
+func newEmulator(routers, zones int, within time.Duration) *emulator {
+	f := &emulator{
+		now: clockStart, routers: map[string]*emulatedRouter{}, underWay: map[time.Duration][]emulatedMessage{}, costs: map[costKey]*cost{}, zones: zones, within: within,
+		store: emulatedStore{revision: 1, servers: map[string]catalog.Server{}},
+	}
+	t := &table.Table{Revision: 1, Edition: 1, Services: []table.ServiceRow{{Name: "reader", Engine: true}}}
+	for i := range emulatedAccounts {
+		t.Accounts = append(t.Accounts, table.Account{Name: fmt.Sprintf("account-%d", i), Weight: 1, KeySHA256: fmt.Sprintf("%064x", i)})
+	}
+	t.Index()
+	f.store.table = t
+	for i := range serversPerRouter * routers {
+		f.store.put(table.Backend{
+			Name: fmt.Sprintf("i-%08x", i*2654435761%(1<<32)), Address: fmt.Sprintf("10.200.%d.%d:8000", i/250, i%250), Zone: f.zone(i), Kind: table.Service,
+			Models: []string{"reader"}, Slots: 16, Mark: table.Serving, StartTime: 1_700_000_000_000 + int64(i),
+		})
+	}
+	for i := range routers {
+		r := &emulatedRouter{emulator: f, address: fmt.Sprintf("10.%d.%d.%d:8785", i%zones, i/zones/200, i/zones%200), index: i}
+		f.routers[r.address] = r
+		f.order = append(f.order, r.address)
+		if i < min(3, zones) {
+			f.seeds = append(f.seeds, r.address)
+		}
+	}
+	return f
+}
+
+func (f *emulator) zone(i int) string { return fmt.Sprintf("zone-%d", i%f.zones) }
+
+// put writes an entry.
+func (s *emulatedStore) put(b table.Backend) {
+	s.revision++
+	entry := catalog.Server{Revision: s.revision, Backend: b}
+	s.servers[b.Name] = entry
+	s.changes = append(s.changes, entry)
+}
+
+// names returns the names of the entries in order.
+func (s *emulatedStore) names() []string { return slices.Sorted(maps.Keys(s.servers)) }
+
+// startAll starts the routers that are down, within 300 ms of each other.
+func (f *emulator) startAll() {
+	const spread = 300 * time.Millisecond
+	began := f.now
+	var due []*emulatedRouter
+	for _, address := range f.order {
+		if r := f.routers[address]; !r.up {
+			due = append(due, r)
+		}
+	}
+	f.run(began+spread, func() {
+		for len(due) > 0 && f.now-began >= spread*time.Duration(due[0].index)/time.Duration(len(f.order)) {
+			due[0].start()
+			due = due[1:]
+		}
+	})
+	for _, r := range due {
+		r.start()
+	}
+}
+
+// start starts a router that knows nothing.
+func (r *emulatedRouter) start() {
+	f := r.emulator
+	r.up, r.incarnation = true, uint64(f.now)
+	capacity := 0.2
+	if r.index%20 < f.zones && r.index/f.zones%4 == 0 {
+		capacity = 0.8
+	}
+	id := Identity{Name: fmt.Sprint("r-", r.index), Address: r.address, Zone: f.zone(r.index), Incarnation: r.incarnation, Capacity: capacity}
+	d := New(id, emptySource{}, r, WithSeeds(f.seeds), WithApplyWithin(f.within), WithLogger(slog.New(slog.DiscardHandler)))
+	r.state = newState(d)
+	r.readsUntil, r.watching = 0, false
+	r.now = f.now
+	// The clock of a router starts with it; its own times are those of the emulator here.
+	r.d.shared.lastVerified.Store(0)
+}
+
+// kill stops a router without notice.
+func (r *emulatedRouter) kill() {
+	r.up = false
+	r.d.Close()
+}
+
+func (r *emulatedRouter) SetIncarnation(inc uint64) { r.incarnation = inc }
+
+func (r *emulatedRouter) Inbox() <-chan peer.Inbound { return nil }
+func (r *emulatedRouter) Losses() <-chan peer.Loss   { return nil }
+
+// Send implements Transport.
+func (r *emulatedRouter) Send(to string, msg any) {
+	f := r.emulator
+	at := f.now + emulatedDelay
+	f.underWay[at] = append(f.underWay[at], emulatedMessage{r.address, to, r.incarnation, msg})
+	f.count(r, msg)
+}
+
+// role names what a router does besides holding requests.
+func (r *emulatedRouter) role() string {
+	switch {
+	case r.state == nil:
+		return "router"
+	case r.peerPlan.Relay && r.peerPlan.Primary:
+		return "primary relay"
+	case r.peerPlan.Relay:
+		return "relay"
+	case slices.Contains(r.emulator.seeds, r.address):
+		return "seed"
+	default:
+		return "router"
+	}
+}
+
+// count adds a message to the costs.
+func (f *emulator) count(r *emulatedRouter, msg any) {
+	if f.sizes.msg != msg {
+		f.sizes.msg, f.sizes.bytes = msg, encodedSize(msg)
+	}
+	key := costKey{r.role(), strings.TrimPrefix(reflect.TypeOf(msg).String(), "*wire.")}
+	c, ok := f.costs[key]
+	if !ok {
+		c = &cost{byRouter: map[string]int{}}
+		f.costs[key] = c
+	}
+	c.messages++
+	c.bytes += f.sizes.bytes
+	c.byRouter[r.address] += f.sizes.bytes
+}
+
+func encodedSize(msg any) int {
+	var buf bytes.Buffer
+	if err := wire.NewEncoder(&buf).Append(msg); err != nil {
+		panic(err)
+	}
+	return buf.Len()
+}
+
+// resetCosts forgets what was counted.
+func (f *emulator) resetCosts() {
+	f.costs = map[costKey]*cost{}
+	f.store.calls = 0
+}
+
+// sent sums up what was counted: messages, bytes, and the bytes of the router that sent most.
+func (f *emulator) sent() (messages, bytes, busiest int) {
+	byRouter := map[string]int{}
+	for _, c := range f.costs {
+		messages += c.messages
+		bytes += c.bytes
+		for address, n := range c.byRouter {
+			byRouter[address] += n
+		}
+	}
+	for _, n := range byRouter {
+		busiest = max(busiest, n)
+	}
+	return messages, bytes, busiest
+}
+
+// report returns the costs as lines, the largest first: for each role and kind of message, what was
+// sent per second by all routers of the role together, and by the one that sent most.
+func (f *emulator) report(period time.Duration) string {
+	var out strings.Builder
+	keys := slices.SortedFunc(maps.Keys(f.costs), func(a, b costKey) int { return cmp.Compare(f.costs[b].bytes, f.costs[a].bytes) })
+	for _, key := range keys {
+		c, most := f.costs[key], 0
+		for _, n := range c.byRouter {
+			most = max(most, n)
+		}
+		fmt.Fprintf(&out, "  %-14s %-22s routers=%-4d messages/s=%-9.1f kB/s=%-9.1f busiest_kB/s=%.1f\n", key.role, key.kind, len(c.byRouter),
+			float64(c.messages)/period.Seconds(), float64(c.bytes)/1e3/period.Seconds(), float64(most)/1e3/period.Seconds())
+	}
+	return out.String()
+}
+
+// run advances the clock and calls each before every step.
+func (f *emulator) run(until time.Duration, each func()) {
+	for ; f.now < until; f.now += emulatedStep {
+		each()
+		arriving := f.underWay[f.now]
+		delete(f.underWay, f.now)
+		for _, m := range arriving {
+			f.deliver(m)
+		}
+		ticks := int(tickInterval / emulatedStep)
+		for i := int(f.now/emulatedStep) % ticks; i < len(f.order); i += ticks {
+			if r := f.routers[f.order[i]]; r.up {
+				r.apply(tickEvent{})
+			}
+		}
+		for _, address := range f.order {
+			if r := f.routers[address]; r.up {
+				r.read()
+			}
+		}
+	}
+}
+
+// runUntil runs until a condition holds, which is checked every 10 ms, and returns how long that
+// took, at most for the given time.
+func (f *emulator) runUntil(most time.Duration, done func() bool) time.Duration {
+	began := f.now
+	for f.now-began < most && !done() {
+		f.run(f.now+10*time.Millisecond, func() {})
+	}
+	return f.now - began
+}
+
+// apply applies an event like the event loop.
+func (r *emulatedRouter) apply(ev event) {
+	r.now = r.emulator.now
+	ev.apply(r.state)
+}
+
+// deliver delivers a message. If the recipient is down, the sender learns that nothing listens.
+func (f *emulator) deliver(m emulatedMessage) {
+	from, to := f.routers[m.from], f.routers[m.to]
+	switch {
+	case to == nil || !to.up:
+		if from.up && from.incarnation == m.incarnation {
+			from.apply(lossEvent{peer.Loss{Peer: m.to, Refused: true}})
+		}
+	default:
+		to.apply(messageEvent{peer.Inbound{From: m.from, Name: from.d.id.Name, Zone: from.d.id.Zone, Incarnation: m.incarnation, Msg: m.msg}})
+	}
+}
+
+// read reads the platform where the router's tasks would do so.
+func (r *emulatedRouter) read() {
+	f := r.emulator
+	if f.now%(10*time.Millisecond) != 0 && r.readsUntil == 0 {
+		return
+	}
+	if r.readsUntil > 0 {
+		if f.now >= r.readsUntil {
+			r.endRead()
+		}
+		return
+	}
+	sinceStart := f.now - time.Duration(r.incarnation)
+	asOf := r.d.asOf()
+	due := r.verifyDueIn(sinceStart)
+	switch {
+	case due <= 0 && f.store.away:
+		f.store.calls++
+		r.readsUntil, r.fullRead = f.now+r.d.retryDelay(100*time.Millisecond), false
+	case due <= 0 && asOf.IsZero():
+		r.beginFullRead()
+	case due <= 0:
+		f.store.calls++
+		r.readsUntil, r.fullRead = f.now+emulatedCall, false
+	case !asOf.IsZero() && !f.store.away && r.d.shared.readerRank.Load() < watcherCount && sinceStart >= watchDelay && asOf.Number < f.store.revision:
+		f.store.calls++
+		r.readsUntil, r.fullRead, r.watching = f.now+time.Duration(watchPauseFraction*float64(f.within)), false, true
+		r.apply(updateEvent{Update: f.store.since(asOf.Number)})
+	}
+}
+
+// verifyDueIn is verifyDue for a router that started at another time than the emulator.
+func (r *emulatedRouter) verifyDueIn(sinceStart time.Duration) time.Duration {
+	verified := time.Duration(r.d.shared.lastVerified.Load())
+	if verified > 0 || !r.d.asOf().IsZero() {
+		if verified == 0 {
+			r.d.recordVerified(r.emulator.now)
+		}
+		return r.d.verifyDue(r.emulator.now)
+	}
+	return r.d.verifyDue(clockStart + sinceStart)
+}
+
+func (r *emulatedRouter) beginFullRead() {
+	f := r.emulator
+	calls := 1 + len(f.store.servers)/emulatedPage
+	f.store.calls += calls
+	r.readsUntil, r.fullRead = f.now+time.Duration(calls)*emulatedCall, true
+}
+
+// endRead applies the answer of the platform.
+func (r *emulatedRouter) endRead() {
+	f := r.emulator
+	r.readsUntil = 0
+	switch {
+	case r.watching:
+		r.watching = false
+	case f.store.away:
+	case r.fullRead:
+		r.apply(updateEvent{Update: f.store.since(0), readAt: f.now})
+	case r.d.asOf().Number == f.store.revision:
+		r.d.recordVerified(f.now)
+		r.apply(verifiedEvent{})
+	case r.d.asOf().IsZero():
+	default:
+		r.beginFullRead()
+	}
+}
+
+// since returns what was published after a revision.
+func (s *emulatedStore) since(after uint64) catalog.Update {
+	u := catalog.Update{After: after, AsOf: s.revision}
+	if after > 0 {
+		i, _ := slices.BinarySearchFunc(s.changes, after+1, func(x catalog.Server, r uint64) int { return cmp.Compare(x.Revision, r) })
+		latest := map[string]int{}
+		for _, x := range s.changes[i:] {
+			if k, ok := latest[x.Backend.Name]; ok {
+				u.Servers[k] = x
+				continue
+			}
+			latest[x.Backend.Name] = len(u.Servers)
+			u.Servers = append(u.Servers, x)
+		}
+		return u
+	}
+	u.Table = s.table
+	for _, name := range s.names() {
+		u.Servers = append(u.Servers, s.servers[name])
+	}
+	return u
+}
+
+// count returns for how many running routers a condition holds.
+func (f *emulator) countIf(cond func(r *emulatedRouter) bool) int {
+	n := 0
+	for _, r := range f.routers {
+		if r.up && cond(r) {
+			n++
+		}
+	}
+	return n
+}
+
+// running returns the number of running routers.
+func (f *emulator) running() int { return f.countIf(func(*emulatedRouter) bool { return true }) }
+
+// allKnowAll reports whether every running router has the table and counts exactly the running
+// routers as live.
+func (f *emulator) allKnowAll() bool {
+	n := f.running()
+	for _, r := range f.routers {
+		if r.up && (r.d.Table() == nil || len(r.routers) != n-1) {
+			return false
+		}
+	}
+	return true
+}
+
+// reader returns the running router of the first reader rank, nil if there is none.
+func (f *emulator) reader() *emulatedRouter {
+	for _, address := range f.order {
+		if r := f.routers[address]; r.up && r.d.shared.readerRank.Load() == 0 {
+			return r
+		}
+	}
+	return nil
+}
+
+var _ Transport = (*emulatedRouter)(nil)
--- a/internal/dispatch/members.go
+++ b/internal/dispatch/members.go
@@ -27,9 +27,15 @@
 	}
 }
 
-// updateMembers recomputes membership and informs the core and the forwarder if it changed.
+// updateMembers recomputes membership if the roster may have changed, and informs the core and the
+// forwarder if it did.
 func (s *state) updateMembers() {
-	s.membersUpdatedAt, s.membersDirty = s.now, false
+	s.membersDirty = false
+	leaving, version := s.d.Draining(), s.roster.Version(s.now)
+	if version == s.membersVersion && leaving == s.leaving {
+		return
+	}
+	s.membersUpdatedAt, s.membersVersion = s.now, version
 	s.peerPlan = s.roster.Plan(s.now)
 	s.updateRosterVersion()
 	s.updateReaderRank()
@@ -39,7 +45,7 @@
 			routers = append(routers, admit.Router{Address: address, Zone: m.Zone, Capacity: m.Capacity})
 		}
 	}
-	leaving, known := s.d.Draining(), s.roster.KnownByZone()
+	known := s.roster.KnownByZone()
 	if slices.Equal(routers, s.routers) && leaving == s.leaving && maps.Equal(known, s.knownByZone) {
 		return
 	}
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -16,11 +16,11 @@
 // updateRosterVersion assigns a new roster version to the entries that changed, so that other
 // routers can be sent only what is new to them.
 func (s *state) updateRosterVersion() {
-	list := s.roster.Members(s.now)
-	digest := roster.DigestOf(list)
+	digest := s.roster.Digest(s.now)
 	if digest == s.rosterDigest {
 		return
 	}
+	list := s.roster.Members(s.now)
 	s.rosterDigest = digest
 	s.rosterVersion++
 	previous := s.rosterChanges
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -65,6 +65,8 @@
 	// membersDirty is true if membership must be recomputed at a later tick.
 	membersUpdatedAt time.Duration
 	membersDirty     bool
+	// membersVersion is the version of the roster from which membership was last computed.
+	membersVersion uint64
 	// fullUpdate is the last full update sent to routers that know nothing.
 	fullUpdate cachedUpdate
 	// closedZones are the closed availability zones of the last table.
--- a/pkg/roster/plan.go
+++ b/pkg/roster/plan.go
@@ -33,69 +33,72 @@
 	Interval time.Duration
 }
 
-// Plan computes the plan for the members that are alive now.
-func (r *Roster) Plan(now time.Duration) Plan {
-	live := r.filter(func(m *member) bool { return r.isAlive(now, m) || r.isExpected(now, m) })
-	if len(live) < maxMeshSize {
-		r.interval = minInterval
-		return Plan{Mesh: true, Peers: live, Interval: minInterval}
+// Plan returns the plan for the members that are alive now. Its lists must not be modified.
+func (r *Roster) Plan(now time.Duration) Plan { return r.view(now).plan }
+
+// planFor computes the plan for the members that count as reachable, in order of address.
+func (r *Roster) planFor(reachable []*member, relays map[string][]string) Plan {
+	if len(reachable) < maxMeshSize {
+		p := Plan{Mesh: true, Interval: minInterval}
+		for _, m := range reachable {
+			p.Peers = append(p.Peers, m.Address)
+		}
+		return p
 	}
-	relays := r.relays(now)
 	p := Plan{}
-	for _, address := range live {
-		m := r.members[address]
-		switch isRelay := slices.Contains(relays[m.Zone], address); {
+	for _, m := range reachable {
+		switch isRelay := slices.Contains(relays[m.Zone], m.Address); {
 		case m.Zone == r.self.Zone && isRelay:
-			p.Peers = append(p.Peers, address)
+			p.Peers = append(p.Peers, m.Address)
 		case m.Zone == r.self.Zone:
-			p.Served = append(p.Served, address)
+			p.Served = append(p.Served, m.Address)
 		case isRelay:
-			p.RemoteRelays = append(p.RemoteRelays, address)
+			p.RemoteRelays = append(p.RemoteRelays, m.Address)
 		}
 	}
 	own := relays[r.self.Zone]
 	p.Relay = slices.Contains(own, r.self.Address)
 	p.Primary = p.Relay && own[0] == r.self.Address
 	// All routers of a zone compute the same interval.
-	r.interval = min(max(minInterval, time.Duration(len(p.Peers)+len(p.Served)+len(p.RemoteRelays))*intervalPerMember), maxInterval)
+	p.Interval = min(max(minInterval, time.Duration(len(p.Peers)+len(p.Served)+len(p.RemoteRelays))*intervalPerMember), maxInterval)
 	if !p.Relay {
 		p.Served, p.RemoteRelays = nil, nil
 	}
-	p.Interval = r.interval
 	return p
 }
 
-// relays returns the relays of each zone, the primary one first. It caches the result, since
-// handling one message needs it several times.
-func (r *Roster) relays(now time.Duration) map[string][]string {
-	if r.relayCache == nil || r.relayCacheAt != now {
-		r.relayCache, r.relayCacheAt = r.selectRelays(now), now
-	}
-	return r.relayCache
+// relayScore is the weighted rendezvous score by which the relays of a zone are chosen.
+func relayScore(m *Member) float64 { return rendezvous.Score(relayKey, m.Address, m.capacity()) }
+
+// relays returns the relays of each zone, the primary one first.
+func (r *Roster) relays(now time.Duration) map[string][]string { return r.view(now).relays }
+
+// relayCandidates collects the best candidates of each zone.
+type relayCandidates map[string][]relayCandidate
+
+type relayCandidate struct {
+	address string
+	score   float64
 }
 
-// selectRelays chooses the relays of each zone by weighted rendezvous hashing.
-func (r *Roster) selectRelays(now time.Duration) map[string][]string {
-	type ranked struct {
-		address string
-		score   float64
+// add adds a member of a zone.
+func (c relayCandidates) add(m *Member, score float64) {
+	list := c[m.Zone]
+	at, _ := slices.BinarySearchFunc(list, relayCandidate{m.Address, score}, func(a, b relayCandidate) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
+	})
+	if at >= relaysPerZone {
+		return
 	}
-	zones := map[string][]ranked{}
-	add := func(m *Member) {
-		zones[m.Zone] = append(zones[m.Zone], ranked{m.Address, rendezvous.Score(relayKey, m.Address, m.capacity())})
-	}
-	add(&r.self)
-	for _, m := range r.members {
-		if r.isAlive(now, m) && !m.leaving || r.isExpected(now, m) {
-			add(&m.Member)
-		}
-	}
-	relays := make(map[string][]string, len(zones))
-	for zone, list := range zones {
-		slices.SortFunc(list, func(a, b ranked) int {
-			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
-		})
-		for _, x := range list[:min(relaysPerZone, len(list))] {
+	list = slices.Insert(list, at, relayCandidate{m.Address, score})
+	c[m.Zone] = list[:min(relaysPerZone, len(list))]
+}
+
+// addresses returns the relays of each zone.
+func (c relayCandidates) addresses() map[string][]string {
+	relays := make(map[string][]string, len(c))
+	for zone, list := range c {
+		for _, x := range list {
 			relays[zone] = append(relays[zone], x.address)
 		}
 	}
--- a/pkg/roster/report.go
+++ b/pkg/roster/report.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -47,7 +46,7 @@
 // needs a full report.
 func (r *Roster) ApplyReport(now time.Duration, from string, report Report) bool {
 	isRelay, indirect := r.isRelay(now, from), r.acceptsIndirect(now, from)
-	defer func() { r.relayCache = nil }()
+	defer func() { r.cached = nil }()
 	alive := map[string]bool{}
 	prev, ok := r.reports[from]
 	applies := report.Base == 0 || ok && prev.digest == report.Base && prev.includesIndirect == indirect
@@ -100,10 +99,11 @@
 		m.leaving, m.unansweredSince = false, 0
 	}
 	if info.Incarnation >= m.Incarnation && (m.lastReceived == 0 || info.Incarnation > m.Incarnation) {
-		m.Member = info.Member
+		m.set(info.Member)
 	}
-	if info.Incarnation == m.Incarnation && info.Capacity > 0 {
+	if info.Incarnation == m.Incarnation && info.Capacity > 0 && info.Capacity != m.Capacity {
 		m.Capacity = info.Capacity
+		m.relayScore = relayScore(&m.Member)
 	}
 	return m
 }
@@ -117,6 +117,9 @@
 		return !r.isRelay(now, relay)
 	}
 	if report.digest == digest {
+		if r.isSilent(now, report.confirmedAt) {
+			r.cached = nil
+		}
 		report.confirmedAt = now
 	}
 	return report.digest == digest && report.includesIndirect == r.acceptsIndirect(now, relay)
@@ -127,6 +130,7 @@
 	for _, report := range r.reports {
 		delete(report.alive, address)
 	}
+	r.cached = nil
 }
 
 // Members returns this router and those heard from within ForgetAfter. In other zones, only
@@ -135,13 +139,13 @@
 func (r *Roster) Members(now time.Duration) []MemberInfo {
 	list := []MemberInfo{{Member: r.self, Alive: true, Direct: true}}
 	relays := r.relays(now)
-	for _, address := range slices.Sorted(maps.Keys(r.members)) {
-		m := r.members[address]
-		if m.Incarnation == 0 || now-m.lastSeen >= ForgetAfter {
+	for _, m := range r.inOrder() {
+		isAlive := r.isAlive(now, m)
+		if m.Incarnation == 0 || !isAlive && now-m.lastSeen >= ForgetAfter {
 			continue
 		}
-		info := MemberInfo{Member: m.Member, LastSeenAgo: now - m.lastSeen, Alive: r.isAlive(now, m), Leaving: m.leaving}
-		info.Direct = r.isDirect(now, m) && (m.Zone == r.self.Zone || slices.Contains(relays[m.Zone], address))
+		info := MemberInfo{Member: m.Member, LastSeenAgo: now - m.lastSeen, Alive: isAlive, Leaving: m.leaving}
+		info.Direct = r.isDirect(now, m) && (m.Zone == r.self.Zone || slices.Contains(relays[m.Zone], m.Address))
 		if info.Alive {
 			info.LastSeenAgo = 0
 		}
@@ -152,7 +156,11 @@
 
 // Digest returns the digest of the members that this router counts as alive.
 func (r *Roster) Digest(now time.Duration) uint64 {
-	return DigestOf(r.Members(now))
+	v := r.view(now)
+	if v.digest == 0 {
+		v.digest = DigestOf(r.Members(now))
+	}
+	return v.digest
 }
 
 // DigestOf returns the digest of a list of all members.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -84,10 +84,21 @@
 	// last message was sent, 0 if there was none.
 	probedAt, unansweredSince time.Duration
 
+	// aliveAt is when it was last found to count as alive.
+	aliveAt time.Duration
+
 	leaving bool
 	// down says that nothing listens at its address any more.
 	down bool
 	seed bool
+	// relayScore orders the candidates for relays of a zone.
+	relayScore float64
+}
+
+// set replaces the description of a member.
+func (m *member) set(to Member) {
+	m.Member = to
+	m.relayScore = relayScore(&m.Member)
 }
 
 // Roster is one router's view of the fleet.
@@ -105,9 +116,12 @@
 	startedAt time.Duration
 	// pause is the last time during which this process was paused.
 	pause pause
-	// relayCache holds the relays by zone, computed at relayCacheAt. It is nil after a change.
-	relayCache   map[string][]string
-	relayCacheAt time.Duration
+	// sorted are the members by address, nil after one was added or removed.
+	sorted []*member
+	// cached is the last view, nil after an event that may change it.
+	cached *view
+	// work counts what computing views has cost.
+	work Work
 }
 
 // New returns a roster that knows only its seeds.
@@ -115,7 +129,7 @@
 	r := &Roster{self: self, members: map[string]*member{}, reports: map[string]*relayReport{}, interval: minInterval}
 	for _, address := range seeds {
 		if address != self.Address {
-			r.members[address] = &member{Member: Member{Address: address}, probedAt: -ProbeInterval, seed: true}
+			r.getOrAdd(0, address).seed = true
 		}
 	}
 	return r
@@ -130,10 +144,7 @@
 		if address == r.self.Address {
 			continue
 		}
-		if _, ok := r.members[address]; !ok {
-			r.members[address] = &member{Member: Member{Address: address}, probedAt: -ProbeInterval}
-		}
-		r.members[address].seed = true
+		r.getOrAdd(0, address).seed = true
 	}
 }
 
@@ -148,19 +159,30 @@
 	if from.Incarnation < m.Incarnation {
 		return false
 	}
-	r.relayCache = nil
-	isNew := !r.isAlive(now, m) || from.Incarnation > m.Incarnation
-	if from.Incarnation > m.Incarnation {
+	wasAlive, wasDirect := r.isAlive(now, m), r.isDirect(now, m)
+	isRestart := from.Incarnation > m.Incarnation
+	if isRestart {
 		m.leaving = false
 		r.removeFromReports(from.Address)
 	}
 	if from.Capacity == 0 {
 		from.Capacity = m.Capacity
 	}
-	m.Member = from
+	if !wasAlive || m.Member != from || m.down || !wasDirect && r.reportsContact(now, m) {
+		r.cached = nil
+	}
+	if m.Member != from {
+		m.set(from)
+	}
 	m.lastReceived, m.lastSeen, m.unansweredSince = now, now, 0
 	m.down = false
-	return isNew
+	return !wasAlive || isRestart
+}
+
+// reportsContact reports whether this router tells others that it receives messages from m. Contact
+// with routers of other zones comes and goes with their requests for slots; their relays report them.
+func (r *Roster) reportsContact(now time.Duration, m *member) bool {
+	return m.Zone == r.self.Zone || r.isRelay(now, m.Address)
 }
 
 // RaiseIncarnation gives this router an incarnation above those that others know for its
@@ -177,17 +199,19 @@
 func (r *Roster) getOrAdd(now time.Duration, address string) *member {
 	m, ok := r.members[address]
 	if !ok {
-		m = &member{Member: Member{Address: address}, probedAt: -ProbeInterval, lastSeen: now}
+		m = &member{probedAt: -ProbeInterval, lastSeen: now}
+		m.set(Member{Address: address})
 		r.members[address] = m
+		r.sorted = nil
 	}
 	return m
 }
 
 // MarkLeaving records that a router is about to stop.
 func (r *Roster) MarkLeaving(from string) {
-	if m, ok := r.members[from]; ok {
+	if m, ok := r.members[from]; ok && !m.leaving {
 		m.leaving = true
-		r.relayCache = nil
+		r.cached = nil
 	}
 }
 
@@ -196,7 +220,7 @@
 	if m, ok := r.members[address]; ok {
 		m.lastReceived = 0
 		m.down = true
-		r.relayCache = nil
+		r.cached = nil
 		r.removeFromReports(address)
 		delete(r.reports, address)
 	}
@@ -233,51 +257,43 @@
 	return m.Incarnation > 0 && !m.leaving && now-m.lastSeen < expectTTL && (m.unansweredSince == 0 || now-m.unansweredSince < probeTimeout)
 }
 
-// Live returns the addresses of the other routers that are alive.
-func (r *Roster) Live(now time.Duration) []string {
-	return r.filter(func(m *member) bool { return r.isAlive(now, m) })
-}
+// Live returns the addresses of the other routers that are alive. The list must not be modified.
+func (r *Roster) Live(now time.Duration) []string { return r.view(now).live }
 
-// Active returns the addresses of the other routers that are alive and not leaving.
-func (r *Roster) Active(now time.Duration) []string {
-	return r.filter(func(m *member) bool { return r.isAlive(now, m) && !m.leaving })
-}
+// Active returns the addresses of the other routers that are alive and not leaving. The list must
+// not be modified.
+func (r *Roster) Active(now time.Duration) []string { return r.view(now).active }
 
-func (r *Roster) filter(keep func(*member) bool) []string {
-	var list []string
-	for address, m := range r.members {
-		if keep(m) {
-			list = append(list, address)
-		}
+// inOrder returns the members by address.
+func (r *Roster) inOrder() []*member {
+	if r.sorted == nil {
+		r.sorted = slices.SortedFunc(maps.Values(r.members), func(a, b *member) int { return cmp.Compare(a.Address, b.Address) })
+		r.work.Sorted += len(r.sorted)
 	}
-	slices.Sort(list)
-	return list
+	return r.sorted
 }
 
 // NextProbes returns the addresses of the silent routers to probe now, those probed longest
 // ago first, and records the probes.
 func (r *Roster) NextProbes(now time.Duration, p Plan) []string {
 	interval := r.probeInterval(now)
-	list := r.filter(func(m *member) bool {
-		switch since := now - m.probedAt; {
-		case r.isDirect(now, m) || since < interval:
-			return false
-		case r.shouldReceive(now, m, p):
-			return true
-		default:
-			return m.seed && since >= SeedProbeInterval
+	var silent []*member
+	for _, m := range r.inOrder() {
+		if since := now - m.probedAt; r.isDirect(now, m) || since < interval {
+			continue
+		}
+		if r.shouldReceive(now, m, p) || m.seed && now-m.probedAt >= SeedProbeInterval {
+			silent = append(silent, m)
 		}
-	})
-	slices.SortStableFunc(list, func(a, b string) int {
-		return cmp.Compare(r.members[a].probedAt, r.members[b].probedAt)
-	})
-	list = list[:min(maxProbes, len(list))]
-	r.relayCache = nil
-	for _, address := range list {
-		m := r.members[address]
+	}
+	slices.SortStableFunc(silent, func(a, b *member) int { return cmp.Compare(a.probedAt, b.probedAt) })
+	var list []string
+	for _, m := range silent[:min(maxProbes, len(silent))] {
+		list = append(list, m.Address)
 		m.probedAt = now
 		if m.unansweredSince == 0 {
 			m.unansweredSince = now
+			r.cached = nil
 		}
 	}
 	return list
@@ -308,22 +324,31 @@
 	}
 }
 
-// Forget drops the routers that nobody has heard from for ForgetAfter.
+// Forget drops the routers that nobody has heard from, and that no relay has reported alive, for
+// ForgetAfter.
 func (r *Roster) Forget(now time.Duration) {
-	r.relayCache = nil
 	if now < r.pause.to+pauseGrace {
 		return
 	}
-	maps.DeleteFunc(r.members, func(_ string, m *member) bool {
-		return !m.seed && now-m.lastSeen >= ForgetAfter
-	})
+	for _, m := range r.inOrder() {
+		if m.seed || now-m.lastSeen < ForgetAfter || r.isAlive(now, m) || now-m.aliveAt < ForgetAfter && m.aliveAt > 0 {
+			continue
+		}
+		delete(r.members, m.Address)
+		r.cached = nil
+	}
+	if len(r.members) < len(r.sorted) {
+		r.sorted = nil
+	}
 }
 
-// CountRecent returns how many routers, including this one, were heard from within a time.
+// CountRecent returns how many routers, including this one, were heard from or reported alive within
+// a time.
 func (r *Roster) CountRecent(now, within time.Duration) int {
 	n := 1
+	r.view(now)
 	for _, m := range r.members {
-		if m.Incarnation > 0 && now-m.lastSeen < within {
+		if m.Incarnation > 0 && (now-m.lastSeen < within || m.aliveAt > 0 && now-m.aliveAt < within) {
 			n++
 		}
 	}
@@ -366,7 +391,7 @@
 // arrived meanwhile, silence does not show that other routers are lost. Otherwise it would
 // take itself for the only router and for the owner of every backend server.
 func (r *Roster) RecordPause(from, to time.Duration) {
-	r.relayCache = nil
+	r.cached = nil
 	r.pause = pause{from, to}
 }
 
