Let the fleet's calls to a platform that is away grow with its logarithm

Cause: behind the first six readers all routers verified at the same age, so that a whole fleet called at once when these failed, and each repeated it at least every eight delays: calls grow with the routers (emulated fleet, platform away: 60 routers 72 calls a second, 150 123, 300 273). Change: the ranks behind follow in groups that double, a relay passes on a verification at once to the routers that would read soon, and the delay of a retry grows with the rank without bound; it ends as soon as the rank falls or another router has verified. A router that is no seed and knows nothing reads later the further behind it is, at most after 5 s. Ruled out: a larger bound of the delay; calls would still grow with the fleet.

--- a/internal/dispatch/platform.go
+++ b/internal/dispatch/platform.go
@@ -28,23 +28,6 @@
 	// should read the platform.
 	maxPollWait = 200 * time.Millisecond
 	minPollWait = 20 * time.Millisecond
-	// A router of rank 0 verifies its revision when the last verification is
-	// firstVerifyFraction of the apply time old. A router of rank r > 0 does so at
-	// baseVerifyFraction + r*rankVerifyFraction, at most maxVerifyFraction.
-	firstVerifyFraction = 0.2
-	baseVerifyFraction  = 0.4
-	rankVerifyFraction  = 0.05
-	maxVerifyFraction   = 0.7
-	// nonSeedReadDelay is the time after the start before a router that is not a seed reads
-	// the platform, unless another router sent everything by then. A full read of a large
-	// platform takes several calls, which should not come from all routers at once when the
-	// fleet starts.
-	nonSeedReadDelay = 400 * time.Millisecond
-	// The retry delay after a failed read grows by one base delay every ranksPerDelay
-	// ranks, up to maxDelayFactor base delays. This bounds the call rate of a large fleet
-	// while the platform is down, and the first reader still notices its recovery quickly.
-	ranksPerDelay  = 4
-	maxDelayFactor = 8
 )
 
 // newBackoff returns a jittered backoff for platform reads.
@@ -148,7 +131,7 @@
 		start := d.now()
 		if err := d.verifyOnce(start); err != nil {
 			d.recordReadFailure("verify", err)
-			d.sleep(d.retryDelay(wait.NextBackOff()))
+			d.waitForRetry(wait.NextBackOff())
 			continue
 		}
 		wait.Reset()
@@ -156,10 +139,22 @@
 	}
 }
 
+// waitForRetry waits after a failed read. It ends early if the delay becomes shorter, since routers of
+// lower ranks were lost, or if another router has verified the revision.
+func (d *Dispatcher) waitForRetry(base time.Duration) {
+	failedAt := d.now()
+	for d.ctx.Err() == nil && d.verifyDue(d.now()) <= 0 {
+		left := failedAt + d.retryDelay(base) - d.now()
+		if left <= 0 {
+			return
+		}
+		d.sleep(min(left, maxPollWait))
+	}
+}
+
 // retryDelay scales a delay by this router's rank.
-func (d *Dispatcher) retryDelay(delay time.Duration) time.Duration {
-	factor := 1 + float64(d.shared.readerRank.Load())/ranksPerDelay
-	return time.Duration(min(factor, maxDelayFactor) * float64(delay))
+func (d *Dispatcher) retryDelay(base time.Duration) time.Duration {
+	return retryDelay(d.shared.readerRank.Load(), base)
 }
 
 // verifyDue returns the time until this router must verify its revision. Values up to 0 mean
@@ -175,12 +170,9 @@
 	case len(d.opt.seeds) == 0 || slices.Contains(d.opt.seeds, d.id.Address):
 		return 0
 	default:
-		return clockStart + nonSeedReadDelay - now
-	}
-	fraction := firstVerifyFraction
-	if rank := d.shared.readerRank.Load(); rank > 0 {
-		fraction = min(baseVerifyFraction+rankVerifyFraction*float64(rank), maxVerifyFraction)
+		return clockStart + firstReadDelay(d.shared.readerRank.Load()) - now
 	}
+	fraction := verifyFraction(d.shared.readerRank.Load())
 	return verified + time.Duration(fraction*float64(d.shared.applyWithin.Load())) - now
 }
 
--- a/internal/dispatch/platform_test.go
+++ b/internal/dispatch/platform_test.go
@@ -50,4 +50,8 @@
 	if got := calls(300); got > 50 {
 		t.Errorf("300 routers make %.1f calls per second, want at most 50", got)
 	}
+	// Each doubling of the fleet adds the same.
+	if more := calls(1200) - calls(600); more > 4 {
+		t.Errorf("1200 routers make %.1f calls per second more than 600", more)
+	}
 }
--- a/internal/dispatch/verified.go
+++ b/internal/dispatch/verified.go
@@ -18,9 +18,22 @@
 	before := time.Duration(s.d.shared.lastVerified.Load())
 	at := m.Echo.At() + time.Duration(m.EchoAgeMillis-m.VerifiedAgeMillis)*time.Millisecond
 	s.d.recordVerified(at)
-	if at-before >= minVerifiedGain && s.peerPlan.Relay && from.Zone == s.d.id.Zone && !slices.Contains(s.peerPlan.Peers, from.From) {
+	if at-before < minVerifiedGain || !s.peerPlan.Relay {
+		return
+	}
+	if from.Zone == s.d.id.Zone && !slices.Contains(s.peerPlan.Peers, from.From) {
 		s.sendVerified(s.peerPlan.RemoteRelays)
 	}
+	if s.othersReadSoon(before) {
+		s.sendVerified(s.peerPlan.Served)
+	}
+}
+
+// othersReadSoon reports whether the routers that this relay serves would read the platform
+// themselves before its next report reaches them, given the time of the last verification.
+func (s *state) othersReadSoon(verified time.Duration) bool {
+	due := verified + time.Duration(baseVerifyFraction*float64(s.d.shared.applyWithin.Load()))
+	return s.now+s.peerPlan.Interval >= due
 }
 
 // verifiedEvent reports that this router verified its revision.
