Send full rosters and full updates a bounded number of times

Cause: two laws in the square of the fleet. Every router probes the seeds each 15 s, and each was sent the full roster (routers x routers); any router sent its own to each new one that it heard. Change: a seed that knows the sender confirms the roster it sent before; only relays, seeds and the routers of a full mesh introduce others. A router sends everything to four others in a period, and refers the rest to those, preferably of their own zone; the message is encoded once for all (wire.Encoded; kind 32, UpdateReferral, which older routers skip). Ruled out: whole tables sent unasked; fewer seeds; a longer interval of the probes. Tests: TestFullUpdatesSpreadAsTree at 60 and 120 routers: at most 9 sent by one, 7 to another zone, 57 and 117 in all; TestProbesOfSeedsAreCheap.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -34,8 +34,10 @@
 		msg   any
 		bytes int
 	}
-	zones int
-	seeds []string
+	// onSend is called for each message; it may be nil.
+	onSend func(from *emulatedRouter, to string, msg any)
+	zones  int
+	seeds  []string
 	// within is the time in which changes must be in force.
 	within time.Duration
 }
@@ -195,6 +197,9 @@
 	at := f.now + emulatedDelay
 	f.underWay[at] = append(f.underWay[at], emulatedMessage{r.address, to, r.incarnation, msg})
 	f.count(r, msg)
+	if f.onSend != nil {
+		f.onSend(r, to, msg)
+	}
 }
 
 // role names what a router does besides holding requests.
@@ -218,7 +223,7 @@
 	if f.sizes.msg != msg {
 		f.sizes.msg, f.sizes.bytes = msg, encodedSize(msg)
 	}
-	key := costKey{r.role(), strings.TrimPrefix(reflect.TypeOf(msg).String(), "*wire.")}
+	key := costKey{r.role(), kindName(msg)}
 	c, ok := f.costs[key]
 	if !ok {
 		c = &cost{byRouter: map[string]int{}}
@@ -229,6 +234,17 @@
 	c.byRouter[r.address] += f.sizes.bytes
 }
 
+// fullUpdateKind is the kind of an encoded update.
+const fullUpdateKind = "full update"
+
+// kindName names the kind of a message.
+func kindName(msg any) string {
+	if _, ok := msg.(*wire.Encoded); ok {
+		return fullUpdateKind
+	}
+	return strings.TrimPrefix(reflect.TypeOf(msg).String(), "*wire.")
+}
+
 func encodedSize(msg any) int {
 	var buf bytes.Buffer
 	if err := wire.NewEncoder(&buf).Append(msg); err != nil {
@@ -317,6 +333,13 @@
 // deliver delivers a message. If the recipient is down, the sender learns that nothing listens.
 func (f *emulator) deliver(m emulatedMessage) {
 	from, to := f.routers[m.from], f.routers[m.to]
+	if x, ok := m.msg.(*wire.Encoded); ok {
+		decoded, err := x.Decode()
+		if err != nil {
+			panic(err)
+		}
+		m.msg = decoded
+	}
 	switch {
 	case to == nil || !to.up:
 		if from.up && from.incarnation == m.incarnation {
@@ -345,7 +368,7 @@
 	switch {
 	case due <= 0 && f.store.away:
 		f.store.calls++
-		r.readsUntil, r.fullRead = f.now+r.d.retryDelay(100*time.Millisecond), false
+		r.readsUntil, r.fullRead = f.now+r.d.retryDelay(time.Second), false
 	case due <= 0 && asOf.IsZero():
 		r.beginFullRead()
 	case due <= 0:
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -39,9 +39,10 @@
 
 func (e messageEvent) apply(s *state) {
 	member := roster.Member{Address: e.From, Name: e.Name, Zone: e.Zone, Incarnation: e.Incarnation}
-	if s.roster.Observe(s.now, member) {
+	isNew := s.roster.Observe(s.now, member)
+	if isNew {
 		s.d.opt.log.Info("member_heard", "peer", e.Name, "address", e.From, "zone", e.Zone, "incarnation", e.Incarnation)
-		if _, isRoster := e.Msg.(*wire.Roster); !isRoster {
+		if _, isRoster := e.Msg.(*wire.Roster); !isRoster && s.introducesRouters() {
 			s.sendFullRoster(e.From, true)
 		}
 		if s.catalog.AsOf().IsZero() {
@@ -63,9 +64,11 @@
 	case *wire.Claim, *wire.ClaimRelease, *wire.ClaimReply:
 		s.handleClaimMessage(e.From, m)
 	case *wire.Roster:
-		s.mergeRoster(e.From, m)
+		s.mergeRoster(e.From, m, isNew)
 	case *wire.PlatformUpdateRequest:
-		s.d.transport.Send(e.From, s.updateSince(m))
+		s.sendUpdateSince(e.Inbound, m)
+	case *wire.UpdateReferral:
+		s.followReferral(e.From, m)
 	case *wire.PlatformUpdate:
 		s.mergeUpdate(e.Inbound, m.Update)
 	case *wire.RestrictedUpdate:
@@ -139,30 +142,6 @@
 	}
 }
 
-// fullUpdateTTL is how long a cached full update may be reused.
-const fullUpdateTTL = 200 * time.Millisecond
-
-// cachedUpdate is a full update built for an earlier request.
-type cachedUpdate struct {
-	msg  any
-	asOf catalog.Revision
-	at   time.Duration
-}
-
-// updateSince returns what was published after a revision. Full updates are cached, since many
-// routers request one when the fleet starts and queued copies would need much memory. The
-// message must not be modified.
-func (s *state) updateSince(request *wire.PlatformUpdateRequest) any {
-	asOf := s.catalog.AsOf()
-	if request.Epoch == asOf.Epoch && s.catalog.HasHistorySince(request.After) {
-		return wire.NewPlatformUpdate(s.catalog.Since(request.After))
-	}
-	if s.fullUpdate.msg == nil || s.fullUpdate.asOf != asOf || s.now-s.fullUpdate.at >= fullUpdateTTL {
-		s.fullUpdate = cachedUpdate{msg: wire.NewPlatformUpdate(s.catalog.Since(0)), asOf: asOf, at: s.now}
-	}
-	return s.fullUpdate.msg
-}
-
 // requestUpdate asks another router for what it knows beyond the local revision.
 func (s *state) requestUpdate(from string) {
 	after := s.catalog.AsOf()
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/roster"
@@ -67,14 +69,38 @@
 	s.d.transport.Send(to, m)
 }
 
-// probe requests the roster of a silent router. In a full mesh it also sends the own roster;
-// otherwise relays do.
+// probe asks a silent router for a sign of life. In a full mesh both rosters are exchanged; otherwise
+// a router to which this one is new replies with its roster, and any other needs not.
 func (s *state) probe(to string) {
 	if s.peerPlan.Mesh {
 		s.sendFullRoster(to, true)
 		return
 	}
-	s.d.transport.Send(to, &wire.Roster{WantReply: true})
+	s.d.transport.Send(to, &wire.Roster{WantReply: true, Base: anyRoster})
+}
+
+// anyRoster as the Base of a request without a digest says that the sender has a roster, whichever it
+// is.
+const anyRoster = 1
+
+// introducesRouters reports whether this router tells new ones about all others. Relays and seeds do,
+// and all routers of a full mesh. If every router did, a fleet that starts would exchange its roster
+// as many times as there are pairs of routers that request slots from each other.
+func (s *state) introducesRouters() bool {
+	return s.peerPlan.Mesh || s.peerPlan.Relay || slices.Contains(s.d.opt.seeds, s.d.id.Address)
+}
+
+// replyToProbe sends the roster to a router that asked for it, or only a confirmation of the roster
+// that was sent before if the sender is known and has a roster.
+func (s *state) replyToProbe(from string, m *wire.Roster, isNew bool) {
+	if m.Base != anyRoster || m.Digest != 0 || isNew || s.peerPlan.Mesh {
+		s.sendFullRoster(from, false)
+		return
+	}
+	// A router that takes this one for its relay and does not know that roster requests it.
+	digest := cmp.Or(s.link(from).rosterDigest, s.rosterDigest, anyRoster)
+	own := roster.MemberInfo{Member: s.roster.Self(), Alive: true, Direct: true}
+	s.d.transport.Send(from, &wire.Roster{Digest: digest, Base: digest, Entries: []wire.RosterEntry{rosterEntry(own)}})
 }
 
 // requestRoster asks a relay for its full roster after changes of it were lost.
@@ -95,8 +121,8 @@
 	}
 }
 
-// mergeRoster merges the roster of another router.
-func (s *state) mergeRoster(from string, m *wire.Roster) {
+// mergeRoster merges the roster of another router, which may be new.
+func (s *state) mergeRoster(from string, m *wire.Roster, isNew bool) {
 	list := make([]roster.MemberInfo, 0, len(m.Entries))
 	for _, e := range m.Entries {
 		list = append(list, roster.MemberInfo{
@@ -109,7 +135,7 @@
 	}
 	s.raiseIncarnation()
 	if m.WantReply {
-		s.sendFullRoster(from, false)
+		s.replyToProbe(from, m, isNew)
 	}
 	s.scheduleMembersUpdate()
 }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -67,8 +67,8 @@
 	membersDirty     bool
 	// membersVersion is the version of the roster from which membership was last computed.
 	membersVersion uint64
-	// fullUpdate is the last full update sent to routers that know nothing.
-	fullUpdate cachedUpdate
+	fullUpdates    fullUpdates
+	referral       referral
 	// closedZones are the closed availability zones of the last table.
 	closedZones     []string
 	unusableLimiter logLimiter
@@ -175,6 +175,7 @@
 	if s.membersDirty {
 		s.scheduleMembersUpdate()
 	}
+	s.repeatReferral()
 	s.updateAdmission()
 	s.sendReports()
 	s.sendSuspectUpdates()
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -368,6 +368,9 @@
 	return known
 }
 
+// Self returns this router.
+func (r *Roster) Self() Member { return r.self }
+
 // Get returns what is known about a router.
 func (r *Roster) Get(address string) (Member, bool) {
 	if address == r.self.Address {
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -49,6 +49,7 @@
 	KindSuspectUpdate         Kind = 29
 	KindUsage                 Kind = 30
 	KindRestrictedUpdate      Kind = 31
+	KindUpdateReferral        Kind = 32
 )
 
 // Protocol is the version of the protocol that this program writes, OldestProtocol the
@@ -125,6 +126,7 @@
 	KindSuspectUpdate:         func() any { return &SuspectUpdate{} },
 	KindUsage:                 func() any { return &Usage{} },
 	KindRestrictedUpdate:      func() any { return &RestrictedUpdate{} },
+	KindUpdateReferral:        func() any { return &UpdateReferral{} },
 }
 
 // Encoder encodes the messages of one connection. It sends an interned string only
@@ -146,13 +148,31 @@
 
 // Append encodes a message and appends it to the buffer.
 func (e *Encoder) Append(msg any) error {
+	if m, ok := msg.(*Encoded); ok {
+		if err := e.encodeKind(m.kind); err != nil {
+			return err
+		}
+		_, err := e.buf.Write(m.body)
+		return err
+	}
 	k, err := kindOf(msg)
 	if err != nil {
 		return err
 	}
+	if err := e.encodeKind(k); err != nil {
+		return err
+	}
+	return e.encodeBody(msg)
+}
+
+func (e *Encoder) encodeKind(k Kind) error {
 	if err := e.enc.EncodeUint8(uint8(k)); err != nil {
 		return fmt.Errorf("wire: encode kind %d: %w", k, err)
 	}
+	return nil
+}
+
+func (e *Encoder) encodeBody(msg any) error {
 	if err := e.enc.Encode(msg); err != nil {
 		return fmt.Errorf("wire: encode %T: %w", msg, err)
 	}
