Make the change of a backend server cost what depends on its row

Cause: for each change of the directory a router copied and indexed all rows, hashed the incarnation of each, counted all again by service and zone, and threw all cached orders of preference away; to send the change on it looked at all entries. Changes come at a rate that grows with the servers, so the cost grew with their square, held down only by changes that came into force later. Each second all servers were walked for requests in flight, and for a request the failure rates of all were sorted (at most 20 times a second). Change: the directory is an immutable list in chunks (table.Directory); the catalog says which rows changed (LastChange) and finds changes by revision; pkg/admit applies these rows, keeps the cached orders by inserting and removing, evicts one order instead of all, counts servers by zone and failing servers, and lists requests in flight by the requests. A whole table is still applied as before, at the same bounded rate. Ruled out: a longer interval between whole rebuilds; changes come into force later then.

--- a/internal/dispatch/platform.go
+++ b/internal/dispatch/platform.go
@@ -11,6 +11,7 @@
 
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/pkg/catalog"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 )
 
 const (
@@ -292,10 +293,23 @@
 		return
 	}
 	s.d.shared.table.Store(v)
+	change := s.catalog.LastChange()
+	s.logTable(v, from, change)
+	s.step(admit.TableUpdate{Table: v, Partial: !change.All, Changed: change.Names})
+}
+
+// logTable logs the table in force, and which backend servers changed with it. Lines on backend
+// servers alone are limited, as they come and go at a rate that grows with the fleet.
+func (s *state) logTable(v *table.Table, from string, change catalog.Change) {
+	if !change.All && !s.tableLimiter.allow(s.now) {
+		s.tablesNotLogged++
+		return
+	}
 	s.d.opt.log.Info("table_in_force", "revision", v.Revision, "edition", v.Edition, "as_of", s.catalog.AsOf().Number, "epoch", s.catalog.AsOf().Epoch, "from", from,
-		"routes", len(v.Routes), "accounts", len(v.Accounts), "backends", len(v.Backends))
+		"routes", len(v.Routes), "accounts", len(v.Accounts), "backends", v.BackendCount(),
+		"changed_backends", len(change.Names), "lines_left_out", s.tablesNotLogged)
+	s.tablesNotLogged = 0
 	s.logZoneChanges(v, from)
-	s.step(admit.TableUpdate{Table: v})
 }
 
 // errNoData explains why a router without a table is not ready.
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -72,6 +72,9 @@
 	// closedZones are the closed availability zones of the last table.
 	closedZones     []string
 	unusableLimiter logLimiter
+	// tableLimiter limits the lines on changed backend servers, tablesNotLogged counts those left out.
+	tableLimiter    logLimiter
+	tablesNotLogged int
 	// forwardPeers is the number of routers that connections may be forwarded to.
 	forwardPeers int
 	// routerHostSet caches the hosts of the live routers, nil after a change.
--- a/internal/dispatch/zones.go
+++ b/internal/dispatch/zones.go
@@ -31,8 +31,8 @@
 
 func countBackends(v *table.Table, zone string) int {
 	n := 0
-	for i := range v.Backends {
-		if v.Backends[i].Zone == zone {
+	for b := range v.AllBackends() {
+		if b.Zone == zone {
 			n++
 		}
 	}
--- a/internal/front/models.go
+++ b/internal/front/models.go
@@ -33,7 +33,7 @@
 func modelList(t *table.Table) ModelList {
 	list := ModelList{Object: "list", Data: []ModelItem{}}
 	seen := map[string]bool{}
-	for _, b := range t.Backends {
+	for b := range t.AllBackends() {
 		if b.Kind != table.Engine {
 			continue
 		}
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -80,7 +80,7 @@
 	// unreachableZones are the zones in which this router reaches no router.
 	unreachableZones map[string]bool
 	servers          map[wire.NameHash]*server
-	// generation is incremented with each table update.
+	// generation is incremented with each whole table.
 	generation uint64
 	// sortedServers is sorted by name. ownedServers are those for which this router keeps owner
 	// state, also sorted by name.
@@ -88,6 +88,8 @@
 	ownedServers  []*server
 	services      map[string]*service
 	requests      map[uint64]*request
+	// work counts what updates have cost.
+	work Work
 	// table is the current table, nil before the first one.
 	table *table.Table
 	// suspects are the requests that were in flight at backend servers that crashed. ownUpdates
@@ -314,7 +316,7 @@
 func (c *Core) RunningByBackend() map[string]int {
 	running := map[string]int{}
 	for _, s := range c.ownedServers {
-		if s.owned != nil && s.generation == c.generation {
+		if s.owned != nil && s.isListed {
 			running[s.Name] = s.owned.running
 		}
 	}
--- a/pkg/admit/health.go
+++ b/pkg/admit/health.go
@@ -176,18 +176,30 @@
 	if svc.medianAt > 0 && c.now-svc.medianAt < medianTTL {
 		return svc.median
 	}
+	svc.median, svc.medianAt = 0, c.now
+	if len(svc.servers) == 0 || 2*len(svc.failed) <= len(svc.servers) {
+		// Most have not failed.
+		return 0
+	}
 	all := make([]float64, 0, len(svc.servers))
 	for _, s := range svc.servers {
 		all = append(all, s.health.failureRate)
 	}
-	svc.median, svc.medianAt = 0, c.now
-	if len(all) > 0 {
-		slices.Sort(all)
-		svc.median = all[len(all)/2]
-	}
+	slices.Sort(all)
+	svc.median = all[len(all)/2]
 	return svc.median
 }
 
+// recordFailure remembers that a backend server has a failure rate.
+func (c *Core) recordFailure(s *server) {
+	if s.health.failureRate == 0 || !s.isListed {
+		return
+	}
+	for _, m := range s.Models {
+		c.service(m).failed[s] = true
+	}
+}
+
 // Ejection describes an ejected backend server, which gets only probes.
 type Ejection struct {
 	// FailureRate is the moving average of failures.
@@ -200,7 +212,7 @@
 func (c *Core) Ejected() map[string]Ejection {
 	ejected := map[string]Ejection{}
 	for _, s := range c.sortedServers {
-		if s.health.ejectedUntil > 0 && s.generation == c.generation {
+		if s.health.ejectedUntil > 0 && s.isListed {
 			ejected[s.Name] = Ejection{FailureRate: s.health.failureRate, Count: s.health.ejections}
 		}
 	}
--- a/pkg/admit/load.go
+++ b/pkg/admit/load.go
@@ -41,7 +41,7 @@
 
 func (e BackendLoad) apply(c *Core) {
 	for _, s := range c.ownedServers {
-		if s.Name == e.Backend && s.generation == c.generation {
+		if s.Name == e.Backend && s.isListed {
 			s.owned.applyLoadReport(e.InFlight, c.now)
 			c.serveQueue(s)
 		}
--- a/pkg/admit/notice.go
+++ b/pkg/admit/notice.go
@@ -198,7 +198,7 @@
 	for key, n := range c.notices {
 		s, ok := c.servers[key]
 		switch {
-		case ok && s.generation == c.generation:
+		case ok && s.isListed:
 		case n.unlistedSince == 0:
 			n.unlistedSince = c.now
 		case c.now-n.unlistedSince >= noticeTTL && c.now >= n.backoffUntil:
@@ -212,7 +212,7 @@
 func (c *Core) Notices() (leaving []string, backingOff map[string]time.Duration) {
 	backingOff = map[string]time.Duration{}
 	for _, s := range c.sortedServers {
-		if s.notice == nil || s.generation != c.generation {
+		if s.notice == nil || !s.isListed {
 			continue
 		}
 		if s.notice.leaving {
--- a/pkg/admit/order.go
+++ b/pkg/admit/order.go
@@ -26,22 +26,20 @@
 // router's own zone, so that overload in one zone spreads over all engines and a prefix is not
 // processed in every zone. Without a prefix it is the order of the table.
 //
-// Orders are cached until the directory changes, because sorting is much slower than the rest
-// of an admission decision.
+// Orders are cached, because sorting is much slower than the rest of an admission decision. A backend
+// server that comes or goes is added to them or removed.
 func (c *Core) prefixOrder(svc *service, r *request) []*server {
 	candidates := c.serversFor(svc, r.Regions)
 	if r.Prefix == 0 {
 		return candidates
 	}
 	key := orderKey{r.Prefix, r.Regions}
-	if order, ok := svc.orders[key]; ok {
-		return order
-	}
-	if svc.orders == nil || len(svc.orders) >= maxOrders {
-		svc.orders = map[orderKey][]*server{}
+	order, ok := svc.orders[key]
+	if !ok {
+		c.work.Orders++
+		order = computeOrder(candidates, r.Prefix)
+		svc.addOrder(key, order)
 	}
-	order := computeOrder(candidates, r.Prefix)
-	svc.orders[key] = order
 	return order
 }
 
@@ -51,6 +49,70 @@
 	regions table.RegionSet
 }
 
+// minOrderLen is the length below which a cached order is computed anew if the service has more servers.
+const minOrderLen = maxOrderLen / 2
+
+// addOrder caches an order in place of the oldest one.
+func (svc *service) addOrder(key orderKey, order []*server) {
+	if svc.orders == nil {
+		svc.orders = map[orderKey][]*server{}
+	}
+	if len(svc.orderKeys) >= maxOrders {
+		delete(svc.orders, svc.orderKeys[0])
+		svc.orderKeys = svc.orderKeys[1:]
+	}
+	svc.orders[key] = order
+	svc.orderKeys = append(svc.orderKeys, key)
+}
+
+// forgetOrders empties the caches.
+func (svc *service) forgetOrders() { svc.orders, svc.orderKeys, svc.regional = nil, nil, nil }
+
+// updateOrders changes all cached orders. Those that are restricted to some regions are few, and
+// computed anew.
+func (svc *service) updateOrders(change func(prefix uint64, order []*server) []*server) {
+	svc.regional = nil
+	svc.orderKeys = slices.DeleteFunc(svc.orderKeys, func(key orderKey) bool {
+		order := change(key.prefix, svc.orders[key])
+		isOutdated := key.regions.IsLimited() || len(order) < minOrderLen && len(order) < len(svc.servers)
+		if isOutdated {
+			delete(svc.orders, key)
+		} else {
+			svc.orders[key] = order
+		}
+		return isOutdated
+	})
+}
+
+// placeInOrder returns the index at which a server belongs into an order.
+func placeInOrder(prefix uint64, order []*server, s *server) int {
+	weight := rendezvous.WeightHashed(prefix, s.Name)
+	at, _ := slices.BinarySearchFunc(order, weight, func(x *server, weight uint64) int {
+		return cmp.Compare(weight, rendezvous.WeightHashed(prefix, x.Name))
+	})
+	return at
+}
+
+// insertIntoOrder adds a server to an order. An order that is not complete stays a prefix of the whole
+// one: which servers follow its last one is unknown.
+func insertIntoOrder(prefix uint64, order []*server, isComplete bool, s *server) []*server {
+	at := placeInOrder(prefix, order, s)
+	if at >= maxOrderLen || at == len(order) && !isComplete {
+		return order
+	}
+	order = slices.Insert(order, at, s)
+	return order[:min(len(order), maxOrderLen)]
+}
+
+func removeFromOrder(prefix uint64, order []*server, s *server) []*server {
+	for at := placeInOrder(prefix, order, s); at < len(order) && order[at].Name == s.Name; at++ {
+		if order[at] == s {
+			return slices.Delete(order, at, at+1)
+		}
+	}
+	return order
+}
+
 // minWeight returns the least weight with which backend servers are selected for sorting.
 func minWeight(servers int) uint64 {
 	fraction := orderMargin * maxOrderLen / float64(servers)
--- a/pkg/admit/owners.go
+++ b/pkg/admit/owners.go
@@ -31,9 +31,9 @@
 	c.advanceWaiting()
 }
 
-// ownerCandidates are the routers that may own the backend servers of a zone: those of the
+// candidateChange is a change of the routers that may own the backend servers of a zone: those of the
 // zone, or all if the zone has no live router.
-type ownerCandidates struct {
+type candidateChange struct {
 	list []Router
 	// added became candidates with the last change, removed are no longer candidates.
 	added   []Router
@@ -48,7 +48,7 @@
 // slow in large fleets.
 func (c *Core) reassignOwners(before []Router) {
 	zonesBefore, zonesNow := groupByZone(before), groupByZone(c.routers)
-	zones := map[string]*ownerCandidates{}
+	zones := map[string]*candidateChange{}
 	for _, s := range c.sortedServers {
 		cs, ok := zones[s.Zone]
 		if !ok {
@@ -62,22 +62,41 @@
 			c.assignOwner(s, cs.added, s.owner, s.ownerScore)
 		}
 	}
-	c.accounts.capacity = c.statedCapacity * c.reachableEngineFraction()
+	c.updateCapacity()
 }
 
 // assignMissingOwners assigns the backend servers without an owner.
 func (c *Core) assignMissingOwners() {
-	zonesNow := groupByZone(c.routers)
+	candidates := map[string][]Router{}
 	for _, s := range c.sortedServers {
 		if s.owner != "" {
 			continue
 		}
-		from := zonesNow[s.Zone]
-		if len(from) == 0 {
-			from = c.routers
+		from, ok := candidates[s.Zone]
+		if !ok {
+			from = c.ownerCandidates(s.Zone)
+			candidates[s.Zone] = from
 		}
 		c.assignOwner(s, from, "", 0)
 	}
+}
+
+// ownerCandidates returns the routers that may own the backend servers of a zone.
+func (c *Core) ownerCandidates(zone string) []Router {
+	var list []Router
+	for _, r := range c.routers {
+		if r.Zone == zone {
+			list = append(list, r)
+		}
+	}
+	if len(list) == 0 {
+		return c.routers
+	}
+	return list
+}
+
+// updateCapacity updates the throughput that accounts share.
+func (c *Core) updateCapacity() {
 	c.accounts.capacity = c.statedCapacity * c.reachableEngineFraction()
 }
 
@@ -89,9 +108,9 @@
 	return zones
 }
 
-func candidatesOf(zone string, zonesBefore, zonesNow map[string][]Router, before, now []Router) *ownerCandidates {
+func candidatesOf(zone string, zonesBefore, zonesNow map[string][]Router, before, now []Router) *candidateChange {
 	old, list := zonesBefore[zone], zonesNow[zone]
-	cs := &ownerCandidates{replaced: (len(old) == 0) != (len(list) == 0)}
+	cs := &candidateChange{replaced: (len(old) == 0) != (len(list) == 0)}
 	if len(list) == 0 {
 		old, list = before, now
 	}
@@ -119,6 +138,7 @@
 // assignOwner makes the candidate with the best score the owner of a backend server, unless the
 // current owner's score is better. It sends a new owner the requests in flight there.
 func (c *Core) assignOwner(s *server, from []Router, owner string, score float64) {
+	c.work.Scores += len(from)
 	for i := range from {
 		r := &from[i]
 		x := rendezvous.Score(s.Name, r.Address, r.Weight())
@@ -149,10 +169,10 @@
 		if !svc.engine {
 			continue
 		}
-		for _, s := range svc.servers {
-			all++
-			if zones[s.Zone] && !s.zoneClosed {
-				reachable++
+		for zone, n := range svc.byZone {
+			all += n
+			if zones[zone] && !c.table.ZoneIsClosed(zone) {
+				reachable += n
 			}
 		}
 	}
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -188,6 +188,7 @@
 		return
 	}
 	r.server.health.recordEnd(c.now, e.Result)
+	c.recordFailure(r.server)
 	c.recordOutcome(r, e)
 	c.endTrial(r, false)
 	if r.account != 0 && (e.Result == Refused || e.Result == Unreachable) {
@@ -225,6 +226,9 @@
 	delete(c.requests, r.ID)
 	delete(r.server.requests, r.ID)
 	c.notifyOwner(r, &wire.RequestUpdate{Kind: wire.RequestEnded, Result: uint8(result)})
+	if s := r.server; !s.isListed && len(s.requests) == 0 {
+		c.forget(s)
+	}
 }
 
 // notifyOwner sends a state change of a request to the owner of its backend server.
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -15,7 +16,9 @@
 	key wire.NameHash
 	// addedAt is when this router first saw it in the directory.
 	addedAt time.Duration
-	// generation is that of the last table that listed it.
+	// isListed says that the current table lists it, generation is that of the last whole table
+	// that did.
+	isListed   bool
 	generation uint64
 	// owner is the router that grants slots there, ownerScore its rendezvous score, ownedSince
 	// when this router last became the owner.
@@ -100,34 +103,6 @@
 	return sum
 }
 
-// service is a service or model with its backend servers.
-type service struct {
-	name    string
-	servers []*server
-	// regional caches the servers in each set of regions.
-	regional map[table.RegionSet][]*server
-	// orders caches prefixOrder.
-	orders map[orderKey][]*server
-	// median is the median failure rate of the servers as of medianAt.
-	median   float64
-	medianAt time.Duration
-	// latency predicts the time to the first event.
-	latency latencyModel
-	// shortestTarget is the shortest target of recent requests.
-	shortestTarget windowMin
-	// engine says that the servers are engines, which generate responses token by token.
-	engine bool
-}
-
-func (c *Core) service(name string) *service {
-	s, ok := c.services[name]
-	if !ok {
-		s = &service{name: name, latency: newLatencyModel()}
-		c.services[name] = s
-	}
-	return s
-}
-
 // serviceOf returns the service of a backend server.
 func (c *Core) serviceOf(s *server) *service { return c.service(s.Models[0]) }
 
@@ -160,10 +135,7 @@
 	}
 	c.syncedAt = c.now
 	held := map[string]*wire.RequestSync{}
-	for _, s := range c.sortedServers {
-		if len(s.requests) == 0 {
-			continue
-		}
+	for _, s := range c.serversInUse() {
 		if held[s.owner] == nil {
 			held[s.owner] = &wire.RequestSync{}
 		}
@@ -173,3 +145,16 @@
 		c.send(owner, held[owner])
 	}
 }
+
+// serversInUse returns the backend servers with requests of this router in flight, by name.
+func (c *Core) serversInUse() []*server {
+	inUse := map[*server]bool{}
+	for _, r := range c.requests {
+		if r.server != nil {
+			inUse[r.server] = true
+		}
+	}
+	return slices.SortedFunc(maps.Keys(inUse), func(a, b *server) int {
+		return cmp.Or(compareNames(a, b), cmp.Compare(a.key, b.key))
+	})
+}
--- /dev/null
+++ b/pkg/admit/service.go
@@ -0,0 +1,78 @@
+package admit
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+)
+
+// service is a service or model with its backend servers.
+type service struct {
+	name    string
+	servers []*server
+	// byZone counts the servers of each zone.
+	byZone map[string]int
+	// regional caches the servers in each set of regions.
+	regional map[table.RegionSet][]*server
+	// orders caches prefixOrder. orderKeys are its keys, the oldest first.
+	orders    map[orderKey][]*server
+	orderKeys []orderKey
+	// median is the median failure rate of the servers as of medianAt.
+	median   float64
+	medianAt time.Duration
+	// failed are the servers that have a failure rate.
+	failed map[*server]bool
+	// latency predicts the time to the first event.
+	latency latencyModel
+	// shortestTarget is the shortest target of recent requests.
+	shortestTarget windowMin
+	// engine says that the servers are engines, which generate responses token by token.
+	engine bool
+}
+
+func (c *Core) service(name string) *service {
+	s, ok := c.services[name]
+	if !ok {
+		s = &service{name: name, latency: newLatencyModel(), byZone: map[string]int{}, failed: map[*server]bool{}}
+		c.services[name] = s
+	}
+	return s
+}
+
+// reset empties the lists of servers.
+func (svc *service) reset() {
+	svc.servers, svc.byZone = nil, map[string]int{}
+	maps.DeleteFunc(svc.failed, func(s *server, _ bool) bool { return !s.isListed })
+	svc.forgetOrders()
+}
+
+// append adds a server after all others.
+func (svc *service) append(s *server) {
+	svc.servers = append(svc.servers, s)
+	svc.byZone[s.Zone]++
+}
+
+// insert adds a server to the list, which is sorted by name, and to the cached orders.
+func (svc *service) insert(s *server) {
+	at, _ := slices.BinarySearchFunc(svc.servers, s, compareNames)
+	svc.servers = slices.Insert(svc.servers, at, s)
+	svc.byZone[s.Zone]++
+	svc.updateOrders(func(prefix uint64, order []*server) []*server {
+		isComplete := len(order) == len(svc.servers)-1
+		return insertIntoOrder(prefix, order, isComplete, s)
+	})
+}
+
+// remove removes a server from the list and from the cached orders.
+func (svc *service) remove(s *server) {
+	at := slices.Index(svc.servers, s)
+	if at < 0 {
+		return
+	}
+	svc.servers = slices.Delete(svc.servers, at, at+1)
+	svc.byZone[s.Zone]--
+	delete(svc.failed, s)
+	svc.updateOrders(func(prefix uint64, order []*server) []*server { return removeFromOrder(prefix, order, s) })
+}
--- a/pkg/admit/update.go
+++ b/pkg/admit/update.go
@@ -10,60 +10,154 @@
 )
 
 // TableUpdate replaces the table, including the directory of backend servers.
-type TableUpdate struct{ Table *table.Table }
+type TableUpdate struct {
+	Table *table.Table
+	// Partial says that nothing but the backend servers named in Changed may differ from the table
+	// before.
+	Partial bool
+	Changed []string
+}
 
 func (e TableUpdate) apply(c *Core) {
-	c.generation++
 	c.table = e.Table
+	if e.Partial {
+		for _, name := range e.Changed {
+			c.applyChange(name)
+		}
+	} else {
+		c.replaceTable()
+	}
+	c.dropNotices()
+	c.updateCapacity()
+	c.serveQueues()
+	c.advanceWaiting()
+}
+
+// replaceTable applies a table of which anything may have changed.
+func (c *Core) replaceTable() {
+	t := c.table
+	c.generation++
 	for _, r := range c.waiting {
 		c.restrictRegions(r)
 	}
-	changed := c.applyRows(e.Table)
+	changed := false
+	for b := range t.AllBackends() {
+		_, isNew := c.applyRow(b)
+		changed = changed || isNew
+	}
 	changed = c.dropUnlisted() || changed
-	c.dropNotices()
-	for _, row := range e.Table.Services {
+	for _, row := range t.Services {
 		c.service(row.Name).engine = row.Engine
 	}
-	c.statedCapacity = e.Table.Bounds.TokensPerSecond
+	c.statedCapacity = t.Bounds.TokensPerSecond
 	if c.weighted != nil {
-		c.weighted.setAccounts(e.Table.Accounts, c.now)
+		c.weighted.setAccounts(t.Accounts, c.now)
 	}
 	if changed {
-		c.indexServers(e.Table)
+		c.indexServers()
 	}
 	c.assignMissingOwners()
-	c.serveQueues()
-	c.advanceWaiting()
 }
 
-// applyRows updates the backend servers from the table, and reports whether any is new or
-// serves other models.
-func (c *Core) applyRows(t *table.Table) bool {
-	changed := false
-	for _, b := range t.Backends {
-		// The key differs for each incarnation, since a restarted server has no requests and no
-		// cached prefixes.
-		key := incarnationKey(&b)
-		s, known := c.servers[key]
-		if !known {
-			s = &server{key: key, addedAt: c.now, requests: map[uint64]*request{}, notice: c.notices[key]}
-			c.servers[key] = s
-		}
-		if !known || s.generation != c.generation-1 || !slices.Equal(s.Models, b.Models) {
-			changed = true
+// Work counts what a Core has computed since its creation.
+type Work struct {
+	// Rows is the number of rows applied, Scores the number of candidates compared for an owner,
+	// Orders the number of orders of preference computed.
+	Rows, Scores, Orders int
+}
+
+// Work returns the current counts.
+func (c *Core) Work() Work { return c.work }
+
+// applyRow updates a backend server from its row, and reports whether it belongs to the lists of
+// servers anew: it is new, or serves other models or another zone.
+func (c *Core) applyRow(b *table.Backend) (s *server, isNew bool) {
+	// The key differs for each incarnation, since a restarted server has no requests and no
+	// cached prefixes.
+	c.work.Rows++
+	key := incarnationKey(b)
+	s, known := c.servers[key]
+	if !known {
+		s = &server{key: key, addedAt: c.now, requests: map[uint64]*request{}, notice: c.notices[key]}
+		c.servers[key] = s
+	}
+	isNew = !s.isListed || s.Zone != b.Zone || !slices.Equal(s.Models, b.Models)
+	if s.Zone != b.Zone {
+		s.owner = ""
+	}
+	s.Backend, s.generation, s.isListed, s.vanished = *b, c.generation, true, false
+	if s.notice != nil {
+		s.notice.applyMark(b.Mark)
+	}
+	s.zoneClosed = c.table.ZoneIsClosed(b.Zone)
+	s.setWarmup(c.table, c.now)
+	return s, isNew
+}
+
+// applyChange updates the backend server of a name. What it costs does not depend on how many there
+// are, but for the shift of the lists.
+func (c *Core) applyChange(name string) {
+	row, listed := c.table.Backend(name)
+	if !listed {
+		for _, s := range c.listedIncarnations(name) {
+			c.unlist(s)
 		}
-		if s.Zone != b.Zone {
-			s.owner = ""
-			changed = true
+		return
+	}
+	key := incarnationKey(&row)
+	for _, s := range c.listedIncarnations(name) {
+		if s.key != key {
+			c.unlist(s)
+			continue
 		}
-		s.Backend, s.generation, s.vanished = b, c.generation, false
-		if s.notice != nil {
-			s.notice.applyMark(b.Mark)
+		if s.Zone != row.Zone || !slices.Equal(s.Models, row.Models) {
+			c.removeFromServices(s)
 		}
-		s.zoneClosed = t.ZoneIsClosed(b.Zone)
-		s.setWarmup(t, c.now)
 	}
-	return changed
+	s, isNew := c.applyRow(&row)
+	if isNew {
+		c.addToServices(s)
+		c.addSorted(s)
+	}
+	if s.owner == "" {
+		c.assignOwner(s, c.ownerCandidates(s.Zone), "", 0)
+	}
+}
+
+// incarnations returns all known incarnations of a name.
+func (c *Core) incarnations(name string) []*server {
+	from, _ := slices.BinarySearchFunc(c.sortedServers, name, func(s *server, name string) int { return cmp.Compare(s.Name, name) })
+	to := from
+	for to < len(c.sortedServers) && c.sortedServers[to].Name == name {
+		to++
+	}
+	return c.sortedServers[from:to]
+}
+
+// listedIncarnations returns the incarnations of a name that the table before lists.
+func (c *Core) listedIncarnations(name string) []*server {
+	return slices.DeleteFunc(slices.Clone(c.incarnations(name)), func(s *server) bool { return !s.isListed })
+}
+
+// unlist removes a backend server that the table no longer lists. One with requests of this router in
+// flight stays known until they have ended.
+func (c *Core) unlist(s *server) {
+	c.recordVanished(s)
+	s.isListed = false
+	c.removeFromServices(s)
+	if len(s.requests) > 0 {
+		s.Mark = table.Leaving
+		return
+	}
+	c.forget(s)
+}
+
+// forget drops a backend server that the table does not list.
+func (c *Core) forget(s *server) {
+	delete(c.servers, s.key)
+	isSame := func(x *server) bool { return x == s }
+	c.sortedServers = slices.DeleteFunc(c.sortedServers, isSame)
+	c.ownedServers = slices.DeleteFunc(c.ownedServers, isSame)
 }
 
 // dropUnlisted removes the backend servers that the table no longer lists, except those with
@@ -76,8 +170,8 @@
 		}
 		c.recordVanished(s)
 		if len(s.requests) > 0 {
-			changed = changed || s.generation == c.generation-1
-			s.Mark = table.Leaving
+			changed = changed || s.isListed
+			s.isListed, s.Mark = false, table.Leaving
 			continue
 		}
 		changed = true
@@ -87,22 +181,41 @@
 	return changed
 }
 
-// indexServers rebuilds the sorted list of backend servers and the lists of each service. This
-// is too slow in large fleets for every change of a row.
-func (c *Core) indexServers(t *table.Table) {
+// indexServers rebuilds the sorted list of backend servers and the lists of each service.
+func (c *Core) indexServers() {
 	for _, svc := range c.services {
-		svc.servers, svc.orders, svc.regional = nil, nil, nil
+		svc.reset()
 	}
-	for _, b := range t.Backends {
-		s := c.servers[incarnationKey(&b)]
+	for b := range c.table.AllBackends() {
+		s := c.servers[incarnationKey(b)]
 		for _, m := range b.Models {
-			svc := c.service(m)
-			svc.servers = append(svc.servers, s)
+			c.service(m).append(s)
 		}
 	}
 	c.sortedServers = slices.SortedFunc(maps.Values(c.servers), compareNames)
 }
 
+// addSorted adds a backend server to the sorted list, unless it is there already.
+func (c *Core) addSorted(s *server) {
+	if !slices.Contains(c.incarnations(s.Name), s) {
+		at, _ := slices.BinarySearchFunc(c.sortedServers, s, compareNames)
+		c.sortedServers = slices.Insert(c.sortedServers, at, s)
+	}
+}
+
+// addToServices adds a backend server to the lists of its services, removeFromServices removes it.
+func (c *Core) addToServices(s *server) {
+	for _, m := range s.Models {
+		c.service(m).insert(s)
+	}
+}
+
+func (c *Core) removeFromServices(s *server) {
+	for _, m := range s.Models {
+		c.service(m).remove(s)
+	}
+}
+
 // incarnationKey returns the key of a backend server's incarnation.
 func incarnationKey(b *table.Backend) wire.NameHash { return wire.HashName(b.Incarnation().String()) }
 
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -94,8 +94,11 @@
 	// warmupUntil is when the warm-up of a backend server ends according to its entry, by
 	// name.
 	warmupUntil map[string]time.Duration
-	// goneAt is when this catalog learned of an entry's removal, by name.
-	goneAt map[string]time.Duration
+	// tombstones are the removed entries that are remembered.
+	tombstones tombstones
+	// listed counts the entries that are not gone by model, revisions orders all by revision.
+	listed    map[string]int
+	revisions revisionLog
 	// historyFrom is the revision number after which all removals are known. Earlier removals
 	// may have been missed or forgotten.
 	historyFrom uint64
@@ -104,10 +107,10 @@
 	// jumps are the latest jumps above historyFrom.
 	jumps []Jump
 	// vanished are the entries removed within removalGrace that were not marked as leaving
-	// first, by name. vanishedInView is how many of them the view includes.
-	vanished       map[string]vanished
-	removalGrace   time.Duration
-	vanishedInView int
+	// first, by name. held are those that the view includes.
+	vanished     map[string]vanished
+	removalGrace time.Duration
+	held         map[string]bool
 	// ownAddress reports whether an address belongs to a router.
 	ownAddress func(address string) bool
 	// unusable are the names of the unusable entries. unusableQueue holds those that wait for
@@ -116,9 +119,13 @@
 	unusableQueue  []Server
 	unusableTotals map[Reason]int64
 	view           *table.Table
-	// dirty says that the view is out of date. builtAt is when it was built.
-	dirty   bool
+	// pending is what may have changed since the view was built, lastChange what changed with the
+	// last build.
+	pending, lastChange Change
+	// builtAt is when the whole view was last built.
 	builtAt time.Duration
+	// work counts what building views has cost.
+	work Work
 }
 
 // Option configures a new Catalog.
@@ -137,7 +144,7 @@
 func New(opts ...Option) *Catalog {
 	c := &Catalog{
 		servers: map[string]Server{}, zones: map[string]zone{}, warmupUntil: map[string]time.Duration{},
-		goneAt: map[string]time.Duration{}, vanished: map[string]vanished{}, unusable: map[string]bool{}, unusableTotals: map[Reason]int64{},
+		tombstones: newTombstones(), listed: map[string]int{}, vanished: map[string]vanished{}, unusable: map[string]bool{}, unusableTotals: map[Reason]int64{},
 		retainedServers: map[string]retained[Server]{}, retainedZones: map[string]retained[Zone]{}, unlistedGrace: DefaultUnlistedGrace,
 	}
 	for _, f := range opts {
@@ -181,7 +188,9 @@
 	}
 	changed := c.mergeTable(u.Table)
 	for _, s := range u.Servers {
-		changed = c.mergeServer(now, s, completeTo) || changed
+		if c.mergeServer(now, s, completeTo) {
+			c.pending.add(s.Backend.Name)
+		}
 	}
 	for _, z := range u.Zones {
 		changed = c.mergeZone(now, z, completeTo) || changed
@@ -191,7 +200,7 @@
 		c.change = nil
 	}
 	if u.AsOf > c.asOf.Number && highestBefore > u.After {
-		changed = c.removeUnlisted(now, &u) || changed
+		c.removeUnlisted(now, &u)
 		changed = c.openUnlisted(now, &u) || changed
 	}
 	if u.Retained != nil {
@@ -201,7 +210,7 @@
 		c.asOf.Number = max(c.asOf.Number, u.AsOf)
 	}
 	c.dropTombstones(now)
-	c.dirty = c.dirty || changed
+	c.pending.All = c.pending.All || changed
 	return c.Refresh(now)
 }
 
@@ -219,22 +228,6 @@
 	return true
 }
 
-// rebuildIntervalPerServer is the minimum interval between two builds of the view, per backend
-// server. It limits the processor time that a large directory with frequent changes takes.
-const rebuildIntervalPerServer = 30 * time.Microsecond
-
-// maxImmediateRebuild is the number of entries up to which every change rebuilds the view at
-// once.
-const maxImmediateRebuild = 256
-
-// mayRebuild reports whether the view may be built now.
-func (c *Catalog) mayRebuild(now time.Duration) bool {
-	if c.table == nil {
-		return false
-	}
-	return c.view == nil || len(c.servers) <= maxImmediateRebuild || now-c.builtAt >= rebuildIntervalPerServer*time.Duration(len(c.servers))
-}
-
 // mergeServer applies an entry and reports whether the view changes. It ignores entries up to
 // the revision number completeTo, and those of which it knows the same or a later change.
 func (c *Catalog) mergeServer(now time.Duration, s Server, completeTo uint64) bool {
@@ -256,7 +249,7 @@
 	if s.Gone && s.Last == 0 {
 		s.Last = old.lastLive()
 	}
-	c.servers[name] = s
+	c.setServer(name, s)
 	if !known {
 		c.names = nil
 	}
@@ -265,14 +258,14 @@
 	}
 	delete(c.unusable, name)
 	if s.Gone {
-		c.goneAt[name] = now
+		c.tombstones.add(name, now)
 		delete(c.warmupUntil, name)
 		if known {
 			c.recordRemoval(now, old)
 		}
 		return known && !old.Gone
 	}
-	delete(c.goneAt, name)
+	c.tombstones.remove(name)
 	delete(c.vanished, name)
 	warmupChanged := c.updateWarmup(now, &s.Backend)
 	return warmupChanged || !known || old.Gone || !old.Backend.EqualExceptWarmup(&s.Backend)
@@ -291,7 +284,7 @@
 func (c *Catalog) mergeUnusable(s, old Server) bool {
 	name := s.Backend.Name
 	c.unusable[name] = true
-	delete(c.goneAt, name)
+	c.tombstones.remove(name)
 	_, wasVanished := c.vanished[name]
 	delete(c.vanished, name)
 	c.queueUnusable(s)
@@ -300,7 +293,7 @@
 
 // removeUnlisted removes the entries whose last change is in the range that the update covers
 // but which it does not list.
-func (c *Catalog) removeUnlisted(now time.Duration, u *Update) bool {
+func (c *Catalog) removeUnlisted(now time.Duration, u *Update) {
 	listed := make(map[string]bool, len(u.Servers))
 	for _, s := range u.Servers {
 		listed[s.Backend.Name] = true
@@ -308,31 +301,26 @@
 	for _, x := range u.Skipped {
 		listed[x.Server] = true
 	}
-	changed := false
 	for name, s := range c.servers {
 		if s.Gone || s.Revision <= u.After || s.Revision > u.AsOf || listed[name] {
 			continue
 		}
 		s, _ = c.current(name)
 		delete(c.retainedServers, name)
-		c.servers[name] = Server{Revision: u.AsOf, Gone: true, Last: s.lastLive(), Backend: table.Backend{Name: name}}
-		c.goneAt[name] = now
+		c.setServer(name, Server{Revision: u.AsOf, Gone: true, Last: s.lastLive(), Backend: table.Backend{Name: name}})
+		c.tombstones.add(name, now)
 		delete(c.warmupUntil, name)
 		delete(c.unusable, name)
 		c.recordRemoval(now, s)
-		changed = true
+		c.pending.add(name)
 	}
-	return changed
 }
 
 // dropTombstones forgets removed entries after tombstoneTTL.
 func (c *Catalog) dropTombstones(now time.Duration) {
-	for name, at := range c.goneAt {
-		if now-at >= tombstoneTTL {
-			c.historyFrom = max(c.historyFrom, c.servers[name].Revision)
-			delete(c.goneAt, name)
-			delete(c.servers, name)
-		}
+	for _, name := range c.tombstones.expired(now - tombstoneTTL) {
+		c.historyFrom = max(c.historyFrom, c.servers[name].Revision)
+		c.deleteServer(name)
 	}
 }
 
@@ -351,27 +339,6 @@
 	return c.names
 }
 
-// buildView returns a copy of the table that includes the usable directory entries.
-func (c *Catalog) buildView() *table.Table {
-	t := *c.table
-	t.Backends = make([]table.Backend, 0, len(c.table.Backends)+len(c.servers))
-	t.Backends = append(t.Backends, c.table.Backends...)
-	for _, name := range c.sortedNames() {
-		if s, ok := c.current(name); ok && !s.Gone {
-			if s.Unusable.IsSet() && s.Backend.Mark == "" || !c.isServiceInTable(&s.Backend) {
-				continue
-			}
-			t.Backends = append(t.Backends, c.withWarmup(s.Backend))
-		}
-	}
-	held := c.vanishedTogether()
-	c.vanishedInView = len(held)
-	t.Backends = append(t.Backends, held...)
-	t.Zones = c.zoneRows()
-	t.Index()
-	return &t
-}
-
 // isServiceInTable reports whether the table defines a service of the backend server. Backend
 // servers without one stay out of the view until a later table defines it.
 func (c *Catalog) isServiceInTable(b *table.Backend) bool {
--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -45,7 +45,7 @@
 	s := state{AsOf: c.AsOf().Number}
 	if v := c.View(); v != nil {
 		s.Table = v.Revision
-		for _, b := range v.Backends {
+		for b := range v.AllBackends() {
 			s.Backends = append(s.Backends, b.Name)
 		}
 		s.Closed = v.ClosedZones()
@@ -174,7 +174,7 @@
 	}{
 		"all at once":      {[]catalog.Update{{After: 5, AsOf: 9, Servers: []catalog.Server{gone("a", 6), gone("b", 7), gone("c", 8), gone("d", 9)}}}, []string{"a", "b", "c", "d"}, nil, true},
 		"by a full update": {[]catalog.Update{{AsOf: 9, Table: tableAt(1)}}, []string{"a", "b", "c", "d"}, nil, true},
-		"half":             {[]catalog.Update{{After: 5, AsOf: 7, Servers: []catalog.Server{gone("a", 6), gone("b", 7)}}}, []string{"c", "d", "a", "b"}, []string{"c", "d"}, true},
+		"half":             {[]catalog.Update{{After: 5, AsOf: 7, Servers: []catalog.Server{gone("a", 6), gone("b", 7)}}}, []string{"a", "b", "c", "d"}, []string{"c", "d"}, true},
 		"one":              {[]catalog.Update{{After: 5, AsOf: 6, Servers: []catalog.Server{gone("a", 6)}}}, []string{"b", "c", "d"}, []string{"b", "c", "d"}, false},
 		"some return":      {[]catalog.Update{{AsOf: 9, Table: tableAt(1)}, {After: 9, AsOf: 11, Servers: []catalog.Server{serving("b", 10), serving("a", 11)}}}, []string{"a", "b", "c", "d"}, []string{"a", "b"}, true},
 		"one was leaving":  {[]catalog.Update{{After: 5, AsOf: 8, Servers: []catalog.Server{leaving}}, {AsOf: 9, Table: tableAt(1)}}, []string{"b", "c", "d"}, nil, true},
--- a/pkg/catalog/epoch.go
+++ b/pkg/catalog/epoch.go
@@ -18,21 +18,21 @@
 	e.servers, e.zones = c.allServers(), c.allZones()
 	c.asOf = Revision{Epoch: u.Epoch}
 	c.epochSince, c.epochEntryNumber = now-u.EpochAge, u.AsOf
-	c.history, c.highest = history{}, 0
+	c.history, c.highest, c.revisions = history{}, 0, nil
 	c.retainedServers, c.retainedZones = map[string]retained[Server]{}, map[string]retained[Zone]{}
 	c.tableRetained = c.table != nil
 	for name, s := range c.servers {
 		// Revision 0 lets any entry of the new epoch replace this one.
 		s = e.servers[name].item
 		s.Revision = 0
-		c.servers[name] = s
+		c.setServer(name, s)
 	}
 	for name, z := range c.zones {
 		z.Zone = e.zones[name].item
 		z.Revision = 0
 		c.zones[name] = z
 	}
-	c.dirty = true
+	c.pending.All = true
 	c.change = &e
 }
 
@@ -71,12 +71,12 @@
 		}
 		return
 	}
-	delete(c.servers, name)
-	delete(c.goneAt, name)
+	c.deleteServer(name)
+	c.tombstones.remove(name)
 	if !old.item.Gone && e.wasInBackup(old.Origin) {
 		// The backup had the entry, so it was removed after the restore.
-		c.servers[name] = Server{Revision: e.listed.AsOf, Gone: true, Backend: table.Backend{Name: name}}
-		c.goneAt[name] = now
+		c.setServer(name, Server{Revision: e.listed.AsOf, Gone: true, Backend: table.Backend{Name: name}})
+		c.tombstones.add(name, now)
 		c.recordRemoval(now, old.item)
 		return
 	}
--- a/pkg/catalog/epoch_test.go
+++ b/pkg/catalog/epoch_test.go
@@ -38,7 +38,7 @@
 func viewStateOf(c *catalog.Catalog) viewState {
 	v := c.View()
 	s := viewState{Edition: v.Edition, Backends: map[string]table.Mark{}, Closed: v.ClosedZones()}
-	for _, b := range v.Backends {
+	for b := range v.AllBackends() {
 		s.Backends[b.Name] = b.Mark
 	}
 	return s
--- a/pkg/catalog/since.go
+++ b/pkg/catalog/since.go
@@ -27,16 +27,14 @@
 	if c.table != nil && c.table.Revision > after {
 		u.Table = c.table
 	}
-	for name, s := range c.servers {
-		if s.Revision > after {
-			if s.Unusable.IsSet() {
-				s.Backend = table.Backend{Name: name}
-			}
-			s.Backend.WarmupLeft = max(0, c.warmupUntil[name]-c.now)
-			u.Servers = append(u.Servers, s)
+	u.Servers = c.changedAfter(after)
+	for i := range u.Servers {
+		s := &u.Servers[i]
+		if s.Unusable.IsSet() {
+			s.Backend = table.Backend{Name: s.Backend.Name}
 		}
+		s.Backend.WarmupLeft = max(0, c.warmupUntil[s.Backend.Name]-c.now)
 	}
-	slices.SortFunc(u.Servers, func(a, b Server) int { return cmp.Compare(a.Backend.Name, b.Backend.Name) })
 	u.Zones = c.zonesSince(after)
 	return u
 }
--- a/pkg/catalog/vanish.go
+++ b/pkg/catalog/vanish.go
@@ -1,7 +1,6 @@
 package catalog
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -25,52 +24,32 @@
 	}
 }
 
-// Refresh expires items at the time now and reports whether the view changed.
-func (c *Catalog) Refresh(now time.Duration) bool {
-	c.now = now
-	before := len(c.vanished)
-	maps.DeleteFunc(c.vanished, func(_ string, v vanished) bool { return now-v.at >= c.removalGrace })
-	if len(c.vanished) < before && c.vanishedInView > 0 {
-		c.dirty = true
-	}
-	c.dirty = c.expireRetained(now) || c.dirty
-	if !c.dirty || !c.mayRebuild(now) {
-		return false
-	}
-	c.view, c.dirty, c.builtAt = c.buildView(), false, now
-	return true
-}
-
 // vanishedTogether returns the backend servers that stay in the view although their entries
 // are gone. If at least half of a service's backend servers vanish, a fault of the directory
 // is more likely than a failure of all of them. Requests detect those that did fail.
-func (c *Catalog) vanishedTogether() []table.Backend {
+func (c *Catalog) vanishedTogether() map[string]table.Backend {
 	if len(c.vanished) == 0 {
 		return nil
 	}
-	listed, removed := map[string]int{}, map[string]int{}
-	for _, s := range c.servers {
-		if !s.Gone {
-			countModels(listed, &s.Backend)
-		}
-	}
+	removed := map[string]int{}
 	for _, v := range c.vanished {
-		countModels(removed, &v.backend)
+		countModels(removed, &v.backend, 1)
 	}
-	var list []table.Backend
-	for _, name := range slices.Sorted(maps.Keys(c.vanished)) {
-		b := c.vanished[name].backend
-		if slices.ContainsFunc(b.Models, func(m string) bool { return removed[m] >= max(minVanished, listed[m]) }) {
+	held := map[string]table.Backend{}
+	for name, v := range c.vanished {
+		b := v.backend
+		if slices.ContainsFunc(b.Models, func(m string) bool { return removed[m] >= max(minVanished, c.listed[m]) }) {
 			// Its remaining warm-up is unknown: assume all of it.
 			b.WarmupLeft = c.warmupTime(&b)
-			list = append(list, b)
+			held[name] = b
 		}
 	}
-	return list
+	return held
 }
 
-func countModels(counts map[string]int, b *table.Backend) {
+// countModels adds n to the count of each model of a backend server.
+func countModels(counts map[string]int, b *table.Backend, n int) {
 	for _, m := range b.Models {
-		counts[m]++
+		counts[m] += n
 	}
 }
--- a/pkg/catalog/warmup_test.go
+++ b/pkg/catalog/warmup_test.go
@@ -26,7 +26,7 @@
 
 // warmupLeft returns the remaining warm-up of a backend server in the view, -1 if it is absent.
 func warmupLeft(c *catalog.Catalog, name string) time.Duration {
-	for _, b := range c.View().Backends {
+	for b := range c.View().AllBackends() {
 		if b.Name == name {
 			return b.WarmupLeft
 		}
@@ -105,33 +105,75 @@
 	}
 }
 
-// TestRebuildRate guards against rebuilding the view of a large directory at each of many changes,
-// and against delaying the first one.
-func TestRebuildRate(t *testing.T) {
-	const servers = 1000
-	c := catalog.New()
+// largeCatalog returns a catalog of many backend servers.
+func largeCatalog(servers int) *catalog.Catalog {
+	c := catalog.New(catalog.WithRemovalGrace(time.Second))
 	start := catalog.Update{AsOf: 10, Table: warmupTable(4)}
 	for i := range servers {
 		start.Servers = append(start.Servers, serving(fmt.Sprintf("i-%d", i), 9))
 	}
 	c.Merge(time.Second, start)
-	leave := func(now time.Duration, name string) bool {
-		s := serving(name, c.AsOf().Number+1)
-		s.Backend.Mark = table.Leaving
-		return c.Merge(now, catalog.Update{After: c.AsOf().Number, AsOf: c.AsOf().Number + 1, Servers: []catalog.Server{s}})
+	return c
+}
+
+// TestChangeCostsItsRow: a change of one backend server must be in the view at once, and cost what
+// depends on that row, whatever the size of the directory. The same holds for what is sent of it.
+func TestChangeCostsItsRow(t *testing.T) {
+	const changes = 200
+	for _, servers := range []int{3000, 6000, 12000} {
+		t.Run(fmt.Sprint(servers), func(t *testing.T) {
+			c := largeCatalog(servers)
+			before := c.Work()
+			for i := range changes {
+				now := 2*time.Second + time.Duration(i)*10*time.Millisecond
+				name, asOf := fmt.Sprintf("i-%d", i/2*10), c.AsOf().Number
+				s, mark := serving(name, asOf+1), table.Leaving
+				if i%2 == 1 {
+					mark = table.Serving
+				}
+				s.Backend.Mark = mark
+				if !c.Merge(now, catalog.Update{After: asOf, AsOf: asOf + 1, Servers: []catalog.Server{s}}) {
+					t.Fatalf("change %d is not in the view at once", i)
+				}
+				if b, _ := c.View().Backend(name); b.Mark != mark {
+					t.Fatalf("%s has mark %q, want %q", name, b.Mark, mark)
+				}
+				if x := c.LastChange(); x.All || len(x.Names) != 1 || x.Names[0] != name {
+					t.Fatalf("change %d is reported as %+v", i, x)
+				}
+				if u := c.Since(asOf); len(u.Servers) != 1 {
+					t.Fatalf("%d entries since the last change", len(u.Servers))
+				}
+			}
+			if rows := c.Work().Rows - before.Rows; rows > changes {
+				t.Errorf("%d rows examined for %d changes", rows, changes)
+			}
+			if n := c.View().BackendCount(); n != servers {
+				t.Errorf("%d backend servers in the view, want %d", n, servers)
+			}
+		})
+	}
+}
+
+// TestRebuildRate guards against building the whole view of a large directory at each of many tables
+// that follow each other quickly, and against delaying the first one.
+func TestRebuildRate(t *testing.T) {
+	c := largeCatalog(1000)
+	publish := func(now time.Duration) bool {
+		next := warmupTable(4)
+		next.Revision = c.AsOf().Number + 1
+		return c.Merge(now, catalog.Update{After: c.AsOf().Number, AsOf: next.Revision, Table: next})
 	}
-	if !leave(2*time.Second, "i-1") {
-		t.Error("the first change is not in the view at once")
+	if !publish(2 * time.Second) {
+		t.Error("the first table is not in force at once")
 	}
-	if leave(2*time.Second+time.Millisecond, "i-2") || leave(2*time.Second+2*time.Millisecond, "i-3") {
-		t.Error("changes a millisecond later rebuilt the view at once")
+	if publish(2*time.Second+time.Millisecond) || publish(2*time.Second+2*time.Millisecond) {
+		t.Error("tables a millisecond later rebuilt the view at once")
 	}
 	if !c.Refresh(2*time.Second + 50*time.Millisecond) {
 		t.Error("the view was not rebuilt later")
 	}
-	for _, name := range []string{"i-1", "i-2", "i-3"} {
-		if b, _ := c.View().Backend(name); b.Mark != table.Leaving {
-			t.Errorf("%s has mark %q, want leaving", name, b.Mark)
-		}
+	if got := c.View().Revision; got != c.AsOf().Number {
+		t.Errorf("table %d is in force, want %d", got, c.AsOf().Number)
 	}
 }
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -100,7 +100,7 @@
 	Edition uint64 `yaml:"-" json:"edition,omitempty"`
 	// Accounts is in the order of the file.
 	Accounts []Account `yaml:"accounts" json:"accounts"`
-	// Backends is in the order of the file.
+	// Backends is in the order of the file. AllBackends also yields those of the directory.
 	Backends []Backend `yaml:"backends" json:"backends"`
 	// Routes is in the order of the file.
 	Routes []Route `yaml:"routes" json:"routes"`
@@ -111,6 +111,9 @@
 	// Bounds limit what callers may send.
 	Bounds Bounds `yaml:"bounds" json:"bounds"`
 
+	// directory holds the backend servers that publish themselves.
+	directory Directory
+
 	accounts map[string]int
 	backends map[string]int
 	keys     map[string]int
@@ -157,6 +160,9 @@
 
 // Backend returns the row of the named backend server.
 func (t *Table) Backend(name string) (Backend, bool) {
+	if b, ok := t.directory.Get(name); ok {
+		return *b, true
+	}
 	i, ok := t.backends[name]
 	if !ok {
 		return Backend{}, false
@@ -166,8 +172,8 @@
 
 // HasModel reports whether any backend server lists the model.
 func (t *Table) HasModel(model string) bool {
-	for i := range t.Backends {
-		if t.Backends[i].Serves(model) {
+	for b := range t.AllBackends() {
+		if b.Serves(model) {
 			return true
 		}
 	}
