Let a connection between routers take the memory of its messages only

Cause: a router keeps a queue of 4,096 places (64 kB), a buffer of up to 64 kB and a read buffer of 4 kB for each router that it ever sent something or heard from. Change: a queue grows with what waits and shrinks when it is empty; a buffer of up to 4 kB is kept; 512 bytes for reading. Ruled out: fewer places in the queue; a start sends hundreds of messages to one peer.

--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -9,6 +9,10 @@
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
+// readBufferSize is the read buffer of a connection. There is one for each peer, and most messages are
+// shorter.
+const readBufferSize = 512
+
 // accept accepts connections of peers and reads each in a goroutine of its own.
 func (t *Transport) accept() {
 	defer t.tasks.Done()
@@ -50,7 +54,7 @@
 		return
 	}
 	t.markConnected(hello)
-	r := bufio.NewReader(conn)
+	r := bufio.NewReaderSize(conn, readBufferSize)
 	dec := wire.NewDecoder()
 	for {
 		payload, err := ReadFrame(r)
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -199,16 +199,14 @@
 	t.mu.Lock()
 	o, ok := t.out[to]
 	if !ok {
-		o = &outbox{transport: t, to: to, queue: make(chan any, outboxSize), closed: make(chan net.Conn)}
+		o = &outbox{transport: t, to: to, queue: newQueue(), closed: make(chan net.Conn)}
 		t.out[to] = o
 		t.tasks.Add(1)
 		go o.run()
 	}
 	t.mu.Unlock()
 	t.pending.Add(1)
-	select {
-	case o.queue <- msg:
-	default:
+	if !o.queue.push(msg) {
 		t.pending.Add(-1)
 		t.count.Dropped.Add(1)
 		t.reportLoss(to, nil)
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -16,7 +16,7 @@
 type outbox struct {
 	transport *Transport
 	to        string
-	queue     chan any
+	queue     *queue
 	conn      net.Conn
 	// failedAt is when the last failed dial ended, zero if none failed.
 	failedAt time.Time
@@ -36,38 +36,44 @@
 		select {
 		case <-o.transport.ctx.Done():
 			return
-		case msg := <-o.queue:
-			o.deliver(msg)
+		case <-o.queue.ready:
+			o.deliver()
 		case conn := <-o.closed:
 			o.reconnect(conn)
 		}
 	}
 }
 
-// deliver writes a message and those queued behind it as one frame.
-func (o *outbox) deliver(first any) {
-	if err := o.connect(); err != nil {
-		o.transport.pending.Add(-1)
-		o.reportDropped(1, err)
+// deliver writes the waiting messages, as many as a frame takes.
+func (o *outbox) deliver() {
+	messages := o.queue.take(batchSize)
+	if len(messages) == 0 {
 		return
 	}
-	o.buf.Reset()
-	o.buf.Write(make([]byte, headerSize))
-	count := o.fill(first)
-	defer o.transport.pending.Add(-int64(count))
-	if err := o.write(); err != nil {
-		o.reportDropped(count, err)
-		o.closeConn()
+	defer o.transport.pending.Add(-int64(len(messages)))
+	if err := o.connect(); err != nil {
+		o.reportDropped(len(messages), err)
 		return
 	}
-	o.transport.count.MessagesOut.Add(int64(count))
-	o.transport.count.BytesOut.Add(int64(o.buf.Len()))
-	o.shrink()
+	for len(messages) > 0 {
+		o.buf.Reset()
+		o.buf.Write(make([]byte, headerSize))
+		count := o.fill(messages)
+		if err := o.write(); err != nil {
+			o.reportDropped(len(messages), err)
+			o.closeConn()
+			return
+		}
+		messages = messages[count:]
+		o.transport.count.MessagesOut.Add(int64(count))
+		o.transport.count.BytesOut.Add(int64(o.buf.Len()))
+		o.shrink()
+	}
 }
 
-// maxKeptBuffer is the largest buffer kept for the next frame. Without a limit, one large message
-// to every peer would hold its size once per peer from then on.
-const maxKeptBuffer = 64 << 10
+// maxKeptBuffer is the largest buffer kept for the next frame. There is a buffer for each peer, so
+// that large ones would add up.
+const maxKeptBuffer = 4 << 10
 
 // shrink releases the buffer if the last frame was unusually large.
 func (o *outbox) shrink() {
@@ -76,26 +82,19 @@
 	}
 }
 
-// fill encodes first and further queued messages up to the limits of a frame, and returns their
-// number.
-func (o *outbox) fill(first any) int {
-	count := 0
-	for msg := first; ; {
+// fill encodes messages up to the limit of a frame, and returns their number.
+func (o *outbox) fill(messages []any) int {
+	for i, msg := range messages {
 		start := time.Now()
 		if err := o.enc.Append(msg); err != nil {
 			o.transport.opt.log.Error("peer_encode_failed", "peer", o.to, "error", err)
 		}
 		o.transport.count.CodecNanos.Add(int64(time.Since(start)))
-		count++
-		if count >= batchSize || o.buf.Len() > MaxFrame/2 {
-			return count
-		}
-		select {
-		case msg = <-o.queue:
-		default:
-			return count
+		if o.buf.Len() > MaxFrame/2 {
+			return i + 1
 		}
 	}
+	return len(messages)
 }
 
 func (o *outbox) reportDropped(count int, err error) {
