Keep forwarded connections of a router that is silent for a while

Cause: a router's streams ended as soon as it counted as lost, after half a second of silence in a small fleet. A router that forwards, or takes in, is the one that lacks processor time, and is heard late; its connection works. Each early end has its reason in request_forwarded and, at the router that took it in, in forwarded_stream_ended. Ruled out: a longer timeout for silence (owners and relays rely on it).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -141,7 +141,7 @@
 	// router.
 	SetPeers(list []forward.Peer)
 	EndStreamsExcept(live map[string]bool)
-	EndStreams(address string)
+	EndStreams(address string, why forward.Reason)
 }
 
 // WithForwarder sets the forwarder that is kept up to date with the live routers.
--- a/internal/dispatch/members.go
+++ b/internal/dispatch/members.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/yarrowmast/yarrowmast/internal/forward"
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 )
@@ -60,28 +59,6 @@
 	s.updateForwarder()
 }
 
-// updateForwarder passes the live routers, and those of the own zone as forwarding peers, to
-// the forwarder.
-func (s *state) updateForwarder() {
-	f := s.d.opt.forwarder
-	if f == nil {
-		return
-	}
-	var list []forward.Peer
-	for _, r := range s.routers {
-		if r.Zone == s.d.id.Zone {
-			list = append(list, forward.Peer{Address: r.Address, Capacity: r.Weight()})
-		}
-	}
-	s.forwardPeers = len(list)
-	f.SetPeers(list)
-	live := map[string]bool{}
-	for _, address := range s.roster.Live(s.now) {
-		live[address] = true
-	}
-	f.EndStreamsExcept(live)
-}
-
 // updateReaderRank computes this router's rank among the platform readers. A draining router
 // ranks last.
 func (s *state) updateReaderRank() {
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/internal/forward"
 	"github.com/yarrowmast/yarrowmast/internal/peer"
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/pkg/catalog"
@@ -41,6 +42,7 @@
 	member := roster.Member{Address: e.From, Name: e.Name, Zone: e.Zone, Incarnation: e.Incarnation}
 	isNew := s.roster.Observe(s.now, member)
 	if isNew {
+		s.endStreamsOfRestarted(&e.Inbound)
 		s.d.opt.log.Info("member_heard", "peer", e.Name, "address", e.From, "zone", e.Zone, "incarnation", e.Incarnation)
 		if _, isRoster := e.Msg.(*wire.Roster); !isRoster && s.introducesRouters() {
 			s.sendFullRoster(e.From, true)
@@ -193,7 +195,7 @@
 func (e lossEvent) apply(s *state) {
 	s.link(e.Peer).rosterDigest = 0
 	if f := s.d.opt.forwarder; f != nil {
-		f.EndStreams(e.Peer)
+		f.EndStreams(e.Peer, forward.ConnectionLost)
 	}
 	if !e.Refused {
 		return
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -77,6 +77,10 @@
 	tablesNotLogged int
 	// forwardPeers is the number of routers that connections may be forwarded to.
 	forwardPeers int
+	// forwardLive are the routers that were live when the forwarder was last updated, silentSince is
+	// since when others have been silent.
+	forwardLive map[string]bool
+	silentSince map[string]time.Duration
 	// routerHostSet caches the hosts of the live routers, nil after a change.
 	routerHostSet map[string]bool
 }
@@ -106,6 +110,7 @@
 		clearedCrashes: map[suspect.Reason]int64{},
 		estimator:      admit.NewCapacityEstimator(d.id.Capacity),
 		waiting:        map[uint64]*attempt{},
+		silentSince:    map[string]time.Duration{},
 	}
 	scale := func(p float64) time.Duration { return time.Duration(p * float64(d.opt.applyWithin)) }
 	s.catalog = catalog.New(catalog.WithRemovalGrace(scale(removalGraceFraction)), catalog.WithUnlistedGrace(scale(unlistedGraceFraction)), catalog.WithOwnAddress(s.isRouterAddress))
@@ -179,6 +184,7 @@
 		s.scheduleMembersUpdate()
 	}
 	s.repeatReferral()
+	s.checkSilentStreams()
 	s.updateAdmission()
 	s.sendReports()
 	s.sendSuspectUpdates()
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -16,7 +16,7 @@
 	"overloaded": {"this router had no time for it, and no other took it; it did not run",
 		"router_pace, router_overloaded, router_work and request_forwarded of this router"},
 	"router-lost": {"it was handed on to a router that was lost before its answer began; it may have run",
-		"to of its request_forwarded, and what that router logged"},
+		"to and reason of its request_forwarded, and forwarded_stream_ended of that router"},
 	"ends-backends": {"backend servers ended while they ran this request, in this or other tries; it gets none until the time to come back",
 		"the ends below: request_at_end of each of its tries, at any router"},
 	"on-trial": {"backend servers ended while they ran this request, and another try of it ran; it did not run",
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -7,6 +7,7 @@
 package forward
 
 import (
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -51,6 +52,7 @@
 // Forwarder forwards connections to peers and serves connections that peers forward.
 type Forwarder struct {
 	clock  *clock.Clock
+	log    *slog.Logger
 	sender Sender
 	server Server
 	// batchDelay returns how long to collect response bytes before sending the next message.
@@ -84,10 +86,13 @@
 // WithClock sets the clock for the deadlines of streams.
 func WithClock(c *clock.Clock) Option { return func(f *Forwarder) { f.clock = c } }
 
+// WithLogger sets the logger for streams of other routers that end early.
+func WithLogger(l *slog.Logger) Option { return func(f *Forwarder) { f.log = l } }
+
 // New returns a forwarder without peers. It forwards and accepts nothing before Bind.
 func New(opts ...Option) *Forwarder {
 	f := &Forwarder{
-		clock: clock.System(), batchDelay: func() time.Duration { return 0 },
+		clock: clock.System(), log: slog.New(slog.DiscardHandler), batchDelay: func() time.Duration { return 0 },
 		busyUntil: map[string]time.Time{}, outgoing: map[uint64]*outgoing{}, incoming: map[streamKey]*incoming{},
 	}
 	for _, o := range opts {
@@ -113,22 +118,22 @@
 
 // Close ends all streams.
 func (f *Forwarder) Close() {
-	f.closeMatching(func(string) bool { return true })
+	f.closeMatching(Stopped, func(string) bool { return true })
 }
 
-// EndStreams ends all streams to and from the router at address. It is called when messages
-// may have been lost.
-func (f *Forwarder) EndStreams(address string) {
-	f.closeMatching(func(a string) bool { return a == address })
+// EndStreams ends all streams to and from the router at address, for example when messages may
+// have been lost.
+func (f *Forwarder) EndStreams(address string, why Reason) {
+	f.closeMatching(why, func(a string) bool { return a == address })
 }
 
 // EndStreamsExcept ends the streams to and from all routers that are not in live.
 func (f *Forwarder) EndStreamsExcept(live map[string]bool) {
-	f.closeMatching(func(a string) bool { return !live[a] })
+	f.closeMatching(PeerSilent, func(a string) bool { return !live[a] })
 }
 
 // closeMatching ends the streams to and from the routers whose address matches.
-func (f *Forwarder) closeMatching(match func(address string) bool) {
+func (f *Forwarder) closeMatching(why Reason, match func(address string) bool) {
 	f.mu.Lock()
 	var outs []*outgoing
 	var ins []*incoming
@@ -144,10 +149,10 @@
 	}
 	f.mu.Unlock()
 	for _, o := range outs {
-		o.end()
+		o.end(why)
 	}
 	for _, i := range ins {
-		i.close()
+		i.close(why)
 	}
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -307,8 +307,8 @@
 			cl := newCluster(t, func(w http.ResponseWriter, r *http.Request) { close(started); <-r.Context().Done() })
 			_, results := cl.forward(postHead("/x", 0), waitTimeout)
 			<-started
-			cl.entry.EndStreams("b")
-			cl.entry.EndStreams("c")
+			cl.entry.EndStreams("b", forward.ConnectionLost)
+			cl.entry.EndStreams("c", forward.ConnectionLost)
 			if result := cl.waitResult(results); result.Outcome != forward.Unknown || cl.requestCount() != 1 {
 				t.Errorf("%+v, ran %d times", result, cl.requestCount())
 			}
@@ -381,8 +381,8 @@
 			cl := newCluster(t, func(w http.ResponseWriter, r *http.Request) { close(started); <-r.Context().Done(); close(canceled) })
 			_, results := cl.forward(postHead("/x", 0), time.Second)
 			<-started
-			cl.network.routers["b"].EndStreams("a")
-			cl.network.routers["c"].EndStreams("a")
+			cl.network.routers["b"].EndStreams("a", forward.ConnectionLost)
+			cl.network.routers["c"].EndStreams("a", forward.ConnectionLost)
 			select {
 			case <-canceled:
 			case <-time.After(waitTimeout):
--- a/internal/forward/incoming.go
+++ b/internal/forward/incoming.go
@@ -68,13 +68,16 @@
 	select {
 	case i.fromCaller <- m:
 	default:
-		i.close()
+		i.close(QueueFull)
 	}
 }
 
-// close ends the stream as if the caller had disconnected.
-func (i *incoming) close() {
+// close ends the stream as if the caller had disconnected. why is empty if the response is complete.
+func (i *incoming) close(why Reason) {
 	i.once.Do(func() {
+		if why != "" && why != CallerClosed {
+			i.forwarder.log.Warn("forwarded_stream_ended", "from", i.key.from, "stream", i.key.id, "reason", string(why))
+		}
 		close(i.done)
 		_ = i.pipe.Close()
 		i.forwarder.mu.Lock()
@@ -91,8 +94,12 @@
 	for seq := uint64(1); ; seq++ {
 		select {
 		case m := <-i.fromCaller:
-			if m.Last || m.Seq != seq {
-				i.close()
+			if m.Seq != seq {
+				i.close(OutOfOrder)
+				return
+			}
+			if m.Last {
+				i.close(CallerClosed)
 				return
 			}
 			if _, err := i.pipe.Write(m.Data); err != nil {
@@ -118,7 +125,7 @@
 		}
 		i.sender.Send(i.key.from, m)
 		if err != nil {
-			i.close()
+			i.close("")
 			return
 		}
 		i.waitBatch()
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -50,6 +50,8 @@
 	responses chan *wire.ForwardData
 	done      chan struct{}
 	once      sync.Once
+	// reason is why done was closed.
+	reason Reason
 	// callerClosed is closed when the caller closes its connection, readDone when readCaller
 	// returns.
 	callerClosed, readDone chan struct{}
@@ -78,7 +80,7 @@
 		result.To = to
 		o := f.newOutgoing(caller, to)
 		o.sender.Send(to, &wire.Forward{Stream: o.id, Edition: version.Edition, Revision: version.Revision, Data: result.Read})
-		result.Outcome = o.run(deadline)
+		result.Outcome, result.Reason = o.run(deadline)
 		f.removeOutgoing(o.id)
 		if result.Outcome != NotTaken {
 			return result
@@ -94,6 +96,8 @@
 	Outcome Outcome
 	// To is the peer that was tried last, "" if there was none.
 	To string
+	// Reason is why the response is not complete.
+	Reason Reason
 	// Read holds all bytes read from the connection if no peer accepted it.
 	Read []byte
 }
@@ -121,15 +125,20 @@
 	select {
 	case o.responses <- m:
 	default:
-		o.end()
+		o.end(QueueFull)
 	}
 }
 
 // end marks that no more messages can arrive from the peer.
-func (o *outgoing) end() { o.once.Do(func() { close(o.done) }) }
+func (o *outgoing) end(why Reason) {
+	o.once.Do(func() {
+		o.reason = why
+		close(o.done)
+	})
+}
 
 // run relays bytes both ways until the stream ends.
-func (o *outgoing) run(deadline time.Time) Outcome {
+func (o *outgoing) run(deadline time.Time) (Outcome, Reason) {
 	// Clear the deadline under which the head was read.
 	_ = o.caller.SetReadDeadline(time.Time{})
 	go o.readCaller()
@@ -141,24 +150,27 @@
 		case m := <-o.responses:
 			if m.Refused && !o.responded {
 				o.stopReading()
-				return NotTaken
+				return NotTaken, PeerRefused
+			}
+			if m.Seq != seq {
+				return o.abort(true), OutOfOrder
 			}
-			if m.Seq != seq || !o.writeToCaller(m) {
-				return o.abort(true)
+			if !o.writeToCaller(m) {
+				return o.abort(true), CallerStuck
 			}
 			if m.Last {
 				_ = o.caller.Close()
-				return Ended
+				return Ended, ""
 			}
 			if seq%ackInterval == 0 {
 				o.sender.Send(o.to, &wire.ForwardData{Stream: o.id, Acked: seq})
 			}
 		case <-o.callerClosed:
-			return o.abort(true)
+			return o.abort(true), CallerClosed
 		case <-o.done:
-			return o.abort(false)
+			return o.abort(false), o.reason
 		case <-timeout:
-			return o.abort(true)
+			return o.abort(true), DeadlinePassed
 		}
 	}
 }
--- /dev/null
+++ b/internal/forward/reason.go
@@ -0,0 +1,29 @@
+package forward
+
+// Reason says why a stream ended before its response was complete, as written in logs. It is empty for
+// one that completed.
+type Reason string
+
+// The reasons.
+const (
+	// CallerClosed: the caller closed its connection.
+	CallerClosed Reason = "caller-closed"
+	// CallerStuck: the caller could not be written to.
+	CallerStuck Reason = "caller-stuck"
+	// DeadlinePassed: the request's deadline passed.
+	DeadlinePassed Reason = "deadline"
+	// PeerRefused: the other router had no capacity.
+	PeerRefused Reason = "refused"
+	// ConnectionLost: messages to or from the other router may have been lost.
+	ConnectionLost Reason = "connection-lost"
+	// PeerSilent: the other router has not been heard from for too long.
+	PeerSilent Reason = "router-silent"
+	// PeerRestarted: the other router runs a new process.
+	PeerRestarted Reason = "router-restarted"
+	// QueueFull: more messages waited than the window allows.
+	QueueFull Reason = "queue-full"
+	// OutOfOrder: a message was missing.
+	OutOfOrder Reason = "out-of-order"
+	// Stopped: this router stops.
+	Stopped Reason = "stopped"
+)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -208,7 +208,7 @@
 // setUpPlatformDispatcher creates the scheduler of a router on an external platform.
 func (n *Node) setUpPlatformDispatcher(s config.Settings, o options, t tlsConfigs, p Platform, incarnation uint64) {
 	id := dispatch.Identity{Name: s.Name, Address: n.listeners.peers.Addr().String(), Zone: s.Zone, Incarnation: incarnation, Capacity: s.Machine.Processors, ListenAddresses: n.listeners.addresses()}
-	n.forwarder = forward.New(forward.WithBatchDelay(n.forwardedBatchDelay), forward.WithClock(n.clock))
+	n.forwarder = forward.New(forward.WithBatchDelay(n.forwardedBatchDelay), forward.WithClock(n.clock), forward.WithLogger(n.log))
 	n.Peers = peer.New(id.Name, id.Zone, id.Incarnation, n.listeners.peers, append(n.peerOptions(o, t), peer.WithAddress(id.Address), peer.WithInterceptor(n.forwarder.Handle))...)
 	opts := []dispatch.Option{
 		dispatch.WithLogger(n.log), dispatch.WithSeeds(s.Seeds), dispatch.WithApplyWithin(s.ApplyWithin),
