Log what a router's upkeep costs, and sum it up by role and kind of message

Change: each router logs router_cost every 10 s (role, processor, memory, peers, messages and bytes by kind, calls of the platform); yarrowctl costs prints a table by role and one by role and kind. Bytes are counted where messages are encoded. Ruled out: a metric for each kind (30 series a router that nobody reads together).

--- a/cmd/yarrowctl/main.go
+++ b/cmd/yarrowctl/main.go
@@ -20,6 +20,7 @@
 	cmdExplain,
 	cmdCounts,
 	cmdParts,
+	cmdCosts,
 }
 
 func main() {
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -30,6 +30,10 @@
 	// Live are the live routers. Relay is true if this one is a relay of its zone.
 	Live  []string `json:"live"`
 	Relay bool     `json:"relay"`
+	// Primary is true if this router sends its zone's totals to other zones, Seed if others know it
+	// from their settings.
+	Primary bool `json:"primary_relay"`
+	Seed    bool `json:"seed"`
 	// Owned are the backend servers that this router owns.
 	Owned []string `json:"owned"`
 	// Ejected are the backend servers that this router ejected for their failures.
@@ -62,6 +66,22 @@
 	SuspendedMillis int64 `json:"suspended_ms"`
 }
 
+// Role names what the router does for others, besides owning backend servers.
+func (st *Status) Role() string {
+	switch {
+	case st.Primary:
+		return "primary-relay"
+	case st.Relay:
+		return "relay"
+	case st.ReaderRank < watcherCount:
+		return "reader"
+	case st.Seed:
+		return "seed"
+	default:
+		return "router"
+	}
+}
+
 // callCounter is a Source that counts its calls.
 type callCounter interface{ Calls() int64 }
 
@@ -74,7 +94,7 @@
 	st := &Status{
 		Name: s.d.id.Name, Zone: s.d.id.Zone, Incarnation: s.d.id.Incarnation, Epoch: s.catalog.AsOf().Epoch, AsOf: s.catalog.AsOf().Number, ReaderRank: s.d.shared.readerRank.Load(),
 		VerifiedMillisAgo: (s.now - time.Duration(s.d.shared.lastVerified.Load())).Milliseconds(),
-		Live:              s.roster.Live(s.now), Relay: s.peerPlan.Relay, Owned: s.core.Owned(), Waiting: s.core.Waiting(),
+		Live:              s.roster.Live(s.now), Relay: s.peerPlan.Relay, Primary: s.peerPlan.Primary, Seed: slices.Contains(s.d.opt.seeds, s.d.id.Address), Owned: s.core.Owned(), Waiting: s.core.Waiting(),
 		ClosedZones: s.closedZones, Warming: s.core.Warming(), SuspendedMillis: s.suspended.Milliseconds(),
 	}
 	st.Unusable, st.UnusableCount = s.unusableEntries()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -267,6 +267,9 @@
 	n.stopTasks = cancel
 	go n.watchClock(ctx)
 	go n.runGauges(ctx)
+	if n.Dispatch != nil {
+		go n.runCosts(ctx)
+	}
 	n.log.Info("router_started", "zone", n.Settings.Zone, "callers", ls.callers.Addr().String(),
 		"peers", ls.peers.Addr().String(), "admin", ls.admin.Addr().String())
 }
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -71,6 +71,27 @@
 	Dropped     atomic.Int64
 	// CodecNanos is the time spent on encoding and decoding.
 	CodecNanos atomic.Int64
+
+	sent [wire.KindCount]struct{ messages, bytes atomic.Int64 }
+}
+
+// KindCount counts the messages of a kind that were sent, and their bytes without the frames.
+type KindCount struct{ Messages, Bytes int64 }
+
+// SentByKind returns what was sent, by wire.Kind.
+func (c *Counters) SentByKind() (sent [wire.KindCount]KindCount) {
+	for kind := range c.sent {
+		sent[kind] = KindCount{c.sent[kind].messages.Load(), c.sent[kind].bytes.Load()}
+	}
+	return sent
+}
+
+// addSent counts a message.
+func (c *Counters) addSent(kind wire.Kind, bytes int) {
+	if int(kind) < len(c.sent) {
+		c.sent[kind].messages.Add(1)
+		c.sent[kind].bytes.Add(int64(bytes))
+	}
 }
 
 // Transport holds a router's connections to its peers.
@@ -155,6 +176,13 @@
 // Losses returns the channel on which losses are reported.
 func (t *Transport) Losses() <-chan Loss { return t.losses }
 
+// Connections returns the number of routers that this one has sent something.
+func (t *Transport) Connections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.out)
+}
+
 // Counters returns the live counters.
 func (t *Transport) Counters() *Counters { return t.count }
 
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -85,11 +85,12 @@
 // fill encodes messages up to the limit of a frame, and returns their number.
 func (o *outbox) fill(messages []any) int {
 	for i, msg := range messages {
-		start := time.Now()
+		start, before := time.Now(), o.buf.Len()
 		if err := o.enc.Append(msg); err != nil {
 			o.transport.opt.log.Error("peer_encode_failed", "peer", o.to, "error", err)
 		}
 		o.transport.count.CodecNanos.Add(int64(time.Since(start)))
+		o.transport.count.addSent(wire.KindOf(msg), o.buf.Len()-before)
 		if o.buf.Len() > MaxFrame/2 {
 			return i + 1
 		}
