--- /dev/null
+++ b/internal/dispatch/emulated_day_test.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/roster"
+)
+
+// upkeep is what a quiet fleet spends.
+type upkeep struct {
+	// messages and bytes are per router and second, calls per second.
+	messages, bytes, calls float64
+}
+
+func (f *emulator) measure(period time.Duration) upkeep {
+	f.resetCosts()
+	f.run(f.now+period, func() {})
+	messages, bytes, _ := f.sent()
+	n := float64(f.running()) * period.Seconds()
+	return upkeep{messages: float64(messages) / n, bytes: float64(bytes) / n, calls: float64(f.store.calls) / period.Seconds()}
+}
+
+// TestEmulatedDay runs a fleet through its start, changes of entries, an outage of the platform, the
+// loss and return of a zone, and the loss of all routers. All must agree again soon each time, and what
+// the fleet spends in quiet times must not grow with it.
+func TestEmulatedDay(t *testing.T) {
+	const within = 5 * time.Second
+	var quiet []upkeep
+	for _, routers := range []int{60, 120} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			f := newEmulator(routers, 5, within)
+			agree := func(what string, most time.Duration) {
+				t.Helper()
+				if took := f.runUntil(settled, f.allKnowAll); took > most {
+					t.Errorf("%s: all agree after %v, want at most %v", what, took, most)
+				}
+			}
+			f.startAll()
+			agree("start", 2*time.Second)
+			f.run(f.now+5*time.Second, func() {})
+			quiet = append(quiet, f.measure(5*time.Second))
+			f.change(3 * time.Second)
+			if took := f.inForce(); took > within/2 {
+				t.Errorf("the last change is in force everywhere after %v", took)
+			}
+			f.store.away = true
+			if away := f.measure(within); away.calls > 40 {
+				t.Errorf("%.0f calls a second of a platform that is away", away.calls)
+			}
+			f.store.away = false
+			f.change(time.Second)
+			if took := f.inForce(); took > within {
+				t.Errorf("a change after the platform is back is in force everywhere after %v", took)
+			}
+			f.killZone(1)
+			agree("zone lost", 4*time.Second)
+			f.startAll()
+			agree("zone back", 2*time.Second)
+			f.killAll()
+			f.startAll()
+			agree("all lost", 2*time.Second)
+		})
+	}
+	if small, large := quiet[0], quiet[1]; large.messages > small.messages || large.bytes > 1.1*small.bytes || large.calls > small.calls+0.5 {
+		t.Errorf("a router of 120 spends %+v, one of 60 %+v", large, small)
+	}
+}
+
+// TestEmulatedPartition: two parts of a fleet that were cut off from each other for longer than routers
+// are remembered must find each other again.
+func TestEmulatedPartition(t *testing.T) {
+	f := newEmulator(40, 4, 5*time.Second)
+	f.startAll()
+	f.runUntil(settled, f.allKnowAll)
+	f.isCut = func(a, b int) bool { return (a == 1) != (b == 1) }
+	f.run(f.now+roster.ForgetAfter+10*time.Second, func() {})
+	apart := f.countIf(func(r *emulatedRouter) bool { return len(r.routers) == f.running()-1 })
+	if apart > 0 {
+		t.Fatalf("%d routers still count those across the cut as live", apart)
+	}
+	f.isCut = nil
+	if took := f.runUntil(settled, f.allKnowAll); took > roster.SeedProbeInterval+5*time.Second {
+		t.Errorf("all agree %v after the cut ends", took)
+	}
+}
--- a/internal/dispatch/emulator_bench_test.go
+++ b/internal/dispatch/emulator_bench_test.go
@@ -45,18 +45,12 @@
 		return 0
 	})
 	day.phase("zone lost", func() time.Duration {
-		for _, r := range f.routers {
-			if f.zone(r.index) == "zone-1" {
-				r.kill()
-			}
-		}
+		f.killZone(1)
 		return f.runUntil(settled, f.allKnowAll)
 	})
 	day.phase("zone back", func() time.Duration { f.startAll(); return f.runUntil(settled, f.allKnowAll) })
 	day.phase("all lost", func() time.Duration {
-		for _, r := range f.routers {
-			r.kill()
-		}
+		f.killAll()
 		f.startAll()
 		return f.runUntil(settled, f.allKnowAll)
 	})
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -36,8 +36,10 @@
 	}
 	// onSend is called for each message; it may be nil.
 	onSend func(from *emulatedRouter, to string, msg any)
-	zones  int
-	seeds  []string
+	// isCut reports whether messages between two zones are lost; it may be nil.
+	isCut func(a, b int) bool
+	zones int
+	seeds []string
 	// within is the time in which changes must be in force.
 	within time.Duration
 }
@@ -186,6 +188,21 @@
 	r.d.Close()
 }
 
+// killZone stops the routers of a zone, killAll all of them.
+func (f *emulator) killZone(zone int) {
+	for _, address := range f.order {
+		if r := f.routers[address]; r.index%f.zones == zone {
+			r.kill()
+		}
+	}
+}
+
+func (f *emulator) killAll() {
+	for _, address := range f.order {
+		f.routers[address].kill()
+	}
+}
+
 func (r *emulatedRouter) SetIncarnation(inc uint64) { r.incarnation = inc }
 
 func (r *emulatedRouter) Inbox() <-chan peer.Inbound { return nil }
@@ -341,6 +358,10 @@
 		m.msg = decoded
 	}
 	switch {
+	case to != nil && f.isCut != nil && f.isCut(from.index%f.zones, to.index%f.zones):
+		if from.up {
+			from.apply(lossEvent{peer.Loss{Peer: m.to}})
+		}
 	case to == nil || !to.up:
 		if from.up && from.incarnation == m.incarnation {
 			from.apply(lossEvent{peer.Loss{Peer: m.to, Refused: true}})
