Tell by the platform's history what was removed after its restore

Cause: the first full list of a restored platform lacks an item that was removed since as it lacks one that the backup did not have; the latter is retained for 10 s. A zone that operators open between the return and the first reading stayed closed for 10.2 to 10.3 s (bound 2 s). Change: the reader asks for the changes after a revision of the common history, and adds the removals to the full update; an entry's removal counts if its revision is above that of the known entry. Ruled out: a shorter retention (it protects what the backup lacks). Calls: one more for each router that reads the full list, up to four if the history is short.

--- a/internal/dispatch/platform.go
+++ b/internal/dispatch/platform.go
@@ -72,6 +72,9 @@
 	update, err := d.source.Read(d.ctx)
 	if err == nil {
 		d.warnIfOlder("read", known, catalog.Revision{Epoch: update.Epoch, Number: update.AsOf})
+		if !known.IsZero() && update.Epoch > known.Epoch {
+			d.addRemovals(known, &update)
+		}
 	}
 	return update, err
 }
--- /dev/null
+++ b/internal/dispatch/removals.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import (
+	"errors"
+
+	"github.com/yarrowmast/yarrowmast/pkg/catalog"
+)
+
+// A platform that was restored from a backup lists neither what the backup lacks nor what was removed
+// since. Its history tells the two apart: it has the removals.
+const (
+	// removalLookback is the number of revisions whose history is asked for; a platform that no
+	// longer has them is asked for removalLookbackStep times fewer.
+	removalLookback     = 64
+	removalLookbackStep = 4
+)
+
+// addRemovals adds to the first full update of a new epoch what was removed recently, according to the
+// platform's history. Without it, what the update lacks is retained for a while.
+func (d *Dispatcher) addRemovals(known catalog.Revision, u *catalog.Update) {
+	upTo := min(known.Number, u.AsOf)
+	for back := uint64(removalLookback); back > 0; back /= removalLookbackStep {
+		since := catalog.Revision{Epoch: u.Epoch, Number: max(1, upTo-min(back, upTo))}
+		changes, err := d.source.Watch(d.ctx, since, 0)
+		if errors.Is(err, catalog.ErrCompacted) {
+			continue
+		}
+		if err != nil {
+			d.opt.log.Warn("platform_read_failed", "what", "removals", "as_of", since.Number, "error", err)
+			return
+		}
+		addMissing(u, &changes)
+		return
+	}
+}
+
+// addMissing adds the removals among changes of items that a full update does not list.
+func addMissing(u, changes *catalog.Update) {
+	listed := map[string]bool{}
+	for i := range u.Servers {
+		listed[u.Servers[i].Backend.Name] = true
+	}
+	for _, s := range changes.Servers {
+		if s.Gone && s.Revision <= u.AsOf && !listed[s.Backend.Name] {
+			u.Servers = append(u.Servers, s)
+		}
+	}
+	closed := map[string]bool{}
+	for _, z := range u.Zones {
+		closed[z.Name] = true
+	}
+	for _, z := range changes.Zones {
+		if !z.Closed && z.Revision <= u.AsOf && !closed[z.Name] {
+			u.Zones = append(u.Zones, z)
+		}
+	}
+}
--- a/pkg/catalog/epoch.go
+++ b/pkg/catalog/epoch.go
@@ -65,7 +65,7 @@
 func (e *epochChange) finishServer(now time.Duration, name string, old retained[Server]) {
 	c := e.c
 	s := c.servers[name]
-	if listed := s.Revision > 0; listed {
+	if listed := s.Revision > 0 && !e.mayPredateRemoval(&s, old.Origin); listed {
 		if e.mayPredate(s.Revision, old.Override) && contradicts(&old.item, &s) && !e.isNewIncarnation(&old, &s) {
 			c.retainedServers[name] = retained[Server]{item: old.item, until: c.epochSince + overrideTTL, Override: Override{Origin: old.Origin, Over: s.Revision}}
 		}
@@ -83,6 +83,13 @@
 	c.retainedServers[name] = retained[Server]{item: old.item, until: c.epochSince + c.unlistedGrace, Override: Override{Origin: old.Origin}}
 }
 
+// mayPredateRemoval reports whether an entry that is listed as removed may have been written again after
+// that, before the platform was restored. An entry whose removal has a higher revision than the known
+// entry was removed later: otherwise the removal would be known.
+func (e *epochChange) mayPredateRemoval(s *Server, known Revision) bool {
+	return s.Gone && (known.Epoch != e.prevEpoch || s.Revision <= known.Number)
+}
+
 func (e *epochChange) finishZone(name string, old retained[Zone]) {
 	c := e.c
 	z := c.zones[name]
--- a/pkg/catalog/zone.go
+++ b/pkg/catalog/zone.go
@@ -77,11 +77,12 @@
 	return rows
 }
 
-// zonesSince returns the marks that changed after a revision number, all closed zones for 0.
+// zonesSince returns the marks that changed after a revision number, also those that were removed: after
+// a restore of the platform they tell what was removed from what the backup lacked.
 func (c *Catalog) zonesSince(after uint64) []Zone {
 	var list []Zone
 	for _, name := range slices.Sorted(maps.Keys(c.zones)) {
-		if z := c.zones[name]; z.Revision > after && (after > 0 || z.Closed) {
+		if z := c.zones[name]; z.Revision > after {
 			list = append(list, z.Zone)
 		}
 	}
