Read the platform in one emulator of a fleet, and split the roster by its jobs

The test of the readers had an emulator of its own beside the new one; it runs on the new one now, which starts its routers from nothing and counts calls by router, and asks the same. The roster's probes and silences have their files.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -85,6 +85,8 @@
 	// away says that it answers nobody.
 	away  bool
 	calls int
+	// callsBy counts the calls by router.
+	callsBy map[string]int
 }
 
 const (
@@ -106,7 +108,7 @@
 func newEmulator(routers, zones int, within time.Duration) *emulator {
 	f := &emulator{
 		now: clockStart, routers: map[string]*emulatedRouter{}, underWay: map[time.Duration][]emulatedMessage{}, costs: map[costKey]*cost{}, zones: zones, within: within,
-		store: emulatedStore{revision: 1, servers: map[string]catalog.Server{}},
+		store: emulatedStore{revision: 1, servers: map[string]catalog.Server{}, callsBy: map[string]int{}},
 	}
 	t := &table.Table{Revision: 1, Edition: 1, Services: []table.ServiceRow{{Name: "reader", Engine: true}}}
 	for i := range emulatedAccounts {
@@ -133,6 +135,12 @@
 
 func (f *emulator) zone(i int) string { return fmt.Sprintf("zone-%d", i%f.zones) }
 
+// count counts calls of a router.
+func (s *emulatedStore) count(r *emulatedRouter, calls int) {
+	s.calls += calls
+	s.callsBy[r.address] += calls
+}
+
 // put writes an entry.
 func (s *emulatedStore) put(b table.Backend) {
 	s.revision++
@@ -273,7 +281,7 @@
 // resetCosts forgets what was counted.
 func (f *emulator) resetCosts() {
 	f.costs = map[costKey]*cost{}
-	f.store.calls = 0
+	f.store.calls, f.store.callsBy = 0, map[string]int{}
 }
 
 // sent sums up what was counted: messages, bytes, and the bytes of the router that sent most.
@@ -388,15 +396,15 @@
 	due := r.verifyDueIn(sinceStart)
 	switch {
 	case due <= 0 && f.store.away:
-		f.store.calls++
+		f.store.count(r, 1)
 		r.readsUntil, r.fullRead = f.now+r.d.retryDelay(time.Second), false
 	case due <= 0 && asOf.IsZero():
 		r.beginFullRead()
 	case due <= 0:
-		f.store.calls++
+		f.store.count(r, 1)
 		r.readsUntil, r.fullRead = f.now+emulatedCall, false
 	case !asOf.IsZero() && !f.store.away && r.d.shared.readerRank.Load() < watcherCount && sinceStart >= watchDelay && asOf.Number < f.store.revision:
-		f.store.calls++
+		f.store.count(r, 1)
 		r.readsUntil, r.fullRead, r.watching = f.now+time.Duration(watchPauseFraction*float64(f.within)), false, true
 		r.apply(updateEvent{Update: f.store.since(asOf.Number)})
 	}
@@ -417,7 +425,7 @@
 func (r *emulatedRouter) beginFullRead() {
 	f := r.emulator
 	calls := 1 + len(f.store.servers)/emulatedPage
-	f.store.calls += calls
+	f.store.count(r, calls)
 	r.readsUntil, r.fullRead = f.now+time.Duration(calls)*emulatedCall, true
 }
 
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -21,24 +21,12 @@
 	// SilenceTimeout is how long a router may be silent before it counts as lost. It is longer
 	// if the message interval requires it.
 	SilenceTimeout = 500 * time.Millisecond
-	// ProbeInterval is the time between probes of a silent router.
-	ProbeInterval = time.Second
-	// StartupProbeInterval replaces ProbeInterval for StartupPeriod after this router's start.
-	// If the whole fleet restarts, the routers must find each other quickly: a router that
-	// knows of no others owns every backend server.
-	StartupProbeInterval = 250 * time.Millisecond
-	StartupPeriod        = 10 * time.Second
-	// SeedProbeInterval is the time between probes of a seed that this router need not hear
-	// from.
-	SeedProbeInterval = 15 * time.Second
 	// ForgetAfter is how long after its last sign of life a router is forgotten, unless it is
 	// a seed.
 	ForgetAfter = 30 * time.Second
 )
 
 const (
-	// maxProbes bounds the routers probed at once.
-	maxProbes = 8
 	// minInterval and maxInterval bound the interval between messages. It grows by
 	// intervalPerMember for each recipient of a relay, which bounds a relay's message rate.
 	minInterval       = 100 * time.Millisecond
@@ -273,57 +261,6 @@
 	return r.sorted
 }
 
-// NextProbes returns the addresses of the silent routers to probe now, those probed longest
-// ago first, and records the probes.
-func (r *Roster) NextProbes(now time.Duration, p Plan) []string {
-	interval := r.probeInterval(now)
-	var silent []*member
-	for _, m := range r.inOrder() {
-		if since := now - m.probedAt; r.isDirect(now, m) || since < interval {
-			continue
-		}
-		if r.shouldReceive(now, m, p) || m.seed && now-m.probedAt >= SeedProbeInterval {
-			silent = append(silent, m)
-		}
-	}
-	slices.SortStableFunc(silent, func(a, b *member) int { return cmp.Compare(a.probedAt, b.probedAt) })
-	var list []string
-	for _, m := range silent[:min(maxProbes, len(silent))] {
-		list = append(list, m.Address)
-		m.probedAt = now
-		if m.unansweredSince == 0 {
-			m.unansweredSince = now
-			r.cached = nil
-		}
-	}
-	return list
-}
-
-// probeInterval returns the current time between probes of a silent router.
-func (r *Roster) probeInterval(now time.Duration) time.Duration {
-	if r.startedAt == 0 {
-		r.startedAt = now
-	}
-	if now-r.startedAt < StartupPeriod {
-		return StartupProbeInterval
-	}
-	return ProbeInterval
-}
-
-// shouldReceive reports whether this router would receive messages from m if m were alive.
-func (r *Roster) shouldReceive(now time.Duration, m *member, p Plan) bool {
-	switch {
-	case p.Mesh, slices.Contains(p.Peers, m.Address), slices.Contains(p.RemoteRelays, m.Address):
-		return true
-	case !p.Relay:
-		return false
-	default:
-		// The relays of another zone receive messages from its members. If this router knows
-		// of no relay that does, any member of the zone may restore the connection.
-		return m.Zone == r.self.Zone || !r.isAlive(now, m)
-	}
-}
-
 // Forget drops the routers that nobody has heard from, and that no relay has reported alive, for
 // ForgetAfter.
 func (r *Roster) Forget(now time.Duration) {
@@ -382,29 +319,3 @@
 	}
 	return m.Member, true
 }
-
-// pauseGrace is the time that a router needs after a pause to read the messages that arrived
-// meanwhile.
-const pauseGrace = 150 * time.Millisecond
-
-// pause is a time during which this process was paused.
-type pause struct{ from, to time.Duration }
-
-// RecordPause records that this process was paused. Until it has read the messages that
-// arrived meanwhile, silence does not show that other routers are lost. Otherwise it would
-// take itself for the only router and for the owner of every backend server.
-func (r *Roster) RecordPause(from, to time.Duration) {
-	r.cached = nil
-	r.pause = pause{from, to}
-}
-
-// isExcused reports whether a silence may be due to the last pause: it was short when the
-// pause began, and messages from the pause may still be unread.
-func (r *Roster) isExcused(now, since time.Duration) bool {
-	return now < r.pause.to+pauseGrace && r.pause.from-since < r.silenceTimeout()
-}
-
-// isSilent reports whether a silence exceeds the timeout and is not excused.
-func (r *Roster) isSilent(now, since time.Duration) bool {
-	return now-since >= r.silenceTimeout() && !r.isExcused(now, since)
-}
