Let a router that learns of a large fleet stay with it

Change: members are expected for as long as a silence is borne; a router reports with the next tick when its relays change; one that hears few of a large fleet probes two at a time with an empty request; full lists of 100 routers and more are encoded once for all who ask; routers that have heard of nobody read the platform 0.4 to 2 s after their start, each at its time. Ruled out: a longer expectation by itself (the next interval is longer again). Tests: TestLargeFleetIsExpectedForAnInterval (60, 600, 1,200), TestLostRouterProbesFew, TestRelaysHearOfNewRouterAtOnce, TestFirstReadsAreSpread.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"maps"
-	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -264,10 +263,11 @@
 
 // kindName names the kind of a message.
 func kindName(msg any) string {
-	if _, ok := msg.(*wire.Encoded); ok {
+	kind := wire.KindOf(msg)
+	if _, ok := msg.(*wire.Encoded); ok && kind == wire.KindPlatformUpdate {
 		return fullUpdateKind
 	}
-	return strings.TrimPrefix(reflect.TypeOf(msg).String(), "*wire.")
+	return kind.String()
 }
 
 func encodedSize(msg any) int {
--- a/internal/dispatch/members.go
+++ b/internal/dispatch/members.go
@@ -35,7 +35,12 @@
 		return
 	}
 	s.membersUpdatedAt, s.membersVersion = s.now, version
+	before := s.peerPlan
 	s.peerPlan = s.roster.Plan(s.now)
+	if before.Mesh != s.peerPlan.Mesh || !slices.Equal(before.Peers, s.peerPlan.Peers) {
+		// The relays learn of this router by its reports.
+		s.reportedAt = 0
+	}
 	s.updateRosterVersion()
 	s.updateReaderRank()
 	var routers []admit.Router
--- a/internal/dispatch/platform.go
+++ b/internal/dispatch/platform.go
@@ -174,7 +174,7 @@
 	case len(d.opt.seeds) == 0 || slices.Contains(d.opt.seeds, d.id.Address):
 		return 0
 	default:
-		return clockStart + firstReadDelay(d.shared.readerRank.Load()) - now
+		return clockStart + firstReadDelay(d.shared.readerRank.Load(), readSpread(d.id.Address)) - now
 	}
 	fraction := verifyFraction(d.shared.readerRank.Load())
 	return verified + time.Duration(fraction*float64(d.shared.applyWithin.Load())) - now
--- a/internal/dispatch/platform_test.go
+++ b/internal/dispatch/platform_test.go
@@ -17,7 +17,7 @@
 	}{
 		"without seeds":                      {nil, 0, 0},
 		"a seed":                             {[]string{other, self}, 0, 0},
-		"no seed":                            {[]string{other}, 0, nonSeedReadDelay},
+		"no seed":                            {[]string{other}, 0, firstReadDelay(0, readSpread(self))},
 		"no seed, updated by another router": {[]string{other}, 9, time.Duration(firstVerifyFraction * float64(within))},
 		"seed, updated by another router":    {[]string{self, other}, 9, time.Duration(firstVerifyFraction * float64(within))},
 	}
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -41,9 +41,46 @@
 func (s *state) sendFullRoster(to string, wantReply bool) {
 	l := s.link(to)
 	l.rosterDigest, l.rosterVersion = s.rosterDigest, s.rosterVersion
+	if !wantReply && len(s.rosterChanges) >= minEncodedRoster {
+		s.sendEncodedRoster(to)
+		return
+	}
 	s.sendRosterEntries(to, &wire.Roster{WantReply: wantReply, Digest: s.rosterDigest}, func(string) bool { return true })
 }
 
+const (
+	// minEncodedRoster is the number of routers from which a full roster is encoded once for all who
+	// ask. When a large fleet starts, all its routers ask the seeds.
+	minEncodedRoster = 100
+	// encodedRosterTTL is how long it may be reused.
+	encodedRosterTTL = 200 * time.Millisecond
+)
+
+// encodedRoster is a full roster that was sent lately.
+type encodedRoster struct {
+	msg    *wire.Encoded
+	digest uint64
+	at     time.Duration
+}
+
+// sendEncodedRoster sends the whole roster in a message that others were sent lately, if it still holds.
+func (s *state) sendEncodedRoster(to string) {
+	r := &s.encodedRoster
+	if r.msg == nil || r.digest != s.rosterDigest || s.now-r.at >= encodedRosterTTL {
+		m := &wire.Roster{Digest: s.rosterDigest}
+		for _, k := range s.roster.Members(s.now) {
+			m.Entries = append(m.Entries, rosterEntry(k))
+		}
+		encoded, err := wire.Encode(m)
+		if err != nil {
+			s.d.opt.log.Error("roster_not_encoded", "routers", len(m.Entries), "error", err)
+			return
+		}
+		*r = encodedRoster{msg: encoded, digest: s.rosterDigest, at: s.now}
+	}
+	s.d.transport.Send(to, r.msg)
+}
+
 // sendRosterChanges sends another router what changed in the roster since it was last sent.
 func (s *state) sendRosterChanges(to string, l *link) {
 	switch l.rosterDigest {
@@ -72,7 +109,12 @@
 // probe asks a silent router for a sign of life. In a full mesh both rosters are exchanged; otherwise
 // a router to which this one is new replies with its roster, and any other needs not.
 func (s *state) probe(to string) {
-	if s.peerPlan.Mesh {
+	switch {
+	case s.roster.HearsFew(s.peerPlan):
+		// It needs the other's roster, and its own says little.
+		s.d.transport.Send(to, &wire.Roster{WantReply: true})
+		return
+	case s.peerPlan.Mesh:
 		s.sendFullRoster(to, true)
 		return
 	}
--- a/internal/dispatch/roster_test.go
+++ b/internal/dispatch/roster_test.go
@@ -85,3 +85,30 @@
 		t.Errorf("message after a loss %+v, want the full roster", m)
 	}
 }
+
+// TestRelaysHearOfNewRouterAtOnce: a router that learns of a large fleet must report to its relays with
+// the next tick, since they tell all others of it.
+func TestRelaysHearOfNewRouterAtOnce(t *testing.T) {
+	n := &recordingTransport{}
+	s := newState(New(Identity{Name: "a", Address: "10.0.1.1:7", Zone: "z0", Incarnation: 1}, emptySource{}, n))
+	s.now = time.Hour
+	tickEvent{}.apply(s)
+	m := &wire.Roster{Digest: 1}
+	for i := range 600 {
+		m.Entries = append(m.Entries, wire.RosterEntry{Address: fmt.Sprintf("10.0.%d.%d:7", 2+i/200, i%200), Zone: fmt.Sprint("z", i%5), Incarnation: 1, Alive: true})
+	}
+	messageEvent{peer.Inbound{From: m.Entries[0].Address, Name: "b", Zone: "z0", Incarnation: 1, Msg: m}}.apply(s)
+	for range 4 {
+		s.now += tickInterval
+		tickEvent{}.apply(s)
+	}
+	reports := 0
+	for _, msg := range n.sent {
+		if _, ok := msg.(*wire.RouterState); ok {
+			reports++
+		}
+	}
+	if s.peerPlan.Mesh || reports < len(s.peerPlan.Peers) || reports == 0 {
+		t.Errorf("%d reports to the relays %v", reports, s.peerPlan.Peers)
+	}
+}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 )
 
 // When a router reads the platform depends on its rank among the readers: the first ones read, and
@@ -19,12 +21,14 @@
 	rankVerifyFraction     = 0.05
 	evenRanks              = 6
 	doublingVerifyFraction = 0.03
-	// nonSeedReadDelay is the time after the start before a router of rank 0 that is not a seed
-	// reads the platform, unless another router sent everything by then. A full read of a large
-	// platform takes several calls, which should not come from all routers when the fleet starts.
-	// maxReadDelay bounds the time for those behind.
-	nonSeedReadDelay = 400 * time.Millisecond
-	maxReadDelay     = 5 * time.Second
+	// nonSeedReadDelay is the least time after the start before a router that is not a seed reads
+	// the platform, unless another router sent everything by then. A full read of a large platform
+	// takes several calls, which should not come from all routers when the fleet starts. A router
+	// that has heard of no other yet has rank 0, so that a part of up to nonSeedReadSpread is added
+	// that differs between routers. maxReadDelay bounds the time for those behind.
+	nonSeedReadDelay  = 400 * time.Millisecond
+	nonSeedReadSpread = 1600 * time.Millisecond
+	maxReadDelay      = 5 * time.Second
 	// The delays of a first read and of the retry after a failed read grow by one base delay every
 	// ranksPerDelay ranks.
 	ranksPerDelay = 4
@@ -47,9 +51,15 @@
 func rankFactor(rank int64) float64 { return 1 + float64(rank)/ranksPerDelay }
 
 // firstReadDelay returns the time after its start at which a router that is not a seed, and knows
-// nothing yet, reads the platform.
-func firstReadDelay(rank int64) time.Duration {
-	return min(maxReadDelay, time.Duration(rankFactor(rank)*float64(nonSeedReadDelay)))
+// nothing yet, reads the platform. spread is its part of nonSeedReadSpread, in [0, 1).
+func firstReadDelay(rank int64, spread float64) time.Duration {
+	delay := rankFactor(rank)*float64(nonSeedReadDelay) + spread*float64(nonSeedReadSpread)
+	return min(maxReadDelay, time.Duration(delay))
+}
+
+// readSpread returns a router's part of nonSeedReadSpread.
+func readSpread(address string) float64 {
+	return float64(rendezvous.Weight(readerKey, address)) / math.MaxUint64
 }
 
 // retryDelay returns the time until a router of a rank repeats a failed read, for the delay that the
--- a/internal/dispatch/schedule_test.go
+++ b/internal/dispatch/schedule_test.go
@@ -40,15 +40,35 @@
 	for _, routers := range []int64{300, 600, 1200} {
 		early := 0
 		for rank := range routers {
-			if firstReadDelay(rank) < 2*time.Second {
+			if firstReadDelay(rank, 0) < 2*time.Second {
 				early++
 			}
 		}
 		if early > 16 {
 			t.Errorf("%d of %d routers read within 2 s", early, routers)
 		}
-		if last := firstReadDelay(routers - 1); last > maxReadDelay {
+		if last := firstReadDelay(routers-1, 1); last > maxReadDelay {
 			t.Errorf("the last of %d routers waits %v", routers, last)
 		}
 	}
 }
+
+// TestFirstReadsAreSpread: routers that start together and have heard of nobody must not read the
+// platform all at once.
+func TestFirstReadsAreSpread(t *testing.T) {
+	const routers, parts = 600, 8
+	counts := [parts]int{}
+	for i := range routers {
+		delay := firstReadDelay(0, readSpread(fmt.Sprintf("10.0.%d.%d:7", i/200, i%200)))
+		part := int(parts * float64(delay-nonSeedReadDelay) / float64(nonSeedReadSpread))
+		if part < 0 || part >= parts {
+			t.Fatalf("router %d reads after %v", i, delay)
+		}
+		counts[part]++
+	}
+	for part, n := range counts {
+		if n > 2*routers/parts {
+			t.Errorf("%d of %d routers read in part %d of the time", n, routers, part)
+		}
+	}
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -41,6 +41,7 @@
 	// each router last changed.
 	rosterVersion uint64
 	rosterChanges map[string]rosterChange
+	encodedRoster encodedRoster
 	keys          *idempotencyKeys
 	// tokenCounts counts the tokens of running requests by id, if accounts are scheduled
 	// by weight.
--- a/pkg/roster/probe.go
+++ b/pkg/roster/probe.go
@@ -18,8 +18,10 @@
 	// SeedProbeInterval is the time between probes of a seed that this router need not hear
 	// from.
 	SeedProbeInterval = 15 * time.Second
-	// maxProbes bounds the routers probed at once.
-	maxProbes = 8
+	// maxProbes bounds the routers probed at once, maxLostProbes those that a router probes that
+	// knows a large fleet and hears few of it: each replies with all that it knows.
+	maxProbes     = 8
+	maxLostProbes = 2
 )
 
 // NextProbes returns the addresses of the silent routers to probe now, those probed longest
@@ -37,7 +39,11 @@
 	}
 	slices.SortStableFunc(silent, func(a, b *member) int { return cmp.Compare(a.probedAt, b.probedAt) })
 	var list []string
-	for _, m := range silent[:min(maxProbes, len(silent))] {
+	limit := maxProbes
+	if r.HearsFew(p) {
+		limit = maxLostProbes
+	}
+	for _, m := range silent[:min(limit, len(silent))] {
 		list = append(list, m.Address)
 		m.probedAt = now
 		if m.unansweredSince == 0 {
@@ -48,6 +54,9 @@
 	return list
 }
 
+// HearsFew reports whether this router knows a fleet too large for a mesh, but hears only few of it.
+func (r *Roster) HearsFew(p Plan) bool { return p.Mesh && len(r.members) >= maxMeshSize }
+
 // probeInterval returns the current time between probes of a silent router.
 func (r *Roster) probeInterval(now time.Duration) time.Duration {
 	if r.startedAt == 0 {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -35,8 +35,8 @@
 	// maxMissedIntervals is the number of intervals without a message after which a router is
 	// silent.
 	maxMissedIntervals = 3
-	// expectTTL is how long a router that others recently heard from is expected to be alive
-	// without a probe. probeTimeout is how long a probe may remain unanswered.
+	// expectTTL is how long at least a router that others recently heard from is expected to be
+	// alive without a probe. probeTimeout is how long a probe may remain unanswered.
 	expectTTL    = time.Second
 	probeTimeout = 400 * time.Millisecond
 )
@@ -238,11 +238,16 @@
 	return false
 }
 
+// expectedFor returns how long a router that others recently heard from is expected to be alive. A
+// router that has just learned of a large fleet sends its first messages to its relays within an
+// interval, and must not give them up before.
+func (r *Roster) expectedFor() time.Duration { return max(expectTTL, r.silenceTimeout()) }
+
 // isExpected reports whether a silent router can be assumed alive until it is probed, because
 // others recently heard from it. A router that joins a large fleet thus chooses its relays
 // from the first report, instead of exchanging messages with every router it learns of.
 func (r *Roster) isExpected(now time.Duration, m *member) bool {
-	return m.Incarnation > 0 && !m.leaving && now-m.lastSeen < expectTTL && (m.unansweredSince == 0 || now-m.unansweredSince < probeTimeout)
+	return m.Incarnation > 0 && !m.leaving && now-m.lastSeen < r.expectedFor() && (m.unansweredSince == 0 || now-m.unansweredSince < probeTimeout)
 }
 
 // Live returns the addresses of the other routers that are alive. The list must not be modified.
--- a/pkg/roster/view.go
+++ b/pkg/roster/view.go
@@ -90,7 +90,7 @@
 	if !r.isExpected(now, m) {
 		return false
 	}
-	v.expireAt(m.lastSeen + expectTTL)
+	v.expireAt(m.lastSeen + r.expectedFor())
 	if m.unansweredSince > 0 {
 		v.expireAt(m.unansweredSince + probeTimeout)
 	}
--- a/pkg/roster/view_test.go
+++ b/pkg/roster/view_test.go
@@ -169,3 +169,42 @@
 		t.Errorf("%d routers are alive and %d counted, want %d and %d", live, recent, len(all)-1, len(all))
 	}
 }
+
+// TestLargeFleetIsExpectedForAnInterval: a router that learns of a large fleet by one report of a router
+// that is no relay must keep to its relays until its first messages have reached them.
+func TestLargeFleetIsExpectedForAnInterval(t *testing.T) {
+	for _, routers := range []int{60, 600, 1200} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			now := time.Hour
+			own := roster.Member{Address: "10.0.0.1:7", Zone: "0", Incarnation: 1, Capacity: 0.001}
+			r := roster.New(own, nil)
+			var all []roster.MemberInfo
+			for i := 1; i < routers; i++ {
+				m := roster.Member{Address: fmt.Sprintf("10.1.%d.%d:7", i/200, i%200), Zone: fmt.Sprint(i % 5), Incarnation: 1, Capacity: 0.2}
+				all = append(all, roster.MemberInfo{Member: m, Alive: true})
+			}
+			r.Observe(now, all[0].Member)
+			r.ApplyReport(now, all[0].Address, roster.Report{Digest: 1, Members: all})
+			p := r.Plan(now)
+			if p.Mesh || len(p.Peers) == 0 {
+				t.Fatalf("plan %+v", p)
+			}
+			if later := r.Plan(now + 3*p.Interval/2); later.Mesh {
+				t.Errorf("the fleet is given up within %v, with an interval of %v", 3*p.Interval/2, p.Interval)
+			}
+		})
+	}
+}
+
+// TestLostRouterProbesFew: a router that knows a large fleet and hears few of it must not ask many at
+// once for all that they know.
+func TestLostRouterProbesFew(t *testing.T) {
+	now := time.Hour
+	r, _ := newLargeRoster(t, 600, false, now)
+	now += 10 * time.Second
+	if p := r.Plan(now); !r.HearsFew(p) {
+		t.Fatalf("plan %+v", p)
+	} else if probes := r.NextProbes(now, p); len(probes) == 0 || len(probes) > 2 {
+		t.Errorf("%d routers are probed at once", len(probes))
+	}
+}
