Tell a change to each router of a zone once

Change: each relay tells every other one of them; whoever was left out, since the other relay was lost, hears the newer revision in the next report and asks. Only in fleets with relays a router reports at once when its relays change; in a mesh it reports each 0.1 s anyway. Ruled out: fewer relays.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -4,8 +4,10 @@
 BIN := bin
 
 SEEDS ?= 5
+# The size of the emulated fleet: 60, 150, 300, 585 or 1170.
+ROUTERS ?= 150
 
-.PHONY: all demo test lint spec measure bench fuzz soak fmt clean
+.PHONY: all demo test lint spec measure bench bench-fleet fuzz soak fmt clean
 
 all:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -28,6 +30,9 @@
 bench:
 	script/bench
 
+bench-fleet:
+	$(GO) test ./internal/dispatch -run '^$$' -bench EmulatedFleet/$(ROUTERS)$$ -benchtime 1x
+
 fuzz:
 	script/fuzz
 
--- a/internal/dispatch/emulated_day_test.go
+++ b/internal/dispatch/emulated_day_test.go
@@ -85,3 +85,37 @@
 		t.Errorf("all agree %v after the cut ends", took)
 	}
 }
+
+// TestChangeIsSentOnce: a change must reach each router about once, and also if a relay that would send
+// it is lost at that moment.
+func TestChangeIsSentOnce(t *testing.T) {
+	const routers, within = 60, 5 * time.Second
+	f := newEmulator(routers, 3, within)
+	f.startAll()
+	f.runUntil(settled, f.allKnowAll)
+	f.run(f.now+5*time.Second, func() {})
+	f.resetCosts()
+	before := f.store.revision
+	f.change(2 * time.Second)
+	f.inForce()
+	sent, changes := 0, int(f.store.revision-before)
+	for key, c := range f.costs {
+		if key.kind == "PlatformUpdate" {
+			sent += c.messages
+		}
+	}
+	// Each of the two watchers passes on what it reads, up to three times a second.
+	if most := 2 * 3 * 2 * routers * 13 / 10; sent > most {
+		t.Errorf("%d updates were sent for %d changes, want at most %d", sent, changes, most)
+	}
+	for _, address := range f.order {
+		if r := f.routers[address]; r.peerPlan.Relay && r != f.reader() {
+			r.kill()
+			break
+		}
+	}
+	f.change(100 * time.Millisecond)
+	if took := f.inForce(); took > within/2 {
+		t.Errorf("a change is in force everywhere %v after a relay was lost", took)
+	}
+}
--- a/internal/dispatch/members.go
+++ b/internal/dispatch/members.go
@@ -37,7 +37,7 @@
 	s.membersUpdatedAt, s.membersVersion = s.now, version
 	before := s.peerPlan
 	s.peerPlan = s.roster.Plan(s.now)
-	if before.Mesh != s.peerPlan.Mesh || !slices.Equal(before.Peers, s.peerPlan.Peers) {
+	if !s.peerPlan.Mesh && (before.Mesh || !slices.Equal(before.Peers, s.peerPlan.Peers)) {
 		// The relays learn of this router by its reports.
 		s.reportedAt = 0
 	}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -174,17 +174,46 @@
 	if update.Empty() {
 		return
 	}
-	s.broadcast(wire.NewPlatformUpdate(update), sender)
+	msg := wire.NewPlatformUpdate(update)
+	for _, list := range [][]string{s.peerPlan.Peers, s.servedShare(), s.peerPlan.RemoteRelays} {
+		s.sendAll(list, msg, sender)
+	}
 }
 
+// servedShare returns the routers of its zone to which this relay sends updates at once: every other one
+// if the zone has another relay, which sends them to the rest. If that one is lost, the reports of this
+// one tell them that they are behind.
+func (s *state) servedShare() []string {
+	served := s.peerPlan.Served
+	if len(s.peerPlan.Peers) == 0 {
+		return served
+	}
+	offset := 1
+	if s.peerPlan.Primary {
+		offset = 0
+	}
+	var share []string
+	for i := offset; i < len(served); i += relaysThatShare {
+		share = append(share, served[i])
+	}
+	return share
+}
+
+// relaysThatShare is the number of relays among which the routers of a zone are divided.
+const relaysThatShare = 2
+
 // broadcast sends a message to all peers except one, "" for none. The message must not be
 // modified.
 func (s *state) broadcast(msg any, except string) {
 	for _, list := range [][]string{s.peerPlan.Peers, s.peerPlan.Served, s.peerPlan.RemoteRelays} {
-		for _, to := range list {
-			if to != except {
-				s.d.transport.Send(to, msg)
-			}
+		s.sendAll(list, msg, except)
+	}
+}
+
+func (s *state) sendAll(list []string, msg any, except string) {
+	for _, to := range list {
+		if to != except {
+			s.d.transport.Send(to, msg)
 		}
 	}
 }
