Build the whole view where the operators' table has backend servers of its own

Its rows come before those of the directory, so that a changed row has no place by its name alone. No platform that is served has both; found by reading.

--- a/pkg/catalog/view.go
+++ b/pkg/catalog/view.go
@@ -54,7 +54,8 @@
 		return false
 	}
 	c.work.Views++
-	if c.view == nil || c.pending.All {
+	if c.view == nil || c.pending.All || len(c.table.Backends) > 0 {
+		// Rows of the operators' own are listed first, so that the directory is not in order by itself.
 		c.pending = Change{All: true}
 		c.view, c.builtAt = c.buildView(held), now
 	} else {
