Refer routers that lack a new epoch, too

Cause: a router refers those who ask for everything to others that have it; a router of an earlier epoch took a referral for one that is not for it, as it knows something. After a restore of the platform all but the first four of a zone then read the platform themselves (found by reading; emulated, 90 routers: 64 read it, all in the new epoch after 2.46 s). Change: a referral names its epoch; who lacks that follows it. A router that lacks changes of the same epoch that are no longer kept is served at once. Ruled out: no referrals after a restore (a relay would send everything to its zone again). Test: TestNewEpochReachesAll: at most 6 of 90 routers read, all in the epoch within half of the apply time.

--- a/internal/dispatch/emulated_day_test.go
+++ b/internal/dispatch/emulated_day_test.go
@@ -119,3 +119,30 @@
 		t.Errorf("a change is in force everywhere %v after a relay was lost", took)
 	}
 }
+
+// TestNewEpochReachesAll: after the platform was restored from a backup every router needs everything
+// anew. It must spread as at a start, and be in force everywhere within the apply time.
+func TestNewEpochReachesAll(t *testing.T) {
+	const routers, within = 90, 3 * time.Second
+	f := newEmulator(routers, 3, within)
+	f.startAll()
+	f.runUntil(settled, f.allKnowAll)
+	// Nobody is referred to the recipients of the start any more.
+	f.run(f.now+2*recipientTTL, func() {})
+	f.store.epoch++
+	f.resetCosts()
+	took := f.runUntil(settled, func() bool {
+		return f.countIf(func(r *emulatedRouter) bool { return r.d.asOf().Epoch < f.store.epoch }) == 0
+	})
+	if took > within/2 {
+		t.Errorf("the new epoch is known everywhere after %v", took)
+	}
+	if readers := len(f.store.callsBy); readers > 6 {
+		t.Errorf("%d routers read the platform", readers)
+	}
+	for key, c := range f.costs {
+		if key.kind == fullUpdateKind && c.messages > 3*routers/2 {
+			t.Errorf("%d full updates were sent by %ss", c.messages, key.role)
+		}
+	}
+}
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -61,10 +61,10 @@
 	up       bool
 	// incarnation is that of the current start.
 	incarnation uint64
-	// reads is when the read under way ends, 0 if there is none.
-	readsUntil time.Duration
-	fullRead   bool
-	watching   bool
+	// readsUntil is when the read under way ends, 0 if there is none. It is a read of everything, a
+	// watch, or else a verification.
+	readsUntil         time.Duration
+	fullRead, watching bool
 }
 
 type emulatedMessage struct {
@@ -76,9 +76,10 @@
 
 // emulatedStore is the operators' platform.
 type emulatedStore struct {
-	revision uint64
-	table    *table.Table
-	servers  map[string]catalog.Server
+	// epoch counts the restores from a backup.
+	epoch, revision uint64
+	table           *table.Table
+	servers         map[string]catalog.Server
 	// changes are the changed entries by revision.
 	changes []catalog.Server
 	// away says that it answers nobody.
@@ -185,8 +186,6 @@
 	r.state = newState(d)
 	r.readsUntil, r.watching = 0, false
 	r.now = f.now
-	// The clock of a router starts with it; its own times are those of the emulator here.
-	r.d.shared.lastVerified.Store(0)
 }
 
 // kill stops a router without notice.
@@ -403,7 +402,7 @@
 	case due <= 0:
 		f.store.count(r, 1)
 		r.readsUntil, r.fullRead = f.now+emulatedCall, false
-	case !asOf.IsZero() && !f.store.away && r.d.shared.readerRank.Load() < watcherCount && sinceStart >= watchDelay && asOf.Number < f.store.revision:
+	case !asOf.IsZero() && asOf.Epoch == f.store.epoch && !f.store.away && r.d.shared.readerRank.Load() < watcherCount && sinceStart >= watchDelay && asOf.Number < f.store.revision:
 		f.store.count(r, 1)
 		r.readsUntil, r.fullRead, r.watching = f.now+time.Duration(watchPauseFraction*float64(f.within)), false, true
 		r.apply(updateEvent{Update: f.store.since(asOf.Number)})
@@ -439,7 +438,7 @@
 	case f.store.away:
 	case r.fullRead:
 		r.apply(updateEvent{Update: f.store.since(0), readAt: f.now})
-	case r.d.asOf().Number == f.store.revision:
+	case r.d.asOf() == catalog.Revision{Epoch: f.store.epoch, Number: f.store.revision}:
 		r.d.recordVerified(f.now)
 		r.apply(verifiedEvent{})
 	case r.d.asOf().IsZero():
@@ -450,7 +449,7 @@
 
 // since returns what was published after a revision.
 func (s *emulatedStore) since(after uint64) catalog.Update {
-	u := catalog.Update{After: after, AsOf: s.revision}
+	u := catalog.Update{Epoch: s.epoch, After: after, AsOf: s.revision}
 	if after > 0 {
 		i, _ := slices.BinarySearchFunc(s.changes, after+1, func(x catalog.Server, r uint64) int { return cmp.Compare(x.Revision, r) })
 		latest := map[string]int{}
@@ -471,7 +470,7 @@
 	return u
 }
 
-// count returns for how many running routers a condition holds.
+// countIf returns for how many running routers a condition holds.
 func (f *emulator) countIf(cond func(r *emulatedRouter) bool) int {
 	n := 0
 	for _, r := range f.routers {
--- a/internal/dispatch/full_update.go
+++ b/internal/dispatch/full_update.go
@@ -31,6 +31,8 @@
 type referral struct {
 	// to is the router to ask, by the one that referred this one to it, "" if there is none.
 	to, by string
+	// epoch is the epoch of which everything is needed.
+	epoch uint64
 	// at is when it was received, askedAt when the update was last requested.
 	at, askedAt time.Duration
 }
@@ -94,9 +96,11 @@
 		s.d.transport.Send(from.From, wire.NewPlatformUpdate(s.catalog.Since(request.After)))
 		return
 	}
-	if to := s.fullUpdates.referralFor(s.now, from.From, from.Zone, s.isLive); to != "" {
-		s.d.transport.Send(from.From, &wire.UpdateReferral{Address: to})
-		return
+	if request.After == 0 || request.Epoch < asOf.Epoch {
+		if to := s.fullUpdates.referralFor(s.now, from.From, from.Zone, s.isLive); to != "" {
+			s.d.transport.Send(from.From, &wire.UpdateReferral{Address: to, Epoch: asOf.Epoch})
+			return
+		}
 	}
 	s.fullUpdates.record(s.now, from.From, from.Zone)
 	s.d.transport.Send(from.From, s.fullUpdate())
@@ -125,19 +129,25 @@
 
 // followReferral asks the router to which another one referred this one.
 func (s *state) followReferral(by string, m *wire.UpdateReferral) {
-	if !s.catalog.AsOf().IsZero() || m.Address == s.d.id.Address {
+	if s.hasEpoch(m.Epoch) || m.Address == s.d.id.Address {
 		return
 	}
-	s.referral = referral{to: m.Address, by: by, at: s.now}
+	s.referral = referral{to: m.Address, by: by, epoch: m.Epoch, at: s.now}
 	s.repeatReferral()
 }
 
+// hasEpoch reports whether this router has been sent everything of an epoch, or of a later one.
+func (s *state) hasEpoch(epoch uint64) bool {
+	asOf := s.catalog.AsOf()
+	return !asOf.IsZero() && asOf.Epoch >= epoch
+}
+
 // repeatReferral requests the update again while this router waits for it.
 func (s *state) repeatReferral() {
 	r := &s.referral
 	switch {
 	case r.to == "":
-	case !s.catalog.AsOf().IsZero():
+	case s.hasEpoch(r.epoch):
 		*r = referral{}
 	case s.now-r.at >= referralTimeout:
 		by := r.by
@@ -146,6 +156,7 @@
 		s.requestUpdate(by)
 	case s.now-r.askedAt >= referralInterval:
 		r.askedAt, s.updateRequestedAt = s.now, s.now
-		s.d.transport.Send(r.to, &wire.PlatformUpdateRequest{})
+		asOf := s.catalog.AsOf()
+		s.d.transport.Send(r.to, &wire.PlatformUpdateRequest{Epoch: asOf.Epoch, After: asOf.Number})
 	}
 }
--- a/pkg/wire/encoded.go
+++ b/pkg/wire/encoded.go
@@ -2,9 +2,12 @@
 
 import "bytes"
 
-// UpdateReferral names a router that was sent everything that the platform publishes. It replies to a
-// PlatformUpdateRequest of a router that knows nothing, in place of the update.
-type UpdateReferral struct{ Address string }
+// UpdateReferral names a router that was sent everything that the platform publishes in an epoch. It
+// replies to a PlatformUpdateRequest of a router that knows nothing of the epoch, in place of the update.
+type UpdateReferral struct {
+	Address string
+	Epoch   uint64
+}
 
 // Encoded is a message that was encoded once for many receivers.
 type Encoded struct {
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -39,7 +39,7 @@
 			Zones:   []catalog.RetainedZone{{Zone: catalog.Zone{Revision: 4, Name: "z", Closed: true}, Override: catalog.Override{Left: 1}}},
 		}}},
 		&wire.PlatformUpdate{Update: catalog.Update{After: 4, AsOf: 9, Table: &table.Table{Revision: 8, Routes: []table.Route{{Name: "r", Timeout: time.Second}}}, Servers: []catalog.Server{{Revision: 9, Gone: true, Backend: table.Backend{Name: "s"}}}}},
-		&wire.UpdateReferral{Address: "10.0.0.3:7000"},
+		&wire.UpdateReferral{Address: "10.0.0.3:7000", Epoch: 2},
 		&wire.RestrictedUpdate{Update: catalog.Update{AsOf: 9}, Table: table.Restrictions{Routes: map[string][]string{"r": {"north"}}}, Retained: table.Restrictions{Accounts: map[string][]string{"a": {"north", "south"}}}},
 	}
 }
