Play restarts and slow routers in the emulated fleet

Routers that start again with their clock set back in a fleet with relays, and routers that run each 0.3 s only in a zone whose reports are 1 s apart.

--- a/internal/dispatch/emulated_day_test.go
+++ b/internal/dispatch/emulated_day_test.go
@@ -146,3 +146,41 @@
 		}
 	}
 }
+
+// TestRestartInLargeFleet: a router that starts again, also with its clock set back, must find a fleet
+// with relays, and the fleet must find it.
+func TestRestartInLargeFleet(t *testing.T) {
+	for name, behind := range map[string]time.Duration{"clock goes on": 0, "clock set back": 30 * time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			f := newEmulator(60, 3, 5*time.Second)
+			f.startAll()
+			f.runUntil(settled, f.allKnowAll)
+			for _, i := range []int{0, 20, 41} {
+				r := f.routers[f.order[i]]
+				r.kill()
+				if took := f.runUntil(settled, f.allKnowAll); took > 4*time.Second {
+					t.Errorf("router %d is known as lost after %v", i, took)
+				}
+				r.clockBehind = behind
+				r.start()
+				if took := f.runUntil(settled, f.allKnowAll); took > 3*time.Second {
+					t.Errorf("router %d is back after %v", i, took)
+				}
+			}
+		})
+	}
+}
+
+// TestSlowRoutersJoin: routers that run only every 0.3 s must find a fleet whose routers report to their
+// relays once a second, as those of zones of a hundred do.
+func TestSlowRoutersJoin(t *testing.T) {
+	f := newEmulator(130, 1, 5*time.Second)
+	f.slowEvery = 10
+	f.startAll()
+	if took := f.runUntil(settled, f.allKnowAll); took > 8*time.Second {
+		t.Errorf("all agree after %v", took)
+	}
+	if interval := f.routers[f.order[50]].peerPlan.Interval; interval != time.Second {
+		t.Errorf("reports are %v apart, which tests nothing", interval)
+	}
+}
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -35,6 +35,8 @@
 	}
 	// onSend is called for each message; it may be nil.
 	onSend func(from *emulatedRouter, to string, msg any)
+	// slowEvery makes every so many-th router run only each slowInterval; 0 means none.
+	slowEvery int
 	// isCut reports whether messages between two zones are lost; it may be nil.
 	isCut func(a, b int) bool
 	zones int
@@ -59,8 +61,10 @@
 	address  string
 	index    int
 	up       bool
-	// incarnation is that of the current start.
-	incarnation uint64
+	// incarnation is that of the current start at startedAt. clockBehind is how far the router's wall
+	// clock is set back at its next start.
+	incarnation            uint64
+	startedAt, clockBehind time.Duration
 	// readsUntil is when the read under way ends, 0 if there is none. It is a read of everything, a
 	// watch, or else a verification.
 	readsUntil         time.Duration
@@ -176,7 +180,7 @@
 // start starts a router that knows nothing.
 func (r *emulatedRouter) start() {
 	f := r.emulator
-	r.up, r.incarnation = true, uint64(f.now)
+	r.up, r.incarnation, r.startedAt = true, uint64(f.now-r.clockBehind), f.now
 	capacity := 0.2
 	if r.index%20 < f.zones && r.index/f.zones%4 == 0 {
 		capacity = 0.8
@@ -326,18 +330,30 @@
 		}
 		ticks := int(tickInterval / emulatedStep)
 		for i := int(f.now/emulatedStep) % ticks; i < len(f.order); i += ticks {
-			if r := f.routers[f.order[i]]; r.up {
+			if r := f.routers[f.order[i]]; r.up && !f.isSlow(r) {
 				r.apply(tickEvent{})
 			}
 		}
 		for _, address := range f.order {
-			if r := f.routers[address]; r.up {
+			r := f.routers[address]
+			if r.up && f.isSlow(r) && f.runsNow(r) {
+				r.apply(tickEvent{})
+			}
+			if r.up {
 				r.read()
 			}
 		}
 	}
 }
 
+// slowInterval is how often a router runs that gets little processor time.
+const slowInterval = 300 * time.Millisecond
+
+func (f *emulator) isSlow(r *emulatedRouter) bool { return f.slowEvery > 0 && r.index%f.slowEvery == 3 }
+
+// runsNow reports whether a router gets processor time now.
+func (f *emulator) runsNow(r *emulatedRouter) bool { return !f.isSlow(r) || f.now%slowInterval == 0 }
+
 // runUntil runs until a condition holds, which is checked every 10 ms, and returns how long that
 // took, at most for the given time.
 func (f *emulator) runUntil(most time.Duration, done func() bool) time.Duration {
@@ -369,6 +385,9 @@
 		if from.up {
 			from.apply(lossEvent{peer.Loss{Peer: m.to}})
 		}
+	case to != nil && to.up && !f.runsNow(to):
+		at := (f.now/slowInterval + 1) * slowInterval
+		f.underWay[at] = append(f.underWay[at], m)
 	case to == nil || !to.up:
 		if from.up && from.incarnation == m.incarnation {
 			from.apply(lossEvent{peer.Loss{Peer: m.to, Refused: true}})
@@ -390,7 +409,7 @@
 		}
 		return
 	}
-	sinceStart := f.now - time.Duration(r.incarnation)
+	sinceStart := f.now - r.startedAt
 	asOf := r.d.asOf()
 	due := r.verifyDueIn(sinceStart)
 	switch {
