Send nothing where a full update cannot be encoded, and ask in one place for a seed

Cause, found by reading the whole change again: a full update that cannot be encoded was sent as an empty message of no kind, at which the receiver would have ended the connection; three places asked by themselves whether this router is a seed; DigestOf is used in its package only. Change: nil is not sent, nor counted as a recipient; Dispatcher.isSeed; digestOf.

--- a/internal/dispatch/full_update.go
+++ b/internal/dispatch/full_update.go
@@ -102,11 +102,13 @@
 			return
 		}
 	}
-	s.fullUpdates.record(s.now, from.From, from.Zone)
-	s.d.transport.Send(from.From, s.fullUpdate())
+	if msg := s.fullUpdate(); msg != nil {
+		s.fullUpdates.record(s.now, from.From, from.Zone)
+		s.d.transport.Send(from.From, msg)
+	}
 }
 
-// fullUpdate returns everything that was published, encoded. Many routers request it when a fleet
+// fullUpdate returns everything that was published, encoded, or nil if it cannot be encoded. Many routers request it when a fleet
 // starts, and each message to one of them would hold a copy.
 func (s *state) fullUpdate() *wire.Encoded {
 	f, asOf := &s.fullUpdates, s.catalog.AsOf()
@@ -114,7 +116,7 @@
 		m, err := wire.Encode(wire.NewPlatformUpdate(s.catalog.Since(0)))
 		if err != nil {
 			s.d.opt.log.Error("full_update_failed", "as_of", asOf.Number, "error", err)
-			return &wire.Encoded{}
+			return nil
 		}
 		f.encoded, f.asOf, f.encodedAt = m, asOf, s.now
 	}
--- a/internal/dispatch/platform.go
+++ b/internal/dispatch/platform.go
@@ -161,6 +161,9 @@
 	return retryDelay(d.shared.readerRank.Load(), base)
 }
 
+// isSeed reports whether other routers know this one from their settings.
+func (d *Dispatcher) isSeed() bool { return slices.Contains(d.opt.seeds, d.id.Address) }
+
 // verifyDue returns the time until this router must verify its revision. Values up to 0 mean
 // now.
 func (d *Dispatcher) verifyDue(now time.Duration) time.Duration {
@@ -171,7 +174,7 @@
 		// Another router sent everything. Its data is fresh enough to count as verified at
 		// the start.
 		verified = clockStart
-	case len(d.opt.seeds) == 0 || slices.Contains(d.opt.seeds, d.id.Address):
+	case len(d.opt.seeds) == 0 || d.isSeed():
 		return 0
 	default:
 		return clockStart + firstReadDelay(d.shared.readerRank.Load(), readSpread(d.id.Address)) - now
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/roster"
@@ -129,7 +128,7 @@
 // and all routers of a full mesh. If every router did, a fleet that starts would exchange its roster
 // as many times as there are pairs of routers that request slots from each other.
 func (s *state) introducesRouters() bool {
-	return s.peerPlan.Mesh || s.peerPlan.Relay || slices.Contains(s.d.opt.seeds, s.d.id.Address)
+	return s.peerPlan.Mesh || s.peerPlan.Relay || s.d.isSeed()
 }
 
 // replyToProbe sends the roster to a router that asked for it, or only a confirmation of the roster
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -94,7 +94,7 @@
 	st := &Status{
 		Name: s.d.id.Name, Zone: s.d.id.Zone, Incarnation: s.d.id.Incarnation, Epoch: s.catalog.AsOf().Epoch, AsOf: s.catalog.AsOf().Number, ReaderRank: s.d.shared.readerRank.Load(),
 		VerifiedMillisAgo: (s.now - time.Duration(s.d.shared.lastVerified.Load())).Milliseconds(),
-		Live:              s.roster.Live(s.now), Relay: s.peerPlan.Relay, Primary: s.peerPlan.Primary, Seed: slices.Contains(s.d.opt.seeds, s.d.id.Address), Owned: s.core.Owned(), Waiting: s.core.Waiting(),
+		Live:              s.roster.Live(s.now), Relay: s.peerPlan.Relay, Primary: s.peerPlan.Primary, Seed: s.d.isSeed(), Owned: s.core.Owned(), Waiting: s.core.Waiting(),
 		ClosedZones: s.closedZones, Warming: s.core.Warming(), SuspendedMillis: s.suspended.Milliseconds(),
 	}
 	st.Unusable, st.UnusableCount = s.unusableEntries()
--- a/pkg/roster/report.go
+++ b/pkg/roster/report.go
@@ -158,13 +158,13 @@
 func (r *Roster) Digest(now time.Duration) uint64 {
 	v := r.view(now)
 	if v.digest == 0 {
-		v.digest = DigestOf(r.Members(now))
+		v.digest = digestOf(r.Members(now))
 	}
 	return v.digest
 }
 
-// DigestOf returns the digest of a list of all members.
-func DigestOf(list []MemberInfo) uint64 {
+// digestOf returns the digest of a list of all members.
+func digestOf(list []MemberInfo) uint64 {
 	digest := uint64(0)
 	for _, info := range list {
 		if info.Alive {
