Tell at which software version attempts run, and which attempt a request resumes

Cause: an entry states the version of its backend server's software, and the reader of the entry dropped it. No line told at which version an attempt ran, whether a request takes up a stream, of which attempt, and after which event; so the hypotheses on the record could not be told apart. Change: the version is kept in the row; attempt_end, request_end and service_version have it. Rows are encoded as arrays of a fixed length, so that versions travel in a message before the update (SoftwareVersions). Rows that an earlier build sent have an unknown version, and this router reads everything for them, once a second at most, later the lower its rank. The older scheduler refuses tables whose backend servers of one model state several versions, as it does tables with regions. No decision uses the version yet.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -65,7 +65,8 @@
 		return front.Grant{}, dec.err
 	}
 	return front.Grant{
-		ID: dec.id, Backend: dec.start.Backend.Name, Address: dec.start.Backend.Address, StartTime: dec.start.Backend.StartTime, Reason: dec.start.Reason,
+		ID: dec.id, Backend: dec.start.Backend.Name, Address: dec.start.Backend.Address, StartTime: dec.start.Backend.StartTime,
+		Software: dec.start.Backend.Software(), Reason: dec.start.Reason,
 		CopyPrefixFrom: dec.start.CopyPrefixFrom, MaxConnections: d.connectionShare(r.Model),
 		TokensAhead: dec.start.TokensAhead, ExpectedFirstEvent: dec.start.ExpectedFirstEvent, FirstEventMargin: dec.start.FirstEventMargin, Running: dec.start.Running,
 		Served: dec.tokens, Waited: r.Waited + dec.waited,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -103,6 +103,10 @@
 	lastVerified atomic.Int64
 	// applyWithin is the option of that name in nanoseconds.
 	applyWithin atomic.Int64
+	// versionsMissing says that the software versions of some backend servers are not known.
+	versionsMissing atomic.Bool
+	// versionsReadAt is when this router last read everything for that, on the dispatcher's clock.
+	versionsReadAt atomic.Int64
 	// readFailures counts failed platform reads since the last success.
 	readFailures atomic.Int64
 	// noTableReason is why there is no table, nil if unknown.
--- a/internal/dispatch/epoch.go
+++ b/internal/dispatch/epoch.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/yarrowmast/yarrowmast/pkg/catalog"
-	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 // handleNewEpoch reacts to a platform that was restored from a backup: other routers learn of
@@ -24,17 +23,17 @@
 
 // broadcastRetained sends all peers except one what is retained of earlier epochs.
 func (s *state) broadcastRetained(except string) {
-	if m := s.retainedUpdate(); m != nil {
+	for _, m := range s.retainedUpdate() {
 		s.broadcast(m, except)
 	}
 }
 
-// retainedUpdate returns what is retained of earlier epochs, nil if nothing is.
-func (s *state) retainedUpdate() any {
+// retainedUpdate returns the messages with what is retained of earlier epochs, none if nothing is.
+func (s *state) retainedUpdate() []any {
 	retained := s.catalog.Retained()
 	if retained == nil {
 		return nil
 	}
 	asOf := s.catalog.AsOf()
-	return wire.NewPlatformUpdate(catalog.Update{Epoch: asOf.Epoch, After: asOf.Number, AsOf: asOf.Number, Retained: retained})
+	return updateMessages(catalog.Update{Epoch: asOf.Epoch, After: asOf.Number, AsOf: asOf.Number, Retained: retained})
 }
--- a/internal/dispatch/full_update.go
+++ b/internal/dispatch/full_update.go
@@ -39,8 +39,8 @@
 
 // fullUpdates sends full updates and remembers their recipients.
 type fullUpdates struct {
-	// encoded is the last full update, as of the revision asOf, made at encodedAt.
-	encoded   *wire.Encoded
+	// encoded are the messages of the last full update, as of the revision asOf, made at encodedAt.
+	encoded   []any
 	asOf      catalog.Revision
 	encodedAt time.Duration
 	// recipients are the routers that were sent everything, by zone, the latest last.
@@ -93,7 +93,7 @@
 func (s *state) sendUpdateSince(from peer.Inbound, request *wire.PlatformUpdateRequest) {
 	asOf := s.catalog.AsOf()
 	if asOf.IsZero() || request.Epoch == asOf.Epoch && s.catalog.HasHistorySince(request.After) {
-		s.d.transport.Send(from.From, wire.NewPlatformUpdate(s.catalog.Since(request.After)))
+		s.sendEach(from.From, updateMessages(s.catalog.Since(request.After)))
 		return
 	}
 	if request.After == 0 || request.Epoch < asOf.Epoch {
@@ -102,27 +102,40 @@
 			return
 		}
 	}
-	if msg := s.fullUpdate(); msg != nil {
+	if msgs := s.fullUpdate(); msgs != nil {
 		s.fullUpdates.record(s.now, from.From, from.Zone)
-		s.d.transport.Send(from.From, msg)
+		s.sendEach(from.From, msgs)
 	}
 }
 
 // fullUpdate returns everything that was published, encoded, or nil if it cannot be encoded. Many routers request it when a fleet
 // starts, and each message to one of them would hold a copy.
-func (s *state) fullUpdate() *wire.Encoded {
+func (s *state) fullUpdate() []any {
 	f, asOf := &s.fullUpdates, s.catalog.AsOf()
 	if f.encoded == nil || f.asOf != asOf || s.now-f.encodedAt >= fullUpdateTTL {
-		m, err := wire.Encode(wire.NewPlatformUpdate(s.catalog.Since(0)))
+		msgs, err := encodeEach(updateMessages(s.catalog.Since(0)))
 		if err != nil {
 			s.d.opt.log.Error("full_update_failed", "as_of", asOf.Number, "error", err)
 			return nil
 		}
-		f.encoded, f.asOf, f.encodedAt = m, asOf, s.now
+		f.encoded, f.asOf, f.encodedAt = msgs, asOf, s.now
 	}
 	return f.encoded
 }
 
+// encodeEach encodes messages once for all their receivers.
+func encodeEach(msgs []any) ([]any, error) {
+	encoded := make([]any, len(msgs))
+	for i, msg := range msgs {
+		m, err := wire.Encode(msg)
+		if err != nil {
+			return nil, err
+		}
+		encoded[i] = m
+	}
+	return encoded, nil
+}
+
 // isLive reports whether another router is alive.
 func (s *state) isLive(address string) bool {
 	_, found := slices.BinarySearch(s.roster.Live(s.now), address)
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -34,6 +34,8 @@
 	rosterDigest, rosterVersion uint64
 	// rosterRequestedAt is when the full roster was last requested.
 	rosterRequestedAt time.Duration
+	// versions are the software versions in the update that it sends next, nil if it sent none.
+	versions *wire.SoftwareVersions
 }
 
 // messageEvent is a message from another router.
@@ -51,9 +53,7 @@
 		if s.catalog.AsOf().IsZero() {
 			s.requestUpdate(e.From)
 		}
-		if m := s.retainedUpdate(); m != nil {
-			s.d.transport.Send(e.From, m)
-		}
+		s.sendEach(e.From, s.retainedUpdate())
 		s.sendAllSuspects(e.From)
 		s.sendAllSpeeds(e.Inbound)
 		s.scheduleMembersUpdate()
@@ -78,6 +78,8 @@
 		s.sendUpdateSince(e.Inbound, m)
 	case *wire.UpdateReferral:
 		s.followReferral(e.From, m)
+	case *wire.SoftwareVersions:
+		s.link(e.From).versions = m
 	case *wire.PlatformUpdate:
 		s.mergeUpdate(e.Inbound, m.Update)
 	case *wire.RestrictedUpdate:
@@ -87,6 +89,9 @@
 
 // mergeUpdate merges an update of another router.
 func (s *state) mergeUpdate(from peer.Inbound, u catalog.Update) {
+	l := s.link(from.From)
+	l.versions.Restore(&u)
+	l.versions = nil
 	indexTables(&u)
 	updateEvent{Update: u.Checked(), senderName: from.Name, senderAddress: from.From}.apply(s)
 }
@@ -181,9 +186,26 @@
 	if update.Empty() {
 		return
 	}
-	msg := wire.NewPlatformUpdate(update)
-	for _, list := range [][]string{s.peerPlan.Peers, s.servedShare(), s.peerPlan.RemoteRelays} {
-		s.sendAll(list, msg, sender)
+	for _, msg := range updateMessages(update) {
+		for _, list := range [][]string{s.peerPlan.Peers, s.servedShare(), s.peerPlan.RemoteRelays} {
+			s.sendAll(list, msg, sender)
+		}
+	}
+}
+
+// updateMessages returns the messages that carry an update, in order. They must not be modified.
+func updateMessages(u catalog.Update) []any {
+	update := wire.NewPlatformUpdate(u)
+	if versions := wire.NewSoftwareVersions(&u); versions != nil {
+		return []any{versions, update}
+	}
+	return []any{update}
+}
+
+// sendEach sends messages to a router, in order.
+func (s *state) sendEach(to string, msgs []any) {
+	for _, msg := range msgs {
+		s.d.transport.Send(to, msg)
 	}
 }
 
--- a/internal/dispatch/platform.go
+++ b/internal/dispatch/platform.go
@@ -167,6 +167,15 @@
 // verifyDue returns the time until this router must verify its revision. Values up to 0 mean
 // now.
 func (d *Dispatcher) verifyDue(now time.Duration) time.Duration {
+	due := d.revisionDue(now)
+	if d.shared.versionsMissing.Load() {
+		due = min(due, d.versionsDue(now))
+	}
+	return due
+}
+
+// revisionDue returns the time until this router must make sure that the revision known is the newest.
+func (d *Dispatcher) revisionDue(now time.Duration) time.Duration {
 	verified := time.Duration(d.shared.lastVerified.Load())
 	switch {
 	case verified > 0:
@@ -184,7 +193,11 @@
 }
 
 func (d *Dispatcher) verifyOnce(start time.Duration) error {
-	if asOf := d.asOf(); !asOf.IsZero() {
+	readsVersions := d.shared.versionsMissing.Load() && d.versionsDue(start) <= 0
+	if readsVersions {
+		d.shared.versionsReadAt.Store(int64(start))
+	}
+	if asOf := d.asOf(); !asOf.IsZero() && !readsVersions {
 		revision, err := d.source.Revision(d.ctx)
 		if err != nil {
 			return err
@@ -280,6 +293,7 @@
 	s.logOlderTable(&e)
 	asOf := s.catalog.AsOf()
 	s.d.shared.asOf.Store(&asOf)
+	s.d.shared.versionsMissing.Store(s.catalog.VersionsMissing())
 	if e.readAt > 0 && !e.revision().Before(asOf) {
 		s.d.recordVerified(e.readAt)
 	}
--- a/internal/dispatch/schedule.go
+++ b/internal/dispatch/schedule.go
@@ -57,6 +57,16 @@
 	return min(maxReadDelay, time.Duration(delay))
 }
 
+// versionsReadInterval is the least interval at which a router of rank 0 reads everything to learn the
+// software versions that another router left out.
+const versionsReadInterval = time.Second
+
+// versionsDue returns the time until this router may read everything for missing software versions.
+func (d *Dispatcher) versionsDue(now time.Duration) time.Duration {
+	interval := time.Duration(rankFactor(d.shared.readerRank.Load()) * float64(versionsReadInterval))
+	return time.Duration(d.shared.versionsReadAt.Load()) + interval - now
+}
+
 // readSpread returns a router's part of nonSeedReadSpread.
 func readSpread(address string) float64 {
 	return float64(rendezvous.Weight(readerKey, address)) / math.MaxUint64
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -179,6 +179,8 @@
 			s.logEngineEjected(a)
 		case admit.EngineReadmitted:
 			s.d.opt.log.Info("backend_readmitted", "backend", a.Backend, "ejected_ms", a.After.Milliseconds())
+		case admit.SoftwareChanged:
+			s.d.opt.log.Info("service_version", "service", a.Service, "version", a.Software.String(), "backends", a.Servers, "versions", a.Versions, "as_of", s.catalog.AsOf().Number)
 		case admit.NoticeReceived:
 			s.d.opt.log.Warn("backend_word", "backend", a.Backend, "leaving", a.Leaving, "rest_ms", a.Backoff.Milliseconds(), "from", a.From)
 		}
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -121,6 +121,9 @@
 	if outcome.RetryAfter == 0 {
 		attrs = attrs[:len(attrs)-2]
 	}
+	if in.route != nil && (in.route.resumes != "" || in.route.resumedAfter > 0) {
+		attrs = append(attrs, slog.String("resumes", in.route.resumes), slog.Uint64("after", in.route.resumedAfter))
+	}
 	s.opt.log.LogAttrs(context.Background(), slog.LevelInfo, "request_end", attrs...)
 }
 
--- a/internal/front/header_config.go
+++ b/internal/front/header_config.go
@@ -30,6 +30,9 @@
 	Parts string
 	// LastEvent is the number of the last stream event that the caller received.
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream which the
+	// request continues.
+	Resumes string
 	// Reserved lists headers that only routers may send to backend servers. They are removed
 	// from callers' requests.
 	Reserved []string
@@ -45,13 +48,15 @@
 	HeaderParts = "Yarrowmast-Parts"
 	// HeaderLastEvent is HeaderConfig.LastEvent, as in server-sent events.
 	HeaderLastEvent = "Last-Event-ID"
+	// HeaderResumes is HeaderConfig.Resumes.
+	HeaderResumes = "Yarrowmast-Resumes"
 )
 
 // DefaultHeaders returns the project's own header names.
 func DefaultHeaders() HeaderConfig {
 	return HeaderConfig{
 		RequestID: backend.HeaderRequestID, Deadline: HeaderDeadline, Key: "Authorization", KeyPrefix: "Bearer ",
-		Tokens: HeaderTokens, Parts: HeaderParts, LastEvent: HeaderLastEvent,
+		Tokens: HeaderTokens, Parts: HeaderParts, LastEvent: HeaderLastEvent, Resumes: HeaderResumes,
 		Reserved: []string{backend.HeaderPriority},
 	}
 }
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -41,7 +41,11 @@
 	avoid        []string
 	// lastEvent is the number of the last event that the caller received.
 	lastEvent uint64
-	started   bool
+	// resumes is the ID of the caller's attempt that began the stream, "" if the request begins one.
+	resumes string
+	// resumedAfter is the number of the last event that an earlier attempt of the caller brought.
+	resumedAfter uint64
+	started      bool
 	// key identifies the request across the attempts of its caller, 0 without stated prompt parts.
 	key uint64
 	// mayHaveRun says that an earlier attempt may have run.
@@ -127,8 +131,9 @@
 		if err != nil {
 			return badHeader(headers.LastEvent)
 		}
-		in.route.lastEvent = n
+		in.route.lastEvent, in.route.resumedAfter = n, n
 	}
+	in.route.resumes = r.Header.Get(headers.Resumes)
 	p, err := headers.parsePrompt(r.Header)
 	in.route.prompt = p
 	if headers.Parts != "" {
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -89,6 +89,8 @@
 	ID      uint64
 	Backend string
 	Address string
+	// Software is what the backend server runs, according to its row.
+	Software table.Software
 	// StartTime is when the backend server started, 0 if unknown.
 	StartTime int64
 	// CopyPrefixFrom is the address of a backend server from which to copy the prompt's cached
--- a/internal/router/acquire.go
+++ b/internal/router/acquire.go
@@ -175,7 +175,7 @@
 	served := &atomic.Int64{}
 	c.served[s.ID] = served
 	c.reply(s.ID, acquireResult{grant: front.Grant{
-		ID: s.ID, Backend: b.Name, Address: b.Address, Served: served, Waited: s.Waited,
+		ID: s.ID, Backend: b.Name, Address: b.Address, Software: b.Software(), Served: served, Waited: s.Waited,
 		MayStart: func() bool { return c.r.now() < s.Expires },
 	}})
 }
--- a/internal/router/pages.go
+++ b/internal/router/pages.go
@@ -21,6 +21,9 @@
 // errRegions is returned for a table that restricts requests to some regions.
 var errRegions = errors.New("router: the table restricts accounts or routes to regions, which this platform_kind cannot keep; remove regions from its rows")
 
+// errVersions is returned for a table in which backend servers of one model run different software.
+var errVersions = errors.New("router: the table states several versions for backend servers of one model, which this platform_kind cannot keep apart; give them one version")
+
 // pageIndex is the table's value if the table is split into pages. It lists the
 // revision of each page's value. The index's own revision is that of the table:
 // an edit writes a page first and then the index.
@@ -58,12 +61,15 @@
 	return newTableRead(v.Revision, t, err), nil
 }
 
-// newTableRead returns a parsed table, or an error for one with restrictions that the scheduler
-// would not keep.
+// newTableRead returns a parsed table, or an error for one with rules that the scheduler would
+// not keep.
 func newTableRead(revision uint64, t *table.Table, err error) tableRead {
 	if err == nil && t.LimitsRegions() {
 		t, err = nil, errRegions
 	}
+	if err == nil && t.MixesVersions() {
+		t, err = nil, errVersions
+	}
 	return tableRead{tablesync.PlatformValue{Revision: revision, Table: t, Err: err}}
 }
 
--- a/pkg/admit/service.go
+++ b/pkg/admit/service.go
@@ -15,6 +15,10 @@
 	servers []*server
 	// byZone counts the servers of each zone.
 	byZone map[string]int
+	// software counts the servers by what they run, softwareChanged says that it may have changed
+	// since the last report.
+	software        softwareUses
+	softwareChanged bool
 	// regional caches the servers in each set of regions.
 	regional map[table.RegionSet][]*server
 	// orders caches prefixOrder. orderKeys are its keys, the oldest first.
@@ -49,14 +53,16 @@
 	s, ok := c.services[name]
 	if !ok {
 		model := enginemodel.NewService()
-		s = &service{name: name, model: model, average: enginemodel.NewEngine(model), byZone: map[string]int{}, failed: map[*server]bool{}}
+		s = &service{name: name, model: model, average: enginemodel.NewEngine(model), byZone: map[string]int{}, software: softwareUses{}, failed: map[*server]bool{}}
 		c.services[name] = s
 	}
 	return s
 }
 
 // reset empties the lists of servers.
-func (svc *service) reset() {
+func (svc *service) reset(now time.Duration) {
+	svc.software.reset(now)
+	svc.softwareChanged = true
 	svc.servers, svc.byZone = nil, map[string]int{}
 	maps.DeleteFunc(svc.failed, func(s *server, _ bool) bool { return !s.isListed })
 	svc.forgetOrders()
@@ -65,14 +71,21 @@
 // append adds a server after all others.
 func (svc *service) append(s *server) {
 	svc.servers = append(svc.servers, s)
+	svc.count(s)
+}
+
+// count adds a server to the counts by zone and by software.
+func (svc *service) count(s *server) {
 	svc.byZone[s.Zone]++
+	svc.software.add(s.Software())
+	svc.softwareChanged = true
 }
 
 // insert adds a server to the list, which is sorted by name, and to the cached orders.
 func (svc *service) insert(s *server) {
 	at, _ := slices.BinarySearchFunc(svc.servers, s, compareNames)
 	svc.servers = slices.Insert(svc.servers, at, s)
-	svc.byZone[s.Zone]++
+	svc.count(s)
 	svc.updateOrders(func(prefix uint64, order []*server) []*server {
 		isComplete := len(order) == len(svc.servers)-1
 		return insertIntoOrder(prefix, order, isComplete, s)
@@ -80,13 +93,15 @@
 }
 
 // remove removes a server from the list and from the cached orders.
-func (svc *service) remove(s *server) {
+func (svc *service) remove(s *server, now time.Duration) {
 	at := slices.Index(svc.servers, s)
 	if at < 0 {
 		return
 	}
 	svc.servers = slices.Delete(svc.servers, at, at+1)
 	svc.byZone[s.Zone]--
+	svc.software.remove(s.Software(), now)
+	svc.softwareChanged = true
 	delete(svc.failed, s)
 	svc.updateOrders(func(prefix uint64, order []*server) []*server { return removeFromOrder(prefix, order, s) })
 }
--- a/pkg/admit/update.go
+++ b/pkg/admit/update.go
@@ -27,6 +27,7 @@
 	} else {
 		c.replaceTable()
 	}
+	c.reportSoftware()
 	c.dropNotices()
 	c.updateCapacity()
 	c.serveQueues()
@@ -71,7 +72,7 @@
 func (c *Core) Work() Work { return c.work }
 
 // applyRow updates a backend server from its row, and reports whether it belongs to the lists of
-// servers anew: it is new, or serves other models or another zone.
+// servers anew: it is new, or serves other models or another zone, or runs another software.
 func (c *Core) applyRow(b *table.Backend) (s *server, isNew bool) {
 	// The key differs for each incarnation, since a restarted server has no requests and no
 	// cached prefixes.
@@ -82,7 +83,7 @@
 		s = &server{key: key, addedAt: c.now, requests: map[uint64]*request{}, notice: c.notices[key], speedClass: c.speeds.speedOfNew(key)}
 		c.servers[key] = s
 	}
-	isNew = !s.isListed || s.Zone != b.Zone || !slices.Equal(s.Models, b.Models)
+	isNew = !s.isListed || s.movesLists(b)
 	if s.Zone != b.Zone {
 		s.owner = ""
 	}
@@ -96,6 +97,11 @@
 	return s, isNew
 }
 
+// movesLists reports whether a row puts a backend server into other lists, or other places of them.
+func (s *server) movesLists(row *table.Backend) bool {
+	return s.Zone != row.Zone || s.Software() != row.Software() || !slices.Equal(s.Models, row.Models)
+}
+
 // applyChange updates the backend server of a name. What it costs does not depend on how many there
 // are, but for the shift of the lists.
 func (c *Core) applyChange(name string) {
@@ -112,7 +118,7 @@
 			c.unlist(s)
 			continue
 		}
-		if s.Zone != row.Zone || !slices.Equal(s.Models, row.Models) {
+		if s.movesLists(&row) {
 			c.removeFromServices(s)
 		}
 	}
@@ -186,7 +192,7 @@
 // indexServers rebuilds the sorted list of backend servers and the lists of each service.
 func (c *Core) indexServers() {
 	for _, svc := range c.services {
-		svc.reset()
+		svc.reset(c.now)
 	}
 	for b := range c.table.AllBackends() {
 		s := c.servers[incarnationKey(b)]
@@ -214,7 +220,7 @@
 
 func (c *Core) removeFromServices(s *server) {
 	for _, m := range s.Models {
-		c.service(m).remove(s)
+		c.service(m).remove(s, c.now)
 	}
 }
 
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -102,6 +102,8 @@
 	// historyFrom is the revision number after which all removals are known. Earlier removals
 	// may have been missed or forgotten.
 	historyFrom uint64
+	// versionsMissing counts the entries whose software version is not known.
+	versionsMissing int
 	// highest is the highest revision number of a merged entry or mark.
 	highest uint64
 	// jumps are the latest jumps above historyFrom.
@@ -221,7 +223,8 @@
 	}
 	c.history.add(t.Revision, tableDigest(t))
 	isRewritten := c.tableRetained && c.table.Edition == t.Edition
-	if c.table != nil && !isRewritten && !t.Version().NewerThan(c.table.Version()) {
+	learnsVersions := c.table != nil && t.Version() == c.table.Version() && c.table.LacksVersions() && !t.LacksVersions()
+	if c.table != nil && !isRewritten && !learnsVersions && !t.Version().NewerThan(c.table.Version()) {
 		return false
 	}
 	c.table, c.tableRetained = t, false
@@ -233,11 +236,17 @@
 func (c *Catalog) mergeServer(now time.Duration, s Server, completeTo uint64) bool {
 	name := s.Backend.Name
 	old, known := c.servers[name]
+	if known && old.learnsVersion(&s) {
+		old.Backend.Version, old.Backend.VersionUnknown = s.Backend.Version, false
+		c.servers[name] = old
+		c.versionsMissing--
+		return true
+	}
 	if known && old.Revision >= s.Revision || s.Revision <= completeTo {
 		return false
 	}
 	c.highest = max(c.highest, s.Revision)
-	if !s.Gone {
+	if !s.Gone && !s.Backend.VersionUnknown {
 		c.history.add(s.Revision, s.digest())
 	}
 	if k, isRetained := c.retainedServers[name]; isRetained {
@@ -271,6 +280,18 @@
 	return warmupChanged || !known || old.Gone || !old.Backend.EqualExceptWarmup(&s.Backend)
 }
 
+// learnsVersion reports whether an entry holds the software version that a known one, of the same
+// revision, lacks.
+func (s *Server) learnsVersion(read *Server) bool {
+	return s.Revision == read.Revision && !s.Gone && !read.Gone && !read.Unusable.IsSet() && s.Backend.VersionUnknown && !read.Backend.VersionUnknown
+}
+
+// VersionsMissing reports whether the software version of any backend server is not known, since another
+// router sent its row without.
+func (c *Catalog) VersionsMissing() bool {
+	return c.versionsMissing > 0 || c.table != nil && c.table.LacksVersions()
+}
+
 // lastLive returns the revision of the last change before any removal, 0 if unknown.
 func (s *Server) lastLive() uint64 {
 	if s.Gone {
--- a/pkg/catalog/history.go
+++ b/pkg/catalog/history.go
@@ -40,7 +40,7 @@
 		return hashStrings("server", s.Backend.Name)
 	}
 	b := &s.Backend
-	return hashStrings("server", b.Name, string(b.Mark), b.Address, strconv.FormatInt(b.StartTime, 10), strconv.Itoa(b.Slots))
+	return hashStrings("server", b.Name, string(b.Mark), b.Address, strconv.FormatInt(b.StartTime, 10), strconv.Itoa(b.Slots), b.Version)
 }
 
 func (z *Zone) digest() uint64 { return hashStrings("zone", z.Name) }
--- a/pkg/catalog/revisions.go
+++ b/pkg/catalog/revisions.go
@@ -37,6 +37,7 @@
 	c.servers[name] = s
 	if !s.Gone {
 		countModels(c.listed, &s.Backend, 1)
+		c.versionsMissing += count(s.Backend.VersionUnknown)
 	}
 	if s.Revision == 0 {
 		return
@@ -60,9 +61,18 @@
 func (c *Catalog) uncount(name string) {
 	if old, ok := c.servers[name]; ok && !old.Gone {
 		countModels(c.listed, &old.Backend, -1)
+		c.versionsMissing -= count(old.Backend.VersionUnknown)
 	}
 }
 
+// count returns 1 if a condition holds.
+func count(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // changedAfter returns the entries that changed after a revision number, sorted by name.
 func (c *Catalog) changedAfter(number uint64) []Server {
 	var list []Server
--- a/pkg/table/delta.go
+++ b/pkg/table/delta.go
@@ -83,7 +83,8 @@
 		}
 	}
 	return b.Name == c.Name && b.Zone == c.Zone && b.Address == c.Address && b.Kind == c.Kind &&
-		b.Slots == c.Slots && b.Mark == c.Mark && b.ChecksFences == c.ChecksFences && b.StartTime == c.StartTime
+		b.Slots == c.Slots && b.Mark == c.Mark && b.ChecksFences == c.ChecksFences && b.StartTime == c.StartTime &&
+		b.Version == c.Version && b.VersionUnknown == c.VersionUnknown
 }
 
 // Apply returns the table with the delta applied. It fails if the delta starts at another
--- a/pkg/table/parse.go
+++ b/pkg/table/parse.go
@@ -183,6 +183,7 @@
 	if b.Slots < 1 || b.Slots > maxSlots {
 		c.doc.Add(fmt.Sprintf("is %d; write 1 to %d", b.Slots, maxSlots), "backends", i, "slots")
 	}
+	c.softwareVersion(i, b)
 	c.mark(i, b)
 }
 
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -82,6 +82,11 @@
 	Mark Mark `yaml:"mark" json:"mark"`
 	// ChecksFences reports whether the backend server rejects requests with stale fencing tokens.
 	ChecksFences bool `yaml:"checks_fences" json:"checks_fences"`
+	// Version is the version of the software that the backend server runs, "" if it states none.
+	// Versions have no order. VersionUnknown says that the router that sent the row left it out.
+	// Between routers both travel apart from the rows, whose encoding never changes.
+	Version        string `yaml:"version" json:"version,omitempty" msgpack:"-"`
+	VersionUnknown bool   `yaml:"-" json:"version_unknown,omitempty" msgpack:"-"`
 	// WarmupLeft is the remaining warm-up time as of when the router received the row. Until
 	// then the backend server takes requests only at its service's WarmupRate.
 	WarmupLeft time.Duration `yaml:"-" json:"warmup_left,omitempty"`
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -58,6 +58,7 @@
 	KindServerSpeeds          Kind = 38
 	KindSlotMargin            Kind = 39
 	KindStreamPauses          Kind = 40
+	KindSoftwareVersions      Kind = 41
 )
 
 // Protocol is the version of the protocol that this program writes, OldestProtocol the
@@ -143,6 +144,7 @@
 	KindServerSpeeds:          func() any { return &ServerSpeeds{} },
 	KindSlotMargin:            func() any { return &SlotMargin{} },
 	KindStreamPauses:          func() any { return &StreamPauses{} },
+	KindSoftwareVersions:      func() any { return &SoftwareVersions{} },
 }
 
 // Encoder encodes the messages of one connection. It sends an interned string only
