Continue a stream only at the software version that began it

Cause: nothing bound a stream to a version. Whatever continued a response chose among all backend servers of the service, and no router but the first could have known better: what began a stream was kept nowhere. Class: a choice that must follow from an earlier one is made anew, since the earlier one is not remembered where the later one is made. Evidence: TestStreamStaysAtItsVersion failed in each of five cases, with no router lost and no fault of the store. Change: the first event binds a stream to the version of its backend server. The router remembers it until the caller's deadline and tells four others at most, of its own and of other zones, before the caller has the event (pkg/origin, StreamOrigins); routers that join or restart are told again. Who gets a request that takes a stream up asks (OriginQuery). What nobody remembers goes on only if one version alone can have begun it, and is refused as not run otherwise (stream-unknown, no-version, stream-service). admit chooses among the servers of a version for every kind of attempt (candidates.go), bound streams go before requests that begin, and a silent server is left only for another one of the version. Before: five of five cases fail, 3 to 6 of 8 streams each. After: all pass, and with them TestStreamIsNotGuessed, TestSilentStreamStaysWithoutAlternative, TestStreamIsBoundToItsOrigin, TestOriginOutlivesItsRouter (17 faults, 9 and 60 routers), TestResumptionIsDecided, TestOriginQueryIsBounded, TestOlderRouterLeavesOutVersions, TestStreamGoesOnAtItsVersionOnly, TestRefusedWithoutVersion, TestVersionChangesWhileStreamWaits, TestCanContinue, TestSoleSoftwareIsRemembered, pkg/origin. TestConnectionReuse names its fields and has one more row, the others are as they were.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/clock"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
 
@@ -49,6 +50,8 @@
 	// StartTime is the start time of the incarnation, 0 if unknown. It distinguishes
 	// incarnations with the same name.
 	StartTime int64
+	// Software is what the backend server runs. A new one under the same name has other connections.
+	Software table.Software
 	// MaxConnections is this router's share of the connections that the backend server
 	// accepts. Beyond it, idle connections are closed; 0 means no limit.
 	MaxConnections int
@@ -101,7 +104,7 @@
 // connKey returns the key of connections that may carry the call. It changes when the
 // backend server restarts.
 func (c *Call) connKey() string {
-	return c.Address + " " + c.Instance + " " + strconv.FormatInt(c.StartTime, 10)
+	return c.Address + " " + c.Instance + " " + strconv.FormatInt(c.StartTime, 10) + " " + c.Software.String()
 }
 
 // Sink receives the response.
--- a/internal/backend/routed_test.go
+++ b/internal/backend/routed_test.go
@@ -160,12 +160,15 @@
 		responses     []string
 		notRepeatable bool
 		conns         int64
+		// second is the version that the server's row states at the second request.
+		second string
 	}{
-		"reused":                   {[]string{response("req-1", ""), response("req-1", "")}, false, 1},
-		"Connection: close":        {[]string{response("req-1", "Connection: close\r\n")}, false, 2},
-		"short Keep-Alive timeout": {[]string{response("req-1", "Keep-Alive: timeout=0\r\n")}, false, 2},
-		"data after the response":  {[]string{response("req-1", "") + "more"}, false, 2},
-		"late response discarded":  {[]string{response("req-1", ""), response("req-0", "") + response("req-1", "")}, false, 1},
+		"reused":                   {responses: []string{response("req-1", ""), response("req-1", "")}, conns: 1},
+		"another version since":    {responses: []string{response("req-1", ""), response("req-1", "")}, conns: 2, second: "v2"},
+		"Connection: close":        {responses: []string{response("req-1", "Connection: close\r\n")}, conns: 2},
+		"short Keep-Alive timeout": {responses: []string{response("req-1", "Keep-Alive: timeout=0\r\n")}, conns: 2},
+		"data after the response":  {responses: []string{response("req-1", "") + "more"}, conns: 2},
+		"late response discarded":  {responses: []string{response("req-1", ""), response("req-0", "") + response("req-1", "")}, conns: 1},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -182,6 +185,9 @@
 			for i := range 2 {
 				call := routedCall(s.ln.Addr().String())
 				call.MayStream = false
+				if i == 1 {
+					call.Software.Version = tc.second
+				}
 				sink := &recorder{}
 				if r := c.Do(context.Background(), call, sink); r.Err != nil || sink.body.String() != "ok" {
 					t.Fatalf("request %d: %v, %q", i, r.Err, sink.body.String())
--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -154,7 +154,7 @@
 // SpendRetry implements front.Scheduler.
 func (d *Dispatcher) SpendRetry(r front.Request) bool {
 	result := make(chan bool, 1)
-	if !d.post(retryEvent{r.Model, result}) {
+	if !d.post(retryEvent{r, result}) {
 		return false
 	}
 	select {
@@ -166,13 +166,18 @@
 }
 
 type retryEvent struct {
-	service string
+	request front.Request
 	result  chan<- bool
 }
 
 func (e retryEvent) apply(s *state) {
+	r := &e.request
+	if software := s.resolveSoftware(r); software != nil && !s.core.CanContinue(r.Model, r.Regions, *software, r.Leaves) {
+		e.result <- false
+		return
+	}
 	routers := s.roster.CountRecent(s.now, s.retryConfig.Window)
-	e.result <- s.retryBudget.Spend(s.now, e.service, routers)
+	e.result <- s.retryBudget.Spend(s.now, r.Model, routers)
 }
 
 type arriveEvent struct{ *attempt }
@@ -194,6 +199,7 @@
 		Prompt: r.Prompt, Shared: r.Shared, Output: r.Output, Target: r.Target, MaxWait: r.MaxWait,
 		Deadline: s.now + r.Deadline.Sub(e.arrivedAt), Retry: r.Attempt > 0, MayHaveRun: r.MayHaveRun, Avoid: r.Avoid,
 		Resuming: r.Resuming, Digest: e.digest, Priority: r.Priority, Key: r.Key,
+		Software: s.resolveSoftware(r), Continues: r.Continues,
 	}})
 }
 
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -46,6 +46,7 @@
 	isNew := s.roster.Observe(s.now, member)
 	if isNew {
 		s.endStreamsOfRestarted(&e.Inbound)
+		s.origins.forgetRecipient(e.From)
 		s.d.opt.log.Info("member_heard", "peer", e.Name, "address", e.From, "zone", e.Zone, "incarnation", e.Incarnation)
 		if _, isRoster := e.Msg.(*wire.Roster); !isRoster && s.introducesRouters() {
 			s.sendFullRoster(e.From, true)
@@ -78,6 +79,12 @@
 		s.sendUpdateSince(e.Inbound, m)
 	case *wire.UpdateReferral:
 		s.followReferral(e.From, m)
+	case *wire.StreamOrigins:
+		s.origins.addAll(s.now, m)
+	case *wire.OriginQuery:
+		s.answerOriginQuery(e.From, m)
+	case *wire.OriginReply:
+		s.handleOriginReply(e.From, m)
 	case *wire.SoftwareVersions:
 		s.link(e.From).versions = m
 	case *wire.PlatformUpdate:
@@ -252,6 +259,7 @@
 
 func (e lossEvent) apply(s *state) {
 	s.link(e.Peer).rosterDigest = 0
+	s.origins.forgetRecipient(e.Peer)
 	if f := s.d.opt.forwarder; f != nil {
 		f.EndStreams(e.Peer, forward.ConnectionLost)
 	}
--- /dev/null
+++ b/internal/dispatch/resume.go
@@ -0,0 +1,265 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/front"
+	"github.com/yarrowmast/yarrowmast/pkg/origin"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/verdict"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+const (
+	// originTimeout bounds the wait for the replies of other routers, twice the own lag is added.
+	originTimeout = 80 * time.Millisecond
+	// maxAskAll is the size of a fleet up to which all routers are asked what began a stream, queriedPerZone
+	// how many are in each zone of a larger one: its replicas, and one more for a router lost since.
+	maxAskAll      = 12
+	queriedPerZone = 3
+	// Retry delays of a stream that cannot go on: some routers that may know what began it did not reply,
+	// or nobody knows, which no retry changes.
+	retryAfterNoReply = 300 * time.Millisecond
+	// startPeriod is the time after its start in which a router may not know all others yet.
+	startPeriod       = time.Second
+	retryAfterUnknown = time.Second
+)
+
+// Refusals of requests that take up a stream. They have not run.
+var (
+	errOriginUnknown = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "stream-unknown",
+		"nobody remembers which software version began the stream, and it may go on at no other; begin it anew")
+	errServiceChanged = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "stream-service",
+		"the route no longer leads to the service that began the stream; begin it anew")
+)
+
+// resumeOutcome is the decision on a stream that its caller takes up.
+type resumeOutcome string
+
+// The decisions, for logs and the status.
+const (
+	// resumeRecorded: the fleet remembers what began it.
+	resumeRecorded resumeOutcome = "recorded"
+	// resumeSoleVersion: it is not remembered, but could have begun at one version only.
+	resumeSoleVersion resumeOutcome = "sole-version"
+	// resumeUnknown: it is not remembered, and may have begun at several versions.
+	resumeUnknown resumeOutcome = "unknown"
+	// resumeNoReply: as before, and not all routers that may remember it replied.
+	resumeNoReply resumeOutcome = "no-reply"
+	// resumeService: the route no longer leads to the service that began it.
+	resumeService resumeOutcome = "service-changed"
+)
+
+// originQuery is a stream that a caller takes up and for which other routers are asked.
+type originQuery struct {
+	front.Resumption
+	key       origin.Key
+	startedAt time.Duration
+	result    chan<- resumeResult
+	// asked is the number of routers that were asked, waiting are those that have not replied.
+	asked   int
+	waiting map[string]bool
+	// mixed says that a router knows of several versions of a service.
+	mixed bool
+}
+
+type resumeResult struct {
+	front.Continuation
+	err *verdict.Error
+}
+
+// Resume implements front.Scheduler.
+func (d *Dispatcher) Resume(ctx context.Context, r front.Resumption) (front.Continuation, error) {
+	result := make(chan resumeResult, 1)
+	if !d.post(resumeEvent{&originQuery{Resumption: r, key: origin.KeyOf(r.Account, r.Resumes), result: result, waiting: map[string]bool{}}}) {
+		return front.Continuation{}, errStopping
+	}
+	select {
+	case x := <-result:
+		if x.err != nil {
+			return front.Continuation{}, x.err
+		}
+		return x.Continuation, nil
+	case <-ctx.Done():
+		return front.Continuation{}, ctx.Err()
+	case <-d.ctx.Done():
+		return front.Continuation{}, errStopping
+	}
+}
+
+type resumeEvent struct{ *originQuery }
+
+func (e resumeEvent) apply(s *state) {
+	q := e.originQuery
+	q.startedAt = s.now
+	if o, known := s.origins.store.Get(s.now, q.key); known && q.Resumes != "" {
+		s.continueAt(q, o, "")
+		return
+	}
+	candidates := s.originCandidates(q.key)
+	if len(candidates) == 0 {
+		s.continueUnrecorded(q)
+		return
+	}
+	s.askForOrigin(q, candidates)
+}
+
+// askForOrigin asks other routers what began a stream.
+func (s *state) askForOrigin(q *originQuery, routers []string) {
+	s.origins.lastSeq++
+	msg := &wire.OriginQuery{Seq: s.origins.lastSeq, Key: uint64(q.key)}
+	for _, service := range q.Services {
+		msg.Services = append(msg.Services, wire.HashName(service))
+	}
+	for _, to := range routers {
+		q.waiting[to] = true
+		s.d.transport.Send(to, msg)
+	}
+	q.asked = len(q.waiting)
+	s.origins.queries[msg.Seq] = q
+}
+
+// originCandidates returns the routers that may remember a stream, wherever it began.
+func (s *state) originCandidates(key origin.Key) []string {
+	live := s.roster.Live(s.now)
+	if len(live) < maxAskAll {
+		return live
+	}
+	var list []string
+	for _, zone := range ranked(key, s.routers) {
+		list = append(list, firstOf(zone, queriedPerZone)...)
+	}
+	return list
+}
+
+// answerOriginQuery tells another router what this one knows of a stream.
+func (s *state) answerOriginQuery(from string, m *wire.OriginQuery) {
+	reply := &wire.OriginReply{Seq: m.Seq}
+	var o origin.Origin
+	if o, reply.Known = s.origins.store.Get(s.now, origin.Key(m.Key)); reply.Known {
+		reply.Origin = originMessage(origin.Key(m.Key), o)
+	}
+	for _, service := range m.Services {
+		reply.Mixed = reply.Mixed || s.core.MixesSoftware(service)
+	}
+	s.d.transport.Send(from, reply)
+}
+
+func (s *state) handleOriginReply(from string, m *wire.OriginReply) {
+	q, ok := s.origins.queries[m.Seq]
+	if !ok || !q.waiting[from] {
+		return
+	}
+	delete(q.waiting, from)
+	q.mixed = q.mixed || m.Mixed
+	switch {
+	case m.Known && uint64(q.key) == m.Origin.Key && q.Resumes != "":
+		delete(s.origins.queries, m.Seq)
+		s.continueAt(q, originOf(&m.Origin), from)
+	case len(q.waiting) == 0:
+		delete(s.origins.queries, m.Seq)
+		s.continueUnrecorded(q)
+	}
+}
+
+// expireOriginQueries decides on the streams for which routers did not reply in time.
+func (s *state) expireOriginQueries() {
+	timeout := originTimeout + 2*s.estimator.Lag()
+	for seq, q := range s.origins.queries {
+		if s.now-q.startedAt >= timeout {
+			delete(s.origins.queries, seq)
+			s.continueUnrecorded(q)
+		}
+	}
+}
+
+// continueAt decides on a stream of which a router remembers what began it. from is that router, "" for
+// this one.
+func (s *state) continueAt(q *originQuery, o origin.Origin, from string) {
+	if o.Software.Unknown {
+		s.continueUnrecorded(q)
+		return
+	}
+	for _, service := range q.Services {
+		if wire.HashName(service) == o.Service {
+			s.finishResumption(q, resumeRecorded, front.Continuation{Service: service, Software: &o.Software, Recorded: true}, from)
+			return
+		}
+	}
+	s.refuseResumption(q, resumeService, errServiceChanged.WithRetryAfter(retryAfterUnknown))
+}
+
+// continueUnrecorded decides on a stream that nobody who replied remembers. It may go on if it can have
+// begun at one version only, as far as is known up to now.
+func (s *state) continueUnrecorded(q *originQuery) {
+	sole, isSole := s.soleSoftware(q.Services, q.Service)
+	switch {
+	case isSole && !q.mixed && (s.isVerified() || s.askedAll(q)):
+		s.finishResumption(q, resumeSoleVersion, front.Continuation{Service: q.Service, Software: &sole}, "")
+	case len(q.waiting) > 0 || s.now-clockStart < startPeriod:
+		s.refuseResumption(q, resumeNoReply, errOriginUnknown.WithRetryAfter(retryAfterNoReply))
+	default:
+		s.refuseResumption(q, resumeUnknown, errOriginUnknown.WithRetryAfter(retryAfterUnknown))
+	}
+}
+
+// soleSoftware returns what the backend servers of a service run, and whether those of each service run
+// one version only.
+func (s *state) soleSoftware(services []string, service string) (sole table.Software, isSole bool) {
+	for _, name := range services {
+		software, ok := s.core.SoleSoftware(name)
+		if !ok {
+			return table.Software{}, false
+		}
+		if name == service {
+			sole, isSole = software, true
+		}
+	}
+	return sole, isSole
+}
+
+// resolveSoftware returns the software that a request is bound to, nil if it is not. A version that is not
+// known is the only one that its service runs.
+func (s *state) resolveSoftware(r *front.Request) *table.Software {
+	if r.Software == nil || !r.Software.Unknown {
+		return r.Software
+	}
+	if sole, isSole := s.core.SoleSoftware(r.Model); isSole {
+		return &sole
+	}
+	return r.Software
+}
+
+// isVerified reports whether the revision known was the newest a short time ago, so that no version can
+// have come without this router's knowledge.
+func (s *state) isVerified() bool {
+	at := time.Duration(s.d.shared.lastVerified.Load())
+	return at > 0 && s.now-at < time.Duration(s.d.shared.applyWithin.Load())
+}
+
+// askedAll reports whether every router of the fleet replied to a query.
+func (s *state) askedAll(q *originQuery) bool {
+	return len(q.waiting) == 0 && q.asked+1 >= int(s.d.shared.routerCount.Load())
+}
+
+func (s *state) refuseResumption(q *originQuery, outcome resumeOutcome, err *verdict.Error) {
+	s.logResumption(q, outcome, &front.Continuation{}, "")
+	q.result <- resumeResult{err: err}
+}
+
+func (s *state) finishResumption(q *originQuery, outcome resumeOutcome, c front.Continuation, from string) {
+	s.logResumption(q, outcome, &c, from)
+	q.result <- resumeResult{Continuation: c}
+}
+
+func (s *state) logResumption(q *originQuery, outcome resumeOutcome, c *front.Continuation, from string) {
+	s.origins.outcomes[outcome]++
+	version := ""
+	if c.Software != nil {
+		version = c.Software.String()
+	}
+	s.d.opt.log.Info("stream_resumed", "request", q.Request, "resumes", q.Resumes, "outcome", string(outcome), "service", c.Service, "version", version,
+		"from", from, "asked", q.asked, "no_reply", len(q.waiting), "mixed", q.mixed, "took_ms", (s.now - q.startedAt).Milliseconds())
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -47,6 +47,7 @@
 	rosterChanges map[string]rosterChange
 	encodedRoster encodedRoster
 	keys          *idempotencyKeys
+	origins       *streamOrigins
 	// tokenCounts counts the tokens of running requests by id, if accounts are scheduled
 	// by weight.
 	tokenCounts map[uint64]*atomic.Int64
@@ -114,6 +115,7 @@
 		retryConfig:    d.opt.retryConfig,
 		peerLinks:      map[string]*link{},
 		keys:           newIdempotencyKeys(d.id.Address, now, d.opt.wallClock()),
+		origins:        newStreamOrigins(),
 		tokenCounts:    map[uint64]*atomic.Int64{},
 		loadReaders:    map[string]context.CancelFunc{},
 		clearedCrashes: map[suspect.Reason]int64{},
@@ -198,6 +200,8 @@
 	s.reportRefusals()
 	s.step(admit.Tick{})
 	s.expireClaims()
+	s.expireOriginQueries()
+	s.replicateOrigins()
 	s.updateLoadReaders()
 	if s.membersDirty {
 		s.scheduleMembersUpdate()
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -89,6 +89,8 @@
 	Waiting int `json:"waiting"`
 	// Calls is the number of platform calls, 0 if the source does not count them.
 	Calls int64 `json:"platform_calls"`
+	// Streams counts the streams that callers may take up, and those that they took up here.
+	Streams StreamCounts `json:"streams"`
 	// Returns counts what became of the promised retries at the backend servers owned here.
 	Returns returns.Counts `json:"returns"`
 	// SuspendedMillis is how long the machine was suspended since the start.
@@ -137,6 +139,7 @@
 	s.setCapacity(st)
 	s.setPlainStatus(st)
 	s.setPauseStatus(st)
+	st.Streams = s.origins.counts()
 	st.Suspects, st.SuspectCount = s.suspects()
 	st.CrashesCleared = maps.Clone(s.clearedCrashes)
 	if c, ok := s.d.source.(callCounter); ok {
--- a/internal/front/ask.go
+++ b/internal/front/ask.go
@@ -39,18 +39,20 @@
 
 // inboundRequest is a caller's request after parsing.
 type inboundRequest struct {
-	id             string
-	account        table.Account
-	model          string
-	method         string
-	host           string
-	path           string
-	body           []byte
-	mayStream      bool
-	notRepeatable  bool
-	priority       int
-	arrived        time.Time
-	deadline       time.Time
+	id            string
+	account       table.Account
+	model         string
+	method        string
+	host          string
+	path          string
+	body          []byte
+	mayStream     bool
+	notRepeatable bool
+	priority      int
+	arrived       time.Time
+	deadline      time.Time
+	// callerDeadline is until when the caller waits, which may be after the route's timeout.
+	callerDeadline time.Time
 	idempotencyKey string
 	keyFirstUsed   time.Time
 	// route is nil for requests to the built-in API.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -45,6 +45,12 @@
 
 func (f *fake) Table() *table.Table           { return f.table }
 func (f *fake) SpendRetry(front.Request) bool { return true }
+
+func (f *fake) Resume(_ context.Context, r front.Resumption) (front.Continuation, error) {
+	return front.Continuation{Service: r.Service}, nil
+}
+
+func (f *fake) StreamBegan(front.StreamStart) {}
 func (f *fake) Overloaded() bool              { return f.overloaded.Load() }
 func (f *fake) MayForward(front.Request) bool { return f.mayForward.Load() }
 func (f *fake) Shedding() bool                { return f.shedding.Load() }
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -132,6 +132,11 @@
 func (s *Server) run(ctx context.Context, in *inboundRequest, r *http.Request, resp *response, outcome *Outcome) *verdict.Error {
 	ctx, cancel := s.clock().WithDeadline(ctx, in.deadline)
 	defer cancel()
+	if in.route != nil && in.route.isResumption() {
+		if err := s.resume(ctx, in); err != nil {
+			return err
+		}
+	}
 	if in.idempotencyKey == "" {
 		return s.runAttempts(ctx, in, r, resp, outcome)
 	}
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -45,7 +45,11 @@
 	resumes string
 	// resumedAfter is the number of the last event that an earlier attempt of the caller brought.
 	resumedAfter uint64
-	started      bool
+	// software is what began the stream, and the only software at which it may go on; nil before its
+	// first event. recorded says that the fleet remembers the stream from an earlier attempt of its caller.
+	software atomic.Pointer[table.Software]
+	recorded bool
+	started  bool
 	// key identifies the request across the attempts of its caller, 0 without stated prompt parts.
 	key uint64
 	// mayHaveRun says that an earlier attempt may have run.
@@ -123,6 +127,7 @@
 		return badHeader(headers.Deadline)
 	}
 	in.deadline = in.arrived.Add(timeout)
+	in.callerDeadline = in.deadline
 	if routeDeadline := in.arrived.Add(in.route.Timeout); in.route.Timeout > 0 && routeDeadline.Before(in.deadline) {
 		in.deadline = routeDeadline
 	}
@@ -133,7 +138,9 @@
 		}
 		in.route.lastEvent, in.route.resumedAfter = n, n
 	}
-	in.route.resumes = r.Header.Get(headers.Resumes)
+	if err := in.route.readResumes(headers, r.Header); err != nil {
+		return err
+	}
 	p, err := headers.parsePrompt(r.Header)
 	in.route.prompt = p
 	if headers.Parts != "" {
@@ -152,6 +159,7 @@
 	req.MaxWait = state.TargetLatency / maxWaitDivisor
 	req.Avoid = state.avoid
 	req.MayHaveRun, req.Resuming = state.mayHaveRun, state.started
+	req.Software, req.Continues = state.software.Load(), state.recorded
 }
 
 // recordAttempt updates the state with the result of an attempt.
@@ -200,15 +208,17 @@
 )
 
 // failover returns when to move the request from a stalled backend server to another one.
-func (s *Server) failover(in *inboundRequest) backend.Failover {
+func (s *Server) failover(in *inboundRequest, grant *Grant) backend.Failover {
 	state := in.route
 	if state.Repeat == table.RepeatNever || state.sent+1 >= state.MaxAttempts() {
 		return backend.Failover{}
 	}
-	req := in.schedulerRequest()
 	p := backend.Failover{
 		FirstByteTimeout: max(minStallTimeout, stallTargets*state.TargetLatency),
 		AcquireRetry: func() bool {
+			// The stream may have begun since the attempt was sent.
+			req := in.schedulerRequest()
+			req.Leaves = grant.Backend
 			if !s.scheduler.SpendRetry(req) {
 				return false
 			}
@@ -226,11 +236,11 @@
 	header := r.Header.Clone()
 	header.Del(s.opt.headers.Key)
 	return backend.Call{
-		Address: grant.Address, Instance: grant.Backend, StartTime: grant.StartTime, Host: r.Host, Method: r.Method, Path: in.path, Header: header, Body: in.body,
+		Address: grant.Address, Instance: grant.Backend, StartTime: grant.StartTime, Software: grant.Software, Host: r.Host, Method: r.Method, Path: in.path, Header: header, Body: in.body,
 		RequestID: in.id, Account: in.account.Name, Deadline: in.deadline, NotRepeatable: in.notRepeatable, MayStream: in.mayStream, Opaque: true,
 		Resume: in.route.started, LastEvent: in.route.lastEvent, BufferLimit: bufferLimit,
 		WithholdServerErrors: in.route.Repeat != table.RepeatNever && in.route.sent+1 < in.route.MaxAttempts(),
-		CopyPrefixFrom:       grant.CopyPrefixFrom, MaxConnections: grant.MaxConnections, Failover: s.failover(in), MayStart: grant.MayStart, Served: grant.Served, OnFirstByte: grant.OnFirstEvent, OnNotice: grant.OnNotice,
+		CopyPrefixFrom:       grant.CopyPrefixFrom, MaxConnections: grant.MaxConnections, Failover: s.failover(in, &grant), MayStart: grant.MayStart, Served: grant.Served, OnFirstByte: s.onFirstByte(in, &grant), OnNotice: grant.OnNotice,
 		BatchDelay: s.batchDelay(in.route, grant.Saturated), PauseTarget: in.route.TargetGap, OnPause: grant.OnPause,
 	}
 }
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -28,8 +28,14 @@
 	Acquire(ctx context.Context, r Request) (Grant, error)
 	// Release returns the slot.
 	Release(g Grant, u Usage)
-	// SpendRetry takes a retry from the budget and reports whether one was left.
+	// SpendRetry takes a retry from the budget and reports whether one was left. It takes none for a
+	// request that no backend server may continue.
 	SpendRetry(r Request) bool
+	// Resume returns where a stream that its caller takes up may go on. Its error is a *verdict.Error
+	// or the error of ctx.
+	Resume(ctx context.Context, r Resumption) (Continuation, error)
+	// StreamBegan records what began a stream, before the caller receives its first event.
+	StreamBegan(b StreamStart)
 	// Claim reserves the idempotency key for this request. If the key is in use, the error is
 	// a *verdict.Error that describes the state of the earlier request.
 	Claim(ctx context.Context, c Claim) error
@@ -75,6 +81,12 @@
 	MayHaveRun bool
 	// Avoid lists the backend servers on which earlier attempts failed.
 	Avoid []string
+	// Software is the only software that the request may run on, nil for any. Continues says that the
+	// request continues a stream that the fleet remembers.
+	Software  *table.Software
+	Continues bool
+	// Leaves is the backend server that SpendRetry is asked to move the request away from, "" for none.
+	Leaves string
 	// Resuming says that part of the response was sent, so the next attempt must continue it.
 	Resuming bool
 	// Key identifies the request across the attempts of its caller. It is 0 if it is unknown until
@@ -84,6 +96,38 @@
 	Digest func() uint64
 }
 
+// Resumption is a request of a caller to take up a stream that broke off.
+type Resumption struct {
+	Account string
+	// Request is the ID of the request, for logs.
+	Request string
+	// Resumes is the ID of the caller's attempt that brought the first event, "" if it is not stated.
+	Resumes string
+	// Services are those that the route allows; Service is the one chosen if several may continue it.
+	Services []string
+	Service  string
+}
+
+// Continuation says where a stream may go on.
+type Continuation struct {
+	Service string
+	// Software is the only software at which it may go on, nil for any.
+	Software *table.Software
+	// Recorded says that the fleet remembers the stream.
+	Recorded bool
+}
+
+// StreamStart describes the first event of a stream.
+type StreamStart struct {
+	Account string
+	// Request is the ID of the caller's attempt that brings the first event.
+	Request  string
+	Service  string
+	Software table.Software
+	// Deadline is until when the caller may take the stream up.
+	Deadline time.Time
+}
+
 // Grant is permission to run a request on a backend server.
 type Grant struct {
 	ID      uint64
--- a/internal/measure/baseline.go
+++ b/internal/measure/baseline.go
@@ -216,6 +216,14 @@
 // Shedding implements front.Scheduler.
 func (x *baselineScheduler) Shedding() bool { return false }
 
+// Resume implements front.Scheduler.
+func (x *baselineScheduler) Resume(_ context.Context, r front.Resumption) (front.Continuation, error) {
+	return front.Continuation{Service: r.Service}, nil
+}
+
+// StreamBegan implements front.Scheduler.
+func (x *baselineScheduler) StreamBegan(front.StreamStart) {}
+
 // SpendRetry implements front.Scheduler.
 func (x *baselineScheduler) SpendRetry(front.Request) bool { return true }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -58,6 +58,10 @@
 	PauseLimited       = "pause_limited_backends"
 	LongPauses         = "long_pauses"
 	StreamsKept        = "streams_without_long_pause"
+	KnownStreams       = "known_streams"
+	EvictedStreams     = "evicted_streams"
+	ResumedStreams     = "resumed_streams"
+	UnresumedStreams   = "unresumed_streams"
 	ReservedHeaders    = "reserved_headers_dropped"
 	Connections        = "caller_connections"
 	IdleConnections    = "idle_caller_connections"
@@ -85,6 +89,7 @@
 		TableChanges, OpenRequests, Leases, IdleLeases, Members, PeerBytesOut, PeerBytesIn, PeerMsgsOut,
 		PeerMsgsIn, PeerDropped, PlatformCalls, WaitingRequests, OwnedServers, CachedPrefixTokens, UnevenServers, EjectedServers, EjectedForAll, LeavingServers, BackingOffServers, UnverifiedSeconds, ClosedZones, WarmingServers, UnusableEntries, EngineCapacity, FreeCapacity, CapacityOwners, CapacityShort, ReservedHeaders,
 		PlainLimit, PlainWaiting, PlainDenied, PauseLimited, LongPauses, StreamsKept,
+		KnownStreams, EvictedStreams, ResumedStreams, UnresumedStreams,
 		Connections, IdleConnections, RefusedConnections, EvictedConnections, StreamEvents, CallerWrites, RefusedEarly, ProcessorSeconds,
 		LagSeconds, PredictedEvents, ExceededEvents, ReturnsPromised, ReturnsKept, ReturnsEarly, ReturnsMissed, ReturnsDropped, Events,
 	}
--- a/internal/router/acquire.go
+++ b/internal/router/acquire.go
@@ -97,6 +97,15 @@
 	}
 }
 
+// Resume implements front.Scheduler. Backend servers of one model run one software version here.
+func (r *Router) Resume(_ context.Context, req front.Resumption) (front.Continuation, error) {
+	return front.Continuation{Service: req.Service}, nil
+}
+
+// StreamBegan implements front.Scheduler. Nothing needs to be remembered, as any backend server may go on
+// with a stream.
+func (r *Router) StreamBegan(front.StreamStart) {}
+
 type spendRetry struct{ reply chan<- bool }
 
 func (e spendRetry) apply(c *core) { e.reply <- c.budget.Spend() }
--- /dev/null
+++ b/pkg/admit/bound_test.go
@@ -0,0 +1,213 @@
+package admit_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yarrowmast/yarrowmast/pkg/admit"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
+)
+
+const began, other = "v1", "v2"
+
+// newVersionWorld starts a fleet in which the first server of each zone runs the version that began the
+// streams, and the two others run another one.
+func newVersionWorld() *world {
+	w := newWorld(1, 2, []string{"x", "y", "z"}, 3)
+	w.setVersions(func(name string) string {
+		if strings.HasSuffix(name, "-s0") {
+			return began
+		}
+		return other
+	})
+	return w
+}
+
+func (w *world) setVersions(versionOf func(name string) string) {
+	w.updateTable(func(t *table.Table) {
+		for i := range t.Backends {
+			t.Backends[i].Version = versionOf(t.Backends[i].Name)
+		}
+	})
+}
+
+func (w *world) markVersion(version string, mark table.Mark) {
+	w.updateTable(func(t *table.Table) {
+		for i := range t.Backends {
+			if t.Backends[i].Version == version {
+				t.Backends[i].Mark = mark
+			}
+		}
+	})
+}
+
+// TestStreamGoesOnAtItsVersionOnly: a request that is bound to a version must not be sent to a backend
+// server of another one, whatever is missing at its own.
+func TestStreamGoesOnAtItsVersionOnly(t *testing.T) {
+	bound := admit.Request{Account: "a", Software: &table.Software{Version: began}, Continues: true}
+	with := func(change func(*admit.Request)) admit.Request {
+		r := bound
+		change(&r)
+		return r
+	}
+	tests := map[string]struct {
+		prepare func(w *world)
+		request admit.Request
+		// started says that most requests must start nonetheless.
+		started bool
+	}{
+		"taken up by its caller":  {request: bound, started: true},
+		"moved by its router":     {request: with(func(r *admit.Request) { r.Retry, r.MayHaveRun, r.Resuming = true, true, true }), started: true},
+		"with a shared prefix":    {request: with(func(r *admit.Request) { r.Prefix, r.Prompt, r.Shared, r.Output = 7, 4000, 3000, 20 }), started: true},
+		"failed at every server":  {request: with(func(r *admit.Request) { r.Avoid = []string{"x-s0", "y-s0", "z-s0"} }), started: true},
+		"version is unknown":      {request: with(func(r *admit.Request) { r.Software = &table.Software{Unknown: true} })},
+		"version is nowhere":      {request: with(func(r *admit.Request) { r.Software = &table.Software{Version: "v3"} })},
+		"no version, but others":  {request: with(func(r *admit.Request) { r.Software = &table.Software{} })},
+		"its servers are leaving": {request: bound, prepare: func(w *world) { w.markVersion(began, table.Leaving) }},
+		"its zones are closed":    {request: bound, prepare: func(w *world) { w.closeZone("x"); w.closeZone("y"); w.closeZone("z") }},
+		"replaced under its name": {request: bound, prepare: func(w *world) { w.setVersions(func(string) string { return other }) }},
+		"owners silent": {request: bound, started: true, prepare: func(w *world) {
+			for _, a := range w.order {
+				for _, b := range w.order {
+					w.blocked[[2]string{a, b}] = a != b
+				}
+			}
+		}},
+		"prefix known elsewhere only": {request: with(func(r *admit.Request) { r.Prefix, r.Prompt, r.Shared, r.Output = 9, 4000, 3000, 20 }), started: true, prepare: func(w *world) {
+			w.submitAll(admit.Request{Account: "a", Software: &table.Software{Version: other}, Prefix: 9, Prompt: 4000, Shared: 3000, Output: 20})
+		}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newVersionWorld()
+			w.run(2 * time.Second)
+			if tc.prepare != nil {
+				tc.prepare(w)
+				w.run(w.now + 100*time.Millisecond)
+			}
+			ids := w.submitAll(tc.request)
+			starts := 0
+			for _, id := range ids {
+				s, ok := w.starts[id]
+				if !ok {
+					continue
+				}
+				starts++
+				if s.Backend.Version != began {
+					t.Fatalf("a request was sent to %s of version %q", s.Backend.Name, s.Backend.Version)
+				}
+				if from := s.CopyPrefixFrom; from != "" && !strings.HasSuffix(from, "-s0") {
+					t.Errorf("request %d copies its prefix from %s of another version", id, from)
+				}
+			}
+			if tc.started && starts < len(ids)/2 {
+				t.Errorf("%d of %d requests were started", starts, len(ids))
+			}
+		})
+	}
+}
+
+// TestRefusedWithoutVersion: a stream whose version no backend server runs any more cannot go on. It must
+// be refused at once, also if its router moves it.
+func TestRefusedWithoutVersion(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(w *world)
+		request admit.Request
+	}{
+		"never listed":       {request: admit.Request{Software: &table.Software{Version: "v3"}}},
+		"moved by a router":  {request: admit.Request{Software: &table.Software{Version: "v3"}, Retry: true, MayHaveRun: true, Resuming: true}},
+		"its servers leave":  {request: admit.Request{Software: &table.Software{Version: began}}, prepare: func(w *world) { w.markVersion(began, table.Leaving) }},
+		"version is unknown": {request: admit.Request{Software: &table.Software{Unknown: true}}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newVersionWorld()
+			w.run(2 * time.Second)
+			if tc.prepare != nil {
+				tc.prepare(w)
+			}
+			tc.request.ID, tc.request.Service, tc.request.Deadline = 1000, service, w.now+10*time.Second
+			actions := w.cores["x-0"].Step(w.now, admit.Arrive{Request: tc.request})
+			if len(actions) != 1 {
+				t.Fatalf("%d actions, want a refusal", len(actions))
+			}
+			refused, ok := actions[0].(admit.Refuse)
+			if !ok || refused.Err.Code != "no-version" || refused.Err.RetryAfter <= 0 {
+				t.Errorf("got %+v, want a refusal no-version with a retry delay", actions[0])
+			}
+		})
+	}
+}
+
+// TestVersionChangesWhileStreamWaits: a slot that was granted at a backend server must not be used once its
+// row states another version.
+func TestVersionChangesWhileStreamWaits(t *testing.T) {
+	for name, tc := range map[string]struct {
+		after  string
+		starts bool
+	}{"unchanged": {began, true}, "replaced under its name": {other, false}} {
+		t.Run(name, func(t *testing.T) {
+			const id = 1000
+			view := func(version string) *table.Table {
+				v := &table.Table{
+					Revision: 1, Services: []table.ServiceRow{{Name: service, Engine: true}},
+					Backends: []table.Backend{{Name: "x-s0", Zone: "x", Models: []string{service}, Slots: 16, Mark: table.Serving, Version: version}},
+				}
+				v.Index()
+				return v
+			}
+			c := admit.New(admit.Router{Address: "y-0", Zone: "y"})
+			now := time.Second
+			c.Step(now, admit.Routers{List: []admit.Router{{Address: "x-0", Zone: "x"}}})
+			c.Step(now, admit.TableUpdate{Table: view(began)})
+			actions := c.Step(now, admit.Arrive{Request: admit.Request{ID: id, Service: service, Deadline: now + time.Second, Software: &table.Software{Version: began}}})
+			var asked *wire.SlotRequest
+			for _, a := range actions {
+				if m, ok := a.(admit.Send).Msg.(*wire.SlotRequest); ok {
+					asked = m
+				}
+			}
+			if asked == nil {
+				t.Fatalf("no slot was requested: %+v", actions)
+			}
+			actions = slices.Clone(c.Step(now, admit.TableUpdate{Table: view(tc.after)}))
+			actions = append(actions, c.Step(now, admit.Message{From: "x-0", Msg: &wire.SlotReply{ID: id, Server: asked.Server, State: wire.SlotGranted}})...)
+			started := slices.ContainsFunc(actions, func(a admit.Action) bool { _, ok := a.(admit.Start); return ok })
+			if started != tc.starts {
+				t.Errorf("started: %v, want %v: %+v", started, tc.starts, actions)
+			}
+		})
+	}
+}
+
+// TestCanContinue: a stream must not leave a silent backend server if no other one can go on with it.
+func TestCanContinue(t *testing.T) {
+	tests := map[string]struct {
+		prepare  func(w *world)
+		software table.Software
+		leaves   string
+		want     bool
+	}{
+		"two others":          {software: table.Software{Version: began}, leaves: "x-s0", want: true},
+		"nothing to leave":    {software: table.Software{Version: began}, want: true},
+		"the others leave":    {software: table.Software{Version: began}, leaves: "x-s0", prepare: func(w *world) { w.closeZone("y"); w.closeZone("z") }},
+		"it is the only one":  {software: table.Software{Version: began}, prepare: func(w *world) { w.closeZone("y"); w.closeZone("z") }, want: true},
+		"version is unknown":  {software: table.Software{Unknown: true}},
+		"version is not here": {software: table.Software{Version: "v3"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newVersionWorld()
+			w.run(2 * time.Second)
+			if tc.prepare != nil {
+				tc.prepare(w)
+			}
+			if got := w.cores["x-0"].CanContinue(service, table.RegionSet{}, tc.software, tc.leaves); got != tc.want {
+				t.Errorf("may go on: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/pkg/admit/notice.go
+++ b/pkg/admit/notice.go
@@ -151,7 +151,7 @@
 // requests again. It returns false unless all reachable ones are backing off.
 func (c *Core) backoffEnd(r *request) (time.Duration, bool) {
 	earliest := time.Duration(0)
-	for _, s := range c.serversFor(c.service(r.Service), r.Regions) {
+	for _, s := range c.serversFor(c.service(r.Service), r.candidates()) {
 		if !c.isReachable(s) {
 			continue
 		}
--- a/pkg/admit/order.go
+++ b/pkg/admit/order.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
-	"github.com/yarrowmast/yarrowmast/pkg/table"
 )
 
 const (
@@ -29,11 +28,11 @@
 // Orders are cached, because sorting is much slower than the rest of an admission decision. A backend
 // server that comes or goes is added to them or removed.
 func (c *Core) prefixOrder(svc *service, r *request) []*server {
-	candidates := c.serversFor(svc, r.Regions)
+	candidates := c.serversFor(svc, r.candidates())
 	if r.Prefix == 0 {
 		return candidates
 	}
-	key := orderKey{r.Prefix, r.Regions}
+	key := orderKey{r.Prefix, r.candidates()}
 	order, ok := svc.orders[key]
 	if !ok {
 		c.work.Orders++
@@ -45,8 +44,8 @@
 
 // orderKey identifies a cached order.
 type orderKey struct {
-	prefix  uint64
-	regions table.RegionSet
+	prefix     uint64
+	candidates candidateSet
 }
 
 // minOrderLen is the length below which a cached order is computed anew if the service has more servers.
@@ -66,15 +65,15 @@
 }
 
 // forgetOrders empties the caches.
-func (svc *service) forgetOrders() { svc.orders, svc.orderKeys, svc.regional = nil, nil, nil }
+func (svc *service) forgetOrders() { svc.orders, svc.orderKeys, svc.limited = nil, nil, nil }
 
-// updateOrders changes all cached orders. Those that are restricted to some regions are few, and
-// computed anew.
+// updateOrders changes all cached orders. Those of limited sets are few, and computed
+// anew.
 func (svc *service) updateOrders(change func(prefix uint64, order []*server) []*server) {
-	svc.regional = nil
+	svc.limited = nil
 	svc.orderKeys = slices.DeleteFunc(svc.orderKeys, func(key orderKey) bool {
 		order := change(key.prefix, svc.orders[key])
-		isOutdated := key.regions.IsLimited() || len(order) < minOrderLen && len(order) < len(svc.servers)
+		isOutdated := key.candidates.isLimited() || len(order) < minOrderLen && len(order) < len(svc.servers)
 		if isOutdated {
 			delete(svc.orders, key)
 		} else {
--- a/pkg/admit/promise.go
+++ b/pkg/admit/promise.go
@@ -194,6 +194,6 @@
 
 // hasOrder reports whether the order of preference for a request is cached.
 func (svc *service) hasOrder(r *request) bool {
-	_, ok := svc.orders[orderKey{r.Prefix, r.Regions}]
+	_, ok := svc.orders[orderKey{r.Prefix, r.candidates()}]
 	return ok
 }
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -44,6 +44,11 @@
 	Avoid []string
 	// Resuming says that an earlier attempt began to respond.
 	Resuming bool
+	// Software is the only software that the request may run on, nil for any.
+	Software *table.Software
+	// Continues says that the request continues a stream that its caller had begun to receive from
+	// the fleet. Like one that may have run, it goes before requests that begin.
+	Continues bool
 	// Priority orders the requests of one account, from 0 to 9, if accounts are scheduled by
 	// weight. Higher values go first.
 	Priority int
--- a/pkg/admit/service.go
+++ b/pkg/admit/service.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/enginemodel"
-	"github.com/yarrowmast/yarrowmast/pkg/table"
 )
 
 // service is a service or model with its backend servers.
@@ -19,8 +18,8 @@
 	// since the last report.
 	software        softwareUses
 	softwareChanged bool
-	// regional caches the servers in each set of regions.
-	regional map[table.RegionSet][]*server
+	// limited caches the servers in each limited set.
+	limited map[candidateSet][]*server
 	// orders caches prefixOrder. orderKeys are its keys, the oldest first.
 	orders    map[orderKey][]*server
 	orderKeys []orderKey
--- a/pkg/admit/slot_request.go
+++ b/pkg/admit/slot_request.go
@@ -48,6 +48,9 @@
 	// retryAfterNoRegion is the retry delay if the allowed regions have no backend server of the
 	// service, which only operators can change.
 	retryAfterNoRegion = time.Second
+	// retryAfterNoVersion is the retry delay of a stream that began at a software version of which no
+	// backend server takes requests. One that starts takes seconds.
+	retryAfterNoVersion = time.Second
 	// localSlotFraction is the fraction of its slots that a router uses at a backend server
 	// whose owner does not reply.
 	localSlotFraction = 0.75
@@ -146,7 +149,7 @@
 	switch {
 	case c.now >= r.Deadline:
 		return errDeadline
-	case !r.MayHaveRun && !c.anyReachable(r):
+	case !r.MayHaveRun && !c.anyReachable(r), r.Software != nil && !c.hasOpenServer(r):
 		return c.noServerError(r)
 	}
 	if err := cmp.Or(c.crashRefusal(r), c.backoffRefusal(r)); err != nil {
@@ -168,7 +171,12 @@
 // anyReachable reports whether any backend server that may process a request takes new requests
 // and is reachable from this router.
 func (c *Core) anyReachable(r *request) bool {
-	return slices.ContainsFunc(c.serversFor(c.service(r.Service), r.Regions), c.isReachable)
+	return slices.ContainsFunc(c.serversFor(c.service(r.Service), r.candidates()), c.isReachable)
+}
+
+// hasOpenServer reports whether any backend server that may process a request takes new requests.
+func (c *Core) hasOpenServer(r *request) bool {
+	return slices.ContainsFunc(c.serversFor(c.service(r.Service), r.candidates()), (*server).isOpen)
 }
 
 // isReachable reports whether a backend server takes new requests and its zone is reachable.
@@ -190,8 +198,10 @@
 // noServerError returns the refusal of a request for which no backend server takes new requests.
 func (c *Core) noServerError(r *request) *verdict.Error {
 	svc := c.service(r.Service)
-	allowed := c.serversFor(svc, r.Regions)
+	allowed := c.serversFor(svc, candidateSet{regions: r.Regions})
 	switch {
+	case r.Software != nil && !c.hasOpenServer(r):
+		return errNoVersion.WithRetryAfter(retryAfterNoVersion)
 	case slices.ContainsFunc(allowed, func(s *server) bool { return s.zoneClosed }):
 		return errZoneClosed.WithRetryAfter(retryAfterClosed)
 	case len(allowed) == 0 && len(svc.servers) > 0:
@@ -252,7 +262,7 @@
 // the backend server.
 func (c *Core) admitLocally(r *request, a *slotRequest) bool {
 	s := a.server
-	if c.weighted != nil || !c.accepts(s) || !c.mayProcess(s, r.Regions) || s.isWarming(c.now) || float64(s.running(c.now)) >= localSlotFraction*float64(s.Slots) {
+	if c.weighted != nil || !c.accepts(s) || !c.mayProcess(s, r.candidates()) || s.isWarming(c.now) || float64(s.running(c.now)) >= localSlotFraction*float64(s.Slots) {
 		return false
 	}
 	if c.service(r.Service).engine && s.ownPrefill() > 0 {
@@ -313,7 +323,7 @@
 		ID: r.ID, Server: s.key, Account: r.account, AccountRank: r.AccountRank, Rank: r.Rank,
 		Prefix: r.Prefix, PromptTokens: r.Prompt, SharedTokens: r.Shared,
 		TargetMillis: (r.arrivedAt + target - c.now).Milliseconds(), WaitMillis: wait.Milliseconds(), Spill: c.isSpill(r, reason),
-		MayHaveRun: r.MayHaveRun, CopyPrefix: a.sourceKnown, Exclusive: a.isolation == exclusive,
+		MayHaveRun: r.MayHaveRun || r.Continues, CopyPrefix: a.sourceKnown, Exclusive: a.isolation == exclusive,
 	})
 }
 
@@ -353,10 +363,10 @@
 
 // grantExpired reports whether a granted slot must not be used: since the slot request was
 // sent, the backend server may have stopped taking requests, the table may have restricted the
-// request to other regions, the account may have reached its limits, the request may need stricter isolation or have passed its deadline, or the owner may
+// request to other regions, the server may run another software, the account may have reached its limits, the request may need stricter isolation or have passed its deadline, or the owner may
 // have reassigned the slot.
 func (c *Core) grantExpired(r *request, a *slotRequest) bool {
-	return !c.accepts(a.server) || !c.mayProcess(a.server, r.Regions) || !c.withinLimits(r) || c.isolation(r) > a.isolation || c.waitsForTrial(r) || c.now >= r.Deadline || c.mayBeReassigned(a)
+	return !c.accepts(a.server) || !c.mayProcess(a.server, r.candidates()) || !c.withinLimits(r) || c.isolation(r) > a.isolation || c.waitsForTrial(r) || c.now >= r.Deadline || c.mayBeReassigned(a)
 }
 
 // mayBeReassigned reports whether the reply may have arrived during a pause of this process so
--- a/pkg/admit/versions.go
+++ b/pkg/admit/versions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 // softwareTTL is how long software is remembered that no backend server is listed with any more. Streams
@@ -35,18 +36,30 @@
 	use.servers++
 }
 
-// remove takes a backend server out of the count.
+// remove takes a backend server out of the count. That a version was not known is not remembered.
 func (u softwareUses) remove(software table.Software, now time.Duration) {
+	u[software].servers--
+	u.recordUnlisted(software, now)
+}
+
+// recordUnlisted records that the directory no longer lists a software, if it does not.
+func (u softwareUses) recordUnlisted(software table.Software, now time.Duration) {
 	use := u[software]
-	use.servers--
-	use.lastListed = now
+	switch {
+	case use.servers > 0:
+	case software.Unknown:
+		delete(u, software)
+	default:
+		use.lastListed = now
+	}
 }
 
 // reset takes all backend servers out of the counts.
 func (u softwareUses) reset(now time.Duration) {
-	for _, use := range u {
+	for software, use := range u {
 		if use.servers > 0 {
-			use.servers, use.lastListed = 0, now
+			use.servers = 0
+			u.recordUnlisted(software, now)
 		}
 	}
 }
@@ -94,3 +107,39 @@
 		}
 	}
 }
+
+// SoleSoftware returns the software that all backend servers of a service run, and ran for softwareTTL. It
+// returns false if there were several, or none, or one that is unknown.
+func (c *Core) SoleSoftware(service string) (table.Software, bool) {
+	svc, ok := c.services[service]
+	if !ok {
+		return table.Software{}, false
+	}
+	svc.software.expire(c.now, softwareTTL)
+	if len(svc.software) != 1 {
+		return table.Software{}, false
+	}
+	sole := svc.software.sorted()[0]
+	return sole, !sole.Unknown
+}
+
+// MixesSoftware reports whether the backend servers of a service run several software versions, or did
+// within softwareTTL.
+func (c *Core) MixesSoftware(service wire.NameHash) bool {
+	for name, svc := range c.services {
+		if wire.HashName(name) == service {
+			svc.software.expire(c.now, softwareTTL)
+			return len(svc.software) > 1
+		}
+	}
+	return false
+}
+
+// CanContinue reports whether a stream that a software began may go on at a backend server other than the
+// one that it leaves, "" for none.
+func (c *Core) CanContinue(service string, regions table.RegionSet, software table.Software, leaves string) bool {
+	set := candidateSet{regions: regions, bound: true, software: software}
+	return slices.ContainsFunc(c.serversFor(c.service(service), set), func(s *server) bool {
+		return c.isReachable(s) && s.Name != leaves
+	})
+}
--- a/pkg/admit/versions_test.go
+++ b/pkg/admit/versions_test.go
@@ -51,3 +51,40 @@
 		}
 	}
 }
+
+// TestSoleSoftwareIsRemembered: a stream that nobody remembers may go on only if no other version can have
+// begun it, also if that version has just gone.
+func TestSoleSoftwareIsRemembered(t *testing.T) {
+	v1, v2 := table.Software{Version: "v1"}, table.Software{Version: "v2"}
+	tests := map[string]struct {
+		tables []map[string]string
+		// later is how long after the last table the question is asked.
+		later time.Duration
+		want  table.Software
+		sole  bool
+	}{
+		"one version":           {[]map[string]string{{"a": "v1", "b": "v1"}}, time.Second, v1, true},
+		"two":                   {[]map[string]string{{"a": "v1", "b": "v2"}}, time.Second, table.Software{}, false},
+		"the first has gone":    {[]map[string]string{{"a": "v1"}, {"a": "v1", "b": "v2"}, {"b": "v2"}}, time.Second, table.Software{}, false},
+		"it went long ago":      {[]map[string]string{{"a": "v1"}, {"b": "v2"}}, softwareTTL, v2, true},
+		"replaced under its id": {[]map[string]string{{"a": "v1"}, {"a": "v2"}}, time.Second, table.Software{}, false},
+		"no server":             {[]map[string]string{{}}, time.Second, table.Software{}, false},
+		"all gone":              {[]map[string]string{{"a": "v1"}, {}}, time.Second, v1, true},
+		"no version is stated":  {[]map[string]string{{"a": "", "b": ""}}, time.Second, table.Software{}, true},
+		"one states no version": {[]map[string]string{{"a": "", "b": "v1"}}, time.Second, table.Software{}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := New(Router{Address: "r", Zone: "z"})
+			now := time.Second
+			for _, versions := range tc.tables {
+				c.Step(now, TableUpdate{Table: softwareTable(versions)})
+				now += time.Second
+			}
+			c.Step(now+tc.later, Tick{})
+			if got, sole := c.SoleSoftware("reader"); sole != tc.sole || sole && got != tc.want {
+				t.Errorf("software %+v, sole: %v; want %+v, %v", got, sole, tc.want, tc.sole)
+			}
+		})
+	}
+}
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -59,6 +59,9 @@
 	KindSlotMargin            Kind = 39
 	KindStreamPauses          Kind = 40
 	KindSoftwareVersions      Kind = 41
+	KindStreamOrigins         Kind = 42
+	KindOriginQuery           Kind = 43
+	KindOriginReply           Kind = 44
 )
 
 // Protocol is the version of the protocol that this program writes, OldestProtocol the
@@ -145,6 +148,9 @@
 	KindSlotMargin:            func() any { return &SlotMargin{} },
 	KindStreamPauses:          func() any { return &StreamPauses{} },
 	KindSoftwareVersions:      func() any { return &SoftwareVersions{} },
+	KindStreamOrigins:         func() any { return &StreamOrigins{} },
+	KindOriginQuery:           func() any { return &OriginQuery{} },
+	KindOriginReply:           func() any { return &OriginReply{} },
 }
 
 // Encoder encodes the messages of one connection. It sends an interned string only
