--- a/test/soak/checker.go
+++ b/test/soak/checker.go
@@ -43,6 +43,12 @@
 	Body string
 	// Complete reports whether the body was read to its end without an error.
 	Complete bool
+	// Resumes is the ID of the request that began the stream which this one takes up after the event
+	// After, "" for a new request.
+	Resumes string
+	After   int
+	// Left says that the caller disconnected in the middle of the stream.
+	Left bool
 	// RevokedKey reports whether the request carried the key that is revoked during the run.
 	RevokedKey bool
 }
@@ -66,6 +72,8 @@
 	RuleRecovery      = "recover"
 	RuleCrashes       = "deadly"
 	RuleRefusedIdle   = "refused-while-idle"
+	RuleVersions      = "versions"
+	RuleUnresumed     = "unresumed"
 )
 
 // checker collects what callers and workers observed.
@@ -107,6 +115,7 @@
 	for _, res := range c.responses {
 		list = append(list, c.checkResponse(res, ran[res.ID])...)
 	}
+	list = append(list, c.checkStreams()...)
 	slices.SortStableFunc(list, func(a, b Violation) int { return cmp.Compare(a.Rule, b.Rule) })
 	return list
 }
@@ -163,21 +172,44 @@
 		}
 		return ""
 	}
-	var want strings.Builder
-	for i := 1; i <= events; i++ {
-		want.WriteString(eventText(res.ID, i))
+	return streamError(res)
+}
+
+// streamError describes what is wrong with the body of a stream; "" if nothing is.
+func streamError(res response) string {
+	last, rest := res.After, res.Body
+	for {
+		event, after, whole := strings.Cut(rest, eventEnd)
+		if !whole {
+			break
+		}
+		if !isEvent(event+eventEnd, res.ID, last+1) {
+			return fmt.Sprintf("stream has unexpected content after event %d", last)
+		}
+		last, rest = last+1, after
 	}
 	switch {
-	case res.Complete && res.Body != want.String():
-		return fmt.Sprintf("stream ended without an error after %d of %d bytes", len(res.Body), want.Len())
-	case !strings.HasPrefix(want.String(), res.Body):
-		return fmt.Sprintf("stream has unexpected content in its first %d bytes", len(res.Body))
+	case res.Complete && (last != events || rest != ""):
+		return fmt.Sprintf("stream ended without an error after event %d of %d", last, events)
+	case !isEventStart(rest, res.ID, last+1):
+		return fmt.Sprintf("stream has unexpected content after event %d", last)
 	default:
 		return ""
 	}
 }
 
-// eventText returns an event of a stream as the stand-in workers write it.
-func eventText(id string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", number, id, number)
+const eventEnd = "\n\n"
+
+// eventText returns an event of a stream as a stand-in worker of a version writes it.
+func eventText(id string, number int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d %s%s", number, id, number, version, eventEnd)
+}
+
+// isEvent reports whether text is an event of a worker of any version, isEventStart whether it begins one.
+func isEvent(text, id string, number int) bool {
+	return slices.ContainsFunc(versions, func(v string) bool { return text == eventText(id, number, v) })
+}
+
+func isEventStart(text, id string, number int) bool {
+	return slices.ContainsFunc(versions, func(v string) bool { return strings.HasPrefix(eventText(id, number, v), text) })
 }
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -91,6 +91,9 @@
 	return f, nil
 }
 
+// versions are the software versions of the workers, which they have in turn.
+var versions = []string{"v1", "v1.1"}
+
 // serviceOf returns the service of a worker, given its index.
 func serviceOf(worker int) string {
 	if worker < streamWorkers {
@@ -108,6 +111,7 @@
 	if err != nil {
 		return err
 	}
+	w.Version, w.TagEvents = versions[i%len(versions)], true
 	f.workers = append(f.workers, w)
 	w.CrashOn(crashBody, func() { f.crashes.Add(1) })
 	link, err := newProxy(w.Address())
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -49,6 +49,8 @@
 	// entry under an unknown id.
 	EntryCorrupt Fault = "entry-spoilt"
 	EntryUnknown Fault = "entry-stray"
+	// WorkerReplaced crashes a worker and starts one of another software version under a new id.
+	WorkerReplaced Fault = "worker-replaced"
 	// Suspend stops a router's process for a time that its monotonic clock does not show.
 	Suspend Fault = "suspend"
 	// RequestCrashing repeats a request that crashes the workers that run it.
@@ -82,6 +84,8 @@
 	suspendGaps = 6
 	// restoreGaps is the mean time between restores of the store, in units of meanGap.
 	restoreGaps = 8
+	// replaceGaps is the mean time between replacements of a worker, in units of meanGap.
+	replaceGaps = 5
 	// entryGaps is the mean time between entryFaults, in units of meanGap.
 	entryGaps = 3
 )
@@ -107,6 +111,7 @@
 	plan = append(plan, drawEntryFaults(rand.New(rand.NewPCG(seed, 1)), length, workers)...)
 	plan = append(plan, drawSuspensions(rand.New(rand.NewPCG(seed, 3)), length, routers)...)
 	plan = append(plan, drawRestores(rand.New(rand.NewPCG(seed, 4)), length)...)
+	plan = append(plan, drawReplacements(rand.New(rand.NewPCG(seed, 5)), length)...)
 	plan = append(plan, drawCrashing(rand.New(rand.NewPCG(seed, 2)), length)...)
 	slices.SortStableFunc(plan, func(a, b Step) int { return int(a.At - b.At) })
 	return plan
@@ -154,6 +159,18 @@
 	}
 }
 
+// drawReplacements draws replacements of workers that send streams.
+func drawReplacements(rng *rand.Rand, length time.Duration) []Step {
+	var plan []Step
+	for at := firstFaultAfter; ; {
+		at += time.Duration(rng.ExpFloat64() * replaceGaps * float64(meanGap))
+		if at >= length-minDuration {
+			return plan
+		}
+		plan = append(plan, Step{At: at, Duration: minDuration, Fault: WorkerReplaced, Target: rng.IntN(streamWorkers)})
+	}
+}
+
 // drawCrashing draws one crashing request, in half of the runs. Target is an index into crashKinds.
 func drawCrashing(rng *rand.Rand, length time.Duration) []Step {
 	if rng.IntN(2) == 0 || length < 2*firstFaultAfter {
@@ -165,6 +182,6 @@
 
 func targetsWorker(f Fault) bool {
 	return slices.Contains([]Fault{
-		LinkBlocked, LinkReset, LinkSlow, WorkerFails, WorkerRefuses, WorkerDisconnects, WorkerStalls, WorkerRestart, EntryCorrupt, EntryUnknown,
+		LinkBlocked, LinkReset, LinkSlow, WorkerFails, WorkerRefuses, WorkerDisconnects, WorkerStalls, WorkerRestart, WorkerReplaced, EntryCorrupt, EntryUnknown,
 	}, f)
 }
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -236,6 +237,8 @@
 		w.StallAfter(events / 2)
 	case WorkerRestart:
 		f.restartWorker(s.Target)
+	case WorkerReplaced:
+		f.replaceWorker(s)
 	case EntryCorrupt:
 		f.store.PutCorrupt(w.ID, w, serviceOf(s.Target), link.address(), slots, f.stepRand(s))
 		time.Sleep(s.Duration)
@@ -300,6 +303,19 @@
 	f.republishEntry(i)
 }
 
+// replaceWorker crashes a worker and starts one of another version under a new id. The old entry goes after
+// the new one has come.
+func (f *fleet) replaceWorker(s Step) {
+	w := f.workers[s.Target]
+	oldID := w.ID
+	w.Close()
+	w.SetID(fmt.Sprintf("i-%d-%d", s.Target, s.At.Milliseconds()))
+	w.SetVersion(versions[(slices.Index(versions, w.Version)+1)%len(versions)])
+	f.restartWorker(s.Target)
+	time.Sleep(s.Duration)
+	f.store.Deregister(oldID)
+}
+
 // awaitServing waits until every router responds 200 to a request of each kind.
 func (r *Run) awaitServing(t *traffic, when string) error {
 	if r.Plant == RuleRecovery && when == "end" {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -55,7 +55,7 @@
 func fullStream(id string) string {
 	var b strings.Builder
 	for i := 1; i <= events; i++ {
-		b.WriteString(eventText(id, i))
+		b.WriteString(eventText(id, i, versions[0]))
 	}
 	return b.String()
 }
@@ -93,9 +93,9 @@
 		"over its share but ran":       {response{Kind: ResumableStream, Status: 429}, 1, RuleRefusedButRan},
 		"another request's response":   {response{Kind: Lookup, Status: 200, Body: "answer to y", Complete: true}, 1, RuleWrongBody},
 		"truncated response":           {response{Kind: Lookup, Status: 200, Body: "answer", Complete: true}, 1, RuleWrongBody},
-		"stream with an event missing": {response{Kind: ResumableStream, Status: 200, Body: strings.Replace(fullStream("x"), eventText("x", 3), "", 1), Complete: true}, 1, RuleWrongBody},
-		"stream with an event twice":   {response{Kind: ResumableStream, Status: 200, Body: eventText("x", 1) + fullStream("x")}, 1, RuleWrongBody},
-		"stream that ends early":       {response{Kind: ResumableStream, Status: 200, Body: eventText("x", 1), Complete: true}, 1, RuleWrongBody},
+		"stream with an event missing": {response{Kind: ResumableStream, Status: 200, Body: strings.Replace(fullStream("x"), eventText("x", 3, versions[0]), "", 1), Complete: true}, 1, RuleWrongBody},
+		"stream with an event twice":   {response{Kind: ResumableStream, Status: 200, Body: eventText("x", 1, versions[0]) + fullStream("x")}, 1, RuleWrongBody},
+		"stream that ends early":       {response{Kind: ResumableStream, Status: 200, Body: eventText("x", 1, versions[0]), Complete: true}, 1, RuleWrongBody},
 		"key revokedAt long ago":       {response{Kind: Lookup, Status: 200, Body: "answer to x", Complete: true, RevokedKey: true, SentAt: revokedAt + propagationLimit + 1}, 1, RuleRevokedKey},
 	}
 	for name, tc := range tests {
@@ -115,6 +115,56 @@
 	}
 }
 
+// TestStreamChecker checks that streams of two versions, and streams that cannot go on without a fault, are
+// detected over all tries of a caller.
+func TestStreamChecker(t *testing.T) {
+	const quietAt = 10 * time.Second
+	part := func(id string, from, to int, version string) string {
+		var b strings.Builder
+		for i := from; i <= to; i++ {
+			b.WriteString(eventText(id, i, version))
+		}
+		return b.String()
+	}
+	first := response{ID: "x", Kind: ResumableStream, Status: 200, Body: part("x", 1, 5, "v1"), SentAt: quietAt + 1}
+	later := func(status int, body string, complete bool) response {
+		return response{ID: "x-r1", Kind: ResumableStream, Resumes: "x", After: 5, Status: status, Body: body, Complete: complete, SentAt: quietAt + 2}
+	}
+	unknown := `{"code":"stream-unknown"}`
+	earlier := first
+	earlier.SentAt = quietAt - 1
+	tests := map[string]struct {
+		responses []response
+		want      string
+	}{
+		"goes on at its version":      {[]response{first, later(200, part("x-r1", 6, events, "v1"), true)}, ""},
+		"goes on at another":          {[]response{first, later(200, part("x-r1", 6, events, "v1.1"), true)}, RuleVersions},
+		"changes inside one response": {[]response{{ID: "x", Kind: ResumableStream, Status: 200, Body: part("x", 1, 5, "v1") + part("x", 6, 8, "v1.1")}}, RuleVersions},
+		"one event of another":        {[]response{first, later(200, part("x-r1", 6, 6, "v1.1"), false)}, RuleVersions},
+		"begins anew":                 {[]response{first, later(200, part("x-r1", 1, events, "v1"), true)}, RuleWrongBody},
+		"an event is missing":         {[]response{first, later(200, part("x-r1", 7, events, "v1"), true)}, RuleWrongBody},
+		"refused":                     {[]response{first, later(503, unknown, true)}, RuleUnresumed},
+		"refused, begun under faults": {[]response{earlier, later(503, unknown, true)}, ""},
+		"refused as busy":             {[]response{first, later(503, `{"code":"busy"}`, true)}, ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := &checker{quietAt: quietAt}
+			var runs []standin.Run
+			for _, res := range tc.responses {
+				c.add(res)
+				if res.Status == 200 {
+					runs = append(runs, standin.Run{ID: res.ID})
+				}
+			}
+			got := c.evaluate(runs)
+			if (tc.want == "") != (len(got) == 0) || len(got) > 0 && got[0].Rule != tc.want {
+				t.Errorf("violations %v, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
 // seeds are the seeds that TestSoak runs: an arbitrary one, and those that once found a fault, named
 // by its cause.
 var seeds = map[string]uint64{
--- a/test/soak/traffic.go
+++ b/test/soak/traffic.go
@@ -61,9 +61,11 @@
 		}
 		// Submit requests need no key.
 		res.RevokedKey = res.RevokedKey && res.Kind != Submit
-		t.send(client, r.proxy.address(), &res)
-		t.plantFault(&res)
-		t.checker.add(res)
+		if res.Kind == ResumableStream {
+			t.sendStream(ctx, client, rng, &res)
+		} else {
+			t.sendAndCheck(client, r, &res)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(rng.IntN(30)) * time.Millisecond):
@@ -88,13 +90,16 @@
 		req.Body, req.ContentLength = io.NopCloser(strings.NewReader(res.Body)), int64(len(res.Body))
 		res.Body = ""
 	}
+	if res.Resumes != "" {
+		standin.SetResumption(req, res.Resumes, res.After)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	res.Status, res.Body, res.Complete = resp.StatusCode, string(body), err == nil
+	res.Status = resp.StatusCode
+	res.Body, res.Complete = readBody(res, resp.Body)
 }
 
 func pathOf(k Kind) string { return "/" + string(k) + "/x" }
@@ -112,6 +117,16 @@
 			res.ID += "-planted"
 			res.Status, res.Body = http.StatusServiceUnavailable, `{"code":"busy"}`
 		}
+	case RuleVersions:
+		if res.Resumes != "" {
+			res.Body = swapVersions(res.Body)
+		}
+	case RuleUnresumed:
+		if res.Resumes != "" {
+			// No worker ran a request with this ID.
+			res.ID += "-planted"
+			res.Status, res.Body = http.StatusServiceUnavailable, `{"code":"stream-unknown"}`
+		}
 	case RuleRefusedButRan:
 		if res.Status == http.StatusOK {
 			res.Status = http.StatusServiceUnavailable
@@ -124,6 +139,12 @@
 	}
 }
 
+// swapVersions exchanges the versions in the events of a stream.
+func swapVersions(body string) string {
+	first, second := " "+versions[0]+eventEnd, " "+versions[1]+eventEnd
+	return strings.NewReplacer(first, second, second, first).Replace(body)
+}
+
 // sendToWorker sends a request to a worker directly, as a faulty router might.
 func (t *traffic) sendToWorker(res *response) {
 	address := t.fleet.workers[streamWorkers].Address()
