Count small differences between idle plain servers as none, as was meant

Cause, of both: of two idle plain servers one got all requests. The change that was to end that says that differences of less than 10 ms count as equal, and the constant for it is not used: only half of the shorter time counted, which is 0.5 ms for responses of 1 ms. Change: the constant is used. TestSimilarPlainServersShareRequests fails before in two of seven rows, passes now.

--- a/pkg/admit/plain_holder.go
+++ b/pkg/admit/plain_holder.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -205,7 +204,8 @@
 	}
 	a, b := eligible[i], eligible[j]
 	x, y := a.plainEstimate.expected(c.now), b.plainEstimate.expected(c.now)
-	if similar := similarWaitFraction * min(x, y).Seconds(); math.Abs((x - y).Seconds()) <= similar {
+	similar := max(similarWait, time.Duration(similarWaitFraction*float64(min(x, y))))
+	if (x - y).Abs() <= similar {
 		if c.busier(a, b) {
 			return b
 		}
