Trust a list of versions only where none can have been missed

A router that had restarted, or was cut off while a version came and went, has listed one version only and its list is current; if the routers that know better cannot be asked, a stream that began at the other version went on at this one. Cause: for how long a router has known all versions was not asked, only what it has listed. Change: it goes on if this router or one that replied has known all versions for two minutes, since its start and since it was last out of date, or if every router replied, all seeds included (OriginReply.MemoryMillis). Else it is refused.

--- a/internal/dispatch/origins_test.go
+++ b/internal/dispatch/origins_test.go
@@ -188,6 +188,20 @@
 			f.inZone(0, 1).start()
 			f.run(f.now+3*time.Second, func() {})
 		}},
+		"unknown, it went, asked after restart in a cut zone": {account: "moka", request: "id-2", want: "stream-unknown", prepare: func(f *emulator) {
+			otherVersionGoes(f)
+			f.killZone(0)
+			f.isCut = func(a, b int) bool { return a != b }
+			f.startAll()
+			f.run(f.now+3*time.Second, func() {})
+		}},
+		"unknown, it came and went during a cut": {account: "moka", request: "id-2", want: "stream-unknown", prepare: func(f *emulator) {
+			oneVersion(f)
+			f.isCut, f.store.away = func(a, b int) bool { return a == 0 || b == 0 }, true
+			f.run(f.now+3*time.Second, func() {})
+			f.isCut, f.store.away = func(a, b int) bool { return a != b }, false
+			f.run(f.now+3*time.Second, func() {})
+		}},
 		"recorded, its version just went": {account: "moka", request: "id-1", want: beganAt, prepare: func(f *emulator) {
 			f.setVersions(func(int) string { return otherVersion })
 			f.run(f.now+2*time.Second, func() {})
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/front"
+	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/pkg/origin"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
@@ -61,8 +62,10 @@
 	// asked is the number of routers that were asked, waiting are those that have not replied.
 	asked   int
 	waiting map[string]bool
-	// mixed says that a router knows of several versions of a service.
-	mixed bool
+	// mixed says that a router knows of several versions of a service, memory is the longest time for
+	// which one of those that replied has known all versions.
+	mixed  bool
+	memory time.Duration
 }
 
 type resumeResult struct {
@@ -136,7 +139,7 @@
 
 // answerOriginQuery tells another router what this one knows of a stream.
 func (s *state) answerOriginQuery(from string, m *wire.OriginQuery) {
-	reply := &wire.OriginReply{Seq: m.Seq}
+	reply := &wire.OriginReply{Seq: m.Seq, MemoryMillis: s.versionMemory().Milliseconds()}
 	var o origin.Origin
 	if o, reply.Known = s.origins.store.Get(s.now, origin.Key(m.Key)); reply.Known {
 		reply.Origin = originMessage(origin.Key(m.Key), o)
@@ -153,7 +156,7 @@
 		return
 	}
 	delete(q.waiting, from)
-	q.mixed = q.mixed || m.Mixed
+	q.mixed, q.memory = q.mixed || m.Mixed, max(q.memory, time.Duration(m.MemoryMillis)*time.Millisecond)
 	switch {
 	case m.Known && uint64(q.key) == m.Origin.Key && q.Resumes != "":
 		delete(s.origins.queries, m.Seq)
@@ -196,7 +199,7 @@
 func (s *state) continueUnrecorded(q *originQuery) {
 	sole, isSole := s.soleSoftware(q.Services, q.Service)
 	switch {
-	case isSole && !q.mixed && (s.isVerified() || s.askedAll(q)):
+	case isSole && !q.mixed && (max(q.memory, s.versionMemory()) >= admit.SoftwareTTL || s.askedAll(q)):
 		s.finishResumption(q, resumeSoleVersion, front.Continuation{Service: q.Service, Software: &sole}, "")
 	case len(q.waiting) > 0 || s.now-clockStart < startPeriod:
 		s.refuseResumption(q, resumeNoReply, errOriginUnknown.WithRetryAfter(retryAfterNoReply))
@@ -232,16 +235,30 @@
 	return r.Software
 }
 
-// isVerified reports whether the revision known was the newest a short time ago, so that no version can
-// have come without this router's knowledge.
-func (s *state) isVerified() bool {
-	at := time.Duration(s.d.shared.lastVerified.Load())
-	return at > 0 && s.now-at < time.Duration(s.d.shared.applyWithin.Load())
+// versionMemory returns for how long this router has known all versions that were listed: since it started,
+// or since what it knew was last out of date, in which time one may have come and gone.
+func (s *state) versionMemory() time.Duration {
+	if s.origins.currentSince == 0 {
+		return 0
+	}
+	return s.now - s.origins.currentSince
+}
+
+// trackCurrency notes since when what this router knows has been the newest.
+func (s *state) trackCurrency() {
+	verified := time.Duration(s.d.shared.lastVerified.Load())
+	isCurrent := verified > 0 && s.now-verified < time.Duration(s.d.shared.applyWithin.Load())
+	switch {
+	case !isCurrent:
+		s.origins.currentSince = 0
+	case s.origins.currentSince == 0:
+		s.origins.currentSince = s.now
+	}
 }
 
 // askedAll reports whether every router of the fleet replied to a query.
 func (s *state) askedAll(q *originQuery) bool {
-	return len(q.waiting) == 0 && q.asked+1 >= int(s.d.shared.routerCount.Load())
+	return len(q.waiting) == 0 && q.asked+1 >= int(s.d.shared.routerCount.Load()) && s.roster.HeardAllSeeds()
 }
 
 func (s *state) refuseResumption(q *originQuery, outcome resumeOutcome, err *verdict.Error) {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -200,6 +200,7 @@
 	s.reportRefusals()
 	s.step(admit.Tick{})
 	s.expireClaims()
+	s.trackCurrency()
 	s.expireOriginQueries()
 	s.replicateOrigins()
 	s.updateLoadReaders()
--- a/pkg/admit/versions.go
+++ b/pkg/admit/versions.go
@@ -10,9 +10,9 @@
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
-// softwareTTL is how long software is remembered that no backend server is listed with any more. Streams
+// SoftwareTTL is how long software is remembered that no backend server is listed with any more. Streams
 // that it began may still be taken up for as long as their callers' deadlines.
-const softwareTTL = 2 * time.Minute
+const SoftwareTTL = 2 * time.Minute
 
 // softwareUse is how many listed backend servers of a service run a software.
 type softwareUse struct {
@@ -93,7 +93,7 @@
 			continue
 		}
 		svc.softwareChanged = false
-		svc.software.expire(c.now, softwareTTL)
+		svc.software.expire(c.now, SoftwareTTL)
 		versions := 0
 		for _, use := range svc.software {
 			versions += min(1, use.servers)
@@ -108,14 +108,14 @@
 	}
 }
 
-// SoleSoftware returns the software that all backend servers of a service run, and ran for softwareTTL. It
+// SoleSoftware returns the software that all backend servers of a service run, and ran for SoftwareTTL. It
 // returns false if there were several, or none, or one that is unknown.
 func (c *Core) SoleSoftware(service string) (table.Software, bool) {
 	svc, ok := c.services[service]
 	if !ok {
 		return table.Software{}, false
 	}
-	svc.software.expire(c.now, softwareTTL)
+	svc.software.expire(c.now, SoftwareTTL)
 	if len(svc.software) != 1 {
 		return table.Software{}, false
 	}
@@ -124,11 +124,11 @@
 }
 
 // MixesSoftware reports whether the backend servers of a service run several software versions, or did
-// within softwareTTL.
+// within SoftwareTTL.
 func (c *Core) MixesSoftware(service wire.NameHash) bool {
 	for name, svc := range c.services {
 		if wire.HashName(name) == service {
-			svc.software.expire(c.now, softwareTTL)
+			svc.software.expire(c.now, SoftwareTTL)
 			return len(svc.software) > 1
 		}
 	}
--- a/pkg/admit/versions_test.go
+++ b/pkg/admit/versions_test.go
@@ -66,7 +66,7 @@
 		"one version":           {[]map[string]string{{"a": "v1", "b": "v1"}}, time.Second, v1, true},
 		"two":                   {[]map[string]string{{"a": "v1", "b": "v2"}}, time.Second, table.Software{}, false},
 		"the first has gone":    {[]map[string]string{{"a": "v1"}, {"a": "v1", "b": "v2"}, {"b": "v2"}}, time.Second, table.Software{}, false},
-		"it went long ago":      {[]map[string]string{{"a": "v1"}, {"b": "v2"}}, softwareTTL, v2, true},
+		"it went long ago":      {[]map[string]string{{"a": "v1"}, {"b": "v2"}}, SoftwareTTL, v2, true},
 		"replaced under its id": {[]map[string]string{{"a": "v1"}, {"a": "v2"}}, time.Second, table.Software{}, false},
 		"no server":             {[]map[string]string{{}}, time.Second, table.Software{}, false},
 		"all gone":              {[]map[string]string{{"a": "v1"}, {}}, time.Second, v1, true},
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -310,6 +310,17 @@
 	return known
 }
 
+// HeardAllSeeds reports whether this router has heard of every seed since it started. Otherwise there may be
+// routers that it does not know.
+func (r *Roster) HeardAllSeeds() bool {
+	for _, m := range r.members {
+		if m.seed && m.Incarnation == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Self returns this router.
 func (r *Roster) Self() Member { return r.self }
 
--- a/pkg/wire/origin.go
+++ b/pkg/wire/origin.go
@@ -36,4 +36,6 @@
 	// Mixed says that backend servers of one of the services run several software versions, or did
 	// recently, as far as the sender knows.
 	Mixed bool
+	// MemoryMillis is for how long the sender has known all versions that were listed.
+	MemoryMillis int64
 }
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -50,7 +50,7 @@
 		&wire.UpdateReferral{Address: "10.0.0.3:7000", Epoch: 2},
 		&wire.StreamOrigins{Streams: []wire.StreamOrigin{{Key: 1 << 63, Service: 7, Version: "v1.1", LeftMillis: 12000}, {Key: 2, Unknown: true}}},
 		&wire.OriginQuery{Seq: 3, Key: 1 << 63, Services: []wire.NameHash{7, 9}},
-		&wire.OriginReply{Seq: 3, Known: true, Origin: wire.StreamOrigin{Key: 1 << 63, Service: 7, Version: "v1"}, Mixed: true},
+		&wire.OriginReply{Seq: 3, Known: true, Origin: wire.StreamOrigin{Key: 1 << 63, Service: 7, Version: "v1"}, Mixed: true, MemoryMillis: 120000},
 		&wire.SoftwareVersions{Epoch: 2, After: 4, AsOf: 9, Versions: []string{"v1", "", "v1.1"}, Unknown: []int{1}},
 		&wire.RestrictedUpdate{Update: catalog.Update{AsOf: 9}, Table: table.Restrictions{Routes: map[string][]string{"r": {"north"}}}, Retained: table.Restrictions{Accounts: map[string][]string{"a": {"north", "south"}}}},
 	}
