Choose the routers that remember a stream without sorting the fleet

Cause: each stream that began ranked all routers by hash and sorted them: 312 us at 400 routers, 0.5% of a core at 16 streams a second, of the 1.5% allowed. Change: routers are grouped by zone when members change; the first n by hash are picked in one pass (rendezvous.OwnersHashed). TestOwnersHashed checks the choice against a whole sort.

--- a/internal/dispatch/members.go
+++ b/internal/dispatch/members.go
@@ -54,7 +54,7 @@
 		return
 	}
 	s.routers, s.leaving, s.knownByZone, s.routerHostSet = routers, leaving, known, nil
-	s.origins.incomplete = true
+	s.origins.setRouters(routers)
 	total := 0
 	for _, n := range known {
 		total += n
--- a/internal/dispatch/origins.go
+++ b/internal/dispatch/origins.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -41,6 +40,9 @@
 	store *origin.Store
 	// own are the streams that began here, with the routers that were told.
 	own map[origin.Key]*ownStream
+	// routersByZone are the other routers, zones the zones that have some.
+	routersByZone map[string][]string
+	zones         []string
 	// replicatedAt is when all own streams were last looked at, incomplete says that some routers may
 	// have to be told of them since.
 	replicatedAt time.Duration
@@ -136,45 +138,34 @@
 	}
 }
 
-// replicasOf returns the routers that remember a stream that begins here.
-func (s *state) replicasOf(key origin.Key) []string {
-	byZone := ranked(key, s.routers)
-	replicas := firstOf(byZone[s.d.id.Zone], zoneReplicas)
-	delete(byZone, s.d.id.Zone)
-	for _, zone := range firstOf(rankedZones(key, byZone), remoteReplicas) {
-		replicas = append(replicas, byZone[zone][0])
-	}
-	return replicas
-}
-
-// ranked returns the addresses of routers by zone, in an order that depends on the stream and is the same
-// at every router, so that those which remember it are found again.
-func ranked(key origin.Key, routers []admit.Router) map[string][]string {
-	byZone := map[string][]string{}
+// setRouters replaces the routers that may remember streams.
+func (o *streamOrigins) setRouters(routers []admit.Router) {
+	o.routersByZone, o.zones = map[string][]string{}, nil
 	for i := range routers {
-		byZone[routers[i].Zone] = append(byZone[routers[i].Zone], routers[i].Address)
-	}
-	for _, list := range byZone {
-		sortByWeight(key, list)
+		r := &routers[i]
+		if o.routersByZone[r.Zone] == nil {
+			o.zones = append(o.zones, r.Zone)
+		}
+		o.routersByZone[r.Zone] = append(o.routersByZone[r.Zone], r.Address)
 	}
-	return byZone
-}
-
-// rankedZones returns the zones in an order that depends on the stream.
-func rankedZones(key origin.Key, byZone map[string][]string) []string {
-	zones := slices.Collect(maps.Keys(byZone))
-	sortByWeight(key, zones)
-	return zones
+	o.incomplete = true
 }
 
-func sortByWeight(key origin.Key, names []string) {
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rendezvous.WeightHashed(uint64(key), b), rendezvous.WeightHashed(uint64(key), a)), cmp.Compare(a, b))
-	})
+// replicasOf returns the routers that remember a stream that begins here. The choice depends on the stream and
+// is the same at every router, so that they are found again.
+func (s *state) replicasOf(key origin.Key) []string {
+	o := s.origins
+	replicas := rendezvous.OwnersHashed(uint64(key), o.routersByZone[s.d.id.Zone], zoneReplicas)
+	remote := remoteReplicas
+	for _, zone := range rendezvous.OwnersHashed(uint64(key), o.zones, remoteReplicas+1) {
+		if zone != s.d.id.Zone && remote > 0 {
+			replicas = append(replicas, rendezvous.OwnersHashed(uint64(key), o.routersByZone[zone], 1)...)
+			remote--
+		}
+	}
+	return replicas
 }
 
-func firstOf(list []string, n int) []string { return slices.Clone(list[:min(n, len(list))]) }
-
 // forgetRecipient notes that a router may have lost what it was told, so that it is told again.
 func (o *streamOrigins) forgetRecipient(address string) {
 	for _, own := range o.own {
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -8,6 +8,7 @@
 	"github.com/yarrowmast/yarrowmast/internal/front"
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/pkg/origin"
+	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
@@ -131,8 +132,8 @@
 		return live
 	}
 	var list []string
-	for _, zone := range ranked(key, s.routers) {
-		list = append(list, firstOf(zone, queriedPerZone)...)
+	for _, zone := range s.origins.zones {
+		list = append(list, rendezvous.OwnersHashed(uint64(key), s.origins.routersByZone[zone], queriedPerZone)...)
 	}
 	return list
 }
--- a/pkg/rendezvous/rendezvous.go
+++ b/pkg/rendezvous/rendezvous.go
@@ -3,7 +3,11 @@
 // only the keys that it owned.
 package rendezvous
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // separator makes ("ab","c") and ("a","bc") hash to different weights.
 const separator = "\x00"
@@ -62,3 +66,28 @@
 	_, _ = d.WriteString(member)
 	return d.Sum64()
 }
+
+// OwnersHashed returns the n members with the greatest weights for a key that is already a hash, in
+// descending order. Ties go to the name that sorts first.
+func OwnersHashed(key uint64, members []string, n int) []string {
+	type weighted struct {
+		name   string
+		weight uint64
+	}
+	best := make([]weighted, 0, n+1)
+	for _, name := range members {
+		m := weighted{name, WeightHashed(key, name)}
+		at := len(best)
+		for at > 0 && (m.weight > best[at-1].weight || m.weight == best[at-1].weight && m.name < best[at-1].name) {
+			at--
+		}
+		if at < n {
+			best = slices.Insert(best, at, m)[:min(n, len(best)+1)]
+		}
+	}
+	names := make([]string, len(best))
+	for i, m := range best {
+		names[i] = m.name
+	}
+	return names
+}
--- a/pkg/rendezvous/rendezvous_test.go
+++ b/pkg/rendezvous/rendezvous_test.go
@@ -1,8 +1,10 @@
 package rendezvous_test
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 
 	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
@@ -37,3 +39,35 @@
 		}
 	}
 }
+
+// TestOwnersHashed checks the choice against a whole sort, and that it depends neither on the order of the
+// members nor on those that were not chosen.
+func TestOwnersHashed(t *testing.T) {
+	var members []string
+	for i := range 40 {
+		members = append(members, fmt.Sprint("m-", i))
+	}
+	for key := range uint64(50) {
+		sorted := slices.Clone(members)
+		slices.SortFunc(sorted, func(a, b string) int {
+			return cmp.Compare(rendezvous.WeightHashed(key, b), rendezvous.WeightHashed(key, a))
+		})
+		reversed := slices.Clone(members)
+		slices.Reverse(reversed)
+		for _, n := range []int{0, 1, 2, 3, 40, 50} {
+			want := sorted[:min(n, len(sorted))]
+			for _, list := range [][]string{members, reversed, sorted} {
+				if got := rendezvous.OwnersHashed(key, list, n); !slices.Equal(got, want) {
+					t.Fatalf("%d owners of %d: %v, want %v", n, key, got, want)
+				}
+			}
+		}
+		without := slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == sorted[3] })
+		if got := rendezvous.OwnersHashed(key, without, 3); !slices.Equal(got, sorted[:3]) {
+			t.Errorf("owners of %d change to %v with the loss of another member", key, got)
+		}
+	}
+	if got := rendezvous.OwnersHashed(1, nil, 2); len(got) != 0 {
+		t.Errorf("owners among no members: %v", got)
+	}
+}
