Share the set-up of tests on restricted requests

The tests on regions and on versions let one request arrive, replaced the table and granted the slot in the same lines. refusal and startsAfterGrant stand for them once; what is asked of the outcome is as before.

--- a/pkg/admit/bound_test.go
+++ b/pkg/admit/bound_test.go
@@ -1,14 +1,12 @@
 package admit_test
 
 import (
-	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
-	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 const began, other = "v1", "v2"
@@ -129,14 +127,8 @@
 			if tc.prepare != nil {
 				tc.prepare(w)
 			}
-			tc.request.ID, tc.request.Service, tc.request.Deadline = 1000, service, w.now+10*time.Second
-			actions := w.cores["x-0"].Step(w.now, admit.Arrive{Request: tc.request})
-			if len(actions) != 1 {
-				t.Fatalf("%d actions, want a refusal", len(actions))
-			}
-			refused, ok := actions[0].(admit.Refuse)
-			if !ok || refused.Err.Code != "no-version" || refused.Err.RetryAfter <= 0 {
-				t.Errorf("got %+v, want a refusal no-version with a retry delay", actions[0])
+			if refused, ok := w.refusal(tc.request); !ok || refused.Err.Code != "no-version" || refused.Err.RetryAfter <= 0 {
+				t.Errorf("got %+v, want a refusal no-version with a retry delay", refused)
 			}
 		})
 	}
@@ -150,7 +142,6 @@
 		starts bool
 	}{"unchanged": {began, true}, "replaced under its name": {other, false}} {
 		t.Run(name, func(t *testing.T) {
-			const id = 1000
 			view := func(version string) *table.Table {
 				v := &table.Table{
 					Revision: 1, Services: []table.ServiceRow{{Name: service, Engine: true}},
@@ -159,25 +150,10 @@
 				v.Index()
 				return v
 			}
-			c := admit.New(admit.Router{Address: "y-0", Zone: "y"})
-			now := time.Second
-			c.Step(now, admit.Routers{List: []admit.Router{{Address: "x-0", Zone: "x"}}})
-			c.Step(now, admit.TableUpdate{Table: view(began)})
-			actions := c.Step(now, admit.Arrive{Request: admit.Request{ID: id, Service: service, Deadline: now + time.Second, Software: &table.Software{Version: began}}})
-			var asked *wire.SlotRequest
-			for _, a := range actions {
-				if m, ok := a.(admit.Send).Msg.(*wire.SlotRequest); ok {
-					asked = m
-				}
-			}
-			if asked == nil {
-				t.Fatalf("no slot was requested: %+v", actions)
-			}
-			actions = slices.Clone(c.Step(now, admit.TableUpdate{Table: view(tc.after)}))
-			actions = append(actions, c.Step(now, admit.Message{From: "x-0", Msg: &wire.SlotReply{ID: id, Server: asked.Server, State: wire.SlotGranted}})...)
-			started := slices.ContainsFunc(actions, func(a admit.Action) bool { _, ok := a.(admit.Start); return ok })
+			r := admit.Request{Software: &table.Software{Version: began}}
+			started := startsAfterGrant(t, r, "x", view(began), view(tc.after))
 			if started != tc.starts {
-				t.Errorf("started: %v, want %v: %+v", started, tc.starts, actions)
+				t.Errorf("started: %v, want %v", started, tc.starts)
 			}
 		})
 	}
--- a/pkg/admit/region_test.go
+++ b/pkg/admit/region_test.go
@@ -172,14 +172,8 @@
 			if tc.prepare != nil {
 				tc.prepare(w)
 			}
-			tc.request.ID, tc.request.Service, tc.request.Deadline = 1000, service, w.now+10*time.Second
-			actions := w.cores["x-0"].Step(w.now, admit.Arrive{Request: tc.request})
-			if len(actions) != 1 {
-				t.Fatalf("%d actions, want a refusal", len(actions))
-			}
-			refused, ok := actions[0].(admit.Refuse)
-			if !ok || refused.Err.Code != tc.code || refused.Err.RetryAfter <= 0 {
-				t.Errorf("got %+v, want a refusal %s with a retry delay", actions[0], tc.code)
+			if refused, ok := w.refusal(tc.request); !ok || refused.Err.Code != tc.code || refused.Err.RetryAfter <= 0 {
+				t.Errorf("got %+v, want a refusal %s with a retry delay", refused, tc.code)
 			}
 		})
 	}
@@ -188,7 +182,6 @@
 // TestRegionsChangeWhileRequestsWait: a table that brings, narrows or lifts a restriction applies to
 // waiting requests, and a slot that was granted elsewhere is returned.
 func TestRegionsChangeWhileRequestsWait(t *testing.T) {
-	const id = 1000
 	tests := map[string]struct {
 		before, after []string
 		// starts is the zone of the grant after which the request must start, "" for none.
@@ -211,25 +204,46 @@
 				v.Index()
 				return v
 			}
-			c := admit.New(admit.Router{Address: "y-0", Zone: "y"}, admit.WithRegions(regionOf))
-			now := time.Second
-			c.Step(now, admit.Routers{List: []admit.Router{{Address: tc.grant + "-0", Zone: tc.grant}}})
-			c.Step(now, admit.TableUpdate{Table: view(tc.before)})
-			actions := c.Step(now, admit.Arrive{Request: admit.Request{ID: id, Account: "a", Service: service, Deadline: now + time.Second, Regions: table.NewRegionSet(tc.before)}})
-			if len(actions) != 1 {
-				t.Fatalf("%d actions, want a slot request", len(actions))
-			}
-			asked := actions[0].(admit.Send).Msg.(*wire.SlotRequest)
-			actions = slices.Clone(c.Step(now, admit.TableUpdate{Table: view(tc.after)}))
-			actions = append(actions, c.Step(now, admit.Message{From: tc.grant + "-0", Msg: &wire.SlotReply{ID: id, Server: asked.Server, State: wire.SlotGranted}})...)
-			started := slices.ContainsFunc(actions, func(a admit.Action) bool { _, ok := a.(admit.Start); return ok })
+			r := admit.Request{Account: "a", Regions: table.NewRegionSet(tc.before)}
+			started := startsAfterGrant(t, r, tc.grant, view(tc.before), view(tc.after), admit.WithRegions(regionOf))
 			if started != tc.starts {
-				t.Errorf("started %v, want %v: %+v", started, tc.starts, actions)
+				t.Errorf("started %v, want %v", started, tc.starts)
 			}
 		})
 	}
 }
 
+// refusal lets a request arrive at router x-0, and returns its refusal if it is refused at once.
+func (w *world) refusal(r admit.Request) (admit.Refuse, bool) {
+	r.ID, r.Service, r.Deadline = 1000, service, w.now+10*time.Second
+	actions := w.cores["x-0"].Step(w.now, admit.Arrive{Request: r})
+	if len(actions) != 1 {
+		return admit.Refuse{}, false
+	}
+	refused, ok := actions[0].(admit.Refuse)
+	return refused, ok
+}
+
+// startsAfterGrant lets a request arrive at router y-0 under a table, replaces that, and then grants the slot
+// that was requested from the owner in a zone. It reports whether the request starts.
+func startsAfterGrant(t *testing.T, r admit.Request, zone string, before, after *table.Table, opts ...admit.Option) bool {
+	t.Helper()
+	const id = 1000
+	owner, now := zone+"-0", time.Second
+	r.ID, r.Service, r.Deadline = id, service, now+time.Second
+	c := admit.New(admit.Router{Address: "y-0", Zone: "y"}, opts...)
+	c.Step(now, admit.Routers{List: []admit.Router{{Address: owner, Zone: zone}}})
+	c.Step(now, admit.TableUpdate{Table: before})
+	actions := c.Step(now, admit.Arrive{Request: r})
+	if len(actions) != 1 {
+		t.Fatalf("%d actions, want a slot request", len(actions))
+	}
+	asked := actions[0].(admit.Send).Msg.(*wire.SlotRequest)
+	actions = slices.Clone(c.Step(now, admit.TableUpdate{Table: after}))
+	actions = append(actions, c.Step(now, admit.Message{From: owner, Msg: &wire.SlotReply{ID: id, Server: asked.Server, State: wire.SlotGranted}})...)
+	return slices.ContainsFunc(actions, func(a admit.Action) bool { _, ok := a.(admit.Start); return ok })
+}
+
 // closeZone has operators close a zone.
 func (w *world) closeZone(zone string) {
 	w.updateTable(func(t *table.Table) { t.Zones = append(t.Zones, table.ZoneRow{Name: zone, Mark: table.ZoneClosed}) })
