--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -62,7 +62,7 @@
 	LinkBlocked, LinkReset, LinkSlow, CallersReset, WorkerFails, WorkerRefuses, WorkerDisconnects, WorkerStalls,
 }
 
-// entryFaults are drawn from a random source of their own, so that older seeds keep their faults.
+// entryFaults are the faults of another writer of the directory.
 var entryFaults = []Fault{WorkerRestart, EntryCorrupt, EntryUnknown}
 
 // Step is one fault of a plan.
@@ -90,85 +90,56 @@
 	entryGaps = 3
 )
 
-// newPlan draws the faults of a run from its seed.
+// newPlan draws the faults of a run from its seed. Kinds that were added later are drawn from random sources
+// of their own, so that older seeds keep their faults.
 func newPlan(seed uint64, length time.Duration, routers, workers int) []Step {
-	rng := rand.New(rand.NewPCG(seed, 0))
-	var plan []Step
-	at := firstFaultAfter
-	for {
-		at += time.Duration(rng.ExpFloat64() * float64(meanGap))
-		if at >= length-minDuration {
-			break
-		}
-		s := Step{At: at, Duration: minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration))), Fault: faults[rng.IntN(len(faults))]}
-		s.Duration = min(s.Duration, length-at)
-		s.Target = rng.IntN(routers)
+	source := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
+	rng := source(0)
+	plan := drawSteps(rng, length, 1, func() Step {
+		s := Step{Duration: drawDuration(rng), Fault: faults[rng.IntN(len(faults))], Target: rng.IntN(routers)}
 		if targetsWorker(s.Fault) {
 			s.Target = rng.IntN(workers)
 		}
-		plan = append(plan, s)
-	}
-	plan = append(plan, drawEntryFaults(rand.New(rand.NewPCG(seed, 1)), length, workers)...)
-	plan = append(plan, drawSuspensions(rand.New(rand.NewPCG(seed, 3)), length, routers)...)
-	plan = append(plan, drawRestores(rand.New(rand.NewPCG(seed, 4)), length)...)
-	plan = append(plan, drawReplacements(rand.New(rand.NewPCG(seed, 5)), length)...)
-	plan = append(plan, drawCrashing(rand.New(rand.NewPCG(seed, 2)), length)...)
+		return s
+	})
+	entryRNG := source(1)
+	plan = append(plan, drawSteps(entryRNG, length, entryGaps, func() Step {
+		return Step{Duration: drawDuration(entryRNG), Fault: entryFaults[entryRNG.IntN(len(entryFaults))], Target: entryRNG.IntN(workers)}
+	})...)
+	suspendRNG := source(3)
+	plan = append(plan, drawSteps(suspendRNG, length, suspendGaps, func() Step {
+		return Step{Duration: drawDuration(suspendRNG), Fault: Suspend, Target: suspendRNG.IntN(routers)}
+	})...)
+	restoreRNG := source(4)
+	plan = append(plan, drawSteps(restoreRNG, length, restoreGaps, func() Step {
+		return Step{Duration: drawDuration(restoreRNG), Fault: StoreRestore}
+	})...)
+	replaceRNG := source(5)
+	plan = append(plan, drawSteps(replaceRNG, length, replaceGaps, func() Step {
+		return Step{Duration: minDuration, Fault: WorkerReplaced, Target: replaceRNG.IntN(streamWorkers)}
+	})...)
+	plan = append(plan, drawCrashing(source(2), length)...)
 	slices.SortStableFunc(plan, func(a, b Step) int { return int(a.At - b.At) })
 	return plan
 }
 
-// drawEntryFaults draws corrupt entries and worker restarts.
-func drawEntryFaults(rng *rand.Rand, length time.Duration, workers int) []Step {
+// drawSteps draws steps at random times, which are gaps times meanGap apart in the mean. draw draws what a step
+// does; it ends before the run.
+func drawSteps(rng *rand.Rand, length time.Duration, gaps float64, draw func() Step) []Step {
 	var plan []Step
 	for at := firstFaultAfter; ; {
-		at += time.Duration(rng.ExpFloat64() * entryGaps * float64(meanGap))
+		at += time.Duration(rng.ExpFloat64() * gaps * float64(meanGap))
 		if at >= length-minDuration {
 			return plan
 		}
-		s := Step{At: at, Duration: minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration))), Fault: entryFaults[rng.IntN(len(entryFaults))], Target: rng.IntN(workers)}
-		s.Duration = min(s.Duration, length-at)
+		s := draw()
+		s.At, s.Duration = at, min(s.Duration, length-at)
 		plan = append(plan, s)
 	}
 }
 
-// drawSuspensions draws suspensions of routers.
-func drawSuspensions(rng *rand.Rand, length time.Duration, routers int) []Step {
-	var plan []Step
-	for at := firstFaultAfter; ; {
-		at += time.Duration(rng.ExpFloat64() * suspendGaps * float64(meanGap))
-		if at >= length-minDuration {
-			return plan
-		}
-		s := Step{At: at, Duration: minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration))), Fault: Suspend, Target: rng.IntN(routers)}
-		s.Duration = min(s.Duration, length-at)
-		plan = append(plan, s)
-	}
-}
-
-// drawRestores draws restores of the store from a backup.
-func drawRestores(rng *rand.Rand, length time.Duration) []Step {
-	var plan []Step
-	for at := firstFaultAfter; ; {
-		at += time.Duration(rng.ExpFloat64() * restoreGaps * float64(meanGap))
-		if at >= length-minDuration {
-			return plan
-		}
-		s := Step{At: at, Duration: minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration))), Fault: StoreRestore}
-		s.Duration = min(s.Duration, length-at)
-		plan = append(plan, s)
-	}
-}
-
-// drawReplacements draws replacements of workers that send streams.
-func drawReplacements(rng *rand.Rand, length time.Duration) []Step {
-	var plan []Step
-	for at := firstFaultAfter; ; {
-		at += time.Duration(rng.ExpFloat64() * replaceGaps * float64(meanGap))
-		if at >= length-minDuration {
-			return plan
-		}
-		plan = append(plan, Step{At: at, Duration: minDuration, Fault: WorkerReplaced, Target: rng.IntN(streamWorkers)})
-	}
+func drawDuration(rng *rand.Rand) time.Duration {
+	return minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration)))
 }
 
 // drawCrashing draws one crashing request, in half of the runs. Target is an index into crashKinds.
