--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -64,16 +64,26 @@
 	if dec.err != nil {
 		return front.Grant{}, dec.err
 	}
+	start := &dec.start
 	return front.Grant{
-		ID: dec.id, Backend: dec.start.Backend.Name, Address: dec.start.Backend.Address, StartTime: dec.start.Backend.StartTime,
-		Software: dec.start.Backend.Software(), Reason: dec.start.Reason,
-		CopyPrefixFrom: dec.start.CopyPrefixFrom, MaxConnections: d.connectionShare(r.Model),
-		TokensAhead: dec.start.TokensAhead, ExpectedFirstEvent: dec.start.ExpectedFirstEvent, FirstEventMargin: dec.start.FirstEventMargin, Running: dec.start.Running,
-		Served: dec.tokens, Waited: r.Waited + dec.waited,
-		OnFirstEvent: func() { d.post(firstOutputEvent{dec.id}) },
-		OnPause:      func(pause, target time.Duration) { d.reportPause(dec.id, pause, target) },
-		OnNotice:     func(n backend.Notice) { d.post(noticeEvent{dec.id, n}) },
-		Saturated:    d.Saturated,
+		ID:                 dec.id,
+		Backend:            start.Backend.Name,
+		Address:            start.Backend.Address,
+		StartTime:          start.Backend.StartTime,
+		Software:           start.Backend.Software(),
+		Reason:             start.Reason,
+		CopyPrefixFrom:     start.CopyPrefixFrom,
+		MaxConnections:     d.connectionShare(r.Model),
+		TokensAhead:        start.TokensAhead,
+		ExpectedFirstEvent: start.ExpectedFirstEvent,
+		FirstEventMargin:   start.FirstEventMargin,
+		Running:            start.Running,
+		Served:             dec.tokens,
+		Waited:             r.Waited + dec.waited,
+		OnFirstEvent:       func() { d.post(firstOutputEvent{dec.id}) },
+		OnPause:            func(pause, target time.Duration) { d.reportPause(dec.id, pause, target) },
+		OnNotice:           func(n backend.Notice) { d.post(noticeEvent{dec.id, n}) },
+		Saturated:          d.Saturated,
 		// After a longer pause the owner may have granted the slot to another request.
 		MayStart: func() bool { return d.now()-dec.decidedAt < d.startTimeout() },
 	}, nil
@@ -195,11 +205,29 @@
 		s.retryBudget.CountRequest(s.now, r.Model)
 	}
 	s.step(admit.Arrive{Request: admit.Request{
-		ID: id, Service: r.Model, Account: r.Account, Route: r.Route, Regions: r.Regions, AccountRank: r.AccountRank, Rank: r.Rank, Prefix: r.Prefix,
-		Prompt: r.Prompt, Shared: r.Shared, Output: r.Output, Target: r.Target, MaxWait: r.MaxWait,
-		Deadline: s.now + r.Deadline.Sub(e.arrivedAt), Retry: r.Attempt > 0, MayHaveRun: r.MayHaveRun, Avoid: r.Avoid,
-		Resuming: r.Resuming, Digest: e.digest, Priority: r.Priority, Key: r.Key,
-		Software: s.resolveSoftware(r), Continues: r.Continues,
+		ID:          id,
+		Service:     r.Model,
+		Account:     r.Account,
+		Route:       r.Route,
+		Regions:     r.Regions,
+		Software:    s.resolveSoftware(r),
+		Continues:   r.Continues,
+		AccountRank: r.AccountRank,
+		Rank:        r.Rank,
+		Priority:    r.Priority,
+		Prefix:      r.Prefix,
+		Prompt:      r.Prompt,
+		Shared:      r.Shared,
+		Output:      r.Output,
+		Target:      r.Target,
+		MaxWait:     r.MaxWait,
+		Deadline:    s.now + r.Deadline.Sub(e.arrivedAt),
+		Retry:       r.Attempt > 0,
+		MayHaveRun:  r.MayHaveRun,
+		Resuming:    r.Resuming,
+		Avoid:       r.Avoid,
+		Digest:      e.digest,
+		Key:         r.Key,
 	}})
 }
 
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -66,9 +66,12 @@
 	if result.Pauses > 0 {
 		pauseMillis = result.LongestPause.Milliseconds()
 	}
-	s.opt.log.Info("attempt_end", "request", in.id, "attempt", outcome.Attempts, "backend", grant.Backend, "version", grant.Software.String(), "why", grant.Reason, "copied_from", grant.CopyPrefixFrom,
-		"ahead", grant.TokensAhead, "running", grant.Running, "expected_ms", grant.ExpectedFirstEvent.Milliseconds(), "margin_ms", grant.FirstEventMargin.Milliseconds(), "first_ms", firstByteMillis, "pause_ms", pauseMillis,
-		"total_ms", s.clock().Since(started).Milliseconds(), "sent", result.Sent, "events", result.LastEvent, "code", code)
+	s.opt.log.Info("attempt_end", "request", in.id, "attempt", outcome.Attempts,
+		"backend", grant.Backend, "version", grant.Software.String(), "why", grant.Reason, "copied_from", grant.CopyPrefixFrom,
+		"ahead", grant.TokensAhead, "running", grant.Running,
+		"expected_ms", grant.ExpectedFirstEvent.Milliseconds(), "margin_ms", grant.FirstEventMargin.Milliseconds(),
+		"first_ms", firstByteMillis, "pause_ms", pauseMillis, "total_ms", s.clock().Since(started).Milliseconds(),
+		"sent", result.Sent, "events", result.LastEvent, "code", code)
 	s.logNotice(in, grant, outcome, result.Notice)
 }
 
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -236,12 +236,36 @@
 	header := r.Header.Clone()
 	header.Del(s.opt.headers.Key)
 	return backend.Call{
-		Address: grant.Address, Instance: grant.Backend, StartTime: grant.StartTime, Software: grant.Software, Host: r.Host, Method: r.Method, Path: in.path, Header: header, Body: in.body,
-		RequestID: in.id, Account: in.account.Name, Deadline: in.deadline, NotRepeatable: in.notRepeatable, MayStream: in.mayStream, Opaque: true,
-		Resume: in.route.started, LastEvent: in.route.lastEvent, BufferLimit: bufferLimit,
+		Address:       grant.Address,
+		Instance:      grant.Backend,
+		StartTime:     grant.StartTime,
+		Software:      grant.Software,
+		Host:          r.Host,
+		Method:        r.Method,
+		Path:          in.path,
+		Header:        header,
+		Body:          in.body,
+		RequestID:     in.id,
+		Account:       in.account.Name,
+		Deadline:      in.deadline,
+		NotRepeatable: in.notRepeatable,
+		MayStream:     in.mayStream,
+		Opaque:        true,
+		Resume:        in.route.started,
+		LastEvent:     in.route.lastEvent,
+		BufferLimit:   bufferLimit,
+
 		WithholdServerErrors: in.route.Repeat != table.RepeatNever && in.route.sent+1 < in.route.MaxAttempts(),
-		CopyPrefixFrom:       grant.CopyPrefixFrom, MaxConnections: grant.MaxConnections, Failover: s.failover(in, &grant), MayStart: grant.MayStart, Served: grant.Served, OnFirstByte: s.onFirstByte(in, &grant), OnNotice: grant.OnNotice,
-		BatchDelay: s.batchDelay(in.route, grant.Saturated), PauseTarget: in.route.TargetGap, OnPause: grant.OnPause,
+		CopyPrefixFrom:       grant.CopyPrefixFrom,
+		MaxConnections:       grant.MaxConnections,
+		Failover:             s.failover(in, &grant),
+		MayStart:             grant.MayStart,
+		Served:               grant.Served,
+		OnFirstByte:          s.onFirstByte(in, &grant),
+		OnNotice:             grant.OnNotice,
+		BatchDelay:           s.batchDelay(in.route, grant.Saturated),
+		PauseTarget:          in.route.TargetGap,
+		OnPause:              grant.OnPause,
 	}
 }
 
