--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -59,6 +59,7 @@
 	s.writeEnd(&b)
 	s.writeRouterState(&b)
 	s.writeAttempts(&b)
+	s.writeStream(&b)
 	s.writeCrashes(&b)
 	s.writeLines(&b)
 	_, err = io.WriteString(w, b.String())
@@ -138,7 +139,7 @@
 		if r.Event != eventAttempt || r.Fields["backend"] != a.Fields["backend"] || r.Fields["request"] == s.id {
 			continue
 		}
-		distance := r.Time.Add(-s.clockOffset[r.Router]).Sub(a.Time).Abs()
+		distance := s.aligned(r).Sub(a.Time).Abs()
 		if distance > proximity {
 			continue
 		}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -27,10 +27,41 @@
 time=2026-01-01T00:00:04.000Z level=INFO msg=request_end router=a-0 request=r4 account=moka model=form status=200 code="" verdict=ran tokens=7 attempts=1 waited_ms=1 total_ms=40
 `
 
-func sampleRecords(t *testing.T) []logread.Record {
+// streamLog is the log of a stream that its caller takes up twice, at two routers.
+const streamLog = `
+time=2026-01-01T00:00:00.100Z level=INFO msg=table_in_force router=a-0 revision=7 as_of=9 from=""
+time=2026-01-01T00:00:05.102Z level=INFO msg=table_in_force router=b-0 revision=7 as_of=9 from=a-0
+time=2026-01-01T00:00:02.700Z level=INFO msg=attempt_end router=a-0 request=s1 attempt=1 backend=form-1 version=v1 why=prefix events=3 code=answer-cut
+time=2026-01-01T00:00:02.710Z level=INFO msg=request_end router=a-0 request=s1 account=moka model=form status=502 code=answer-cut verdict=may-have-run total_ms=200
+time=2026-01-01T00:00:07.900Z level=INFO msg=stream_resumed router=b-0 request=s2 resumes=s1 outcome=recorded service=form version=v1 from=10.0.0.1:7 asked=1 no_reply=0
+time=2026-01-01T00:00:08.400Z level=INFO msg=attempt_end router=b-0 request=s2 attempt=1 backend=form-2 version=v1 why=prefix events=9 code=answer-cut
+time=2026-01-01T00:00:08.410Z level=INFO msg=request_end router=b-0 request=s2 account=moka model=form status=502 code=answer-cut verdict=may-have-run total_ms=500 resumes=s1 after=3
+time=2026-01-01T00:00:03.600Z level=INFO msg=stream_resumed router=a-0 request=s3 resumes=s1 outcome=recorded service=form version=v1 from="" asked=0 no_reply=0
+time=2026-01-01T00:00:03.610Z level=INFO msg=request_end router=a-0 request=s3 account=moka model=form status=503 code=no-version verdict=not-run total_ms=10 resumes=s1 after=9
+time=2026-01-01T00:00:03.700Z level=INFO msg=attempt_end router=a-0 request=other attempt=1 backend=form-2 version=v2 why=prefix events=9 code=""
+`
+
+// TestExplainStream: whichever try of the caller is asked for, all of them must be shown, with their versions.
+func TestExplainStream(t *testing.T) {
+	for _, id := range []string{"s1", "s2", "s3"} {
+		t.Run(id, func(t *testing.T) {
+			var b strings.Builder
+			if err := explain.Explain(&b, id, recordsOf(t, streamLog)); err != nil {
+				t.Fatal(err)
+			}
+			_, stream, _ := strings.Cut(b.String(), "its stream")
+			stream, _, _ = strings.Cut(stream, "its lines")
+			goldie.New(t).Assert(t, "stream", []byte("its stream"+stream))
+		})
+	}
+}
+
+func sampleRecords(t *testing.T) []logread.Record { return recordsOf(t, sampleLog) }
+
+func recordsOf(t *testing.T, text string) []logread.Record {
 	t.Helper()
 	var list []logread.Record
-	if _, err := logread.Each(strings.NewReader(sampleLog), func(r logread.Record) { list = append(list, r) }); err != nil {
+	if _, err := logread.Each(strings.NewReader(text), func(r logread.Record) { list = append(list, r) }); err != nil {
 		t.Fatal(err)
 	}
 	return list
