--- a/pkg/admit/bound_test.go
+++ b/pkg/admit/bound_test.go
@@ -187,3 +187,54 @@
 		})
 	}
 }
+
+// TestStreamsGoOnUnderLoad: while the fleet is short of capacity, the streams that callers take up must be
+// served as often as new ones, though few backend servers run their version. Two do, of nine.
+func TestStreamsGoOnUnderLoad(t *testing.T) {
+	for _, tc := range []struct {
+		name             string
+		begin, resume    float64
+		minShareOfBegins float64
+	}{
+		{"few, no shortage", 60, 4, 0.9},
+		{"few, short", 400, 4, 0.9},
+		{"as many as two servers can do, short", 400, 20, 0.5},
+		{"more than these two can do, short", 400, 120, 0.5},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newVersionWorld()
+			w.setVersions(func(name string) string {
+				if name == "x-s0" || name == "y-s0" {
+					return began
+				}
+				return other
+			})
+			w.run(2 * time.Second)
+			until := w.now + 8*time.Second
+			prompt := admit.Request{Prompt: 2000, Output: 60, Target: 400 * time.Millisecond, MaxWait: 80 * time.Millisecond}
+			bound := prompt
+			bound.Software, bound.Continues = &table.Software{Version: began}, true
+			w.addLoad("new", tc.begin, w.order, prompt, until)
+			w.addLoad("resumed", tc.resume, w.order, bound, until)
+			w.run(until + time.Second)
+			share := func(continues bool) float64 {
+				arrived, started := 0, 0
+				for id, a := range w.requests {
+					if a.request.Continues != continues {
+						continue
+					}
+					arrived++
+					if _, ok := w.starts[id]; ok {
+						started++
+					}
+				}
+				return float64(started) / float64(arrived)
+			}
+			goOn, begin := share(true), share(false)
+			t.Logf("%.2f of the streams go on, %.2f of the new ones begin", goOn, begin)
+			if goOn < tc.minShareOfBegins*begin {
+				t.Errorf("%.2f of the streams go on, %.2f of the new ones begin", goOn, begin)
+			}
+		})
+	}
+}
