--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -48,7 +48,7 @@
 	resumeSoleVersion resumeOutcome = "sole-version"
 	// resumeUnknown: it is not remembered, and may have begun at several versions.
 	resumeUnknown resumeOutcome = "unknown"
-	// resumeNoReply: as before, and not all routers that may remember it replied.
+	// resumeNoReply: it is not remembered, and not all routers that may know more replied.
 	resumeNoReply resumeOutcome = "no-reply"
 	// resumeService: the route no longer leads to the service that began it.
 	resumeService resumeOutcome = "service-changed"
@@ -202,7 +202,7 @@
 	switch {
 	case isSole && !q.mixed && (max(q.memory, s.versionMemory()) >= admit.SoftwareTTL || s.askedAll(q)):
 		s.finishResumption(q, resumeSoleVersion, front.Continuation{Service: q.Service, Software: &sole}, "")
-	case len(q.waiting) > 0 || s.now-clockStart < startPeriod:
+	case isSole && !q.mixed || len(q.waiting) > 0 || s.now-clockStart < startPeriod:
 		s.refuseResumption(q, resumeNoReply, errOriginUnknown.WithRetryAfter(retryAfterNoReply))
 	default:
 		s.refuseResumption(q, resumeUnknown, errOriginUnknown.WithRetryAfter(retryAfterUnknown))
