Ask others about a stream of which only the version is unknown here

Cause: a router that remembered a stream, but not what began it (its server's row came without a version), decided without asking. In a fleet younger than two minutes it could not know that no other version had been listed, and refused the stream although one version alone was listed. Change: it asks as for a stream that nobody remembers; while any router doubts, no other one's word counts. A row of TestResumptionIsDecided (fleet is young) fails before and passes now.

--- a/internal/dispatch/origins_test.go
+++ b/internal/dispatch/origins_test.go
@@ -206,8 +206,15 @@
 			f.setVersions(func(int) string { return otherVersion })
 			f.run(f.now+2*time.Second, func() {})
 		}},
-		"reported at two versions":                    {account: "moka", request: "id-1", want: "stream-unknown", prepare: func(f *emulator) { f.inZone(0, 0).begin("id-1", otherVersion) }},
-		"began at an unknown version, one is listed":  {account: "moka", request: "id-3", want: beganAt, prepare: func(f *emulator) { oneVersion(f); f.inZone(0, 0).beginAt("id-3", table.Software{Unknown: true}) }},
+		"reported at two versions":                   {account: "moka", request: "id-1", want: "stream-unknown", prepare: func(f *emulator) { f.inZone(0, 0).begin("id-1", otherVersion) }},
+		"began at an unknown version, one is listed": {account: "moka", request: "id-3", want: beganAt, prepare: func(f *emulator) { oneVersion(f); f.inZone(0, 0).beginAt("id-3", table.Software{Unknown: true}) }},
+		"began at an unknown version, one is listed, fleet is young": {account: "moka", request: "id-3", want: beganAt, prepare: func(f *emulator) {
+			f.killAll()
+			f.setVersions(func(int) string { return beganAt })
+			f.startAll()
+			f.run(f.now+3*time.Second, func() {})
+			f.inZone(0, 1).beginAt("id-3", table.Software{Unknown: true})
+		}},
 		"began at an unknown version, two are listed": {account: "moka", request: "id-3", want: "stream-unknown", prepare: func(f *emulator) { f.inZone(0, 0).beginAt("id-3", table.Software{Unknown: true}) }},
 	}
 	for name, tc := range tests {
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -63,6 +63,8 @@
 	// asked is the number of routers that were asked, waiting are those that have not replied.
 	asked   int
 	waiting map[string]bool
+	// doubtful says that a router remembers the stream, but not what began it.
+	doubtful bool
 	// mixed says that a router knows of several versions of a service, memory is the longest time for
 	// which one of those that replied has known all versions.
 	mixed  bool
@@ -99,8 +101,11 @@
 	q := e.originQuery
 	q.startedAt = s.now
 	if o, known := s.origins.store.Get(s.now, q.key); known && q.Resumes != "" {
-		s.continueAt(q, o, "")
-		return
+		if !o.Software.Unknown {
+			s.continueAt(q, o, "")
+			return
+		}
+		q.doubtful = true
 	}
 	candidates := s.originCandidates(q.key)
 	if len(candidates) == 0 {
@@ -158,8 +163,10 @@
 	}
 	delete(q.waiting, from)
 	q.mixed, q.memory = q.mixed || m.Mixed, max(q.memory, time.Duration(m.MemoryMillis)*time.Millisecond)
+	remembered := m.Known && uint64(q.key) == m.Origin.Key && q.Resumes != ""
+	q.doubtful = q.doubtful || remembered && m.Origin.Unknown
 	switch {
-	case m.Known && uint64(q.key) == m.Origin.Key && q.Resumes != "":
+	case remembered && !q.doubtful:
 		delete(s.origins.queries, m.Seq)
 		s.continueAt(q, originOf(&m.Origin), from)
 	case len(q.waiting) == 0:
@@ -182,10 +189,6 @@
 // continueAt decides on a stream of which a router remembers what began it. from is that router, "" for
 // this one.
 func (s *state) continueAt(q *originQuery, o origin.Origin, from string) {
-	if o.Software.Unknown {
-		s.continueUnrecorded(q)
-		return
-	}
 	for _, service := range q.Services {
 		if wire.HashName(service) == o.Service {
 			s.finishResumption(q, resumeRecorded, front.Continuation{Service: service, Software: &o.Software, Recorded: true}, from)
@@ -195,7 +198,7 @@
 	s.refuseResumption(q, resumeService, errServiceChanged.WithRetryAfter(retryAfterUnknown))
 }
 
-// continueUnrecorded decides on a stream that nobody who replied remembers. It may go on if it can have
+// continueUnrecorded decides on a stream of which nobody who replied remembers what began it. It may go on if it can have
 // begun at one version only, as far as is known up to now.
 func (s *state) continueUnrecorded(q *originQuery) {
 	sole, isSole := s.soleSoftware(q.Services, q.Service)
