Read nothing but the bound software beside a running attempt

Found by reading: the question whether a silent server may be left runs on a timer beside the attempt, and since it built the whole request there, reading fields that the end of the attempt writes.

--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -213,12 +213,14 @@
 	if state.Repeat == table.RepeatNever || state.sent+1 >= state.MaxAttempts() {
 		return backend.Failover{}
 	}
+	sent := in.schedulerRequest()
+	sent.Leaves = grant.Backend
 	p := backend.Failover{
 		FirstByteTimeout: max(minStallTimeout, stallTargets*state.TargetLatency),
+		// It runs beside the attempt, which may have begun the stream since it was sent.
 		AcquireRetry: func() bool {
-			// The stream may have begun since the attempt was sent.
-			req := in.schedulerRequest()
-			req.Leaves = grant.Backend
+			req := sent
+			req.Software = state.software.Load()
 			if !s.scheduler.SpendRetry(req) {
 				return false
 			}
