--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -133,6 +133,8 @@
 	Stalled bool
 	// Status is the status of the response, 0 if there was none.
 	Status int
+	// Framing is how the end of the response is marked.
+	Framing Framing
 	// FirstByte is the time of the first event or byte of the body, zero if there was none.
 	FirstByte time.Time
 	// LastEvent is the number of the last forwarded event.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -96,7 +96,7 @@
 	}
 	x.stall.recordRead()
 	defer func() { _ = resp.Body.Close() }()
-	x.result.Status = resp.StatusCode
+	x.result.Status, x.result.Framing = resp.StatusCode, framingOf(resp)
 	x.conn.applyKeepAlive(resp.Header)
 	x.forward(resp)
 	x.reusable = x.result.Err == nil && !resp.Close && x.conn.reader.Buffered() == 0
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -1,11 +1,9 @@
 package dispatch
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
-	"github.com/yarrowmast/yarrowmast/pkg/suspect"
 )
 
 const (
@@ -44,7 +42,7 @@
 	if a.From != "" && a.Crashes < 2 {
 		return
 	}
-	s.d.opt.log.Info("request_at_end", "request", s.endingRequest, "digest", formatDigest(a.Digest), "backend", a.Backend, "ends", a.Crashes, "from", a.From)
+	s.d.opt.log.Info("request_at_end", "request", s.endingRequest, "digest", a.Digest.String(), "backend", a.Backend, "ends", a.Crashes, "from", a.From)
 }
 
 // recordCleared counts crashes that are no longer tracked. It logs them if the request had
@@ -52,20 +50,18 @@
 func (s *state) recordCleared(a admit.SuspectCleared) {
 	s.clearedCrashes[a.Reason] += int64(a.Crashes)
 	if a.Crashes > 1 {
-		s.d.opt.log.Info("request_cleared", "digest", formatDigest(a.Digest), "ends", a.Crashes, "reason", string(a.Reason))
+		s.d.opt.log.Info("request_cleared", "digest", a.Digest.String(), "ends", a.Crashes, "reason", string(a.Reason))
 	}
 }
 
 // logBlocked logs that a request was refused because of the crashes under it.
 func (s *state) logBlocked(a admit.Refuse) {
 	if w, ok := s.waiting[a.ID]; ok && a.Crashes > 0 {
-		s.d.opt.log.Warn("request_held_back", "request", w.request.ID, "digest", formatDigest(w.digest), "ends", a.Crashes, "code", a.Err.Code,
+		s.d.opt.log.Warn("request_held_back", "request", w.request.ID, "digest", w.digest.String(), "ends", a.Crashes, "code", a.Err.Code,
 			"retry_after_ms", a.Err.RetryAfter.Milliseconds())
 	}
 }
 
-func formatDigest(d suspect.Digest) string { return fmt.Sprintf("%016x", uint64(d)) }
-
 // Suspect is a request that was running on backend servers when they crashed.
 type Suspect struct {
 	// Digest identifies the request, Crashes is the number of backend servers that crashed,
@@ -78,8 +74,8 @@
 // suspects lists the requests with the most crashes, and counts all that are tracked.
 func (s *state) suspects() (list []Suspect, count int) {
 	for _, c := range s.core.Suspects(maxStatusSuspects) {
-		if n := len(list); n == 0 || list[n-1].Digest != formatDigest(c.Digest) {
-			list = append(list, Suspect{Digest: formatDigest(c.Digest)})
+		if n := len(list); n == 0 || list[n-1].Digest != c.Digest.String() {
+			list = append(list, Suspect{Digest: c.Digest.String()})
 		}
 		last := &list[len(list)-1]
 		last.Crashes++
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -71,10 +71,18 @@
 		"ahead", grant.TokensAhead, "running", grant.Running,
 		"expected_ms", grant.ExpectedFirstEvent.Milliseconds(), "margin_ms", grant.FirstEventMargin.Milliseconds(),
 		"first_ms", firstByteMillis, "pause_ms", pauseMillis, "total_ms", s.clock().Since(started).Milliseconds(),
-		"sent", result.Sent, "events", result.LastEvent, "code", code)
+		"sent", result.Sent, "events", result.LastEvent, "framing", result.Framing.String(), "parts", in.loggedParts(), "code", code)
 	s.logNotice(in, grant, outcome, result.Notice)
 }
 
+// loggedParts returns the shared parts of the prompt for log lines.
+func (in *inboundRequest) loggedParts() string {
+	if in.route == nil {
+		return ""
+	}
+	return formatParts(in.route.parts)
+}
+
 // logNotice logs what the backend server announced about itself, if anything.
 func (s *Server) logNotice(in *inboundRequest, grant Grant, outcome *Outcome, notice backend.Notice) {
 	if notice == (backend.Notice{}) {
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -52,6 +52,8 @@
 	started  bool
 	// key identifies the request across the attempts of its caller, 0 without stated prompt parts.
 	key uint64
+	// parts are the parts of the prompt that other requests may share.
+	parts []part
 	// mayHaveRun says that an earlier attempt may have run.
 	mayHaveRun bool
 	// retryPaid says that the next attempt has already been taken from the retry budget.
@@ -144,6 +146,7 @@
 	p, err := headers.parsePrompt(r.Header)
 	in.route.prompt = p
 	if headers.Parts != "" {
+		in.route.parts = sharedParts(in.account.Name, r.Header.Get(headers.Parts))
 		in.route.key = requestKey(in.account.Name, pathOf(r), r.Header.Get(headers.Parts))
 	}
 	return err
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -57,9 +57,6 @@
 // MaxRetention is the maximum time for which crashes are kept.
 const MaxRetention = retentionPerBlock * maxBlock
 
-// Digest identifies a request by its content. All attempts of a request share it.
-type Digest uint64
-
 // Server identifies one incarnation of a backend server.
 type Server uint32
 
