Count a stream that ends with its connection before its first event as cut

What callers saw: an answer of 200 with neither a length nor chunks, whose backend server crashed before the first event, reached them as whole and empty; it also counted as completed and cleared the crashes under the request. By the users' rules an answer that ends early must not appear complete.

Cause: the end of the connection is read as the end of such an answer, and numbered events have no end marker. Now a stream of this framing without any event is cut (answer-cut): the attempt is repeated where the route allows it, and the end counts as a crash. A stream that continues after an earlier event, and brings none, may be cut as well and is not called whole either.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -222,7 +222,7 @@
 		x.failIncomplete(err)
 		return
 	}
-	if !events.Done() {
+	if !events.Done() || x.mayBeCut(events) {
 		x.failIncomplete(io.ErrUnexpectedEOF)
 		return
 	}
@@ -232,6 +232,12 @@
 	x.sink.Trailer(resp.Trailer)
 }
 
+// mayBeCut reports whether a stream that ended between events shows no sign of being whole: it had no event,
+// and nothing but the end of its connection marks its end.
+func (x *roundTrip) mayBeCut(events eventReader) bool {
+	return x.result.Framing == FramingClose && events.Tokens() == 0
+}
+
 // deliver writes bytes to the caller. It fails the call and returns false if the caller
 // has disconnected.
 func (x *roundTrip) deliver(p []byte, flush bool) bool {
--- a/internal/backend/routed_test.go
+++ b/internal/backend/routed_test.go
@@ -87,6 +87,9 @@
 	}{
 		"complete stream":                   {chunked(streamHead, numbered(1, 3), true), nil, routedOutcome{Verdict: verdict.Ran, Began: true, Last: 3, Body: numbered(1, 3)}},
 		"stream without a length":           {unframedHead + numbered(1, 2), nil, routedOutcome{Verdict: verdict.Ran, Began: true, Last: 2, Body: numbered(1, 2)}},
+		"empty stream without a length":     {unframedHead, nil, routedOutcome{Code: "answer-cut"}},
+		"resumed without a length, empty":   {unframedHead, resume, routedOutcome{Code: "answer-cut", Last: 2}},
+		"stream without a length, cut":      {unframedHead + numbered(1, 2) + "id: 3\nda", nil, routedOutcome{Code: "answer-cut", Began: true, Last: 2, Body: numbered(1, 2)}},
 		"stream cut between events":         {chunked(streamHead, numbered(1, 2), false), nil, routedOutcome{Code: "answer-cut", Began: true, Last: 2, Body: numbered(1, 2)}},
 		"stream cut within an event":        {chunked(streamHead, numbered(1, 2)+"id: 3\nda", true), nil, routedOutcome{Code: "answer-cut", Began: true, Last: 2, Body: numbered(1, 2)}},
 		"missing event":                     {chunked(streamHead, numbered(1, 1)+numbered(3, 3), true), nil, routedOutcome{Code: "answer-cut", Began: true, Last: 1, Body: numbered(1, 1)}},
