Block the prompt part that crashes backend servers, not only the whole request

Cause: crashes were held against a digest of the whole request alone; what these requests share, a part of the prompt, was in no decision.

Change: one tracker for requests and parts, as in group testing. A crash accuses a request and all shared parts of its prompt; a completed request clears its own. The part with the most crashes that no other one explains is the culprit (greedy set cover); parts that completed lately come last, so that the account's common parts are not barred. Parts that crashes alone do not tell apart are tried, one request at a time. Digests of parts hold the account: what one account states bars no other one's work. Crashes of parts go out in the messages of before, with one more field at their end; an earlier build takes them for requests that never come.

An attempt completes only with a status of 2xx and, if it streams, with an event. What is blocked on arrival takes nothing of its account's share.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -121,8 +121,11 @@
 
 // Release implements front.Scheduler.
 func (d *Dispatcher) Release(g front.Grant, u front.Usage) {
-	e := endEvent{id: g.ID, tokens: u.Tokens, result: resultOf(u), request: u.Request, disconnected: wasDisconnected(u), completed: u.Error == nil && u.Status < http.StatusInternalServerError,
-		longestPause: u.LongestPause, pauseTarget: u.PauseTarget}
+	e := endEvent{
+		id: g.ID, tokens: u.Tokens, result: resultOf(u), request: u.Request,
+		disconnected: wasDisconnected(u), completed: isCompleted(u),
+		longestPause: u.LongestPause, pauseTarget: u.PauseTarget,
+	}
 	if u.Digest != nil {
 		e.digest = suspect.Digest(u.Digest())
 	}
@@ -135,6 +138,12 @@
 	return u.Error != nil && u.Sent && !u.Stalled && (u.Error.Code == "answer-cut" || u.Error.Code == "backend-broke")
 }
 
+// isCompleted reports whether the request ran to its end. An error of the caller or an empty stream does not show
+// that the backend server has begun to respond to the prompt.
+func isCompleted(u front.Usage) bool {
+	return u.Error == nil && u.Status >= http.StatusOK && u.Status < http.StatusMultipleChoices && !u.Empty
+}
+
 // resultOf classifies the outcome of an attempt with respect to the backend server.
 func resultOf(u front.Usage) admit.Result {
 	switch {
@@ -227,6 +236,7 @@
 		Resuming:    r.Resuming,
 		Avoid:       r.Avoid,
 		Digest:      e.digest,
+		Parts:       partDigests(r.Parts),
 		Key:         r.Key,
 	}})
 }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -175,6 +175,8 @@
 			s.logCrash(a)
 		case admit.SuspectCleared:
 			s.recordCleared(a)
+		case admit.PartChanged:
+			s.logPart(a)
 		case admit.SpeedClassChanged:
 			s.logSpeedClass(a)
 		case admit.EngineEjected:
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -58,7 +58,7 @@
 	// that asked this router to pause to the remaining milliseconds.
 	Leaving    []string         `json:"leaving,omitempty"`
 	BackingOff map[string]int64 `json:"resting_ms,omitempty"`
-	// Suspects are the requests with the most backend crashes, SuspectCount is the number
+	// Suspects are the requests and parts of prompts with the most backend crashes, SuspectCount is the number
 	// of requests tracked.
 	Suspects     []Suspect `json:"suspects,omitempty"`
 	SuspectCount int       `json:"suspect_count"`
--- a/internal/front/parts.go
+++ b/internal/front/parts.go
@@ -14,21 +14,21 @@
 	maxLoggedID = 32
 )
 
-// part is a part of a prompt that other requests may share.
-type part struct {
-	// id is what the caller states.
-	id     string
-	digest suspect.Digest
+// Part is a part of a prompt that other requests may share.
+type Part struct {
+	// ID is what the caller states. Digest identifies the part among those of its account.
+	ID     string
+	Digest suspect.Digest
 }
 
 // sharedParts returns the parts that a caller states in the form ID:TOKENS,..., without the last one,
 // which is unique to the request, and without repetitions.
-func sharedParts(account, text string) []part {
+func sharedParts(account, text string) []Part {
 	last := strings.LastIndexByte(text, ',')
 	if last < 0 {
 		return nil
 	}
-	var parts []part
+	var parts []Part
 	known := map[string]bool{}
 	for stated := range strings.SplitSeq(text[:last], ",") {
 		id, _, _ := strings.Cut(strings.TrimSpace(stated), ":")
@@ -39,16 +39,19 @@
 			break
 		}
 		known[id] = true
-		parts = append(parts, part{id: id, digest: suspect.PartDigest(account, id)})
+		parts = append(parts, Part{ID: id, Digest: suspect.PartDigest(account, id)})
 	}
 	return parts
 }
 
+// LoggedID returns the ID for log lines.
+func (p Part) LoggedID() string { return p.ID[:min(maxLoggedID, len(p.ID))] }
+
 // formatParts formats parts for log lines, as ID/DIGEST,...
-func formatParts(parts []part) string {
+func formatParts(parts []Part) string {
 	list := make([]string, 0, len(parts))
 	for _, p := range parts {
-		list = append(list, fmt.Sprintf("%s/%s", p.id[:min(maxLoggedID, len(p.id))], p.digest))
+		list = append(list, fmt.Sprintf("%s/%s", p.LoggedID(), p.Digest))
 	}
 	return strings.Join(list, ",")
 }
--- a/internal/front/parts_test.go
+++ b/internal/front/parts_test.go
@@ -31,7 +31,7 @@
 		t.Run(name, func(t *testing.T) {
 			var ids []string
 			for _, p := range sharedParts("moka", tc.text) {
-				ids = append(ids, p.id)
+				ids = append(ids, p.ID)
 			}
 			if diff := cmp.Diff(tc.ids, ids); diff != "" {
 				t.Errorf("parts (-want +got):\n%s", diff)
@@ -45,7 +45,7 @@
 func TestPartsOfAccountsDiffer(t *testing.T) {
 	const text = "5c1e07a2:800,e4402b7d:250"
 	a, again, b := sharedParts("moka", text), sharedParts("moka", text), sharedParts("ebene", text)
-	if a[0].digest != again[0].digest || a[0].digest == b[0].digest {
-		t.Errorf("digests %v, %v and %v", a[0].digest, again[0].digest, b[0].digest)
+	if a[0].Digest != again[0].Digest || a[0].Digest == b[0].Digest {
+		t.Errorf("digests %v, %v and %v", a[0].Digest, again[0].Digest, b[0].Digest)
 	}
 }
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -53,7 +53,7 @@
 	// key identifies the request across the attempts of its caller, 0 without stated prompt parts.
 	key uint64
 	// parts are the parts of the prompt that other requests may share.
-	parts []part
+	parts []Part
 	// mayHaveRun says that an earlier attempt may have run.
 	mayHaveRun bool
 	// retryPaid says that the next attempt has already been taken from the retry budget.
@@ -155,7 +155,7 @@
 // fillRequest fills in the fields that depend on the route and earlier attempts.
 func (state *routeState) fillRequest(req *Request) {
 	req.Route, req.Regions = state.Name, req.Regions.Intersect(table.NewRegionSet(state.Route.Regions))
-	req.Prefix, req.Key = state.prefix, state.key
+	req.Prefix, req.Key, req.Parts = state.prefix, state.key, state.parts
 	req.Rank = state.Rank
 	req.Prompt, req.Shared, req.Output = state.tokens, state.shared, state.output
 	req.Target = state.TargetLatency
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -94,6 +94,8 @@
 	Key uint64
 	// Digest returns a hash that is equal for all attempts of the request; it may be nil.
 	Digest func() uint64
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []Part
 }
 
 // Resumption is a request of a caller to take up a stream that broke off.
@@ -183,6 +185,8 @@
 	Error *verdict.Error
 	// Stalled says that the backend server sent nothing for too long.
 	Stalled bool
+	// Empty says that the response was a stream without events.
+	Empty bool
 	// LongestPause is the longest pause between two events, PauseTarget that which the route desires,
 	// 0 if no pause was measured.
 	LongestPause, PauseTarget time.Duration
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -57,8 +57,9 @@
 	// Waited is how long the request waited at this router.
 	Waited time.Duration
 	// Crashes is the number of backend servers that crashed under the request, if it is refused
-	// for that.
+	// for that. Part is the part of its prompt that is blocked, 0 if it is refused for itself.
 	Crashes int
+	Part    suspect.Digest
 	// Expected is the shortest time to a response that the Asked owners of plain servers stated, Left
 	// the time until the deadline. They are 0 if the request is not refused for that.
 	Expected, Left time.Duration
@@ -103,7 +104,8 @@
 	// and relayUpdates are changes to send to other routers.
 	suspects                 *suspect.Tracker
 	ownUpdates, relayUpdates suspectUpdates
-	// trials are the running attempts of suspect requests that have not begun to respond.
+	// trials are the running attempts of suspect requests that have not begun to respond, and those with
+	// suspect parts that have not ended.
 	trials map[suspect.Digest]trial
 	// answeredAt is when an attempt of a suspect request last began to respond.
 	answeredAt map[suspect.Digest]time.Duration
@@ -245,7 +247,7 @@
 		c.localMsgs = c.localMsgs[1:]
 		c.receive(c.opt.self.Address, msg)
 	}
-	c.emitCleared()
+	c.emitSuspectChanges()
 	return c.actions
 }
 
--- a/pkg/admit/isolation.go
+++ b/pkg/admit/isolation.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/suspect"
@@ -26,15 +27,18 @@
 
 // Codes of the refusals of suspect requests.
 const (
-	codeCrashes = "ends-backends"
-	codeOnTrial = "on-trial"
+	codeCrashes     = "ends-backends"
+	codePartCrashes = "part-ends-backends"
+	codeOnTrial     = "on-trial"
 )
 
 var (
 	errCrashes = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, codeCrashes,
 		"backend servers ended while they ran this request; it gets none until the time to come back")
+	errPartCrashes = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, codePartCrashes,
+		"backend servers ended while they ran requests with a part of this prompt; it gets none until the time to come back")
 	errOnTrial = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, codeOnTrial,
-		"backend servers ended while they ran this request, and another try of it runs; come back as told")
+		"backend servers ended while they ran this request, or others with a part of its prompt, and another try runs; come back as told")
 )
 
 // isolation is the level of isolation of a request.
@@ -49,12 +53,22 @@
 	exclusive
 )
 
-// isolation returns the level that a request requires. After a single crash it needs none if an
-// attempt of it has begun to respond, which shows that it does not crash every backend server.
+// isolation returns the level that a request requires.
 func (c *Core) isolation(r *request) isolation {
-	status := c.suspects.Status(c.now, r.Digest)
+	status := c.suspects.Status(c.now, r.subject(r.Digest))
+	level := c.requestIsolation(r, status)
+	if len(status.Trials) > 0 {
+		return max(level, oneAtATime)
+	}
+	return level
+}
+
+// requestIsolation returns the level that a request requires without regard to its parts. After a single
+// crash it needs none if an attempt of it has begun to respond, which shows that it does not crash every
+// backend server.
+func (c *Core) requestIsolation(r *request, status suspect.Status) isolation {
 	switch {
-	case status.Crashes == 0:
+	case status.Crashes == 0 || status.Part != 0:
 		return notIsolated
 	case status.Crashes > 1:
 		return exclusive
@@ -65,16 +79,21 @@
 	}
 }
 
-// crashRefusal returns the refusal of a request under which too many backend servers crashed,
-// nil if it may be sent.
+// crashRefusal returns the refusal of a request under which too many backend servers crashed, or under a part
+// of whose prompt they did, nil if it may be sent.
 func (c *Core) crashRefusal(r *request) *verdict.Error {
-	if status := c.suspects.Status(c.now, r.Digest); status.Blocked(c.now) {
+	status := c.suspects.Status(c.now, r.subject(r.Digest))
+	switch {
+	case !status.Blocked(c.now):
+		return nil
+	case status.Part != 0:
+		return errPartCrashes.WithRetryAfter(status.BlockedUntil - c.now)
+	default:
 		return errCrashes.WithRetryAfter(status.BlockedUntil - c.now)
 	}
-	return nil
 }
 
-// trial is a running attempt of a suspect request.
+// trial is a running attempt of a suspect request, or of one with a suspect part.
 type trial struct {
 	// holder is the router that runs the attempt, id the request's ID there.
 	holder string
@@ -83,39 +102,69 @@
 	expiresAt time.Duration
 }
 
-// waitsForTrial reports whether a request has to wait for another attempt of it.
+// suspectItems returns the items of a request of which only one attempt may run at a time.
+func (c *Core) suspectItems(r *request) []suspect.Digest {
+	status := c.suspects.Status(c.now, r.subject(r.Digest))
+	if r.Digest != 0 && c.requestIsolation(r, status) > notIsolated {
+		return append(status.Trials, r.Digest)
+	}
+	return status.Trials
+}
+
+// waitsForTrial reports whether a request has to wait for another attempt with one of its items.
 func (c *Core) waitsForTrial(r *request) bool {
-	t, ok := c.trials[r.Digest]
-	if !ok || r.Digest == 0 || c.now >= t.expiresAt || t.holder == c.opt.self.Address && t.id == r.ID {
+	if len(c.trials) == 0 {
 		return false
 	}
-	return c.isolation(r) > notIsolated
+	return slices.ContainsFunc(c.suspectItems(r), func(d suspect.Digest) bool {
+		t, ok := c.trials[d]
+		return ok && c.now < t.expiresAt && !c.isTrialOf(t, r)
+	})
 }
 
-// beginTrial records the start of an attempt of a suspect request.
-func (c *Core) beginTrial(r *request) {
-	if c.isolation(r) == notIsolated {
-		return
-	}
-	c.trials[r.Digest] = trial{holder: c.opt.self.Address, id: r.ID, expiresAt: c.now + exclusiveFor}
-	appendBounded(&c.ownUpdates.started, uint64(r.Digest))
+// isTrialOf reports whether a trial is that of a request of this router.
+func (c *Core) isTrialOf(t trial, r *request) bool {
+	return t.holder == c.opt.self.Address && t.id == r.ID
 }
 
-// endTrial records that an attempt has ended or has begun to respond.
-func (c *Core) endTrial(r *request, answered bool) {
-	t, ok := c.trials[r.Digest]
-	if !ok || t.holder != c.opt.self.Address || t.id != r.ID {
-		return
+// beginTrials records the start of an attempt with suspect items.
+func (c *Core) beginTrials(r *request) {
+	r.trials = c.suspectItems(r)
+	for _, d := range r.trials {
+		c.trials[d] = trial{holder: c.opt.self.Address, id: r.ID, expiresAt: c.now + exclusiveFor}
+		appendBounded(&c.ownUpdates.started, uint64(d))
 	}
-	delete(c.trials, r.Digest)
-	if !answered {
-		appendBounded(&c.ownUpdates.ended, uint64(r.Digest))
+}
+
+// answerTrial ends the trial of a request that has begun to respond. Trials of its parts go on: what crashes
+// with the first tokens may have sent an event.
+func (c *Core) answerTrial(r *request) {
+	if !c.endTrial(r, r.Digest) {
 		return
 	}
 	c.answeredAt[r.Digest] = c.now
 	appendBounded(&c.ownUpdates.answered, uint64(r.Digest))
 }
 
+// endTrials ends the trials of an attempt that has ended.
+func (c *Core) endTrials(r *request) {
+	for _, d := range r.trials {
+		if c.endTrial(r, d) {
+			appendBounded(&c.ownUpdates.ended, uint64(d))
+		}
+	}
+}
+
+// endTrial removes the trial of one item, and reports whether it was that of the request.
+func (c *Core) endTrial(r *request, d suspect.Digest) bool {
+	t, ok := c.trials[d]
+	if !ok || !c.isTrialOf(t, r) {
+		return false
+	}
+	delete(c.trials, d)
+	return true
+}
+
 // handleTrials applies the trials that another router reports as started, answered or ended.
 func (c *Core) handleTrials(from string, m *wire.SuspectUpdate) {
 	for _, d := range m.Retrying[:min(maxPerMessage, len(m.Retrying))] {
@@ -154,7 +203,7 @@
 		}
 	}
 	for d := range c.answeredAt {
-		if c.suspects.Status(c.now, d).Crashes == 0 {
+		if c.suspects.Crashes(d) == 0 {
 			delete(c.answeredAt, d)
 		}
 	}
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -54,6 +54,8 @@
 	Priority int
 	// Digest identifies the request across attempts, 0 if unknown.
 	Digest suspect.Digest
+	// Parts are the parts of its prompt that other requests may share.
+	Parts []suspect.Digest
 	// Key identifies the request across the attempts of its caller, 0 if unknown.
 	Key uint64
 }
@@ -81,6 +83,13 @@
 	position time.Duration
 	// charged is what has been charged to its account so far, in tokens.
 	charged int64
+	// trials are the suspect items of which this attempt is the only one that runs.
+	trials []suspect.Digest
+}
+
+// subject returns what a crash accuses in a request.
+func (r *request) subject(d suspect.Digest) suspect.Subject {
+	return suspect.Subject{Request: d, Parts: r.Parts}
 }
 
 // slotRequest is a slot request that this router sent to the owner of a backend server.
@@ -169,7 +178,8 @@
 	c.setPlainWait(r)
 	if r.Account != "" {
 		r.account = wire.HashName(r.Account)
-		if !r.Retry {
+		// What is refused at once takes nothing from the account's share.
+		if !r.Retry && c.crashRefusal(r) == nil {
 			c.accounts.get(r.account).addDemand(c.now, r.cost)
 		}
 	}
@@ -194,7 +204,7 @@
 		c.discard(r)
 		return
 	}
-	c.endTrial(r, false)
+	c.endTrials(r)
 	c.chargeUsage(r, 0)
 	c.release(r, Unknown)
 }
@@ -210,7 +220,7 @@
 	}
 	r.prefill = 0
 	c.confirmAlive(r.server, r.startedAt)
-	c.endTrial(r, true)
+	c.answerTrial(r)
 	c.notifyOwner(r, &wire.RequestUpdate{Kind: wire.RequestFirstEvent, FirstEventMillis: (c.now - r.startedAt).Milliseconds()})
 }
 
@@ -222,7 +232,7 @@
 	r.server.health.recordEnd(c.now, e.Result)
 	c.recordFailure(r.server)
 	c.recordOutcome(r, e)
-	c.endTrial(r, false)
+	c.endTrials(r)
 	if r.account != 0 && (e.Result == Refused || e.Result == Unreachable) {
 		c.accounts.get(r.account).started.add(c.now, -r.cost)
 	}
@@ -243,14 +253,14 @@
 func (c *Core) recordOutcome(r *request, e AttemptEnd) {
 	switch {
 	case e.Disconnected:
-		c.recordCrash(r.server, suspect.Crash{Digest: e.Digest, At: c.now, Sent: r.startedAt, Unanswered: r.prefill > 0})
+		c.recordCrash(r.server, r.subject(e.Digest), suspect.Crash{At: c.now, Sent: r.startedAt, Unanswered: r.prefill > 0})
 	case e.Result == Succeeded || e.Result == Failed || e.Result == Refused:
 		c.confirmAlive(r.server, r.startedAt)
 	case e.Result == Stalled || e.Result == Unknown:
-		c.recordStall(r, e.Digest)
+		c.recordStall(r, r.subject(e.Digest))
 	}
 	if e.Completed {
-		c.markCompleted(e.Digest)
+		c.markCompleted(r.subject(e.Digest))
 	}
 }
 
@@ -284,7 +294,7 @@
 		c.weighted.dequeue(r, c.now)
 		c.weighted.recordStart(r, c.now)
 	}
-	c.beginTrial(r)
+	c.beginTrials(r)
 	s.health.recordStart(c.now)
 	a.ID, a.Backend, a.Waited = r.ID, s.Backend, c.now-r.arrivedAt
 	c.emit(a)
@@ -322,8 +332,9 @@
 	c.promiseReturn(r, err)
 	c.discard(r)
 	a := Refuse{ID: r.ID, Err: err, Waited: c.now - r.arrivedAt}
-	if err.Code == codeCrashes || err.Code == codeOnTrial {
-		a.Crashes = c.suspects.Status(c.now, r.Digest).Crashes
+	if err.Code == codeCrashes || err.Code == codePartCrashes || err.Code == codeOnTrial {
+		status := c.suspects.Status(c.now, r.subject(r.Digest))
+		a.Crashes, a.Part = status.Crashes, status.Part
 	}
 	c.addPlainEstimate(r, &a)
 	c.emit(a)
--- a/pkg/admit/slot_request.go
+++ b/pkg/admit/slot_request.go
@@ -363,10 +363,10 @@
 
 // grantExpired reports whether a granted slot must not be used: since the slot request was
 // sent, the backend server may have stopped taking requests, the table may have restricted the
-// request to other regions, the server may run another software, the account may have reached its limits, the request may need stricter isolation or have passed its deadline, or the owner may
+// request to other regions, the server may run another software, the account may have reached its limits, the request may need stricter isolation, be blocked for crashes or have passed its deadline, or the owner may
 // have reassigned the slot.
 func (c *Core) grantExpired(r *request, a *slotRequest) bool {
-	return !c.accepts(a.server) || !c.mayProcess(a.server, r.candidates()) || !c.withinLimits(r) || c.isolation(r) > a.isolation || c.waitsForTrial(r) || c.now >= r.Deadline || c.mayBeReassigned(a)
+	return !c.accepts(a.server) || !c.mayProcess(a.server, r.candidates()) || !c.withinLimits(r) || c.isolation(r) > a.isolation || c.crashRefusal(r) != nil || c.waitsForTrial(r) || c.now >= r.Deadline || c.mayBeReassigned(a)
 }
 
 // mayBeReassigned reports whether the reply may have arrived during a pause of this process so
--- a/pkg/admit/stalls.go
+++ b/pkg/admit/stalls.go
@@ -22,20 +22,20 @@
 // stall is an attempt that ended without any response of its backend server after the attempt
 // was sent.
 type stall struct {
-	digest            suspect.Digest
+	subject           suspect.Subject
 	sentAt, stalledAt time.Duration
 }
 
 // recordStall records that an attempt ended without a response.
-func (c *Core) recordStall(r *request, d suspect.Digest) {
+func (c *Core) recordStall(r *request, subject suspect.Subject) {
 	s := r.server
-	if d == 0 || s.answeredAt >= r.startedAt {
+	if subject.Request == 0 || s.answeredAt >= r.startedAt {
 		return
 	}
 	if len(s.stalls) == maxStalls {
 		s.stalls = s.stalls[1:]
 	}
-	s.stalls = append(s.stalls, stall{digest: d, sentAt: r.startedAt, stalledAt: c.now})
+	s.stalls = append(s.stalls, stall{subject: subject, sentAt: r.startedAt, stalledAt: c.now})
 	c.crashFromStalls(s)
 }
 
@@ -55,7 +55,7 @@
 	}
 	for _, x := range s.stalls {
 		if c.now-x.stalledAt < stallTTL && s.answeredAt < x.sentAt {
-			c.recordCrash(s, suspect.Crash{Digest: x.digest, At: x.stalledAt, Sent: x.sentAt})
+			c.recordCrash(s, x.subject, suspect.Crash{At: x.stalledAt, Sent: x.sentAt})
 		}
 	}
 	s.stalls = nil
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -15,11 +15,13 @@
 	maxQueuedUpdates = 4 * maxPerMessage
 )
 
-// SuspectAdded is an action: a backend server crashed while a request was in flight there.
+// SuspectAdded is an action: a backend server crashed while a request, or requests with a part of a prompt,
+// were in flight there.
 type SuspectAdded struct {
 	Digest  suspect.Digest
+	Part    bool
 	Backend string
-	// Crashes is the number of backend servers that crashed under the request.
+	// Crashes is the number of backend servers that crashed under it.
 	Crashes int
 	// From is the router that reported it, "" if this router held the request.
 	From string
@@ -27,29 +29,53 @@
 
 func (SuspectAdded) action() {}
 
-// SuspectCleared is an action: the crashes recorded for a request were removed.
+// SuspectCleared is an action: the crashes recorded for a request or a part were removed.
 type SuspectCleared struct{ suspect.Cleared }
 
 func (SuspectCleared) action() {}
 
-// emitCleared emits an action for each request whose crashes were removed.
-func (c *Core) emitCleared() {
+// PartChanged is an action: a part became the likeliest cause of crashes, or ceased to be it.
+type PartChanged struct{ suspect.Change }
+
+func (PartChanged) action() {}
+
+// emitSuspectChanges emits an action for each item whose crashes were removed, and for each part that is
+// blocked or no longer blocked.
+func (c *Core) emitSuspectChanges() {
 	for _, cleared := range c.suspects.DrainCleared() {
 		c.emit(SuspectCleared{cleared})
 	}
+	for _, change := range c.suspects.Changes() {
+		c.emit(PartChanged{change})
+	}
 }
 
 // recordCrash records that a backend server crashed while a request of this router was in
-// flight there.
-func (c *Core) recordCrash(s *server, crash suspect.Crash) {
+// flight there. It accuses the request and all parts of its prompt.
+func (c *Core) recordCrash(s *server, subject suspect.Subject, crash suspect.Crash) {
 	crash.Server = suspect.Server(s.key)
-	if c.suspects.Record(c.now, crash) {
-		c.emit(SuspectAdded{Digest: crash.Digest, Backend: s.Name, Crashes: c.suspects.Status(c.now, crash.Digest).Crashes})
-		crash.Extra = c.suspects.ExtraAllowed(crash.Digest)
-		appendBounded(&c.ownUpdates.crashes, crash)
+	crash.Digest = subject.Request
+	c.accuse(s.Name, crash)
+	crash.Part = true
+	for _, crash.Digest = range subject.Parts {
+		c.accuse(s.Name, crash)
 	}
 }
 
+// accuse records a crash that this router observed, and queues it for other routers.
+func (c *Core) accuse(backend string, crash suspect.Crash) {
+	if !c.suspects.Record(c.now, crash) {
+		return
+	}
+	c.emitAdded(crash, backend, "")
+	crash.Extra = c.suspects.ExtraAllowed(crash.Digest)
+	appendBounded(&c.ownUpdates.crashes, crash)
+}
+
+func (c *Core) emitAdded(crash suspect.Crash, backend, from string) {
+	c.emit(SuspectAdded{Digest: crash.Digest, Part: crash.Part, Backend: backend, Crashes: c.suspects.Crashes(crash.Digest), From: from})
+}
+
 // suspectUpdates are changes to send to other routers.
 type suspectUpdates struct {
 	crashes   []suspect.Crash
@@ -70,8 +96,15 @@
 	}
 }
 
-// markCompleted records that a request completed.
-func (c *Core) markCompleted(d suspect.Digest) {
+// markCompleted records that a request completed, which clears it and the parts of its prompt.
+func (c *Core) markCompleted(subject suspect.Subject) {
+	c.clearItem(subject.Request)
+	for _, p := range subject.Parts {
+		c.clearItem(p)
+	}
+}
+
+func (c *Core) clearItem(d suspect.Digest) {
 	if c.suspects.MarkCompleted(c.now, d) {
 		appendBounded(&c.ownUpdates.completed, uint64(d))
 	}
@@ -98,7 +131,7 @@
 	at := c.now - time.Duration(m.AgoMillis)*time.Millisecond
 	crash := suspect.Crash{
 		Digest: suspect.Digest(m.Digest), Server: suspect.Server(m.Server), At: at, Sent: at - time.Duration(m.SentBeforeMillis)*time.Millisecond,
-		Unanswered: m.Unanswered, Extra: m.Extra,
+		Unanswered: m.Unanswered, Extra: m.Extra, Part: m.Part,
 	}
 	name := ""
 	if s, ok := c.servers[m.Server]; ok {
@@ -108,7 +141,7 @@
 		}
 	}
 	if c.suspects.Record(c.now, crash) {
-		c.emit(SuspectAdded{Digest: crash.Digest, Backend: name, Crashes: c.suspects.Status(c.now, crash.Digest).Crashes, From: from})
+		c.emitAdded(crash, name, from)
 		appendBounded(&c.relayUpdates.crashes, crash)
 	}
 }
@@ -164,13 +197,13 @@
 func crashMessages(now time.Duration, crashes []suspect.Crash) []wire.SuspectCrash {
 	list := make([]wire.SuspectCrash, 0, len(crashes))
 	for _, crash := range crashes {
-		list = append(list, wire.SuspectCrash{Digest: uint64(crash.Digest), Server: wire.NameHash(crash.Server), AgoMillis: (now - crash.At).Milliseconds(), SentBeforeMillis: (crash.At - crash.Sent).Milliseconds(), Unanswered: crash.Unanswered, Extra: crash.Extra})
+		list = append(list, wire.SuspectCrash{Digest: uint64(crash.Digest), Server: wire.NameHash(crash.Server), AgoMillis: (now - crash.At).Milliseconds(), SentBeforeMillis: (crash.At - crash.Sent).Milliseconds(), Unanswered: crash.Unanswered, Extra: crash.Extra, Part: crash.Part})
 	}
 	return list
 }
 
-// SuspectCount returns the number of requests with recorded crashes.
+// SuspectCount returns the number of requests and parts with recorded crashes.
 func (c *Core) SuspectCount() int { return c.suspects.Len() }
 
-// Suspects returns the crashes of the requests with the most crashes.
+// Suspects returns the crashes of the requests and parts with the most crashes.
 func (c *Core) Suspects(limit int) []suspect.Crash { return c.suspects.TopCrashes(limit) }
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -102,12 +103,12 @@
 			for _, step := range tc.steps {
 				step(tr)
 			}
-			got := tr.Status(tc.at, 7)
+			got := tr.Status(tc.at, suspect.Subject{Request: 7})
 			if got.Crashes != tc.crashes || got.Blocked(tc.at) != tc.blocked {
 				t.Errorf("%d crashes, blocked: %v, want %d, %v", got.Crashes, got.Blocked(tc.at), tc.crashes, tc.blocked)
 			}
 			tr.Expire(tc.at)
-			if again := tr.Status(tc.at, 7); again != got {
+			if again := tr.Status(tc.at, suspect.Subject{Request: 7}); !reflect.DeepEqual(again, got) {
 				t.Errorf("status after Expire: %+v, want %+v", again, got)
 			}
 		})
@@ -171,10 +172,10 @@
 	if tr.Len() > 4096 {
 		t.Errorf("%d requests kept, want at most 4096", tr.Len())
 	}
-	if s := tr.Status(now, 7); !s.Blocked(now) {
+	if s := tr.Status(now, suspect.Subject{Request: 7}); !s.Blocked(now) {
 		t.Errorf("the request with three crashes was evicted: %+v", s)
 	}
-	if s := tr.Status(now, 8); s.Crashes != 2 {
+	if s := tr.Status(now, suspect.Subject{Request: 8}); s.Crashes != 2 {
 		t.Errorf("the request with two crashes was evicted: %+v", s)
 	}
 	if top := tr.TopCrashes(5); len(top) != 5 || top[0].Digest != 7 || top[3].Digest != 8 {
--- a/pkg/wire/suspects.go
+++ b/pkg/wire/suspects.go
@@ -1,7 +1,7 @@
 package wire
 
-// SuspectUpdate lists requests that ran on a backend server when it crashed, and what has become
-// of them since.
+// SuspectUpdate lists requests, and parts of their prompts, that were in flight at a backend server when it
+// crashed, and what has become of them since.
 type SuspectUpdate struct {
 	Crashes []SuspectCrash
 	// Completed lists requests that have completed since. Their crashes no longer count.
@@ -25,4 +25,6 @@
 	// Extra is the number of crashes that the request is allowed beyond the usual limit,
 	// because it had completed before.
 	Extra int
+	// Part says that Digest identifies a part of prompts, not a whole request.
+	Part bool
 }
