Clear no crashes by an answer that may itself end with a crash

Cause: such an end is no different from that of a whole answer, counted as completed, and cleared the crashes of the request and its parts.

Change: a completion that only the end of its connection shows waits until the server has responded to something sent after it, or for 3 s. If a crash of the server is seen or told within 150 ms of it, if the server takes no connection, or if the directory ceases to list it, it counts as a crash.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -123,7 +123,7 @@
 func (d *Dispatcher) Release(g front.Grant, u front.Usage) {
 	e := endEvent{
 		id: g.ID, tokens: u.Tokens, result: resultOf(u), request: u.Request,
-		disconnected: wasDisconnected(u), completed: isCompleted(u),
+		disconnected: wasDisconnected(u), completed: isCompleted(u), unframed: u.Unframed,
 		longestPause: u.LongestPause, pauseTarget: u.PauseTarget,
 	}
 	if u.Digest != nil {
@@ -305,7 +305,9 @@
 	request                 string
 	digest                  suspect.Digest
 	disconnected, completed bool
-	tokens                  int64
+	// unframed says that only the end of the connection marked the end of the response.
+	unframed bool
+	tokens   int64
 	// longestPause is the longest pause between two events, pauseTarget that which the route
 	// desires, 0 if no pause was measured.
 	longestPause, pauseTarget time.Duration
@@ -315,7 +317,7 @@
 	result := adjustResult(e.result, s.d.Saturated())
 	s.endingRequest = e.request
 	delete(s.tokenCounts, e.id)
-	s.step(admit.AttemptEnd{ID: e.id, Tokens: e.tokens, Result: result, Digest: e.digest, Disconnected: e.disconnected && result != admit.Unknown, Completed: e.completed,
+	s.step(admit.AttemptEnd{ID: e.id, Tokens: e.tokens, Result: result, Digest: e.digest, Disconnected: e.disconnected && result != admit.Unknown, Completed: e.completed, Unframed: e.unframed,
 		LongestPause: e.longestPause, PauseTarget: e.pauseTarget})
 	s.endingRequest = ""
 }
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -185,8 +185,9 @@
 	Error *verdict.Error
 	// Stalled says that the backend server sent nothing for too long.
 	Stalled bool
-	// Empty says that the response was a stream without events.
-	Empty bool
+	// Unframed says that only the end of its connection marked the end of the response. Empty says that the
+	// response was a stream without events.
+	Unframed, Empty bool
 	// LongestPause is the longest pause between two events, PauseTarget that which the route desires,
 	// 0 if no pause was measured.
 	LongestPause, PauseTarget time.Duration
--- a/pkg/admit/alive.go
+++ b/pkg/admit/alive.go
@@ -33,6 +33,7 @@
 // was sent.
 func (c *Core) confirmAlive(s *server, sent time.Duration) {
 	s.answeredAt = c.now
+	c.confirmCompletions(s, sent)
 	if c.opt.uniqueIncarnations && s.StartTime == 0 {
 		s.alive = interval{to: max(s.alive.to, sent)}
 		c.suspects.MarkAlive(suspect.Server(s.key), s.alive.from, s.alive.to)
--- a/pkg/admit/peer.go
+++ b/pkg/admit/peer.go
@@ -115,6 +115,7 @@
 	}
 	c.sweptAt = c.now
 	c.suspects.Expire(c.now)
+	c.confirmOld()
 	c.updateSpeedClasses()
 	c.dropTrials("")
 	for source, report := range c.reports {
--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -87,11 +87,6 @@
 	trials []suspect.Digest
 }
 
-// subject returns what a crash accuses in a request.
-func (r *request) subject(d suspect.Digest) suspect.Subject {
-	return suspect.Subject{Request: d, Parts: r.Parts}
-}
-
 // slotRequest is a slot request that this router sent to the owner of a backend server.
 type slotRequest struct {
 	server *server
@@ -149,8 +144,9 @@
 	// Disconnected says that the backend server broke the connection while the request was in
 	// flight.
 	Disconnected bool
-	// Completed says that the request completed.
-	Completed bool
+	// Completed says that the request completed. Unframed says that only the end of the connection marked the
+	// end of the response, so that it may be incomplete.
+	Completed, Unframed bool
 	// Tokens is the number of tokens used.
 	Tokens int64
 	// LongestPause is the longest pause between two events of the response, PauseTarget that which its
@@ -253,13 +249,19 @@
 func (c *Core) recordOutcome(r *request, e AttemptEnd) {
 	switch {
 	case e.Disconnected:
+		c.crashEndsAround(r.server, c.now)
 		c.recordCrash(r.server, r.subject(e.Digest), suspect.Crash{At: c.now, Sent: r.startedAt, Unanswered: r.prefill > 0})
+	case e.Result == Unreachable:
+		c.crashUnconfirmed(r.server)
 	case e.Result == Succeeded || e.Result == Failed || e.Result == Refused:
 		c.confirmAlive(r.server, r.startedAt)
 	case e.Result == Stalled || e.Result == Unknown:
 		c.recordStall(r, r.subject(e.Digest))
 	}
-	if e.Completed {
+	switch {
+	case e.Completed && e.Unframed:
+		c.deferCompletion(r, r.subject(e.Digest))
+	case e.Completed:
 		c.markCompleted(r.subject(e.Digest))
 	}
 }
--- a/pkg/admit/server.go
+++ b/pkg/admit/server.go
@@ -55,6 +55,8 @@
 	answeredAt time.Duration
 	// stalls are recent attempts of this router without a response, the oldest first.
 	stalls []stall
+	// unconfirmed are completions that may be crashes, the oldest first.
+	unconfirmed []unconfirmed
 	// vanished says that the directory stopped listing it without having shown it as leaving.
 	vanished bool
 	// notice is what it announced about itself, nil if nothing.
--- a/pkg/admit/stalls.go
+++ b/pkg/admit/stalls.go
@@ -42,6 +42,9 @@
 // recordVanished records that the directory no longer lists a backend server.
 func (c *Core) recordVanished(s *server) {
 	s.vanished = s.vanished || s.Mark == table.Serving && !s.announcedLeaving()
+	if s.vanished && !c.unreachableZones[s.Zone] {
+		c.crashUnconfirmed(s)
+	}
 	c.crashFromStalls(s)
 }
 
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -139,6 +139,7 @@
 		if s.alive.contains(crash.At) {
 			return
 		}
+		c.crashEndsAround(s, crash.At)
 	}
 	if c.suspects.Record(c.now, crash) {
 		c.emitAdded(crash, name, from)
