--- a/pkg/admit/crash_world_test.go
+++ b/pkg/admit/crash_world_test.go
@@ -14,6 +14,10 @@
 	w *world
 	// crashAfter is the time from the start of a crashing request to the crash, by digest.
 	crashAfter map[suspect.Digest]time.Duration
+	// partCrashAfter is the same for requests with a crashing part, by part.
+	partCrashAfter map[suspect.Digest]time.Duration
+	// eventFirst says that crashing requests get an event before the crash.
+	eventFirst bool
 	// restartAfter is the time from a crash to the restart.
 	restartAfter time.Duration
 	// singleTry says that routers do not retry crashing requests.
@@ -39,6 +43,9 @@
 	crashed, sends map[suspect.Digest]int
 	// lateSends counts the attempts of crashing requests after the third crash.
 	lateSends int
+	// partCrashes are the times of crashes under each crashing part, partSends those at which requests with
+	// it were sent.
+	partCrashes, partSends map[suspect.Digest][]time.Duration
 	// blocked counts the harmless requests refused for crashes, waited those refused because
 	// another attempt ran.
 	blocked, waited int
@@ -49,7 +56,7 @@
 func withCrashes(w *world, after map[suspect.Digest]time.Duration) *crashSim {
 	w.crashes = &crashSim{
 		w: w, crashAfter: after, restartAfter: 3 * time.Second, running: map[string][]uint64{}, disconnected: map[uint64]bool{}, down: map[string]bool{},
-		crashed: map[suspect.Digest]int{}, sends: map[suspect.Digest]int{}, tries: map[uint64]int{}, unreachable: map[string]int{},
+		partCrashes: map[suspect.Digest][]time.Duration{}, partSends: map[suspect.Digest][]time.Duration{}, crashed: map[suspect.Digest]int{}, sends: map[suspect.Digest]int{}, tries: map[uint64]int{}, unreachable: map[string]int{},
 	}
 	return w.crashes
 }
@@ -57,20 +64,36 @@
 func (x *crashSim) isDisconnected(id uint64) bool { return x != nil && x.disconnected[id] }
 
 // isCrashing reports whether a request crashes backend servers. Such requests never get a
-// response.
-func (x *crashSim) isCrashing(d suspect.Digest) bool {
+// whole response.
+func (x *crashSim) isCrashing(r admit.Request) bool {
 	if x == nil {
 		return false
 	}
-	_, crashing := x.crashAfter[d]
-	return crashing
+	_, crashing := x.crashAfter[r.Digest]
+	return crashing || x.crashingPart(r) != 0
+}
+
+// crashingPart returns the part of a request that crashes backend servers, 0 if it has none.
+func (x *crashSim) crashingPart(r admit.Request) suspect.Digest {
+	for _, p := range r.Parts {
+		if _, crashing := x.partCrashAfter[p]; crashing {
+			return p
+		}
+	}
+	return 0
+}
+
+// getsEvent reports whether a request gets its first event.
+func (x *crashSim) getsEvent(id uint64, r admit.Request) bool {
+	return !x.isDisconnected(id) && (!x.isCrashing(r) || x.eventFirst)
 }
 
 // onSent records a request at a backend server, and reports whether the server is up.
-func (x *crashSim) onSent(id uint64, d suspect.Digest, server string) bool {
+func (x *crashSim) onSent(id uint64, r admit.Request, server string) bool {
 	if x == nil {
 		return true
 	}
+	d := r.Digest
 	if x.down[server] {
 		x.unreachable[server]++
 		return false
@@ -79,6 +102,16 @@
 		return false
 	}
 	x.running[server] = append(x.running[server], id)
+	if part := x.crashingPart(r); part != 0 {
+		x.partSends[part] = append(x.partSends[part], x.w.now)
+		x.w.schedule(x.partCrashAfter[part], func() {
+			if !x.disconnected[id] && slices.Contains(x.running[server], id) {
+				x.partCrashes[part] = append(x.partCrashes[part], x.w.now)
+				x.crash(server)
+			}
+		})
+		return true
+	}
 	delay, crashing := x.crashAfter[d]
 	if !crashing {
 		return true
@@ -106,7 +139,7 @@
 }
 
 func (x *crashSim) onRefused(a admit.Refuse) {
-	if x == nil || a.Crashes == 0 || x.isCrashing(x.w.requests[a.ID].request.Digest) {
+	if x == nil || a.Crashes == 0 || x.isCrashing(x.w.requests[a.ID].request) {
 		return
 	}
 	if a.Err.Code == "on-trial" {
@@ -199,9 +232,14 @@
 	})
 }
 
-// disconnect reports to the holder that the connection of a request broke.
+// disconnect reports to the holder that the connection of a request broke. Without framing that looks like the
+// end of a response that has begun.
 func (x *crashSim) disconnect(id uint64) {
 	a := x.w.requests[id]
+	if x.w.unframed && x.w.starts[id].first > 0 {
+		x.w.step(a.router, admit.AttemptEnd{ID: id, Result: admit.Succeeded, Digest: a.request.Digest, Completed: true, Unframed: true})
+		return
+	}
 	x.w.step(a.router, admit.AttemptEnd{ID: id, Result: admit.Broken, Digest: a.request.Digest, Disconnected: true})
 	x.retry(id)
 }
@@ -211,7 +249,7 @@
 	w := x.w
 	a := w.requests[id]
 	x.tries[id]++
-	if w.down[a.router] || x.isCrashing(a.request.Digest) && (x.singleTry || x.tries[id] > 1) || x.tries[id] >= maxTries {
+	if w.down[a.router] || x.isCrashing(a.request) && (x.singleTry || x.tries[id] > 1) || x.tries[id] >= maxTries {
 		return
 	}
 	if x.tries[id] > 1 {
--- a/pkg/admit/world_test.go
+++ b/pkg/admit/world_test.go
@@ -42,6 +42,8 @@
 	streamTime, baseLatency time.Duration
 	// crashes simulates crashes of backend servers, nil if there are none.
 	crashes *crashSim
+	// unframed says that responses end with their connections, so that a crash ends them as if complete.
+	unframed bool
 	// tokens is the usage of each request, completedTokens the total usage by account.
 	tokens          int64
 	completedTokens map[string]int64
@@ -289,7 +291,7 @@
 	e.freeAt = max(e.freeAt, w.now) + time.Duration(tokens)*e.perToken
 	w.recordRead(a, r.Prefix, e)
 	w.starts[a.ID] = startRecord{Start: a, router: name, at: w.now}
-	if !w.crashes.onSent(a.ID, r.Digest, a.Backend.Name) {
+	if !w.crashes.onSent(a.ID, r, a.Backend.Name) {
 		e.running--
 		w.schedule(netLatency, func() {
 			w.step(name, admit.AttemptEnd{ID: a.ID, Result: admit.Unreachable})
@@ -299,7 +301,7 @@
 	}
 	first := e.freeAt - w.now + w.baseLatency
 	w.schedule(first, func() {
-		if w.crashes.isDisconnected(a.ID) || w.crashes.isCrashing(r.Digest) {
+		if !w.crashes.getsEvent(a.ID, r) {
 			return
 		}
 		s := w.starts[a.ID]
@@ -313,10 +315,10 @@
 	}
 	w.schedule(first+w.streamTime, func() {
 		e.running--
-		if !w.crashes.isDisconnected(a.ID) && !w.crashes.isCrashing(r.Digest) {
+		if !w.crashes.isDisconnected(a.ID) && !w.crashes.isCrashing(r) {
 			w.crashes.onEnded(a.ID)
 			w.completedTokens[r.Account] += w.tokens
-			w.step(name, admit.AttemptEnd{ID: a.ID, Result: admit.Succeeded, Digest: r.Digest, Completed: true, Tokens: w.tokens})
+			w.step(name, admit.AttemptEnd{ID: a.ID, Result: admit.Succeeded, Digest: r.Digest, Completed: true, Unframed: w.unframed, Tokens: w.tokens})
 		}
 	})
 }
