--- a/pkg/admit/crashing_part_test.go
+++ b/pkg/admit/crashing_part_test.go
@@ -35,7 +35,7 @@
 }
 
 func newPartWorld(seed uint64, zones []string) *partWorld {
-	w := newWorld(seed, 4/len(zones), zones, 9/len(zones), admit.WithUniqueIncarnations())
+	w := newWorld(seed, 4/len(zones), zones, 9/len(zones))
 	p := &partWorld{world: w, x: withCrashes(w, nil), deadlyFrom: time.Second}
 	p.x.partCrashAfter = map[suspect.Digest]time.Duration{deadlyPart: 150 * time.Millisecond}
 	p.soundParts = func(w *partWorld) []suspect.Digest {
@@ -199,7 +199,7 @@
 					t.Errorf("seed %d: %.2f of the sound requests got an event, want %.2f; crashes at %v", seed, served, minServed, p.x.partCrashes[deadlyPart])
 				}
 				if testing.Verbose() {
-					t.Logf("seed %d: %d crashes, %d late, served %.2f, %d blocked, %d waited", seed, len(p.x.partCrashes[deadlyPart])+len(p.x.partCrashes[otherDeadlyPart]), p.lateSends(deadlyPart), p.servedAfter(p.deadlyFrom+8*time.Second), p.x.blocked, p.x.waited)
+					t.Logf("%s, seed %d: %d crashes, %d late, served %.2f, %d blocked, %d waited", name, seed, len(p.x.partCrashes[deadlyPart])+len(p.x.partCrashes[otherDeadlyPart]), p.lateSends(deadlyPart), p.servedAfter(p.deadlyFrom+8*time.Second), p.x.blocked, p.x.waited)
 				}
 			}
 		})
