--- a/pkg/admit/crashing_part_test.go
+++ b/pkg/admit/crashing_part_test.go
@@ -237,3 +237,19 @@
 	}
 	return blocked
 }
+
+// TestPartStaysBlocked: a part that crashes backend servers must stay blocked over a long time in which requests
+// with it keep coming, but for single trials.
+func TestPartStaysBlocked(t *testing.T) {
+	const end = 3 * time.Hour
+	p := newPartWorld(1, []string{"a"})
+	p.every(5*time.Second, func() { p.sendPart([]suspect.Digest{firstPart, deadlyPart}) })
+	p.every(2*time.Second, func() { p.sound = append(p.sound, p.sendPart(p.soundParts(p))) })
+	p.run(end)
+	if late := p.lateSends(deadlyPart); late > maxLatePartSends {
+		t.Errorf("%d late requests, %d allowed; sent at %v", late, maxLatePartSends, p.x.partSends[deadlyPart])
+	}
+	if p.x.blocked+p.x.waited > 0 {
+		t.Errorf("%d sound requests were refused, %d had to wait", p.x.blocked, p.x.waited)
+	}
+}
