--- a/internal/explain/crashes_test.go
+++ b/internal/explain/crashes_test.go
@@ -46,3 +46,30 @@
 		}
 	}
 }
+
+// partLog is the log of a part under which backend servers crashed, and of a request that was refused for it.
+const partLog = `
+time=2026-01-01T00:00:01.000Z level=INFO msg=part_at_end router=a-0 part=00000000000000aa backend=form-1 ends=2 from=""
+time=2026-01-01T00:00:02.000Z level=INFO msg=part_at_end router=b-0 part=00000000000000bb backend=form-2 ends=2 from=""
+time=2026-01-01T00:00:03.000Z level=WARN msg=part_blocked router=b-0 part=00000000000000aa ends=3 certain=true
+time=2026-01-01T00:00:04.000Z level=WARN msg=request_held_back router=a-0 request=r3 digest=00000000000000cc ends=3 part=00000000000000aa part_id=5c1e07a2 code=part-ends-backends
+time=2026-01-01T00:00:04.000Z level=INFO msg=request_end router=a-0 request=r3 account=moka model=form status=503 code=part-ends-backends verdict=not-run attempts=0 waited_ms=0 total_ms=1
+`
+
+// TestExplainShowsCrashesOfPart checks that the report on a request that was refused for a part of its prompt leads
+// to the crashes that accuse that part, and not to those of another one.
+func TestExplainShowsCrashesOfPart(t *testing.T) {
+	var records []logread.Record
+	if _, err := logread.Each(strings.NewReader(partLog), func(r logread.Record) { records = append(records, r) }); err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	if err := explain.Explain(&b, "r3", records); err != nil {
+		t.Fatal(err)
+	}
+	for text, want := range map[string]bool{"backend=form-1": true, "backend=form-2": false, "certain=true": true, "part_id=5c1e07a2": true} {
+		if strings.Contains(b.String(), text) != want {
+			t.Errorf("shows %s: %v\n%s", text, !want, b.String())
+		}
+	}
+}
