Tell crashes under prompt parts in a message of their own

Cause: a crash had got one more field; earlier builds decode a struct as an array of exactly its fields, and docs/PROTOCOL.md says that the fields of a kind never change. Now kind 45, PartCrashes, which earlier builds pass over; completions and trials of parts go as digests in SuspectUpdate as before.

--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -62,7 +62,7 @@
 	switch m := e.Msg.(type) {
 	case *wire.RouterState:
 		s.handleState(e.Inbound, m)
-	case *wire.SlotRequest, *wire.SlotContext, *wire.SlotReply, *wire.RequestUpdate, *wire.RequestSync, *wire.Leaving, *wire.SuspectUpdate,
+	case *wire.SlotRequest, *wire.SlotContext, *wire.SlotReply, *wire.RequestUpdate, *wire.RequestSync, *wire.Leaving, *wire.SuspectUpdate, *wire.PartCrashes,
 		*wire.SlotMargin, *wire.StreamPauses, *wire.EngineStates, *wire.ReturnOffer, *wire.ReturnPromise:
 		s.step(admit.Message{From: e.From, Msg: m})
 	case *wire.CapacityReport:
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -30,9 +30,9 @@
 	}
 }
 
-// sendAllSuspects sends a router the suspects that fit one message.
+// sendAllSuspects sends a router the suspects with the most crashes.
 func (s *state) sendAllSuspects(to string) {
-	if m := s.core.WorstSuspects(s.now); m != nil {
+	for _, m := range s.core.WorstSuspects(s.now) {
 		s.d.transport.Send(to, m)
 	}
 }
--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -299,6 +299,8 @@
 		c.handleLeaving(from, m)
 	case *wire.SuspectUpdate:
 		c.handleSuspects(from, m)
+	case *wire.PartCrashes:
+		c.applyCrashes(from, m.Crashes, true)
 	}
 }
 
--- a/pkg/admit/crashing_part_test.go
+++ b/pkg/admit/crashing_part_test.go
@@ -63,7 +63,7 @@
 	p.every(2*time.Second, func() {
 		for i, name := range p.order {
 			to := p.order[(i+1+p.rng.IntN(len(p.order)-1))%len(p.order)]
-			if m := p.cores[name].WorstSuspects(p.now); m != nil {
+			for _, m := range p.cores[name].WorstSuspects(p.now) {
 				p.deliver(name, to, m)
 			}
 		}
--- a/pkg/admit/isolation_test.go
+++ b/pkg/admit/isolation_test.go
@@ -111,7 +111,7 @@
 			continue
 		}
 		w.step(other, admit.PeerGone{From: router})
-		if m := w.cores[other].WorstSuspects(w.now); m != nil {
+		for _, m := range w.cores[other].WorstSuspects(w.now) {
 			w.deliver(other, router, m)
 		}
 	}
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -69,7 +69,7 @@
 	}
 	c.emitAdded(crash, backend, "")
 	crash.Extra = c.suspects.ExtraAllowed(crash.Digest)
-	appendBounded(&c.ownUpdates.crashes, crash)
+	c.ownUpdates.add(crash)
 }
 
 func (c *Core) emitAdded(crash suspect.Crash, backend, from string) {
@@ -78,15 +78,25 @@
 
 // suspectUpdates are changes to send to other routers.
 type suspectUpdates struct {
-	crashes   []suspect.Crash
-	completed []uint64
+	// crashes are those under requests, partCrashes those under parts.
+	crashes, partCrashes []suspect.Crash
+	completed            []uint64
 	// started, answered and ended are suspect requests of which an attempt started, began to
 	// respond, or ended without a response.
 	started, answered, ended []uint64
 }
 
 func (u *suspectUpdates) empty() bool {
-	return len(u.crashes)+len(u.completed)+len(u.started)+len(u.answered)+len(u.ended) == 0
+	return len(u.crashes)+len(u.partCrashes)+len(u.completed)+len(u.started)+len(u.answered)+len(u.ended) == 0
+}
+
+// add queues a crash.
+func (u *suspectUpdates) add(crash suspect.Crash) {
+	if crash.Part {
+		appendBounded(&u.partCrashes, crash)
+		return
+	}
+	appendBounded(&u.crashes, crash)
 }
 
 // appendBounded appends to a list of queued updates unless it is full.
@@ -113,9 +123,7 @@
 // handleSuspects applies another router's crash records, and queues those that were unknown for
 // relaying.
 func (c *Core) handleSuspects(from string, m *wire.SuspectUpdate) {
-	for _, x := range m.Crashes[:min(maxPerMessage, len(m.Crashes))] {
-		c.applyCrash(from, x)
-	}
+	c.applyCrashes(from, m.Crashes, false)
 	for _, d := range m.Completed[:min(maxPerMessage, len(m.Completed))] {
 		if c.suspects.MarkCompleted(c.now, suspect.Digest(d)) {
 			appendBounded(&c.relayUpdates.completed, d)
@@ -124,14 +132,21 @@
 	c.handleTrials(from, m)
 }
 
-func (c *Core) applyCrash(from string, m wire.SuspectCrash) {
+// applyCrashes records crashes under requests, or under parts, that another router reports.
+func (c *Core) applyCrashes(from string, crashes []wire.SuspectCrash, parts bool) {
+	for _, x := range crashes[:min(maxPerMessage, len(crashes))] {
+		c.applyCrash(from, x, parts)
+	}
+}
+
+func (c *Core) applyCrash(from string, m wire.SuspectCrash, part bool) {
 	if !isValidAge(m.AgoMillis) || !isValidAge(m.SentBeforeMillis) {
 		return
 	}
 	at := c.now - time.Duration(m.AgoMillis)*time.Millisecond
 	crash := suspect.Crash{
 		Digest: suspect.Digest(m.Digest), Server: suspect.Server(m.Server), At: at, Sent: at - time.Duration(m.SentBeforeMillis)*time.Millisecond,
-		Unanswered: m.Unanswered, Extra: m.Extra, Part: m.Part,
+		Unanswered: m.Unanswered, Extra: m.Extra, Part: part,
 	}
 	name := ""
 	if s, ok := c.servers[m.Server]; ok {
@@ -143,7 +158,7 @@
 	}
 	if c.suspects.Record(c.now, crash) {
 		c.emitAdded(crash, name, from)
-		appendBounded(&c.relayUpdates.crashes, crash)
+		c.relayUpdates.add(crash)
 	}
 }
 
@@ -155,19 +170,23 @@
 // HasSuspectUpdates reports whether there are updates to send to other routers at once.
 func (c *Core) HasSuspectUpdates() bool { return !c.ownUpdates.empty() }
 
-// TakeSuspectUpdates returns and clears the queued updates. A relay includes those that it
+// TakeSuspectUpdates returns the queued updates as messages, and clears them. A relay includes those that it
 // received.
-func (c *Core) TakeSuspectUpdates(now time.Duration, relay bool) []*wire.SuspectUpdate {
+func (c *Core) TakeSuspectUpdates(now time.Duration, relay bool) []any {
 	updates := c.ownUpdates
 	if relay {
 		updates.crashes = append(updates.crashes, c.relayUpdates.crashes...)
+		updates.partCrashes = append(updates.partCrashes, c.relayUpdates.partCrashes...)
 		updates.completed = append(updates.completed, c.relayUpdates.completed...)
 		updates.started = append(updates.started, c.relayUpdates.started...)
 		updates.answered = append(updates.answered, c.relayUpdates.answered...)
 		updates.ended = append(updates.ended, c.relayUpdates.ended...)
 	}
 	c.ownUpdates, c.relayUpdates = suspectUpdates{}, suspectUpdates{}
-	var list []*wire.SuspectUpdate
+	var list []any
+	for len(updates.partCrashes) > 0 {
+		list = append(list, &wire.PartCrashes{Crashes: crashMessages(now, takeChunk(&updates.partCrashes))})
+	}
 	for !updates.empty() {
 		list = append(list, &wire.SuspectUpdate{
 			Crashes: crashMessages(now, takeChunk(&updates.crashes)), Completed: takeChunk(&updates.completed),
@@ -185,20 +204,30 @@
 	return chunk
 }
 
-// WorstSuspects returns the crashes of the requests with the most crashes, nil if there are
-// none. It is for routers that are new or may have missed updates.
-func (c *Core) WorstSuspects(now time.Duration) *wire.SuspectUpdate {
-	crashes := c.suspects.TopCrashes(maxPerMessage)
-	if len(crashes) == 0 {
-		return nil
+// WorstSuspects returns the crashes of the requests and parts with the most crashes as messages, none if there are
+// no crashes. They are for routers that are new or may have missed updates.
+func (c *Core) WorstSuspects(now time.Duration) []any {
+	var worst suspectUpdates
+	for _, crash := range c.suspects.TopCrashes(maxPerMessage) {
+		worst.add(crash)
+	}
+	var list []any
+	if len(worst.partCrashes) > 0 {
+		list = append(list, &wire.PartCrashes{Crashes: crashMessages(now, worst.partCrashes)})
 	}
-	return &wire.SuspectUpdate{Crashes: crashMessages(now, crashes)}
+	if len(worst.crashes) > 0 {
+		list = append(list, &wire.SuspectUpdate{Crashes: crashMessages(now, worst.crashes)})
+	}
+	return list
 }
 
 func crashMessages(now time.Duration, crashes []suspect.Crash) []wire.SuspectCrash {
 	list := make([]wire.SuspectCrash, 0, len(crashes))
 	for _, crash := range crashes {
-		list = append(list, wire.SuspectCrash{Digest: uint64(crash.Digest), Server: wire.NameHash(crash.Server), AgoMillis: (now - crash.At).Milliseconds(), SentBeforeMillis: (crash.At - crash.Sent).Milliseconds(), Unanswered: crash.Unanswered, Extra: crash.Extra, Part: crash.Part})
+		list = append(list, wire.SuspectCrash{
+			Digest: uint64(crash.Digest), Server: wire.NameHash(crash.Server), AgoMillis: (now - crash.At).Milliseconds(),
+			SentBeforeMillis: (crash.At - crash.Sent).Milliseconds(), Unanswered: crash.Unanswered, Extra: crash.Extra,
+		})
 	}
 	return list
 }
--- a/pkg/admit/suspects_fuzz_test.go
+++ b/pkg/admit/suspects_fuzz_test.go
@@ -16,6 +16,7 @@
 	e := wire.NewEncoder(&buf)
 	for _, m := range []any{
 		&wire.SuspectUpdate{Crashes: []wire.SuspectCrash{{Digest: 7, Server: 1, AgoMillis: 3}}, Completed: []uint64{8}, Retrying: []uint64{7}, Ended: []uint64{7}},
+		&wire.PartCrashes{Crashes: []wire.SuspectCrash{{Digest: 7, Server: 1, AgoMillis: 3}}},
 		&wire.Leaving{Servers: []wire.NameHash{1, 2}},
 	} {
 		if err := e.Append(m); err != nil {
@@ -32,7 +33,7 @@
 		c, messages := w.cores[w.order[0]], 0
 		for _, m := range msgs {
 			switch m.(type) {
-			case *wire.SuspectUpdate, *wire.Leaving:
+			case *wire.SuspectUpdate, *wire.PartCrashes, *wire.Leaving:
 				messages++
 				w.step(w.order[0], admit.Message{From: "other", Msg: m})
 			}
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -62,6 +62,7 @@
 	KindStreamOrigins         Kind = 42
 	KindOriginQuery           Kind = 43
 	KindOriginReply           Kind = 44
+	KindPartCrashes           Kind = 45
 )
 
 // Protocol is the version of the protocol that this program writes, OldestProtocol the
@@ -151,6 +152,7 @@
 	KindStreamOrigins:         func() any { return &StreamOrigins{} },
 	KindOriginQuery:           func() any { return &OriginQuery{} },
 	KindOriginReply:           func() any { return &OriginReply{} },
+	KindPartCrashes:           func() any { return &PartCrashes{} },
 }
 
 // Encoder encodes the messages of one connection. It sends an interned string only
--- a/pkg/wire/suspects.go
+++ b/pkg/wire/suspects.go
@@ -1,10 +1,10 @@
 package wire
 
-// SuspectUpdate lists requests, and parts of their prompts, that were in flight at a backend server when it
-// crashed, and what has become of them since.
+// SuspectUpdate lists requests that ran on a backend server when it crashed, and what has become
+// of them, and of parts of their prompts, since.
 type SuspectUpdate struct {
 	Crashes []SuspectCrash
-	// Completed lists requests that have completed since. Their crashes no longer count.
+	// Completed lists requests that have completed since, and parts of such. Their crashes no longer count.
 	Completed []uint64
 	// Retrying, Responding and Ended are about requests with crashes whose next attempt is at
 	// the sender: Retrying lists those whose attempt has started, Responding those whose
@@ -25,6 +25,10 @@
 	// Extra is the number of crashes that the request is allowed beyond the usual limit,
 	// because it had completed before.
 	Extra int
-	// Part says that Digest identifies a part of prompts, not a whole request.
-	Part bool
+}
+
+// PartCrashes lists parts of prompts, of which requests were in flight at a backend server when it crashed. Digest
+// identifies the part in each. What has become of parts since is told as of requests.
+type PartCrashes struct {
+	Crashes []SuspectCrash
 }
