--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,38 +66,53 @@
 }
 
 // TestWaitingRequestIsBlockedAfterCrashes guards against starting a waiting request after
-// backend servers crashed under other attempts of it.
+// backend servers crashed under other attempts of it, or under others with a part of its prompt.
 func TestWaitingRequestIsBlockedAfterCrashes(t *testing.T) {
-	const digest = 7
-	d, net := startDispatcher(t)
-	request := func(digest uint64) front.Request {
-		return front.Request{Model: "reader", Deadline: time.Now().Add(testTimeout), Digest: func() uint64 { return digest }}
-	}
-	first, err := d.Acquire(t.Context(), request(1))
-	if err != nil {
-		t.Fatal(err)
+	const digest, part = 7, 8
+	var crashes []wire.SuspectCrash
+	for i := range 3 {
+		crashes = append(crashes, wire.SuspectCrash{Digest: digest, Server: wire.NameHash(100 + i), AgoMillis: int64(1000 * i)})
 	}
-	blocked := make(chan error, 1)
-	go func() {
-		_, err := d.Acquire(t.Context(), request(digest))
-		blocked <- err
-	}()
-	for d.Status().Waiting == 0 {
-		time.Sleep(time.Millisecond)
+	partCrashes := slices.Clone(crashes)
+	for i := range partCrashes {
+		partCrashes[i].Digest = part
 	}
-	var ends []wire.SuspectCrash
-	for i := range 3 {
-		ends = append(ends, wire.SuspectCrash{Digest: digest, Server: wire.NameHash(100 + i), AgoMillis: int64(1000 * i)})
+	tests := map[string]struct {
+		msg  any
+		code string
+	}{
+		"of the request":        {&wire.SuspectUpdate{Crashes: crashes}, "ends-backends"},
+		"of a part of a prompt": {&wire.PartCrashes{Crashes: partCrashes}, "part-ends-backends"},
 	}
-	net.receive("r-1", &wire.SuspectUpdate{Crashes: ends})
-	d.Release(first, front.Usage{Sent: true, Status: 200})
-	select {
-	case err := <-blocked:
-		var e *verdict.Error
-		if !errors.As(err, &e) || e.Code != "ends-backends" {
-			t.Errorf("Acquire returned %v, want code ends-backends", err)
-		}
-	case <-time.After(testTimeout):
-		t.Error("the request still waits")
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, net := startDispatcher(t)
+			request := func(digest uint64, parts ...front.Part) front.Request {
+				return front.Request{Model: "reader", Deadline: time.Now().Add(testTimeout), Digest: func() uint64 { return digest }, Parts: parts}
+			}
+			first, err := d.Acquire(t.Context(), request(1))
+			if err != nil {
+				t.Fatal(err)
+			}
+			blocked := make(chan error, 1)
+			go func() {
+				_, err := d.Acquire(t.Context(), request(digest, front.Part{ID: "x", Digest: part}))
+				blocked <- err
+			}()
+			for d.Status().Waiting == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			net.receive("r-1", tc.msg)
+			d.Release(first, front.Usage{Sent: true, Status: 200})
+			select {
+			case err := <-blocked:
+				var e *verdict.Error
+				if !errors.As(err, &e) || e.Code != tc.code {
+					t.Errorf("Acquire returned %v, want code %s", err, tc.code)
+				}
+			case <-time.After(testTimeout):
+				t.Error("the request still waits")
+			}
+		})
 	}
 }
