--- a/internal/dispatch/removals.go
+++ b/internal/dispatch/removals.go
@@ -29,29 +29,7 @@
 			d.opt.log.Warn("platform_read_failed", "what", "removals", "as_of", since.Number, "error", err)
 			return
 		}
-		addMissing(u, &changes)
+		u.AddRemovals(&changes)
 		return
 	}
 }
-
-// addMissing adds the removals among changes of items that a full update does not list.
-func addMissing(u, changes *catalog.Update) {
-	listed := map[string]bool{}
-	for i := range u.Servers {
-		listed[u.Servers[i].Backend.Name] = true
-	}
-	for _, s := range changes.Servers {
-		if s.Gone && s.Revision <= u.AsOf && !listed[s.Backend.Name] {
-			u.Servers = append(u.Servers, s)
-		}
-	}
-	closed := map[string]bool{}
-	for _, z := range u.Zones {
-		closed[z.Name] = true
-	}
-	for _, z := range changes.Zones {
-		if !z.Closed && z.Revision <= u.AsOf && !closed[z.Name] {
-			u.Zones = append(u.Zones, z)
-		}
-	}
-}
