Send no request beside the trial of another attempt when its owner does not reply

By reading: a router whose owner did not reply within 40 ms admitted a suspected request on its own estimate, without looking whether another attempt of it, or one with the same suspect part, runs as a trial: each router may then send one more of what crashes servers. admitLocally looks as the other ways do. TestLocalAdmissionWaitsForTrial fails without it.

--- a/pkg/admit/isolation_test.go
+++ b/pkg/admit/isolation_test.go
@@ -368,3 +368,26 @@
 		}
 	}
 }
+
+// TestLocalAdmissionWaitsForTrial: a request whose owner does not reply must not be sent while another attempt of it
+// runs as a trial.
+func TestLocalAdmissionWaitsForTrial(t *testing.T) {
+	w := newWorld(1, 2, []string{"a"}, 1)
+	owner, holder := w.order[0], w.order[1]
+	if len(w.cores[owner].Owned()) == 0 {
+		owner, holder = holder, owner
+	}
+	w.blocked[[2]string{holder, owner}] = true
+	crash := &wire.SuspectUpdate{Crashes: []wire.SuspectCrash{{Digest: 7, Server: 99}}}
+	w.step(holder, admit.Message{From: "other", Msg: crash})
+	suspected := w.submit(holder, admit.Request{Prompt: 900, Digest: 7, MaxWait: time.Second})
+	harmless := w.submit(holder, admit.Request{Prompt: 900, Digest: 8, MaxWait: time.Second})
+	w.step(holder, admit.Message{From: "other", Msg: &wire.SuspectUpdate{Retrying: []uint64{7}}})
+	w.run(w.now + 500*time.Millisecond)
+	if _, started := w.starts[harmless]; !started {
+		t.Error("a harmless request was not admitted without its owner")
+	}
+	if _, started := w.starts[suspected]; started {
+		t.Error("a suspected request was sent beside the trial of another attempt")
+	}
+}
--- a/pkg/admit/slot_request.go
+++ b/pkg/admit/slot_request.go
@@ -262,7 +262,7 @@
 // the backend server.
 func (c *Core) admitLocally(r *request, a *slotRequest) bool {
 	s := a.server
-	if c.weighted != nil || !c.accepts(s) || !c.mayProcess(s, r.candidates()) || s.isWarming(c.now) || float64(s.running(c.now)) >= localSlotFraction*float64(s.Slots) {
+	if c.weighted != nil || c.waitsForTrial(r) || !c.accepts(s) || !c.mayProcess(s, r.candidates()) || s.isWarming(c.now) || float64(s.running(c.now)) >= localSlotFraction*float64(s.Slots) {
 		return false
 	}
 	if c.service(r.Service).engine && s.ownPrefill() > 0 {
