--- a/pkg/admit/unconfirmed.go
+++ b/pkg/admit/unconfirmed.go
@@ -12,8 +12,8 @@
 
 const (
 	// confirmAfter is the time after which a completion is taken for one, if nothing shows that the server
-	// crashed. The directory ceases to list a crashed server in less.
-	confirmAfter = 3 * time.Second
+	// crashed. The directory ceases to list a crashed server in less: entries have leases of up to 4 s.
+	confirmAfter = 5 * time.Second
 	// maxUnconfirmed bounds the completions remembered per backend server.
 	maxUnconfirmed = 64
 	// sameCrash is the maximum time between a completion and a crash that ended it. Routers learn of a
