Build the message of an idempotency claim in one place

The key's scope and the claim's message stood in both schedulers; they are methods of front.Claim now. internal/router and internal/front pass; internal/dispatch builds and is tested with the rest.

--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -68,16 +68,10 @@
 	return &idempotencyKeys{store: once.New(self, now+offset), routersByZone: map[string][]string{}, pending: map[uint64]*pendingClaim{}, wallOffset: offset}
 }
 
-func scopedKey(c front.Claim) string { return c.Account + "\x00" + c.Key }
-
 // Claim implements front.Scheduler.
 func (d *Dispatcher) Claim(ctx context.Context, cl front.Claim) error {
 	result := make(chan error, 1)
-	msg := &wire.Claim{Key: scopedKey(cl), Request: cl.Request}
-	if !cl.FirstUsed.IsZero() {
-		msg.At = cl.FirstUsed.UnixMilli()
-	}
-	if !d.post(claimEvent{&pendingClaim{msg: msg, result: result}}) {
+	if !d.post(claimEvent{&pendingClaim{msg: cl.Message(), result: result}}) {
 		return errStopping
 	}
 	select {
@@ -92,7 +86,7 @@
 
 // Unclaim implements front.Scheduler.
 func (d *Dispatcher) Unclaim(cl front.Claim) {
-	d.post(releaseClaimEvent{&wire.ClaimRelease{Key: scopedKey(cl), Request: cl.Request}})
+	d.post(releaseClaimEvent{&wire.ClaimRelease{Key: cl.ScopedKey(), Request: cl.Request}})
 }
 
 type claimEvent struct{ *pendingClaim }
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -8,6 +8,7 @@
 	"github.com/yarrowmast/yarrowmast/internal/backend"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 // Scheduler decides when and on which backend server a request runs.
@@ -205,3 +206,15 @@
 	// FirstUsed is when the caller first used the key, zero if unknown.
 	FirstUsed time.Time
 }
+
+// ScopedKey returns the key together with its account, since accounts choose their keys independently.
+func (c Claim) ScopedKey() string { return c.Account + "\x00" + c.Key }
+
+// Message returns the message that asks the homes of the key for the claim.
+func (c Claim) Message() *wire.Claim {
+	m := &wire.Claim{Key: c.ScopedKey(), Request: c.Request}
+	if !c.FirstUsed.IsZero() {
+		m.At = c.FirstUsed.UnixMilli()
+	}
+	return m
+}
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -41,16 +41,10 @@
 	quorum *once.ClaimQuorum
 }
 
-func keyOf(c front.Claim) string { return c.Account + "\x00" + c.Key }
-
 // Claim implements front.Scheduler.
 func (r *Router) Claim(ctx context.Context, cl front.Claim) error {
 	reply := make(chan error, 1)
-	msg := &wire.Claim{Key: keyOf(cl), Request: cl.Request}
-	if !cl.FirstUsed.IsZero() {
-		msg.At = cl.FirstUsed.UnixMilli()
-	}
-	if !r.post(claimKey{&pendingClaim{msg: msg, reply: reply}}) {
+	if !r.post(claimKey{&pendingClaim{msg: cl.Message(), reply: reply}}) {
 		return errStopped
 	}
 	select {
@@ -65,7 +59,7 @@
 
 // Unclaim implements front.Scheduler.
 func (r *Router) Unclaim(cl front.Claim) {
-	r.post(releaseKey{&wire.ClaimRelease{Key: keyOf(cl), Request: cl.Request}})
+	r.post(releaseKey{&wire.ClaimRelease{Key: cl.ScopedKey(), Request: cl.Request}})
 }
 
 type claimKey struct{ *pendingClaim }
