--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -154,18 +153,6 @@
 	LongestPause, PauseTarget time.Duration
 }
 
-// Refusals of requests that have not run.
-var (
-	errNoServer = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "no-backend",
-		"no backend server of the service takes requests")
-	errZoneClosed = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "zone-closed",
-		"operators have closed the availability zones of the service's backend servers; come back as told")
-	errBusy = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "busy",
-		"no backend server could answer in time; come back as told")
-	errDeadline = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, "deadline",
-		"the deadline passed while the request waited for a backend server")
-)
-
 func (e Arrive) apply(c *Core) {
 	r := &request{Request: e.Request, arrivedAt: c.now}
 	r.cost = Cost(r.Prompt, r.Output)
