Count a stream as empty by what its response held

Whether a response showed that its prompt is read was taken from the tokens that were counted: an engine of the product's own interface that states no usage would never have completed a request, so that crashes under a polled one were never cleared. The reader of the stream says now whether an event came. TestIsCompleted has a row for each outcome.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -215,6 +215,7 @@
 }
 
 func (x *roundTrip) finishEvents(resp *http.Response, events eventReader, err error) {
+	x.result.Empty = events.Tokens() == 0
 	if x.result.Began {
 		_ = x.sink.Flush()
 	}
@@ -222,7 +223,7 @@
 		x.failIncomplete(err)
 		return
 	}
-	if !events.Done() || x.mayBeCut(events) {
+	if !events.Done() || x.mayBeCut() {
 		x.failIncomplete(io.ErrUnexpectedEOF)
 		return
 	}
@@ -234,9 +235,7 @@
 
 // mayBeCut reports whether a stream that ended between events shows no sign of being whole: it had no event,
 // and nothing but the end of its connection marks its end.
-func (x *roundTrip) mayBeCut(events eventReader) bool {
-	return x.result.Framing == FramingClose && events.Tokens() == 0
-}
+func (x *roundTrip) mayBeCut() bool { return x.result.Framing == FramingClose && x.result.Empty }
 
 // deliver writes bytes to the caller. It fails the call and returns false if the caller
 // has disconnected.
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -135,6 +135,8 @@
 	Status int
 	// Framing is how the end of the response is marked.
 	Framing Framing
+	// Empty says that the response was a stream without events.
+	Empty bool
 	// FirstByte is the time of the first event or byte of the body, zero if there was none.
 	FirstByte time.Time
 	// LastEvent is the number of the last forwarded event.
--- a/internal/dispatch/acquire_test.go
+++ b/internal/dispatch/acquire_test.go
@@ -89,3 +89,29 @@
 		})
 	}
 }
+
+// TestIsCompleted checks which outcomes clear the crashes that are held against a request and the parts of its prompt.
+func TestIsCompleted(t *testing.T) {
+	tests := map[string]struct {
+		usage front.Usage
+		want  bool
+	}{
+		"answered":                      {front.Usage{Sent: true, Status: http.StatusOK}, true},
+		"answered without a body":       {front.Usage{Sent: true, Status: http.StatusNoContent}, true},
+		"refused by the backend server": {front.Usage{Sent: true, Status: http.StatusNotFound}, false},
+		"failed":                        {front.Usage{Sent: true, Status: http.StatusInternalServerError}, false},
+		"stream without an event":       {front.Usage{Sent: true, Status: http.StatusOK, Empty: true}, false},
+		"cut":                           {front.Usage{Sent: true, Status: http.StatusOK, Error: verdict.New(verdict.PhaseStream, http.StatusBadGateway, "answer-cut", "")}, false},
+		"cut, the caller has left":      {front.Usage{Sent: true, Status: http.StatusOK, Error: verdict.New(verdict.PhaseStream, statusClientClosed, "caller-gone", "")}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := isCompleted(tc.usage); got != tc.want {
+				t.Errorf("isCompleted() = %v", got)
+			}
+		})
+	}
+}
+
+// statusClientClosed is logged for callers that left.
+const statusClientClosed = 499
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -29,7 +29,7 @@
 		LongestPause: longestPause, PauseTarget: pauseTarget,
 		Tokens: outcome.Tokens, Sent: result.Sent, Unreachable: result.Unreachable,
 		Status: result.Status, Error: result.Err, Stalled: result.Stalled,
-		Unframed: result.Framing == backend.FramingClose, Empty: in.mayStream && grant.Served.Load() == 0,
+		Unframed: result.Framing == backend.FramingClose, Empty: result.Empty,
 		Request: in.id, Digest: in.digest,
 	})
 	if in.route != nil {
