--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -62,6 +62,8 @@
 	// of requests tracked.
 	Suspects     []Suspect `json:"suspects,omitempty"`
 	SuspectCount int       `json:"suspect_count"`
+	// BlockedParts counts the parts of prompts that are the likeliest cause of crashes.
+	BlockedParts int `json:"blocked_parts"`
 	// CrashesCleared counts the crashes that are no longer tracked, by reason.
 	CrashesCleared map[suspect.Reason]int64 `json:"ends_cleared,omitempty"`
 	// ClosedZones are the closed availability zones, Warming is the number of backend
@@ -141,6 +143,7 @@
 	s.setPauseStatus(st)
 	st.Streams = s.origins.counts()
 	st.Suspects, st.SuspectCount = s.suspects()
+	st.BlockedParts = s.core.BlockedParts()
 	st.CrashesCleared = maps.Clone(s.clearedCrashes)
 	if c, ok := s.d.source.(callCounter); ok {
 		st.Calls = c.Calls()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,6 +42,8 @@
 	UnevenServers      = "uneven_backends"
 	EjectedServers     = "untrusted_backends"
 	EjectedForAll      = "ejected_backends"
+	CrashSuspects      = "crash_suspects"
+	BlockedParts       = "blocked_parts"
 	LeavingServers     = "leaving_backends"
 	BackingOffServers  = "resting_backends"
 	UnverifiedSeconds  = "unverified_seconds"
@@ -87,7 +89,7 @@
 	return []string{
 		Requests, Refusals, Tokens, Retries, WaitSeconds, FirstByteSeconds, RequestSeconds, TableRevision,
 		TableChanges, OpenRequests, Leases, IdleLeases, Members, PeerBytesOut, PeerBytesIn, PeerMsgsOut,
-		PeerMsgsIn, PeerDropped, PlatformCalls, WaitingRequests, OwnedServers, CachedPrefixTokens, UnevenServers, EjectedServers, EjectedForAll, LeavingServers, BackingOffServers, UnverifiedSeconds, ClosedZones, WarmingServers, UnusableEntries, EngineCapacity, FreeCapacity, CapacityOwners, CapacityShort, ReservedHeaders,
+		PeerMsgsIn, PeerDropped, PlatformCalls, WaitingRequests, OwnedServers, CachedPrefixTokens, UnevenServers, EjectedServers, EjectedForAll, CrashSuspects, BlockedParts, LeavingServers, BackingOffServers, UnverifiedSeconds, ClosedZones, WarmingServers, UnusableEntries, EngineCapacity, FreeCapacity, CapacityOwners, CapacityShort, ReservedHeaders,
 		PlainLimit, PlainWaiting, PlainDenied, PauseLimited, LongPauses, StreamsKept,
 		KnownStreams, EvictedStreams, ResumedStreams, UnresumedStreams,
 		Connections, IdleConnections, RefusedConnections, EvictedConnections, StreamEvents, CallerWrites, RefusedEarly, ProcessorSeconds,
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -160,6 +160,8 @@
 		metrics.OwnedServers:       int64(len(s.Owned)),
 		metrics.EjectedServers:     int64(len(s.Ejected)),
 		metrics.EjectedForAll:      int64(len(s.EjectedForAll)),
+		metrics.CrashSuspects:      int64(s.SuspectCount),
+		metrics.BlockedParts:       int64(s.BlockedParts),
 		metrics.LeavingServers:     int64(len(s.Leaving)),
 		metrics.BackingOffServers:  int64(len(s.BackingOff)),
 		metrics.ClosedZones:        int64(len(s.ClosedZones)),
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -235,5 +235,8 @@
 // SuspectCount returns the number of requests and parts with recorded crashes.
 func (c *Core) SuspectCount() int { return c.suspects.Len() }
 
+// BlockedParts returns the number of prompt parts that are the likeliest cause of crashes.
+func (c *Core) BlockedParts() int { return c.suspects.BlockedParts() }
+
 // Suspects returns the crashes of the requests and parts with the most crashes.
 func (c *Core) Suspects(limit int) []suspect.Crash { return c.suspects.TopCrashes(limit) }
--- a/pkg/suspect/culprits.go
+++ b/pkg/suspect/culprits.go
@@ -185,6 +185,15 @@
 	return false
 }
 
+// BlockedParts returns the number of parts that are the likeliest cause of crashes: requests with them are refused,
+// or tried one at a time.
+func (t *Tracker) BlockedParts() int {
+	if len(t.items) == 0 {
+		return 0
+	}
+	return len(t.analyze().culprits)
+}
+
 // Change reports that a part became a culprit, or ceased to be one.
 type Change struct {
 	Part Digest
