--- a/pkg/admit/request.go
+++ b/pkg/admit/request.go
@@ -236,7 +236,7 @@
 func (c *Core) recordOutcome(r *request, e AttemptEnd) {
 	switch {
 	case e.Disconnected:
-		c.crashEndsAround(r.server, c.now)
+		c.crashUnconfirmedNear(r.server, c.now)
 		c.recordCrash(r.server, r.subject(e.Digest), suspect.Crash{At: c.now, Sent: r.startedAt, Unanswered: r.prefill > 0})
 	case e.Result == Unreachable:
 		c.crashUnconfirmed(r.server)
--- a/pkg/admit/suspects.go
+++ b/pkg/admit/suspects.go
@@ -154,7 +154,7 @@
 		if s.alive.contains(crash.At) {
 			return
 		}
-		c.crashEndsAround(s, crash.At)
+		c.crashUnconfirmedNear(s, crash.At)
 	}
 	if c.suspects.Record(c.now, crash) {
 		c.emitAdded(crash, name, from)
--- a/pkg/admit/unconfirmed.go
+++ b/pkg/admit/unconfirmed.go
@@ -76,9 +76,9 @@
 	}
 }
 
-// crashEndsAround records that the unconfirmed completions of a backend server at about the time of a crash were
-// ended by it.
-func (c *Core) crashEndsAround(s *server, at time.Duration) {
+// crashUnconfirmedNear records that the unconfirmed completions of a backend server at about the time of a crash were
+// crashes, too.
+func (c *Core) crashUnconfirmedNear(s *server, at time.Duration) {
 	var ended, others []unconfirmed
 	for _, x := range s.unconfirmed {
 		if (at - x.end).Abs() < sameCrash {
--- a/pkg/wire/suspects.go
+++ b/pkg/wire/suspects.go
@@ -27,8 +27,8 @@
 	Extra int
 }
 
-// PartCrashes lists parts of prompts, of which requests were in flight at a backend server when it crashed. Digest
-// identifies the part in each. What has become of parts since is told as of requests.
+// PartCrashes lists crashes of backend servers under requests with a part of a prompt, which Digest identifies in
+// each. Completions and trials of parts are in SuspectUpdate.
 type PartCrashes struct {
 	Crashes []SuspectCrash
 }
