Compare parts by all their recent completions again

Cause: weighed one completion as none. Sound parts and polled requests with a single recent completion then came before the deadly part whenever one more crash of theirs was known, and explained its crashes; logs: part_blocked and part_unblocked of the deadly part in turn for 1.4 s.

--- a/pkg/suspect/culprits.go
+++ b/pkg/suspect/culprits.go
@@ -82,8 +82,8 @@
 }
 
 // candidates returns the items that may be culprits, in the order in which they are considered: those that
-// have not completed repeatedly of late first, then those with the most crashes, then requests, which explain
-// less than parts do. One completion may be a crash that looked like one.
+// have completed least of late first, then those with the most crashes, then requests, which explain less
+// than parts do. A single completion counts: what is sound may have no more where routers have just started.
 func (t *Tracker) candidates() []*item {
 	var list []*item
 	for _, x := range t.items {
@@ -92,7 +92,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *item) int {
-		return cmp.Or(compareBool(a.extra > 1, b.extra > 1), cmp.Compare(len(b.crashes), len(a.crashes)), compareBool(a.part, b.part), cmp.Compare(a.digest, b.digest))
+		return cmp.Or(cmp.Compare(a.extra, b.extra), cmp.Compare(len(b.crashes), len(a.crashes)), compareBool(a.part, b.part), cmp.Compare(a.digest, b.digest))
 	})
 	return list[:min(maxCandidates, len(list))]
 }
