Record unconfirmed completions as crashes in one loop

Cause: crashUnconfirmed and crashUnconfirmedNear emptied the same list and recorded its entries with the same lines, one of them under a condition. Both now pass their condition to one function; behaviour as before.

Run on this: the crash, part, trial and polling tests of pkg/admit, TestPartThatCrashesWorkersIsRefused (seven cases), vet and staticcheck of both packages.

--- a/pkg/admit/unconfirmed.go
+++ b/pkg/admit/unconfirmed.go
@@ -69,26 +69,27 @@
 
 // crashUnconfirmed records that all unconfirmed completions of a backend server were crashes.
 func (c *Core) crashUnconfirmed(s *server) {
-	list := s.unconfirmed
-	s.unconfirmed = nil
-	for _, x := range list {
-		c.recordCrash(s, x.subject, suspect.Crash{At: x.end, Sent: x.sentAt})
-	}
+	c.crashUnconfirmedWhere(s, func(unconfirmed) bool { return true })
 }
 
 // crashUnconfirmedNear records that the unconfirmed completions of a backend server at about the time of a crash were
 // crashes, too.
 func (c *Core) crashUnconfirmedNear(s *server, at time.Duration) {
-	var ended, others []unconfirmed
+	c.crashUnconfirmedWhere(s, func(x unconfirmed) bool { return (at - x.end).Abs() < sameCrash })
+}
+
+// crashUnconfirmedWhere records that the matching unconfirmed completions of a backend server were crashes.
+func (c *Core) crashUnconfirmedWhere(s *server, match func(unconfirmed) bool) {
+	var crashed, others []unconfirmed
 	for _, x := range s.unconfirmed {
-		if (at - x.end).Abs() < sameCrash {
-			ended = append(ended, x)
+		if match(x) {
+			crashed = append(crashed, x)
 			continue
 		}
 		others = append(others, x)
 	}
 	s.unconfirmed = others
-	for _, x := range ended {
+	for _, x := range crashed {
 		c.recordCrash(s, x.subject, suspect.Crash{At: x.end, Sent: x.sentAt})
 	}
 }
