Tell which connections end without a response, and how far a forwarded one came

Cause: of five requests that callers saw cut without an answer, no line of any router told anything, and 1,015 of 1,072 forwarded connections were logged as closed by their callers, whole answers and cut ones alike.

Change: connection_unanswered, with a counter among the metrics, for a caller's connection that this router closes without a response to what it has read of a request. request_forwarded has the messages of the response that reached the caller, and the time since the last one. No decision changed.

--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -60,6 +60,9 @@
 	// request to another peer.
 	buffered  []byte
 	responded bool
+	// relayed is the number of messages written to the caller, relayedAt when the last one was.
+	relayed   uint64
+	relayedAt time.Time
 }
 
 // maxBuffered bounds outgoing.buffered, in bytes.
@@ -91,6 +94,7 @@
 		o := f.newOutgoing(caller, to)
 		o.sender.Send(to, &wire.Forward{Stream: o.id, Edition: version.Edition, Revision: version.Revision, Data: result.Read})
 		result.Outcome, result.Reason = o.run(deadline)
+		result.Messages, result.Idle = o.relayed, f.clock.Since(o.relayedAt)
 		f.removeOutgoing(o.id)
 		if result.Outcome != NotTaken {
 			return result
@@ -108,8 +112,13 @@
 	// another zone was tried.
 	To     string
 	Remote bool
-	// Reason is why the response is not complete.
+	// Reason is why the last message of the response has not arrived. Callers may close their connections
+	// before that, once they have the whole response.
 	Reason Reason
+	// Messages is the number of messages of the response that reached the caller, Idle the time since the
+	// last one, or since the connection was offered.
+	Messages uint64
+	Idle     time.Duration
 	// Read holds all bytes read from the connection if no peer accepted it.
 	Read []byte
 }
@@ -120,7 +129,7 @@
 	f.lastID++
 	o := &outgoing{
 		clock: f.clock, sender: f.sender, id: f.lastID, to: to, caller: caller, responses: make(chan *wire.ForwardData, maxQueued),
-		done: make(chan struct{}), callerClosed: make(chan struct{}), readDone: make(chan struct{}),
+		done: make(chan struct{}), callerClosed: make(chan struct{}), readDone: make(chan struct{}), relayedAt: f.clock.Now(),
 	}
 	f.outgoing[o.id] = o
 	return o
@@ -170,6 +179,7 @@
 			if !o.writeToCaller(m) {
 				return o.abort(true), CallerStuck
 			}
+			o.relayed, o.relayedAt = seq, o.clock.Now()
 			if m.Last {
 				_ = o.caller.Close()
 				return Ended, ""
--- a/internal/front/connections.go
+++ b/internal/front/connections.go
@@ -4,8 +4,10 @@
 	"container/list"
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,8 +31,9 @@
 // refused.
 type connections struct {
 	// refused and evicted count the new connections refused and the idle connections closed in
-	// favor of new ones.
-	refused, evicted atomic.Int64
+	// favor of new ones. unanswered counts those closed without a response to a request, or to the
+	// beginning of one, that had been read.
+	refused, evicted, unanswered atomic.Int64
 
 	mu sync.Mutex
 	// open is the number of open connections, including those that are being refused.
@@ -57,6 +60,11 @@
 	// and closed are guarded by conns.mu.
 	idleElem *list.Element
 	closed   bool
+	// unanswered is the number of bytes read since the connection was idle, 0 once a response has begun or
+	// the caller has closed the connection. onUnanswered is called if it is above 0 at Close.
+	unanswered   atomic.Int64
+	responded    atomic.Bool
+	onUnanswered func(bytes int64)
 }
 
 // Read implements net.Conn.
@@ -66,7 +74,33 @@
 		c.buffered = c.buffered[n:]
 		return n, nil
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if err == nil {
+		c.countRead(n)
+	} else if !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.unanswered.Store(0)
+	}
+	return n, err
+}
+
+// countRead counts bytes of a request.
+func (c *conn) countRead(n int) {
+	if !c.responded.Load() {
+		c.unanswered.Add(int64(n))
+	}
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.responded.Store(true)
+	c.unanswered.Store(0)
+	return c.Conn.Write(p)
+}
+
+// awaitRequest records that the last response is complete.
+func (c *conn) awaitRequest() {
+	c.unanswered.Store(0)
+	c.responded.Store(false)
 }
 
 // consumeAdmissionCheck reports whether the current request has already passed the early
@@ -91,6 +125,10 @@
 		c.conns.removeIdle(c)
 	}
 	c.conns.mu.Unlock()
+	if bytes := c.unanswered.Swap(0); bytes > 0 {
+		c.conns.unanswered.Add(1)
+		c.onUnanswered(bytes)
+	}
 	return c.Conn.Close()
 }
 
@@ -105,7 +143,7 @@
 // add registers a new connection. A limit of 0 means no limit. It returns nil if there is no
 // capacity even for a refusal.
 func (cs *connections) add(nc net.Conn, limit int, now time.Time) *conn {
-	c := &conn{Conn: nc, conns: cs}
+	c := &conn{Conn: nc, conns: cs, onUnanswered: func(int64) {}}
 	var oldest *conn
 	cs.mu.Lock()
 	full := limit > 0 && cs.open >= limit
@@ -161,6 +199,9 @@
 	if c == nil {
 		return
 	}
+	if state == http.StateIdle {
+		c.awaitRequest()
+	}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	switch {
@@ -183,8 +224,9 @@
 	// Open is the number of open connections, Idle of those without a request.
 	Open, Idle int
 	// Refused and Evicted count, since the start, the new connections refused and the idle
-	// connections closed in favor of new ones.
-	Refused, Evicted int64
+	// connections closed in favor of new ones. Unanswered counts those closed by this router without a
+	// response to what it had read of a request; with TLS, only those kept after an earlier response.
+	Refused, Evicted, Unanswered int64
 }
 
 // Connections returns statistics on callers' connections.
@@ -192,7 +234,7 @@
 	cs := &s.connections
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return ConnectionCounts{Open: cs.open, Idle: cs.idle.Len(), Refused: cs.refused.Load(), Evicted: cs.evicted.Load()}
+	return ConnectionCounts{Open: cs.open, Idle: cs.idle.Len(), Refused: cs.refused.Load(), Evicted: cs.evicted.Load(), Unanswered: cs.unanswered.Load()}
 }
 
 // ConnectionsFull reports whether a connection was refused recently because the limit was
@@ -240,6 +282,13 @@
 	}
 }
 
+// logUnanswered logs that this router closes a connection without a response to what it has read of a
+// request.
+func (s *Server) logUnanswered(c *conn, accepted time.Time, bytes int64) {
+	s.opt.log.Warn("connection_unanswered", "caller", c.RemoteAddr().String(), "bytes", bytes,
+		"age_ms", s.clock().Since(accepted).Milliseconds(), "forwarded", c.forwarded, "stopping", s.draining.Load())
+}
+
 // logConnections logs refused and evicted connections, at most once per throttleInterval.
 func (s *Server) logConnections() {
 	counts := s.Connections()
--- a/internal/front/early.go
+++ b/internal/front/early.go
@@ -62,7 +62,7 @@
 	defer earlyBuffers.Put(buf)
 	arrived := s.clock().Now()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(earlyTimeout))
-	n, head := readHead(c.Conn, buf[:])
+	n, head := readHead(c, buf[:])
 	if early, ok := s.parseHead(buf[:n], head); ok {
 		if s.rejectEarly(c, early, buf, n, n-head, arrived) {
 			return
@@ -168,10 +168,10 @@
 	in := &inboundRequest{id: early.request.ID, arrived: arrived, model: early.request.Model, route: &routeState{prompt: early.prompt}}
 	in.account.Name = early.request.Account
 	err = in.finalError(err)
-	if discardBody(c.Conn, buf, early.bodyLength-bodyRead) {
+	if discardBody(c, buf, early.bodyLength-bodyRead) {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(earlyTimeout))
 		// Ignore write errors: the caller may have disconnected. The refusal is logged below.
-		_, _ = c.Conn.Write(appendRefusal(buf[:0], &s.opt.headers, in.id, err))
+		_, _ = c.Write(appendRefusal(buf[:0], &s.opt.headers, in.id, err))
 	}
 	_ = c.Close()
 	outcome := Outcome{Account: early.request.Account, Model: in.model, Status: err.Status, Code: err.Code, Verdict: err.Verdict.String(), Total: s.clock().Since(arrived), RetryAfter: err.RetryAfter, Return: err.Return}
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -42,6 +42,7 @@
 	result := s.opt.forwarder.Forward(c, bytes.Clone(read), s.scheduler.Table().Version(), early.request.Deadline.Add(forwardGrace))
 	s.opt.log.LogAttrs(context.Background(), slog.LevelInfo, "request_forwarded", slog.String("request", early.request.ID),
 		slog.String("account", early.request.Account), slog.String("to", result.To), slog.Bool("remote", result.Remote), slog.String("outcome", result.Outcome.String()), slog.String("reason", string(result.Reason)),
+		slog.Uint64("messages", result.Messages), slog.Int64("idle_ms", result.Idle.Milliseconds()),
 		slog.Int64("total_ms", s.clock().Since(start).Milliseconds()))
 	switch result.Outcome {
 	case forward.Ended:
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -146,10 +146,13 @@
 // trackConn registers a connection. It closes the connection and returns nil if there are too
 // many.
 func (s *Server) trackConn(nc net.Conn) *conn {
-	c := s.connections.add(nc, s.limits.Load().MaxConnections, s.clock().Now())
+	now := s.clock().Now()
+	c := s.connections.add(nc, s.limits.Load().MaxConnections, now)
 	if c == nil {
 		_ = nc.Close()
+		return nil
 	}
+	c.onUnanswered = func(bytes int64) { s.logUnanswered(c, now, bytes) }
 	return c
 }
 
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -117,12 +117,12 @@
 		metrics.Connections:        int64(callers.Open),
 		metrics.IdleConnections:    int64(callers.Idle),
 		metrics.RefusedConnections: callers.Refused,
-		metrics.EvictedConnections: callers.Evicted,
-		metrics.PeerBytesOut:       p.BytesOut.Load(),
-		metrics.PeerBytesIn:        p.BytesIn.Load(),
-		metrics.PeerMsgsOut:        p.MessagesOut.Load(),
-		metrics.PeerMsgsIn:         p.MessagesIn.Load(),
-		metrics.PeerDropped:        p.Dropped.Load(),
+		metrics.EvictedConnections: callers.Evicted, metrics.UnansweredConnections: callers.Unanswered,
+		metrics.PeerBytesOut: p.BytesOut.Load(),
+		metrics.PeerBytesIn:  p.BytesIn.Load(),
+		metrics.PeerMsgsOut:  p.MessagesOut.Load(),
+		metrics.PeerMsgsIn:   p.MessagesIn.Load(),
+		metrics.PeerDropped:  p.Dropped.Load(),
 	})
 	if n.Router != nil {
 		n.updateRouterGauges()
