Answer every request that a stopping router has read

Cause: http.Server.Shutdown. It closes connections that were idle, and from then on the server drops each request whose header becomes complete, though all of it has been read and the router would have refused or served it. That hits every connection accepted before the stop whose request arrives in two parts, or is read late by a router that has little processor time, and it is below every count of the router: router_stopped said cut=0. Also, closing the listener resets the connections that callers have opened and that are not accepted yet. Class: what ends a connection goes by a state that lags behind what has been read from it.

Change: before http.Server.Shutdown, the router accepts what callers have opened, then waits until no connection has a request begun, is newer than a second without one, or has bytes that wait to be read, and closes the rest in the same step in which it makes sure of that; a read that comes later is an error, so nothing is read and dropped.

--- a/internal/front/connections.go
+++ b/internal/front/connections.go
@@ -4,10 +4,9 @@
 	"container/list"
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
-	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,123 +35,128 @@
 	refused, evicted, unanswered atomic.Int64
 
 	mu sync.Mutex
-	// open is the number of open connections, including those that are being refused.
-	open int
-	// idle lists the connections without a request, least recently active first.
-	idle list.List
+	// open is the number of open connections, including those that are being refused, multiplexed the
+	// number of those that carry several requests at a time.
+	open, multiplexed int
+	// fresh lists the connections from which nothing has been read, in the order of acceptance. idle lists
+	// those that wait for another request, least recently active first.
+	fresh, idle list.List
+	// stopped says that new connections are closed.
+	stopped bool
 	// lastRefused is when a new connection was last refused.
 	lastRefused time.Time
 }
 
-// conn is a caller's connection.
-type conn struct {
-	net.Conn
-	conns *connections
-	// refuse says to refuse the request on this connection.
-	refuse bool
-	// buffered holds bytes that were read before the HTTP server took over. admissionChecked
-	// says that the first request has already passed the early admission check.
-	buffered         []byte
-	admissionChecked bool
-	// forwarded says that another router forwarded the connection.
-	forwarded bool
-	// idleElem is the element in the idle list, nil while a request is in progress. idleElem
-	// and closed are guarded by conns.mu.
-	idleElem *list.Element
-	closed   bool
-	// unanswered is the number of bytes read since the connection was idle, 0 once a response has begun or
-	// the caller has closed the connection. onUnanswered is called if it is above 0 at Close.
-	unanswered   atomic.Int64
-	responded    atomic.Bool
-	onUnanswered func(bytes int64)
+// settle adds a connection to the list of fresh or idle ones.
+func (cs *connections) settle(c *conn, list *list.List) {
+	c.quietElem = list.PushBack(c)
+	c.quiet.Store(true)
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
-	if len(c.buffered) > 0 {
-		n := copy(p, c.buffered)
-		c.buffered = c.buffered[n:]
-		return n, nil
-	}
-	n, err := c.Conn.Read(p)
-	if err == nil {
-		c.countRead(n)
-	} else if !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.unanswered.Store(0)
+// unsettle removes a connection from its list.
+func (cs *connections) unsettle(c *conn) {
+	if c.quietElem == nil {
+		return
 	}
-	return n, err
+	// A list ignores the elements of others.
+	cs.fresh.Remove(c.quietElem)
+	cs.idle.Remove(c.quietElem)
+	c.quietElem = nil
+	c.quiet.Store(false)
 }
 
-// countRead counts bytes of a request.
-func (c *conn) countRead(n int) {
-	if !c.responded.Load() {
-		c.unanswered.Add(int64(n))
+// remove counts a connection as closed.
+func (cs *connections) remove(c *conn) {
+	c.closed = true
+	cs.open--
+	if c.multiplexed {
+		cs.multiplexed--
 	}
+	cs.unsettle(c)
 }
 
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	c.responded.Store(true)
-	c.unanswered.Store(0)
-	return c.Conn.Write(p)
-}
-
-// awaitRequest records that the last response is complete.
-func (c *conn) awaitRequest() {
-	c.unanswered.Store(0)
-	c.responded.Store(false)
+// markMultiplexed records that a connection carries several requests at a time.
+func (cs *connections) markMultiplexed(c *conn) {
+	if !c.multiplexed && !c.closed {
+		c.multiplexed = true
+		cs.multiplexed++
+	}
 }
 
-// consumeAdmissionCheck reports whether the current request has already passed the early
-// admission check, and clears the mark for later requests.
-func (c *conn) consumeAdmissionCheck() bool {
-	checked := c != nil && c.admissionChecked
-	if checked {
-		c.admissionChecked = false
+// beginRequest records that a request has begun to arrive. It returns false if the connection has been
+// closed.
+func (cs *connections) beginRequest(c *conn, isMultiplexed bool) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	if isMultiplexed {
+		cs.markMultiplexed(c)
 	}
-	return checked
+	cs.unsettle(c)
+	return true
 }
 
-// wasForwarded reports whether another router forwarded the connection.
-func (c *conn) wasForwarded() bool { return c != nil && c.forwarded }
+// freshTimeout is how long a planned stop waits for the first request on a connection. Callers connect to
+// send one at once, but they or this router may be slow.
+const freshTimeout = time.Second
 
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.conns.mu.Lock()
-	if !c.closed {
-		c.closed = true
-		c.conns.open--
-		c.conns.removeIdle(c)
+// closeQuiet closes the connections without a request, and new ones from then on, if all others are closed
+// or multiplexed. Otherwise it does nothing and returns false.
+func (cs *connections) closeQuiet(now time.Time) bool {
+	cs.mu.Lock()
+	if cs.open-cs.multiplexed > cs.fresh.Len()+cs.idle.Len() || cs.expectsRequest(now) {
+		cs.mu.Unlock()
+		return false
 	}
-	c.conns.mu.Unlock()
-	if bytes := c.unanswered.Swap(0); bytes > 0 {
-		c.conns.unanswered.Add(1)
-		c.onUnanswered(bytes)
+	cs.stopped = true
+	quiet := cs.quietConns()
+	for _, c := range quiet {
+		cs.remove(c)
 	}
-	return c.Conn.Close()
+	cs.mu.Unlock()
+	for _, c := range quiet {
+		_ = c.Conn.Close()
+	}
+	return true
 }
 
-// removeIdle removes a connection from the idle list.
-func (cs *connections) removeIdle(c *conn) {
-	if c.idleElem != nil {
-		cs.idle.Remove(c.idleElem)
-		c.idleElem = nil
+// quietConns returns the fresh and idle connections.
+func (cs *connections) quietConns() []*conn {
+	quiet := make([]*conn, 0, cs.fresh.Len()+cs.idle.Len())
+	for _, l := range []*list.List{&cs.fresh, &cs.idle} {
+		for elem := l.Front(); elem != nil; elem = elem.Next() {
+			quiet = append(quiet, elem.Value.(*conn))
+		}
 	}
+	return quiet
+}
+
+// expectsRequest reports whether a connection was accepted within freshTimeout and has had no request, or
+// whether a request waits to be read.
+func (cs *connections) expectsRequest(now time.Time) bool {
+	if last := cs.fresh.Back(); last != nil && now.Sub(last.Value.(*conn).acceptedAt) < freshTimeout {
+		return true
+	}
+	return slices.ContainsFunc(cs.quietConns(), func(c *conn) bool { return hasUnread(c.Conn) })
 }
 
 // add registers a new connection. A limit of 0 means no limit. It returns nil if there is no
 // capacity even for a refusal.
 func (cs *connections) add(nc net.Conn, limit int, now time.Time) *conn {
-	c := &conn{Conn: nc, conns: cs, onUnanswered: func(int64) {}}
+	c := &conn{Conn: nc, conns: cs, acceptedAt: now, onUnanswered: func(int64) {}}
 	var oldest *conn
 	cs.mu.Lock()
+	if cs.stopped {
+		cs.mu.Unlock()
+		return nil
+	}
 	full := limit > 0 && cs.open >= limit
 	if full {
 		if elem := cs.idle.Front(); elem != nil {
 			oldest = elem.Value.(*conn)
-			cs.removeIdle(oldest)
-			oldest.closed = true
-			cs.open--
+			cs.remove(oldest)
 		} else {
 			c.refuse = true
 			cs.lastRefused = now
@@ -161,6 +165,7 @@
 	overflow := c.refuse && cs.open >= limit+extraConnections(limit)
 	if !overflow {
 		cs.open++
+		cs.settle(c, &cs.fresh)
 	}
 	cs.mu.Unlock()
 	if oldest != nil {
@@ -205,13 +210,23 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	switch {
+	case state == http.StateNew || c.closed:
+	case isHTTP2(nc):
+		cs.markMultiplexed(c)
+		cs.unsettle(c)
 	case state != http.StateIdle:
-		cs.removeIdle(c)
-	case c.idleElem == nil && !c.closed:
-		c.idleElem = cs.idle.PushBack(c)
+		cs.unsettle(c)
+	case c.quietElem == nil && !c.multiplexed:
+		cs.settle(c, &cs.idle)
 	}
 }
 
+// isHTTP2 reports whether a TLS connection has negotiated HTTP/2.
+func isHTTP2(nc net.Conn) bool {
+	t, ok := nc.(*tls.Conn)
+	return ok && t.ConnectionState().NegotiatedProtocol == "h2"
+}
+
 // isClosed reports whether a connection was closed, for example evicted while idle.
 func (cs *connections) isClosed(c *conn) bool {
 	cs.mu.Lock()
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -116,21 +116,28 @@
 	s.mu.Lock()
 	s.ln = ln
 	s.mu.Unlock()
+	s.accepting.Store(true)
+	defer s.accepting.Store(false)
 	for {
 		c, err := ln.Accept()
-		if err != nil {
-			if s.stopped.Load() || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			var temporary interface{ Temporary() bool }
-			if errors.As(err, &temporary) && temporary.Temporary() {
-				s.opt.log.Warn("accept_failed", "error", err)
-				time.Sleep(acceptRetryDelay)
-				continue
-			}
-			return fmt.Errorf("front: accept connection: %w", err)
+		if err == nil {
+			s.handleAccepted(c, ln.Addr())
+			continue
+		}
+		if s.stopped.Load() {
+			s.serveBacklog(ln)
+			return nil
 		}
-		s.handleAccepted(c, ln.Addr())
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		var temporary interface{ Temporary() bool }
+		if errors.As(err, &temporary) && temporary.Temporary() {
+			s.opt.log.Warn("accept_failed", "error", err)
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		return fmt.Errorf("front: accept connection: %w", err)
 	}
 }
 
@@ -159,7 +166,7 @@
 // closesAfterResponse reports whether every response closes its connection: the router is
 // leaving, overloaded, or near its connection limit.
 func (s *Server) closesAfterResponse() bool {
-	return s.keepAlivesOff.Load() || s.scheduler.Overloaded() || s.connections.nearLimit(s.limits.Load().MaxConnections)
+	return s.keepAlivesOff.Load() || s.draining.Load() || s.scheduler.Overloaded() || s.connections.nearLimit(s.limits.Load().MaxConnections)
 }
 
 // acceptRetryDelay is the delay after a temporary accept error, such as a lack of file
@@ -203,7 +210,5 @@
 	s.stopped.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ln != nil {
-		_ = s.ln.Close()
-	}
+	s.closeListener()
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -102,9 +102,9 @@
 	draining        atomic.Bool
 	// earlyConns is the number of connections in the early check or being forwarded.
 	earlyConns atomic.Int64
-	// keepAlivesOff says that connections close after their next response, stopped that the
-	// listener is closed.
-	keepAlivesOff, stopped atomic.Bool
+	// keepAlivesOff says that connections close after their next response, stopped that no more are
+	// accepted, accepting that Serve has not returned.
+	keepAlivesOff, stopped, accepting atomic.Bool
 
 	mu          sync.Mutex
 	ln          net.Listener
@@ -255,27 +255,30 @@
 // Requests returns the number of requests since the start.
 func (s *Server) Requests() int64 { return s.requests.Load() }
 
-// Shutdown drains the server and waits until all requests have ended or ctx is done.
+// Shutdown drains the server and waits until all requests have ended or ctx is done. Every request of which
+// something was read gets a response.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
-	s.stopListening()
-	var errs []error
+	s.stopAccepting()
+	// http.Server.Shutdown drops requests whose header is not complete yet.
+	errs := []error{s.waitUntil(ctx, func() bool {
+		return !s.accepting.Load() && s.connections.closeQuiet(s.clock().Now())
+	})}
 	for _, g := range s.allGenerations() {
 		errs = append(errs, g.http.Shutdown(ctx))
 	}
-	errs = append(errs, s.waitEarly(ctx))
+	errs = append(errs, s.waitUntil(ctx, func() bool { return s.earlyConns.Load() == 0 }))
 	if err := errors.Join(errs...); err != nil {
 		return fmt.Errorf("front: shutdown: %w", err)
 	}
 	return nil
 }
 
-// waitEarly waits until no connection is in the early check or being forwarded, or ctx is
-// done.
-func (s *Server) waitEarly(ctx context.Context) error {
-	tick := time.NewTicker(earlyPollInterval)
+// waitUntil waits until a condition holds or ctx is done.
+func (s *Server) waitUntil(ctx context.Context, cond func() bool) error {
+	tick := time.NewTicker(shutdownPollInterval)
 	defer tick.Stop()
-	for s.earlyConns.Load() > 0 {
+	for !cond() {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -285,8 +288,8 @@
 	return nil
 }
 
-// earlyPollInterval is the poll interval of waitEarly.
-const earlyPollInterval = 5 * time.Millisecond
+// shutdownPollInterval is the poll interval of Shutdown.
+const shutdownPollInterval = 5 * time.Millisecond
 
 // Close closes the listener and all connections.
 func (s *Server) Close() error {
--- a/internal/front/shutdown_test.go
+++ b/internal/front/shutdown_test.go
@@ -1,12 +1,16 @@
 package front_test
 
 import (
+	"context"
 	"io"
+	"log/slog"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/backend"
+	"github.com/yarrowmast/yarrowmast/internal/front"
 )
 
 // TestReadRequestsAreAnsweredDuringShutdown guards against connections that close without a response although
@@ -55,3 +59,77 @@
 		})
 	}
 }
+
+// TestIdleHTTP2ConnectionsDoNotHoldUpShutdown guards against waiting for a next request on connections that
+// carry several requests at a time.
+func TestIdleHTTP2ConnectionsDoNotHoldUpShutdown(t *testing.T) {
+	f := &fake{table: newTable(t), results: []backend.Result{{}}}
+	url, srv := startServer(t, f)
+	transport := &http.Transport{Protocols: &http.Protocols{}}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	defer transport.CloseIdleConnections()
+	req, err := http.NewRequest(http.MethodGet, url+"/services/scores/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer secret")
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.ProtoMajor != 2 || resp.StatusCode != http.StatusOK {
+		t.Fatalf("HTTP/%d, status %d, %v", resp.ProtoMajor, resp.StatusCode, err)
+	}
+	_ = resp.Body.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), responseTimeout)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+// slowListener accepts nothing until its gate opens.
+type slowListener struct {
+	*net.TCPListener
+	gate chan struct{}
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
+
+// TestBacklogIsAnsweredDuringShutdown guards against resetting connections that callers have opened, and that
+// the router has not accepted yet, when a planned stop closes the listener.
+func TestBacklogIsAnsweredDuringShutdown(t *testing.T) {
+	const connections = 5
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	slow := &slowListener{ln.(*net.TCPListener), make(chan struct{})}
+	f := &fake{table: newTable(t)}
+	srv := front.New("r", 1, f, f, front.WithLogger(slog.New(slog.DiscardHandler)))
+	go func() { _ = srv.Serve(slow) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	var callers []*caller
+	for range connections {
+		c := dial(t, ln.Addr().String())
+		_ = c.SetDeadline(time.Now().Add(responseTimeout))
+		c.send(t, true)
+		callers = append(callers, c)
+	}
+	time.Sleep(readTime)
+	done := make(chan error, 1)
+	go func() { done <- srv.Shutdown(t.Context()) }()
+	time.Sleep(readTime)
+	close(slow.gate)
+	for _, c := range callers {
+		if resp := readWhole(t, c.reader); resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("status %d, want a refusal", resp.StatusCode)
+		}
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
