Announce a planned stop to other routers when it begins

Cause: Dispatcher.Drain, which announces the stop, was called after the notice of 2.5 s, together with the shutdown. A router with nothing open exits within a millisecond of it, so that the others heard of the stop by refused connections, and those that hear a router by its relays an interval (1 s) or two later. Until then they forward to it, and ask it for slots of the backend servers that it owned. Class: an announcement that comes when it is no longer of use.

Change: Dispatcher.Leave announces the stop at the begin of the notice, with a report at once. The router's own callers are served on; the others choose owners and forwarding peers, and relays, without it. Drain is as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -82,9 +82,10 @@
 
 // shared holds the state that other goroutines may read.
 type shared struct {
-	table    atomic.Pointer[table.Table]
-	status   atomic.Pointer[Status]
-	draining atomic.Bool
+	table  atomic.Pointer[table.Table]
+	status atomic.Pointer[Status]
+	// leaving is true once other routers are told that this one stops soon, draining while it stops.
+	leaving, draining atomic.Bool
 	// overloaded is true while the router can process only a small fraction of its
 	// requests.
 	overloaded atomic.Bool
@@ -314,10 +315,17 @@
 // Table implements front.Scheduler.
 func (d *Dispatcher) Table() *table.Table { return d.shared.table.Load() }
 
-// Drain announces to other routers that this one stops. If accounts are scheduled by
-// weight, it also refuses waiting requests.
+// Leave announces to other routers that this one stops soon, so that they take over what it does for
+// them. Requests of its own callers go on.
+func (d *Dispatcher) Leave() {
+	d.shared.leaving.Store(true)
+	d.post(leaveEvent{})
+}
+
+// Drain also refuses waiting requests, if accounts are scheduled by weight.
 func (d *Dispatcher) Drain() {
 	d.shared.draining.Store(true)
+	d.Leave()
 	d.post(drainEvent{})
 }
 
--- a/internal/dispatch/members.go
+++ b/internal/dispatch/members.go
@@ -30,7 +30,7 @@
 // forwarder if it did.
 func (s *state) updateMembers() {
 	s.membersDirty = false
-	leaving, version := s.d.Draining(), s.roster.Version(s.now)
+	leaving, version := s.d.shared.leaving.Load(), s.roster.Version(s.now)
 	if version == s.membersVersion && leaving == s.leaving {
 		return
 	}
@@ -65,12 +65,20 @@
 	s.updateForwarder()
 }
 
-// updateReaderRank computes this router's rank among the platform readers. A draining router
+// leaveEvent reports to other routers that this one is leaving.
+type leaveEvent struct{}
+
+func (leaveEvent) apply(s *state) {
+	s.reportedAt = 0
+	s.sendReports()
+}
+
+// updateReaderRank computes this router's rank among the platform readers. A leaving router
 // ranks last.
 func (s *state) updateReaderRank() {
 	active := s.roster.Active(s.now)
 	rank := 0
-	if s.d.Draining() {
+	if s.d.shared.leaving.Load() {
 		rank = len(active) + watcherCount
 	}
 	ownWeight := rendezvous.Weight(readerKey, s.d.id.Address)
--- a/internal/dispatch/verified.go
+++ b/internal/dispatch/verified.go
@@ -68,7 +68,7 @@
 func (s *state) stateMessage(to string) *wire.RouterState {
 	l := s.link(to)
 	asOf := s.catalog.AsOf()
-	m := &wire.RouterState{Stamp: wire.StampOf(s.now), Epoch: asOf.Epoch, AsOf: asOf.Number, VerifiedAgeMillis: -1, Leaving: s.d.Draining()}
+	m := &wire.RouterState{Stamp: wire.StampOf(s.now), Epoch: asOf.Epoch, AsOf: asOf.Number, VerifiedAgeMillis: -1, Leaving: s.d.shared.leaving.Load()}
 	if l.stamp > 0 {
 		m.Echo, m.EchoAgeMillis = l.stamp, (s.now - l.stampReceivedAt).Milliseconds()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -345,13 +345,16 @@
 // was closed.
 func (n *Node) Failed() <-chan error { return n.serveErrors }
 
-// Stop shuts the router down gracefully. It first reports the router as not ready for the
-// drain notice, so that load balancers stop sending requests. Then it refuses new requests,
+// Stop shuts the router down gracefully. It first reports the router as not ready, and to other routers as
+// leaving, for the drain notice, so that load balancers and routers stop sending requests. Then it refuses new requests,
 // returns leases and waits for open requests until ctx is done.
 func (n *Node) Stop(ctx context.Context) error {
 	n.admin.MarkNotReady()
 	n.Front.DisableKeepAlives()
 	n.log.Info("router_leaving", "notice_ms", n.currentDrainNotice().Milliseconds())
+	if n.Dispatch != nil {
+		n.Dispatch.Leave()
+	}
 	n.clock.Sleep(ctx, n.currentDrainNotice())
 	n.Front.Drain()
 	n.core.Drain()
