Relay an answer that has arrived before its stream ends

Cause: outgoing.run chose at random between the messages that had arrived and the end of the stream, and dropped the rest. And the end came early: that messages TO the other router may be lost (its process closes its end of our connection, and a dial is refused) ended streams whose answers come FROM it, on another connection, whose last bytes may still wait to be read here; after a planned stop of the other router that is the usual case. Class: two channels without an order between them, of which one says that the other has nothing more.

Change: a stream that ends first relays what has arrived. The transport tells the forwarder when a connection that a peer opened has ended, in order, after its last message (peer.Disconnected, and a number for each connection); that ends the answers that arrive on it. Losses in the other direction, and a new incarnation of the router, leave an answer a second from message to message, for machines that are gone without closing anything. A router that is silent for good by the roster ends streams as before.

--- a/internal/forward/ending_test.go
+++ b/internal/forward/ending_test.go
@@ -83,3 +83,102 @@
 		})
 	}
 }
+
+// entry is a Forwarder with one peer, "b", whose part the test plays, and a connection that it forwards.
+type entry struct {
+	*forward.Forwarder
+	sent    sentMessages
+	caller  net.Conn
+	results chan forward.Result
+	stream  uint64
+}
+
+const requestHead = "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n"
+
+func newEntry(t *testing.T) *entry {
+	t.Helper()
+	e := &entry{Forwarder: forward.New(), sent: make(sentMessages, 64), results: make(chan forward.Result, 1)}
+	e.Bind(e.sent, nil)
+	e.SetPeers([]forward.Peer{{Address: "b", Capacity: 1}})
+	caller, accepted := connectedPair(t)
+	e.caller = caller
+	go func() {
+		result := e.Forward(accepted, []byte(requestHead), table.Version{}, time.Now().Add(waitTimeout))
+		if result.Outcome != forward.Ended {
+			_ = accepted.Close()
+		}
+		e.results <- result
+	}()
+	e.stream = (<-e.sent).(*wire.Forward).Stream
+	return e
+}
+
+// respond delivers a message of the response, which arrives on a connection.
+func (e *entry) respond(conn, seq uint64, data string, last bool) {
+	e.Handle(peer.Inbound{From: "b", Conn: conn, Msg: &wire.ForwardData{Stream: e.stream, Response: true, Seq: seq, Data: []byte(data), Last: last}})
+}
+
+// TestEndOfForwardedStream checks what ends a forwarded connection and what its caller receives.
+func TestEndOfForwardedStream(t *testing.T) {
+	disconnected := func(conn uint64) peer.Inbound {
+		return peer.Inbound{From: "b", Conn: conn, Msg: peer.Disconnected{}}
+	}
+	tests := map[string]struct {
+		play func(e *entry)
+		// response is what the caller receives.
+		response string
+		want     forward.Outcome
+		reason   forward.Reason
+	}{
+		"response after messages to the router were lost": {
+			play: func(e *entry) {
+				e.EndStreams("b", forward.ConnectionLost)
+				e.respond(1, 1, "ev", false)
+				e.respond(1, 2, "ent", true)
+			},
+			response: "event", want: forward.Ended,
+		},
+		"nothing more after messages to the router were lost": {
+			play:     func(e *entry) { e.respond(1, 1, "ev", false); e.EndStreams("b", forward.ConnectionLost) },
+			response: "ev", want: forward.Ended, reason: forward.ConnectionLost,
+		},
+		"its connection ends in the middle": {
+			play:     func(e *entry) { e.respond(1, 1, "ev", false); e.Handle(disconnected(1)) },
+			response: "ev", want: forward.Ended, reason: forward.ConnectionLost,
+		},
+		"its connection ends after its last message": {
+			play:     func(e *entry) { e.respond(1, 1, "event", true); e.Handle(disconnected(1)) },
+			response: "event", want: forward.Ended,
+		},
+		"another connection of the router ends": {
+			play: func(e *entry) {
+				e.respond(2, 1, "ev", false)
+				e.Handle(disconnected(1))
+				e.respond(2, 2, "ent", true)
+			},
+			response: "event", want: forward.Ended,
+		},
+		"the router falls silent after its last message": {
+			play:     func(e *entry) { e.respond(1, 1, "event", true); e.EndStreamsExcept(nil) },
+			response: "event", want: forward.Ended,
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := newEntry(t)
+			if _, err := e.caller.Write([]byte("body")); err != nil {
+				t.Fatal(err)
+			}
+			<-e.sent
+			tc.play(e)
+			result := <-e.results
+			got, err := io.ReadAll(e.caller)
+			if err != nil || string(got) != tc.response {
+				t.Errorf("the caller received %q, %v; want %q", got, err, tc.response)
+			}
+			if result.Outcome != tc.want || result.Reason != tc.reason {
+				t.Errorf("%v, %q; want %v, %q", result.Outcome, result.Reason, tc.want, tc.reason)
+			}
+		})
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -126,8 +126,8 @@
 	f.closeMatching(Stopped, func(string) bool { return true })
 }
 
-// EndStreams ends all streams to and from the router at address, for example when messages may
-// have been lost.
+// EndStreams ends all streams to and from the router at address, for example when messages to it may
+// have been lost. Responses that it has sent still reach their callers.
 func (f *Forwarder) EndStreams(address string, why Reason) {
 	f.closeMatching(why, func(a string) bool { return a == address })
 }
@@ -154,6 +154,10 @@
 	}
 	f.mu.Unlock()
 	for _, o := range outs {
+		if why.mayPrecedeResponse() {
+			o.suspect(why)
+			continue
+		}
 		o.end(why)
 	}
 	for _, i := range ins {
@@ -161,7 +165,8 @@
 	}
 }
 
-// Handle processes a message that belongs to a stream and reports whether it was one.
+// Handle processes a message that belongs to a stream, or the end of a connection, and reports whether it
+// was one.
 func (f *Forwarder) Handle(in peer.Inbound) bool {
 	switch m := in.Msg.(type) {
 	case *wire.Forward:
@@ -173,15 +178,36 @@
 		}
 	case *wire.ForwardData:
 		f.handleData(in, m)
+	case peer.Disconnected:
+		f.endResponses(in)
 	default:
 		return false
 	}
 	return true
 }
 
+// endResponses ends the streams whose responses arrive on a connection that has ended. All of its messages
+// have been handled.
+func (f *Forwarder) endResponses(in peer.Inbound) {
+	f.mu.Lock()
+	var ended []*outgoing
+	for _, o := range f.outgoing {
+		if o.conn != 0 && o.conn == in.Conn {
+			ended = append(ended, o)
+		}
+	}
+	f.mu.Unlock()
+	for _, o := range ended {
+		o.end(ConnectionLost)
+	}
+}
+
 func (f *Forwarder) handleData(in peer.Inbound, m *wire.ForwardData) {
 	f.mu.Lock()
 	o, i := f.outgoing[m.Stream], f.incoming[streamKey{in.From, in.Incarnation, m.Stream}]
+	if m.Response && o != nil && o.to == in.From {
+		o.conn = in.Conn
+	}
 	f.mu.Unlock()
 	switch {
 	case m.Response && o != nil && o.to == in.From:
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -52,6 +52,11 @@
 	once      sync.Once
 	// reason is why done was closed.
 	reason Reason
+	// doubt receives why messages to the peer may be lost, or the peer gone. The response may still arrive.
+	doubt chan Reason
+	// conn is the number of the connection that the response arrives on, 0 before its first message. It
+	// is guarded by Forwarder.mu.
+	conn uint64
 	// callerClosed is closed when the caller closes its connection, readDone when readCaller
 	// returns.
 	callerClosed, readDone chan struct{}
@@ -71,6 +76,10 @@
 // callerWriteTimeout bounds one write to a caller.
 const callerWriteTimeout = 10 * time.Second
 
+// doubtTimeout is how long a response may pause once messages to its router may be lost. The end of the
+// connection that the response arrives on is known sooner, unless the machine is gone.
+const doubtTimeout = time.Second
+
 // Forward offers a connection and the bytes read from it so far to peers: to some of the zone, and
 // then to one of another zone if not much time has passed. If one accepts, Forward relays bytes both
 // ways until the connection ends or the deadline passes.
@@ -93,7 +102,8 @@
 		result.To = to
 		o := f.newOutgoing(caller, to)
 		o.sender.Send(to, &wire.Forward{Stream: o.id, Edition: version.Edition, Revision: version.Revision, Data: result.Read})
-		result.Outcome, result.Reason = o.run(deadline)
+		end := o.run(deadline)
+		result.Outcome, result.Reason = end.outcome, end.reason
 		result.Messages, result.Idle = o.relayed, f.clock.Since(o.relayedAt)
 		f.removeOutgoing(o.id)
 		if result.Outcome != NotTaken {
@@ -129,7 +139,7 @@
 	f.lastID++
 	o := &outgoing{
 		clock: f.clock, sender: f.sender, id: f.lastID, to: to, caller: caller, responses: make(chan *wire.ForwardData, maxQueued),
-		done: make(chan struct{}), callerClosed: make(chan struct{}), readDone: make(chan struct{}), relayedAt: f.clock.Now(),
+		done: make(chan struct{}), doubt: make(chan Reason, 1), callerClosed: make(chan struct{}), readDone: make(chan struct{}), relayedAt: f.clock.Now(),
 	}
 	f.outgoing[o.id] = o
 	return o
@@ -150,7 +160,7 @@
 	}
 }
 
-// end marks that no more messages can arrive from the peer.
+// end marks that no more messages can arrive from the peer. Those that have arrived still count.
 func (o *outgoing) end(why Reason) {
 	o.once.Do(func() {
 		o.reason = why
@@ -158,45 +168,93 @@
 	})
 }
 
+// suspect gives the response doubtTimeout to arrive, and again after each of its messages.
+func (o *outgoing) suspect(why Reason) {
+	select {
+	case o.doubt <- why:
+	default:
+	}
+}
+
+// ending is how a stream ended.
+type ending struct {
+	outcome Outcome
+	reason  Reason
+}
+
 // run relays bytes both ways until the stream ends.
-func (o *outgoing) run(deadline time.Time) (Outcome, Reason) {
+func (o *outgoing) run(deadline time.Time) ending {
 	// Clear the deadline under which the head was read.
 	_ = o.caller.SetReadDeadline(time.Time{})
 	go o.readCaller()
 	timeout := make(chan struct{})
 	timer := o.clock.AfterFunc(o.clock.Until(deadline), func() { close(timeout) })
 	defer timer.Stop()
-	for seq := uint64(1); ; seq++ {
+	doubted := Reason("")
+	doubtTimer := time.NewTimer(doubtTimeout)
+	doubtTimer.Stop()
+	defer doubtTimer.Stop()
+	for {
 		select {
 		case m := <-o.responses:
-			if m.Refused && !o.responded {
-				o.stopReading()
-				return NotTaken, PeerRefused
-			}
-			if m.Seq != seq {
-				return o.abort(true), OutOfOrder
+			if e, ended := o.relay(m); ended {
+				return e
 			}
-			if !o.writeToCaller(m) {
-				return o.abort(true), CallerStuck
-			}
-			o.relayed, o.relayedAt = seq, o.clock.Now()
-			if m.Last {
-				_ = o.caller.Close()
-				return Ended, ""
-			}
-			if seq%ackInterval == 0 {
-				o.sender.Send(o.to, &wire.ForwardData{Stream: o.id, Acked: seq})
+			if doubted != "" {
+				doubtTimer.Reset(doubtTimeout)
 			}
 		case <-o.callerClosed:
-			return o.abort(true), CallerClosed
+			return ending{o.abort(true), CallerClosed}
+		case doubted = <-o.doubt:
+			doubtTimer.Reset(doubtTimeout)
+		case <-doubtTimer.C:
+			return o.finish(true, doubted)
 		case <-o.done:
-			return o.abort(false), o.reason
+			return o.finish(o.reason == QueueFull, o.reason)
 		case <-timeout:
-			return o.abort(true), DeadlinePassed
+			return o.finish(true, DeadlinePassed)
+		}
+	}
+}
+
+// finish relays the messages that have arrived, and ends the stream early unless they complete the
+// response.
+func (o *outgoing) finish(notify bool, why Reason) ending {
+	for {
+		select {
+		case m := <-o.responses:
+			if e, ended := o.relay(m); ended {
+				return e
+			}
+		default:
+			return ending{o.abort(notify), why}
 		}
 	}
 }
 
+// relay passes a message of the response on to the caller. It reports whether that ends the stream.
+func (o *outgoing) relay(m *wire.ForwardData) (e ending, ended bool) {
+	switch {
+	case m.Refused && !o.responded:
+		o.stopReading()
+		return ending{NotTaken, PeerRefused}, true
+	case m.Seq != o.relayed+1:
+		return ending{o.abort(true), OutOfOrder}, true
+	case !o.writeToCaller(m):
+		return ending{o.abort(true), CallerStuck}, true
+	}
+	o.relayed++
+	o.relayedAt = o.clock.Now()
+	switch {
+	case m.Last:
+		_ = o.caller.Close()
+		return ending{Ended, ""}, true
+	case o.relayed%ackInterval == 0:
+		o.sender.Send(o.to, &wire.ForwardData{Stream: o.id, Acked: o.relayed})
+	}
+	return ending{}, false
+}
+
 // writeToCaller writes response bytes to the caller.
 func (o *outgoing) writeToCaller(m *wire.ForwardData) bool {
 	if len(m.Data) == 0 {
--- a/internal/forward/reason.go
+++ b/internal/forward/reason.go
@@ -27,3 +27,6 @@
 	// Stopped: this router stops.
 	Stopped Reason = "stopped"
 )
+
+// mayPrecedeResponse reports whether messages that the other router sent before may arrive later.
+func (r Reason) mayPrecedeResponse() bool { return r == ConnectionLost || r == PeerRestarted }
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -54,6 +54,8 @@
 		return
 	}
 	t.markConnected(hello)
+	id := t.lastConn.Add(1)
+	defer t.reportDisconnected(hello, id)
 	r := bufio.NewReaderSize(conn, readBufferSize)
 	dec := wire.NewDecoder()
 	for {
@@ -70,7 +72,7 @@
 		}
 		t.count.BytesIn.Add(int64(len(payload) + headerSize))
 		t.count.MessagesIn.Add(int64(len(msgs)))
-		if !t.deliver(hello, msgs) {
+		if !t.deliver(hello, id, msgs) {
 			return
 		}
 	}
@@ -102,15 +104,26 @@
 	}
 }
 
-// deliver passes messages to the interceptor or the inbox. It reports false if the transport was
-// closed.
-func (t *Transport) deliver(hello *wire.Hello, msgs []any) bool {
+// reportDisconnected tells the interceptor that a connection has ended.
+func (t *Transport) reportDisconnected(hello *wire.Hello, id uint64) {
+	if t.opt.intercept != nil {
+		t.opt.intercept(newInbound(hello, id, Disconnected{}))
+	}
+}
+
+func newInbound(hello *wire.Hello, conn uint64, msg any) Inbound {
+	return Inbound{From: peerID(hello), Name: hello.Name, Zone: hello.Zone, Incarnation: hello.Incarnation, Conn: conn, Msg: msg}
+}
+
+// deliver passes messages of a connection to the interceptor or the inbox. It reports false if the
+// transport was closed.
+func (t *Transport) deliver(hello *wire.Hello, id uint64, msgs []any) bool {
 	for _, msg := range msgs {
 		if update, isHello := msg.(*wire.Hello); isHello {
 			hello.Incarnation = update.Incarnation
 			continue
 		}
-		in := Inbound{From: peerID(hello), Name: hello.Name, Zone: hello.Zone, Incarnation: hello.Incarnation, Msg: msg}
+		in := newInbound(hello, id, msg)
 		if t.opt.intercept != nil && t.opt.intercept(in) {
 			continue
 		}
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -47,9 +47,15 @@
 	Name        string
 	Zone        string
 	Incarnation uint64
-	Msg         any
+	// Conn numbers the connection that the message arrived on. It differs between all connections to this
+	// router and is above 0.
+	Conn uint64
+	Msg  any
 }
 
+// Disconnected is the Msg that follows the last message of a connection. Only the interceptor gets it.
+type Disconnected struct{}
+
 // Loss reports that messages to a peer were dropped, or that its connection ended. Refused
 // reports that its address refused a connection, so that no process listens there.
 type Loss struct {
@@ -111,6 +117,8 @@
 	out   map[string]*outbox
 	// pending is the number of messages that are neither written nor dropped.
 	pending atomic.Int64
+	// lastConn is the number of the last connection that a peer opened.
+	lastConn atomic.Uint64
 }
 
 type options struct {
@@ -140,7 +148,7 @@
 
 // WithInterceptor sets a function that is called for each message first. If it returns true, the
 // message does not go to the inbox. It runs on the goroutine that reads the sender's connection
-// and must not block.
+// and must not block. After the last message of a connection it gets Disconnected.
 func WithInterceptor(f func(Inbound) bool) Option { return func(o *options) { o.intercept = f } }
 
 // New returns a Transport that accepts connections on ln. Close closes ln.
--- a/internal/peer/net_test.go
+++ b/internal/peer/net_test.go
@@ -80,6 +80,45 @@
 	}
 }
 
+// TestConnectionEndsAfterItsMessages guards against treating a connection as ended while messages that
+// arrived on it are still to be handled.
+func TestConnectionEndsAfterItsMessages(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	const messages = 1000
+	received := make(chan peer.Inbound, messages+1)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := peer.New("b", "z", 1, ln, peer.WithLogger(slog.New(slog.DiscardHandler)), peer.WithInterceptor(func(in peer.Inbound) bool {
+		received <- in
+		return true
+	}))
+	a, _ := start(t, "a")
+	a.SetAddresses(map[string]string{"b": ln.Addr().String()})
+	for i := range uint64(messages) {
+		a.Send("b", &wire.TableRequest{Have: i})
+	}
+	a.Flush(t.Context())
+	if err := a.Close(); err != nil {
+		t.Error(err)
+	}
+	var conn uint64
+	for i := range uint64(messages) {
+		in := <-received
+		if req, ok := in.Msg.(*wire.TableRequest); !ok || req.Have != i || in.Conn == 0 {
+			t.Fatalf("message %d is %+v", i, in)
+		}
+		conn = in.Conn
+	}
+	if in := <-received; in.Msg != (peer.Disconnected{}) || in.Conn != conn || in.From != "a" {
+		t.Errorf("the last message is %+v, want the end of connection %d", in, conn)
+	}
+	if err := b.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestOversizedFrameIsRejected(t *testing.T) {
 	if _, err := peer.ReadFrame(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff})); err == nil {
 		t.Error("a frame of 4 GiB was accepted")
