Send answers to other routers' callers to their end before a router stops

What callers see: nothing where an answer tells its own length, as it does here with HTTP/1.1; the router that holds the caller's connection does not learn that the answer is whole, and logs it as cut by a lost connection.

Cause: a planned stop waited for the HTTP server's connections and then flushed, for 200 ms at most, the messages that were queued already.

Change: Forwarder.Drain waits until the answers have been sent, then the messages are flushed; up to 2 s if the stop has time left, 200 ms if it has not.

--- a/internal/forward/ending_test.go
+++ b/internal/forward/ending_test.go
@@ -1,10 +1,13 @@
 package forward_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -182,3 +185,47 @@
 		})
 	}
 }
+
+// TestDrainSendsWholeAnswers guards against answers to another router's caller that lack their end, since the
+// router that served them stops as soon as its handlers have returned.
+func TestDrainSendsWholeAnswers(t *testing.T) {
+	const rounds, body = 50, "event 1\nevent 2\nevent 3\n"
+	for range rounds {
+		handled := make(chan struct{})
+		srv := &server{conns: make(chan net.Conn), accepts: true}
+		srv.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			defer close(handled)
+			w.Header().Set("Connection", "close")
+			for line := range strings.Lines(body) {
+				_, _ = io.WriteString(w, line)
+				_ = http.NewResponseController(w).Flush()
+			}
+		}), ReadHeaderTimeout: waitTimeout}
+		go func() { _ = srv.http.Serve(srv) }()
+		sent := make(sentMessages, 64)
+		f := forward.New(forward.WithBatchDelay(func() time.Duration { return time.Millisecond }))
+		f.Bind(sent, srv)
+		f.Handle(peer.Inbound{From: "a", Msg: &wire.Forward{Stream: 1, Data: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")}})
+		<-handled
+		if err := srv.http.Shutdown(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		f.Drain(t.Context())
+		f.Close()
+		close(sent)
+		var got bytes.Buffer
+		last := false
+		for msg := range sent {
+			m := msg.(*wire.ForwardData)
+			got.Write(m.Data)
+			last = m.Last
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(&got), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if read, err := io.ReadAll(resp.Body); err != nil || string(read) != body || !last {
+			t.Fatalf("%q, %v, sent to its end: %v", read, err, last)
+		}
+	}
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -7,6 +7,7 @@
 package forward
 
 import (
+	"context"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -52,6 +53,8 @@
 	maxQueued = 64
 	// chunkSize is the most bytes sent in one message.
 	chunkSize = 16 << 10
+	// drainPollInterval is the poll interval of Drain.
+	drainPollInterval = 5 * time.Millisecond
 )
 
 // Forwarder forwards connections to peers and serves connections that peers forward.
@@ -132,6 +135,26 @@
 	f.closeMatching(why, func(a string) bool { return a == address })
 }
 
+// Drain waits until the responses to the callers of other routers have been sent, or ctx is done. The
+// server must have stopped.
+func (f *Forwarder) Drain(ctx context.Context) {
+	tick := time.NewTicker(drainPollInterval)
+	defer tick.Stop()
+	for f.incomingCount() > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Forwarder) incomingCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.incoming)
+}
+
 // EndStreamsExcept ends the streams to and from all routers that are not in live.
 func (f *Forwarder) EndStreamsExcept(live map[string]bool) {
 	f.closeMatching(PeerSilent, func(a string) bool { return !live[a] })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -359,21 +359,41 @@
 	n.Front.Drain()
 	n.core.Drain()
 	err := n.Front.Shutdown(ctx)
-	n.flushPeers()
 	n.log.Info("router_stopped", "cut", n.Front.OpenRequests())
+	_ = n.Front.Close()
+	n.flushPeers(ctx)
 	n.close()
 	return err
 }
 
-// flushTimeout limits the wait for final messages to other routers, which may hold the
-// ends of forwarded responses.
-const flushTimeout = 200 * time.Millisecond
+const (
+	// minFlushTime is the least time to send the last messages to other routers, also if ctx is done.
+	minFlushTime = 200 * time.Millisecond
+	// maxFlushTime bounds that time if another router does not read.
+	maxFlushTime = 2 * time.Second
+)
 
-// flushPeers waits until queued messages to other routers are written.
-func (n *Node) flushPeers() {
-	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+// flushPeers waits until the ends of responses to other routers' callers, and all other messages to other
+// routers, are written.
+func (n *Node) flushPeers(ctx context.Context) {
+	flush, cancel := context.WithTimeout(context.Background(), n.flushTime(ctx))
 	defer cancel()
-	n.Peers.Flush(ctx)
+	if n.forwarder != nil {
+		n.forwarder.Drain(flush)
+	}
+	n.Peers.Flush(flush)
+}
+
+// flushTime returns how long to wait for messages to other routers in a planned stop that ends with ctx.
+func (n *Node) flushTime(ctx context.Context) time.Duration {
+	if ctx.Err() != nil {
+		return minFlushTime
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return maxFlushTime
+	}
+	return min(maxFlushTime, max(minFlushTime, n.clock.Until(deadline)))
 }
 
 // Kill stops the router without draining, as a crash would.
