Tell the caller's router when a forwarded connection is given up

What callers see: a caller whose forwarded request the serving router gave up (a full queue, a message out of order, a router that it believed silent) waited until its deadline and half a second more. One that the serving router closed without any response, as net/http does with a connection whose header comes too slowly, was closed without an answer.

Cause: only a complete answer, and the caller's own end, were told. And the last message of an answer counted as its end also where nothing had come before it.

Change: the router that gives up a connection sends a last message with the sequence number 0, which former builds take for a message out of order and end the connection as well, so that no field is added to the frame. An end without any response counts as a lost router: the caller, who still waits, gets a 502.

Evidence: the rows "the router ends it without a response" and "the router gives it up" of TestEndOfForwardedStream; on the code before the first one has the connection closed without an answer, and the second waits for its deadline (by reading).

--- a/internal/forward/ending_test.go
+++ b/internal/forward/ending_test.go
@@ -161,6 +161,14 @@
 			},
 			response: "event", want: forward.Ended,
 		},
+		"the router ends it without a response": {
+			play: func(e *entry) { e.respond(1, 1, "", true) },
+			want: forward.Unknown, reason: forward.PeerAborted,
+		},
+		"the router gives it up": {
+			play:     func(e *entry) { e.respond(1, 1, "ev", false); e.respond(1, 0, "", true) },
+			response: "ev", want: forward.Ended, reason: forward.PeerAborted,
+		},
 		"the router falls silent after its last message": {
 			play:     func(e *entry) { e.respond(1, 1, "event", true); e.EndStreamsExcept(nil) },
 			response: "event", want: forward.Ended,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -53,6 +53,9 @@
 	maxQueued = 64
 	// chunkSize is the most bytes sent in one message.
 	chunkSize = 16 << 10
+	// abortSeq is the sequence number of a last message that ends a response early. Routers that do not
+	// know it find the message out of order, which ends the stream as well.
+	abortSeq = 0
 	// drainPollInterval is the poll interval of Drain.
 	drainPollInterval = 5 * time.Millisecond
 )
--- a/internal/forward/incoming.go
+++ b/internal/forward/incoming.go
@@ -78,6 +78,9 @@
 		if why != "" && why != CallerClosed {
 			i.forwarder.log.Warn("forwarded_stream_ended", "from", i.key.from, "stream", i.key.id, "reason", string(why))
 		}
+		if why.notifiesPeer() {
+			i.sender.Send(i.key.from, &wire.ForwardData{Stream: i.key.id, Response: true, Seq: abortSeq, Last: true})
+		}
 		close(i.done)
 		_ = i.pipe.Close()
 		i.forwarder.mu.Lock()
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -238,6 +238,8 @@
 	case m.Refused && !o.responded:
 		o.stopReading()
 		return ending{NotTaken, PeerRefused}, true
+	case m.Seq == abortSeq:
+		return ending{o.abort(false), PeerAborted}, true
 	case m.Seq != o.relayed+1:
 		return ending{o.abort(true), OutOfOrder}, true
 	case !o.writeToCaller(m):
@@ -246,6 +248,8 @@
 	o.relayed++
 	o.relayedAt = o.clock.Now()
 	switch {
+	case m.Last && !o.responded:
+		return ending{o.abort(false), PeerAborted}, true
 	case m.Last:
 		_ = o.caller.Close()
 		return ending{Ended, ""}, true
--- a/internal/forward/reason.go
+++ b/internal/forward/reason.go
@@ -24,9 +24,15 @@
 	QueueFull Reason = "queue-full"
 	// OutOfOrder: a message was missing.
 	OutOfOrder Reason = "out-of-order"
+	// PeerAborted: the other router ended the response early, or without any of it.
+	PeerAborted Reason = "router-aborted"
 	// Stopped: this router stops.
 	Stopped Reason = "stopped"
 )
 
 // mayPrecedeResponse reports whether messages that the other router sent before may arrive later.
 func (r Reason) mayPrecedeResponse() bool { return r == ConnectionLost || r == PeerRestarted }
+
+// notifiesPeer reports whether the router that forwarded a stream is told that it ended. It knows the other
+// reasons itself.
+func (r Reason) notifiesPeer() bool { return r != "" && r != CallerClosed && r != PeerRestarted }
