Answer a caller whose forwarded request was lost after its body was read

What callers see: no answer at all, until their own deadline, if the router that took their request is lost before its answer begins and their body came in more than one part.

Cause: Forward returned the bytes that it had read from the caller only if no router took the request. If the router was lost, the refusal went on to wait for the rest of a body that had been read already; without a read deadline, since Forward had cleared it. Found by reading.

Change: what has been read is returned unless the connection is closed, and a refusal reads the rest of the body under a deadline of its own.

Evidence: TestEndOfForwardedStream checks the bytes returned in each row in which the caller still waits; red on the code before ("POST ..." without "body"). The row "peer lost, after the body" of TestRefusedRequestsAreForwarded.

--- a/internal/forward/ending_test.go
+++ b/internal/forward/ending_test.go
@@ -190,6 +190,9 @@
 			if result.Outcome != tc.want || result.Reason != tc.reason {
 				t.Errorf("%v, %q; want %v, %q", result.Outcome, result.Reason, tc.want, tc.reason)
 			}
+			if tc.want != forward.Ended && string(result.Read) != requestHead+"body" {
+				t.Errorf("%q was read from the caller", result.Read)
+			}
 		})
 	}
 }
--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -106,10 +106,10 @@
 		result.Outcome, result.Reason = end.outcome, end.reason
 		result.Messages, result.Idle = o.relayed, f.clock.Since(o.relayedAt)
 		f.removeOutgoing(o.id)
+		result.Read = append(result.Read, o.buffered...)
 		if result.Outcome != NotTaken {
 			return result
 		}
-		result.Read = append(result.Read, o.buffered...)
 		f.markBusy(to, f.clock.Now())
 	}
 	return result
@@ -129,7 +129,7 @@
 	// last one, or since the connection was offered.
 	Messages uint64
 	Idle     time.Duration
-	// Read holds all bytes read from the connection if no peer accepted it.
+	// Read holds all bytes read from the connection, unless the outcome is Ended.
 	Read []byte
 }
 
--- a/internal/front/early.go
+++ b/internal/front/early.go
@@ -168,6 +168,7 @@
 	in := &inboundRequest{id: early.request.ID, arrived: arrived, model: early.request.Model, route: &routeState{prompt: early.prompt}}
 	in.account.Name = early.request.Account
 	err = in.finalError(err)
+	_ = c.SetReadDeadline(time.Now().Add(earlyTimeout))
 	if discardBody(c, buf, early.bodyLength-bodyRead) {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(earlyTimeout))
 		// Ignore write errors: the caller may have disconnected. The refusal is logged below.
--- a/internal/front/forward_test.go
+++ b/internal/front/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -20,6 +21,8 @@
 type fakeForwarder struct {
 	outcome forward.Outcome
 	heads   chan string
+	// readsBody says that it reads the rest of the body from the caller.
+	readsBody bool
 }
 
 func (f *fakeForwarder) Forward(c net.Conn, head []byte, version table.Version, deadline time.Time) forward.Result {
@@ -32,6 +35,12 @@
 	case forward.NotTaken:
 		// The rest of the body arrived meanwhile.
 		result.Read = append(result.Read, "dy"...)
+	case forward.Unknown:
+		if f.readsBody {
+			rest := make([]byte, 2)
+			_, _ = io.ReadFull(c, rest)
+			result.Read = append(result.Read, rest...)
+		}
 	}
 	return result
 }
@@ -46,12 +55,14 @@
 		status     int
 		verdict    string
 		forwarded  bool
+		readsBody  bool
 	}{
-		"answered by the peer":     {front.CodeOverloaded, true, forward.Ended, 200, "", true},
-		"no peer accepts":          {front.CodeOverloaded, true, forward.NotTaken, 503, "not-run", true},
-		"peer lost":                {front.CodeOverloaded, true, forward.Unknown, 502, "may-have-run", true},
-		"forwarding not allowed":   {front.CodeOverloaded, false, forward.Ended, 503, "not-run", false},
-		"over the account's share": {"over-share", true, forward.Ended, 503, "not-run", false},
+		"answered by the peer":      {front.CodeOverloaded, true, forward.Ended, 200, "", true, false},
+		"no peer accepts":           {front.CodeOverloaded, true, forward.NotTaken, 503, "not-run", true, false},
+		"peer lost":                 {front.CodeOverloaded, true, forward.Unknown, 502, "may-have-run", true, false},
+		"peer lost, after the body": {front.CodeOverloaded, true, forward.Unknown, 502, "may-have-run", true, true},
+		"forwarding not allowed":    {front.CodeOverloaded, false, forward.Ended, 503, "not-run", false, false},
+		"over the account's share":  {"over-share", true, forward.Ended, 503, "not-run", false, false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -59,7 +70,7 @@
 			f.refusal = verdict.New(verdict.PhaseAdmit, http.StatusServiceUnavailable, tc.code, "retry later").WithRetryAfter(time.Second)
 			f.shedding.Store(true)
 			f.mayForward.Store(tc.mayForward)
-			forwarder := &fakeForwarder{tc.outcome, make(chan string, 1)}
+			forwarder := &fakeForwarder{tc.outcome, make(chan string, 1), tc.readsBody}
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
 				t.Fatal(err)
