Offer a request to the next router if it was never sent to the first

Cause: every loss on the way to a router counted as one that may have taken the request along. A message that waited for a connection, and for which none could be opened, has not left this router.

Change: the transport reports each message that it drops before any of it was written (peer.WithUnsent); the forwarder counts a connection that was never offered as refused, so that the next router, or the own refusal as not run, follows.

Evidence: TestUnsentMessagesAreReported; the row "it was never sent" of TestEndOfForwardedStream. What was written to a connection that the other router had closed is may-have-run as before: this router can't know that it wasn't read.

--- a/internal/forward/ending_test.go
+++ b/internal/forward/ending_test.go
@@ -169,6 +169,10 @@
 			play:     func(e *entry) { e.respond(1, 1, "ev", false); e.respond(1, 0, "", true) },
 			response: "ev", want: forward.Ended, reason: forward.PeerAborted,
 		},
+		"it was never sent": {
+			play: func(e *entry) { e.Unsent("b", &wire.Forward{Stream: e.stream}) },
+			want: forward.NotTaken, reason: forward.PeerRefused,
+		},
 		"the router falls silent after its last message": {
 			play:     func(e *entry) { e.respond(1, 1, "event", true); e.EndStreamsExcept(nil) },
 			response: "event", want: forward.Ended,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -228,6 +228,21 @@
 	}
 }
 
+// Unsent processes that a message did not leave this router. A router that was not asked to serve a
+// connection has refused it.
+func (f *Forwarder) Unsent(to string, msg any) {
+	m, ok := msg.(*wire.Forward)
+	if !ok {
+		return
+	}
+	f.mu.Lock()
+	o := f.outgoing[m.Stream]
+	f.mu.Unlock()
+	if o != nil && o.to == to {
+		o.receive(&wire.ForwardData{Stream: m.Stream, Response: true, Refused: true})
+	}
+}
+
 func (f *Forwarder) handleData(in peer.Inbound, m *wire.ForwardData) {
 	f.mu.Lock()
 	o, i := f.outgoing[m.Stream], f.incoming[streamKey{in.From, in.Incarnation, m.Stream}]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -209,7 +209,8 @@
 func (n *Node) setUpPlatformDispatcher(s config.Settings, o options, t tlsConfigs, p Platform, incarnation uint64) {
 	id := dispatch.Identity{Name: s.Name, Address: n.listeners.peers.Addr().String(), Zone: s.Zone, Incarnation: incarnation, Capacity: s.Machine.Processors, ListenAddresses: n.listeners.addresses()}
 	n.forwarder = forward.New(forward.WithBatchDelay(n.forwardedBatchDelay), forward.WithClock(n.clock), forward.WithLogger(n.log))
-	n.Peers = peer.New(id.Name, id.Zone, id.Incarnation, n.listeners.peers, append(n.peerOptions(o, t), peer.WithAddress(id.Address), peer.WithInterceptor(n.forwarder.Handle))...)
+	peerOpts := append(n.peerOptions(o, t), peer.WithAddress(id.Address), peer.WithInterceptor(n.forwarder.Handle), peer.WithUnsent(n.forwarder.Unsent))
+	n.Peers = peer.New(id.Name, id.Zone, id.Incarnation, n.listeners.peers, peerOpts...)
 	opts := []dispatch.Option{
 		dispatch.WithLogger(n.log), dispatch.WithSeeds(s.Seeds), dispatch.WithApplyWithin(s.ApplyWithin),
 		dispatch.WithRetryBudget(retryBudget(s.Retries)), dispatch.WithForwarder(n.forwarder), dispatch.WithClock(n.clock), dispatch.WithRegions(s.Regions),
--- a/internal/peer/net.go
+++ b/internal/peer/net.go
@@ -127,6 +127,7 @@
 	log       *slog.Logger
 	address   string
 	intercept func(Inbound) bool
+	unsent    func(to string, msg any)
 }
 
 // Option configures a Transport.
@@ -151,6 +152,10 @@
 // and must not block. After the last message of a connection it gets Disconnected.
 func WithInterceptor(f func(Inbound) bool) Option { return func(o *options) { o.intercept = f } }
 
+// WithUnsent sets a function that is called for each message that was dropped before any of it was
+// written. It must not block.
+func WithUnsent(f func(to string, msg any)) Option { return func(o *options) { o.unsent = f } }
+
 // New returns a Transport that accepts connections on ln. Close closes ln.
 func New(name, zone string, inc uint64, ln net.Listener, opts ...Option) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -245,10 +250,21 @@
 	if !o.queue.push(msg) {
 		t.pending.Add(-1)
 		t.count.Dropped.Add(1)
+		t.reportUnsent(to, msg)
 		t.reportLoss(to, nil)
 	}
 }
 
+// reportUnsent reports messages of which nothing was written.
+func (t *Transport) reportUnsent(to string, messages ...any) {
+	if t.opt.unsent == nil {
+		return
+	}
+	for _, msg := range messages {
+		t.opt.unsent(to, msg)
+	}
+}
+
 func (t *Transport) reportLoss(peer string, err error) {
 	l := Loss{Peer: peer, Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	select {
--- a/internal/peer/net_test.go
+++ b/internal/peer/net_test.go
@@ -119,6 +119,38 @@
 	}
 }
 
+// TestUnsentMessagesAreReported guards against counting a message as possibly delivered that has not left the
+// router, since nothing listens at its peer.
+func TestUnsentMessagesAreReported(t *testing.T) {
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := gone.Addr().String()
+	_ = gone.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	unsent := make(chan uint64, 1)
+	a := peer.New("a", "z", 1, ln, peer.WithLogger(slog.New(slog.DiscardHandler)), peer.WithUnsent(func(to string, msg any) {
+		if m, ok := msg.(*wire.TableRequest); ok && to == "b" {
+			unsent <- m.Have
+		}
+	}))
+	defer func() { _ = a.Close() }()
+	a.SetAddresses(map[string]string{"b": address})
+	a.Send("b", &wire.TableRequest{Have: 7})
+	select {
+	case have := <-unsent:
+		if have != 7 {
+			t.Errorf("message %d was reported, want 7", have)
+		}
+	case <-time.After(testTimeout):
+		t.Error("the message was not reported")
+	}
+}
+
 func TestOversizedFrameIsRejected(t *testing.T) {
 	if _, err := peer.ReadFrame(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff})); err == nil {
 		t.Error("a frame of 4 GiB was accepted")
--- a/internal/peer/outbox.go
+++ b/internal/peer/outbox.go
@@ -52,6 +52,7 @@
 	}
 	defer o.transport.pending.Add(-int64(len(messages)))
 	if err := o.connect(); err != nil {
+		o.transport.reportUnsent(o.to, messages...)
 		o.reportDropped(len(messages), err)
 		return
 	}
