Let leaving routers stand in while most of the fleet leaves

What would be seen: since a planned stop is announced when it begins, a fleet whose routers are all stopped within the notice of 2.5 s has no router that stays. Each one would then own every backend server by itself and grant the slots of all, and in a zone whose routers all leave there would be no relay.

Change: if more than half of the routers that are alive leave, those that leave count for owners and relays as if they stayed; in a zone that only has leaving ones, they stay relays. Connections are forwarded to routers that stay only, as before.

Evidence: TestMostLeave.

--- a/internal/dispatch/members.go
+++ b/internal/dispatch/members.go
@@ -30,7 +30,11 @@
 // forwarder if it did.
 func (s *state) updateMembers() {
 	s.membersDirty = false
-	leaving, version := s.d.shared.leaving.Load(), s.roster.Version(s.now)
+	if s.d.shared.leaving.Load() {
+		s.roster.Leave()
+	}
+	version := s.roster.Version(s.now)
+	leaving := s.d.shared.leaving.Load() && !s.roster.StandsIn(s.now)
 	if version == s.membersVersion && leaving == s.leaving {
 		return
 	}
@@ -49,11 +53,11 @@
 			routers = append(routers, admit.Router{Address: address, Zone: m.Zone, Capacity: m.Capacity})
 		}
 	}
-	known := s.roster.KnownByZone()
-	if slices.Equal(routers, s.routers) && leaving == s.leaving && maps.Equal(known, s.knownByZone) {
+	known, staying := s.roster.KnownByZone(), s.roster.Staying(s.now)
+	if slices.Equal(routers, s.routers) && slices.Equal(staying, s.staying) && leaving == s.leaving && maps.Equal(known, s.knownByZone) {
 		return
 	}
-	s.routers, s.leaving, s.knownByZone, s.routerHostSet = routers, leaving, known, nil
+	s.routers, s.staying, s.leaving, s.knownByZone, s.routerHostSet = routers, staying, leaving, known, nil
 	s.origins.setRouters(routers)
 	total := 0
 	for _, n := range known {
--- a/internal/dispatch/streams.go
+++ b/internal/dispatch/streams.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/forward"
@@ -21,6 +22,9 @@
 	}
 	var list []forward.Peer
 	for _, r := range s.routers {
+		if !slices.Contains(s.staying, r.Address) {
+			continue
+		}
 		if isRemote := r.Zone != s.d.id.Zone; !isRemote || s.isSameRegion(r.Zone) {
 			list = append(list, forward.Peer{Address: r.Address, Capacity: r.Weight(), Remote: isRemote})
 		}
--- a/pkg/roster/plan.go
+++ b/pkg/roster/plan.go
@@ -94,6 +94,21 @@
 	c[m.Zone] = list[:min(relaysPerZone, len(list))]
 }
 
+// addLeaving adds routers that are leaving, in all zones or only in those that have no other candidate.
+func (c relayCandidates) addLeaving(members []*member, inAllZones bool) {
+	alone := map[string]bool{}
+	for _, m := range members {
+		if _, ok := c[m.Zone]; !ok {
+			alone[m.Zone] = true
+		}
+	}
+	for _, m := range members {
+		if inAllZones || alone[m.Zone] {
+			c.add(&m.Member, m.relayScore)
+		}
+	}
+}
+
 // addresses returns the relays of each zone.
 func (c relayCandidates) addresses() map[string][]string {
 	relays := make(map[string][]string, len(c))
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -100,6 +100,8 @@
 	// higherIncarnation is the highest incarnation of this router that others know of, if it is above
 	// the current one, else 0.
 	higherIncarnation uint64
+	// leaving says that this router is about to stop.
+	leaving bool
 	// startedAt is when this router first chose routers to probe, 0 before.
 	startedAt time.Duration
 	// pause is the last time during which this process was paused.
@@ -203,6 +205,18 @@
 	}
 }
 
+// Leave records that this router is about to stop.
+func (r *Roster) Leave() {
+	if !r.leaving {
+		r.leaving = true
+		r.cached = nil
+	}
+}
+
+// StandsIn reports whether this router, though it is leaving, goes on with its part of the fleet's work,
+// since most routers leave.
+func (r *Roster) StandsIn(now time.Duration) bool { return r.leaving && r.mostLeave(r.view(now)) }
+
 // MarkDown records that nothing listens at a router's address any more.
 func (r *Roster) MarkDown(address string) {
 	if m, ok := r.members[address]; ok {
@@ -253,8 +267,12 @@
 // Live returns the addresses of the other routers that are alive. The list must not be modified.
 func (r *Roster) Live(now time.Duration) []string { return r.view(now).live }
 
-// Active returns the addresses of the other routers that are alive and not leaving. The list must
+// Staying returns the addresses of the other routers that are alive and not leaving. The list must
 // not be modified.
+func (r *Roster) Staying(now time.Duration) []string { return r.view(now).staying }
+
+// Active returns the addresses of the other routers that take part in the fleet's work: those that stay,
+// or all that are alive if most are leaving. The list must not be modified.
 func (r *Roster) Active(now time.Duration) []string { return r.view(now).active }
 
 // inOrder returns the members by address.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -118,6 +118,51 @@
 	}
 }
 
+// TestMostLeave guards against a fleet in which the few routers that stay, or none, do the work of all while
+// most are stopped at the same time.
+func TestMostLeave(t *testing.T) {
+	others := []roster.Member{b, c, {Address: "10.0.0.4:1", Name: "d", Zone: b.Zone, Incarnation: 1}}
+	tests := map[string]struct {
+		// leaving are the routers that leave, by index; self is this one.
+		leaving    []int
+		self       bool
+		wantActive int
+		standsIn   bool
+	}{
+		"nobody leaves":       {wantActive: 3},
+		"one of four":         {leaving: []int{0}, wantActive: 2},
+		"two of four":         {leaving: []int{0, 1}, wantActive: 1},
+		"three of four":       {leaving: []int{0, 1, 2}, wantActive: 3},
+		"this one of four":    {self: true, wantActive: 3},
+		"this and two others": {self: true, leaving: []int{0, 1}, wantActive: 3, standsIn: true},
+		"all":                 {self: true, leaving: []int{0, 1, 2}, wantActive: 3, standsIn: true},
+		"this and one other":  {self: true, leaving: []int{0}, wantActive: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New(self, nil)
+			for _, m := range others {
+				r.Observe(1, m)
+			}
+			for _, i := range tc.leaving {
+				r.MarkLeaving(others[i].Address)
+			}
+			if tc.self {
+				r.Leave()
+			}
+			if got := len(r.Active(2)); got != tc.wantActive {
+				t.Errorf("%d active routers, want %d", got, tc.wantActive)
+			}
+			if got := len(r.Staying(2)); got != len(others)-len(tc.leaving) {
+				t.Errorf("%d staying routers, want %d", got, len(others)-len(tc.leaving))
+			}
+			if got := r.StandsIn(2); got != tc.standsIn {
+				t.Errorf("StandsIn() = %v, want %v", got, tc.standsIn)
+			}
+		})
+	}
+}
+
 // TestStartupProbes guards against slow discovery when the whole fleet restarts, and against probing
 // at that rate forever.
 func TestStartupProbes(t *testing.T) {
--- a/pkg/roster/view.go
+++ b/pkg/roster/view.go
@@ -10,9 +10,9 @@
 	computedAt, validUntil time.Duration
 	// version is different for every view of a roster.
 	version uint64
-	// live and active are the addresses of the other routers that are alive, and of those that are
-	// not leaving.
-	live, active []string
+	// live and staying are the addresses of the other routers that are alive, and of those that are not
+	// leaving. active are those that others rely on: live if most routers leave, else staying.
+	live, staying, active []string
 	relays       map[string][]string
 	plan         Plan
 	// digest is the digest of the members, 0 before it is needed.
@@ -51,15 +51,23 @@
 	}
 	relays := relayCandidates{}
 	relays.add(&r.self, relayScore(&r.self))
-	var reachable []*member
+	var reachable, leaving []*member
 	for _, m := range r.inOrder() {
-		if r.addToView(v, m) {
-			reachable = append(reachable, m)
-			if !m.leaving {
-				relays.add(&m.Member, m.relayScore)
-			}
+		if !r.addToView(v, m) {
+			continue
 		}
+		reachable = append(reachable, m)
+		if m.leaving {
+			leaving = append(leaving, m)
+		} else {
+			relays.add(&m.Member, m.relayScore)
+		}
+	}
+	v.active = v.staying
+	if r.mostLeave(v) {
+		v.active = v.live
 	}
+	relays.addLeaving(leaving, r.mostLeave(v))
 	v.relays = relays.addresses()
 	v.plan = r.planFor(reachable, v.relays)
 	r.cached = v
@@ -83,7 +91,7 @@
 		}
 		v.live = append(v.live, m.Address)
 		if !m.leaving {
-			v.active = append(v.active, m.Address)
+			v.staying = append(v.staying, m.Address)
 		}
 		return true
 	}
@@ -97,6 +105,16 @@
 	return true
 }
 
+// mostLeave reports whether more than half of the routers that are alive, with this one, are leaving. The
+// rest could not do the work of all, and would change with every router that leaves.
+func (r *Roster) mostLeave(v *view) bool {
+	staying := len(v.staying)
+	if !r.leaving {
+		staying++
+	}
+	return 2*staying < len(v.live)+1
+}
+
 // expireAt limits the time until which a view holds.
 func (v *view) expireAt(at time.Duration) {
 	if at > v.computedAt {
