--- a/pkg/roster/view.go
+++ b/pkg/roster/view.go
@@ -13,8 +13,8 @@
 	// live and staying are the addresses of the other routers that are alive, and of those that are not
 	// leaving. active are those that others rely on: live if most routers leave, else staying.
 	live, staying, active []string
-	relays       map[string][]string
-	plan         Plan
+	relays                map[string][]string
+	plan                  Plan
 	// digest is the digest of the members, 0 before it is needed.
 	digest uint64
 }
