Read what a caller sent only once nobody reads from it any more

Cause: returned the bytes read from the caller also where the answer is complete, and there readCaller may still run. And ended a sound answer that pauses for over a second at any time after messages TO its router were lost, since the doubt was never dropped; a review's test got "one " of "one two".

Change: the bytes are returned where the caller still waits, after its reader has stopped. A loss matters only until a response begins, for 300 ms; from then on the end of its own connection is told. A router that takes a new incarnation for itself tells the other side that it gave up a connection, as for the other reasons.

Evidence: go test -race -count=2 ./internal/forward ./internal/peer is clean; the row "a pause after messages to the router were lost" of TestEndOfForwardedStream.

--- a/internal/forward/outgoing.go
+++ b/internal/forward/outgoing.go
@@ -76,9 +76,8 @@
 // callerWriteTimeout bounds one write to a caller.
 const callerWriteTimeout = 10 * time.Second
 
-// doubtTimeout is how long a response may pause once messages to its router may be lost. The end of the
-// connection that the response arrives on is known sooner, unless the machine is gone.
-const doubtTimeout = time.Second
+// doubtTimeout is how long a response may take to begin once messages to its router may be lost.
+const doubtTimeout = 300 * time.Millisecond
 
 // Forward offers a connection and the bytes read from it so far to peers: to some of the zone, and
 // then to one of another zone if not much time has passed. If one accepts, Forward relays bytes both
@@ -106,8 +105,11 @@
 		result.Outcome, result.Reason = end.outcome, end.reason
 		result.Messages, result.Idle = o.relayed, f.clock.Since(o.relayedAt)
 		f.removeOutgoing(o.id)
+		if result.Outcome == Ended {
+			return result
+		}
 		result.Read = append(result.Read, o.buffered...)
-		if result.Outcome != NotTaken {
+		if result.Outcome == Unknown {
 			return result
 		}
 		f.markBusy(to, f.clock.Now())
@@ -168,7 +170,7 @@
 	})
 }
 
-// suspect gives the response doubtTimeout to arrive, and again after each of its messages.
+// suspect gives the response doubtTimeout to begin.
 func (o *outgoing) suspect(why Reason) {
 	select {
 	case o.doubt <- why:
@@ -200,15 +202,15 @@
 			if e, ended := o.relay(m); ended {
 				return e
 			}
-			if doubted != "" {
-				doubtTimer.Reset(doubtTimeout)
-			}
 		case <-o.callerClosed:
 			return ending{o.abort(true), CallerClosed}
 		case doubted = <-o.doubt:
 			doubtTimer.Reset(doubtTimeout)
 		case <-doubtTimer.C:
-			return o.finish(true, doubted)
+			// Of a response that has begun, the end of its connection tells.
+			if o.relayed == 0 {
+				return o.finish(true, doubted)
+			}
 		case <-o.done:
 			return o.finish(o.reason == QueueFull, o.reason)
 		case <-timeout:
--- a/internal/forward/reason.go
+++ b/internal/forward/reason.go
@@ -35,4 +35,4 @@
 
 // notifiesPeer reports whether the router that forwarded a stream is told that it ended. It knows the other
 // reasons itself.
-func (r Reason) notifiesPeer() bool { return r != "" && r != CallerClosed && r != PeerRestarted }
+func (r Reason) notifiesPeer() bool { return r != "" && r != CallerClosed }
