Release idle connections at once in a planned stop, and bound the wait for headers

Cause: closed connections at rest only once all others were quiet.

Change: each poll of the stop closes the connections from which no request is to be expected: at rest, new for a second, or with a part of a header for 2 s, and with nothing unread. What arrives while a connection is closed is counted as unanswered. Eviction passes over connections with a request that waits.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -21,14 +21,14 @@
 	buffered         []byte
 	admissionChecked bool
 	// forwarded says that another router forwarded the connection.
-	forwarded  bool
-	acceptedAt time.Time
+	forwarded bool
 	// quiet is true while nothing has been read of the next request. It changes under conns.mu.
 	quiet atomic.Bool
-	// quietElem is the element in conns.fresh or conns.idle, nil while a request is in progress.
-	// multiplexed says that the connection carries several requests at a time. Both and closed are guarded
+	// elem is the element in a list of conns since settledAt, nil while a request is in progress.
+	// multiplexed says that the connection carries several requests at a time. They and closed are guarded
 	// by conns.mu.
-	quietElem   *list.Element
+	elem        *list.Element
+	settledAt   time.Time
 	multiplexed bool
 	closed      bool
 	// unanswered is the number of bytes read since the connection was idle, 0 once a response has begun or
@@ -41,7 +41,7 @@
 // http2Preface is the beginning of an HTTP/2 connection without TLS.
 var http2Preface = []byte("PRI * HTTP/2")
 
-// Read implements net.Conn. Nothing is read from a connection that was closed while it was quiet.
+// Read implements net.Conn. What arrives as a quiet connection is being closed is dropped, and counted.
 func (c *conn) Read(p []byte) (int, error) {
 	if len(c.buffered) > 0 {
 		n := copy(p, c.buffered)
@@ -50,6 +50,8 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && c.quiet.Load() && !c.conns.beginRequest(c, bytes.HasPrefix(p[:n], http2Preface)) {
+		c.conns.unanswered.Add(1)
+		c.onUnanswered(int64(n))
 		return 0, net.ErrClosed
 	}
 	if err == nil {
--- a/internal/front/connections.go
+++ b/internal/front/connections.go
@@ -6,10 +6,11 @@
 	"crypto/tls"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 )
 
 const (
@@ -34,34 +35,38 @@
 	// beginning of one, that had been read.
 	refused, evicted, unanswered atomic.Int64
 
+	clock *clock.Clock
+
 	mu sync.Mutex
 	// open is the number of open connections, including those that are being refused, multiplexed the
 	// number of those that carry several requests at a time.
 	open, multiplexed int
-	// fresh lists the connections from which nothing has been read, in the order of acceptance. idle lists
-	// those that wait for another request, least recently active first.
-	fresh, idle list.List
+	// fresh lists the connections from which nothing has been read, begun those from which a part of a
+	// header has been, in the order in which they came to that. idle lists those that wait for another
+	// request, least recently active first. The others have a request in progress.
+	fresh, begun, idle list.List
 	// stopped says that new connections are closed.
 	stopped bool
 	// lastRefused is when a new connection was last refused.
 	lastRefused time.Time
 }
 
-// settle adds a connection to the list of fresh or idle ones.
-func (cs *connections) settle(c *conn, list *list.List) {
-	c.quietElem = list.PushBack(c)
-	c.quiet.Store(true)
+// settle adds a connection to a list.
+func (cs *connections) settle(c *conn, list *list.List, now time.Time) {
+	c.elem, c.settledAt = list.PushBack(c), now
+	c.quiet.Store(list != &cs.begun)
 }
 
 // unsettle removes a connection from its list.
 func (cs *connections) unsettle(c *conn) {
-	if c.quietElem == nil {
+	if c.elem == nil {
 		return
 	}
 	// A list ignores the elements of others.
-	cs.fresh.Remove(c.quietElem)
-	cs.idle.Remove(c.quietElem)
-	c.quietElem = nil
+	for _, l := range []*list.List{&cs.fresh, &cs.begun, &cs.idle} {
+		l.Remove(c.elem)
+	}
+	c.elem = nil
 	c.quiet.Store(false)
 }
 
@@ -73,6 +78,8 @@
 		cs.multiplexed--
 	}
 	cs.unsettle(c)
+	// Reads ask beginRequest, which refuses what arrives from now on.
+	c.quiet.Store(true)
 }
 
 // markMultiplexed records that a connection carries several requests at a time.
@@ -91,61 +98,80 @@
 	if c.closed {
 		return false
 	}
+	cs.unsettle(c)
 	if isMultiplexed {
 		cs.markMultiplexed(c)
+	} else {
+		cs.settle(c, &cs.begun, cs.clock.Now())
 	}
-	cs.unsettle(c)
 	return true
 }
 
-// freshTimeout is how long a planned stop waits for the first request on a connection. Callers connect to
-// send one at once, but they or this router may be slow.
-const freshTimeout = time.Second
+// markActive records that the header of a request has arrived.
+func (cs *connections) markActive(c *conn) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.unsettle(c)
+}
+
+const (
+	// freshTimeout is how long a planned stop waits for the first request on a connection. Callers connect
+	// to send one at once, but they or this router may be slow.
+	freshTimeout = time.Second
+	// headerTimeoutAtStop is how long it waits for the rest of a header.
+	headerTimeoutAtStop = 2 * time.Second
+)
 
-// closeQuiet closes the connections without a request, and new ones from then on, if all others are closed
-// or multiplexed. Otherwise it does nothing and returns false.
+// closeQuiet closes the connections from which no request is to be expected, and new ones from then on. It
+// reports whether only multiplexed ones are left.
 func (cs *connections) closeQuiet(now time.Time) bool {
 	cs.mu.Lock()
-	if cs.open-cs.multiplexed > cs.fresh.Len()+cs.idle.Len() || cs.expectsRequest(now) {
-		cs.mu.Unlock()
-		return false
-	}
 	cs.stopped = true
-	quiet := cs.quietConns()
-	for _, c := range quiet {
+	var closing []*conn
+	for _, l := range []struct {
+		list    *list.List
+		timeout time.Duration
+	}{{&cs.idle, 0}, {&cs.fresh, freshTimeout}, {&cs.begun, headerTimeoutAtStop}} {
+		for elem := l.list.Front(); elem != nil; elem = elem.Next() {
+			if c := elem.Value.(*conn); now.Sub(c.settledAt) >= l.timeout && !hasUnread(c.Conn) {
+				closing = append(closing, c)
+			}
+		}
+	}
+	for _, c := range closing {
 		cs.remove(c)
 	}
+	done := cs.open == cs.multiplexed
 	cs.mu.Unlock()
-	for _, c := range quiet {
-		_ = c.Conn.Close()
+	for _, c := range closing {
+		_ = c.Close()
 	}
-	return true
+	return done
 }
 
-// quietConns returns the fresh and idle connections.
-func (cs *connections) quietConns() []*conn {
-	quiet := make([]*conn, 0, cs.fresh.Len()+cs.idle.Len())
-	for _, l := range []*list.List{&cs.fresh, &cs.idle} {
-		for elem := l.Front(); elem != nil; elem = elem.Next() {
-			quiet = append(quiet, elem.Value.(*conn))
+// evictable returns an idle connection that may be closed in favor of a new one, nil if there is none. The
+// caller holds cs.mu.
+func (cs *connections) evictable() *conn {
+	elem := cs.idle.Front()
+	for range maxEvictionTries {
+		if elem == nil {
+			return nil
+		}
+		if c := elem.Value.(*conn); !hasUnread(c.Conn) {
+			return c
 		}
+		elem = elem.Next()
 	}
-	return quiet
+	return nil
 }
 
-// expectsRequest reports whether a connection was accepted within freshTimeout and has had no request, or
-// whether a request waits to be read.
-func (cs *connections) expectsRequest(now time.Time) bool {
-	if last := cs.fresh.Back(); last != nil && now.Sub(last.Value.(*conn).acceptedAt) < freshTimeout {
-		return true
-	}
-	return slices.ContainsFunc(cs.quietConns(), func(c *conn) bool { return hasUnread(c.Conn) })
-}
+// maxEvictionTries is how many connections are looked at for one that has no request waiting.
+const maxEvictionTries = 4
 
 // add registers a new connection. A limit of 0 means no limit. It returns nil if there is no
 // capacity even for a refusal.
 func (cs *connections) add(nc net.Conn, limit int, now time.Time) *conn {
-	c := &conn{Conn: nc, conns: cs, acceptedAt: now, onUnanswered: func(int64) {}}
+	c := &conn{Conn: nc, conns: cs, onUnanswered: func(int64) {}}
 	var oldest *conn
 	cs.mu.Lock()
 	if cs.stopped {
@@ -154,8 +180,7 @@
 	}
 	full := limit > 0 && cs.open >= limit
 	if full {
-		if elem := cs.idle.Front(); elem != nil {
-			oldest = elem.Value.(*conn)
+		if oldest = cs.evictable(); oldest != nil {
 			cs.remove(oldest)
 		} else {
 			c.refuse = true
@@ -165,7 +190,7 @@
 	overflow := c.refuse && cs.open >= limit+extraConnections(limit)
 	if !overflow {
 		cs.open++
-		cs.settle(c, &cs.fresh)
+		cs.settle(c, &cs.fresh, now)
 	}
 	cs.mu.Unlock()
 	if oldest != nil {
@@ -216,8 +241,8 @@
 		cs.unsettle(c)
 	case state != http.StateIdle:
 		cs.unsettle(c)
-	case c.quietElem == nil && !c.multiplexed:
-		cs.settle(c, &cs.idle)
+	case c.elem == nil && !c.multiplexed:
+		cs.settle(c, &cs.idle, cs.clock.Now())
 	}
 }
 
--- a/internal/front/early.go
+++ b/internal/front/early.go
@@ -63,6 +63,7 @@
 	arrived := s.clock().Now()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(earlyTimeout))
 	n, head := readHead(c, buf[:])
+	s.connections.markActive(c)
 	if early, ok := s.parseHead(buf[:n], head); ok {
 		if s.rejectEarly(c, early, buf, n, n-head, arrived) {
 			return
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -197,6 +197,7 @@
 	for _, f := range opts {
 		f(&srv.opt)
 	}
+	srv.connections.clock = srv.opt.clock
 	srv.SetCallerLimits(srv.opt.limits)
 	return srv
 }
--- a/internal/front/shutdown_test.go
+++ b/internal/front/shutdown_test.go
@@ -133,3 +133,34 @@
 		t.Error(err)
 	}
 }
+
+// TestStopReleasesIdleConnections guards against keeping connections at rest open, only to refuse their next
+// request, while a planned stop waits for another caller; and against one that never sends the rest of its
+// header.
+func TestStopReleasesIdleConnections(t *testing.T) {
+	f := &fake{table: newTable(t), results: []backend.Result{{}}}
+	url, srv := startServer(t, f)
+	idle, stalled := dial(t, url), dial(t, url)
+	_ = idle.SetDeadline(time.Now().Add(responseTimeout))
+	idle.send(t, true)
+	readWhole(t, idle.reader)
+	if _, err := io.WriteString(stalled, "POST /"); err != nil {
+		t.Fatal(err)
+	}
+	waitOpen(t, srv, 2)
+	ctx, cancel := context.WithTimeout(t.Context(), responseTimeout)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- srv.Shutdown(ctx) }()
+	if _, err := idle.reader.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection ends with %v, want EOF", err)
+	}
+	select {
+	case err := <-done:
+		t.Fatalf("Shutdown returned (%v) without waiting for the rest of a header", err)
+	default:
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
