Forget at a new epoch who was sent everything of the last

Cause: a router that has everything refers those who ask to others that it was sent to in the last 5 s, whatever the epoch was. After a restore within 5 s of a start, or of another restore, it refers them to routers that lack the new epoch and refer them on to each other. Who is lucky waits 500 ms and asks again; who is not reads the platform itself when its rank is due, four or more calls each. Change: a router that learns of a new epoch forgets those recipients. Test: TestNewEpochSoonAfterFullUpdates counts readers and calls of 90 emulated routers. TestNewEpochReachesAll waits until no recipient of the start is left, so it could not find this.

--- a/internal/dispatch/epoch.go
+++ b/internal/dispatch/epoch.go
@@ -7,6 +7,7 @@
 // handleNewEpoch reacts to a platform that was restored from a backup: other routers learn of
 // the new epoch and receive what the backup lacks.
 func (s *state) handleNewEpoch(before catalog.Revision, from string) {
+	s.fullUpdates.forgetRecipients()
 	asOf, retained := s.catalog.AsOf(), s.catalog.Retained()
 	servers, zones := 0, 0
 	if retained != nil {
@@ -21,6 +22,10 @@
 	s.broadcastRetained("")
 }
 
+// forgetRecipients forgets who was sent full updates of an earlier epoch. No router may be referred to
+// them: they lack the new epoch until they are sent it themselves.
+func (f *fullUpdates) forgetRecipients() { f.recipients, f.referrals = nil, nil }
+
 // broadcastRetained sends all peers except one what is retained of earlier epochs.
 func (s *state) broadcastRetained(except string) {
 	for _, m := range s.retainedUpdate() {
--- a/internal/dispatch/readers_test.go
+++ b/internal/dispatch/readers_test.go
@@ -34,3 +34,49 @@
 		})
 	}
 }
+
+// TestNewEpochSoonAfterFullUpdates guards against referrals to routers that were sent everything of an
+// earlier epoch: they lack the new one, refer others to each other, and all read the platform in the end.
+func TestNewEpochSoonAfterFullUpdates(t *testing.T) {
+	const (
+		routers, within = 90, 3 * time.Second
+		maxReaders      = 6
+		// maxCalls is what three reads of everything take.
+		maxCalls = 3 * (1 + serversPerRouter*routers/emulatedPage)
+	)
+	tests := map[string]struct {
+		// sinceStart is the time from the start to the first restore, intervals those between it and
+		// further ones. The last restore counts.
+		sinceStart time.Duration
+		intervals  []time.Duration
+	}{
+		"after the start":           {2 * time.Second, nil},
+		"1 s after another":         {2 * recipientTTL, []time.Duration{time.Second}},
+		"2 s after another":         {2 * recipientTTL, []time.Duration{2 * time.Second}},
+		"third at intervals of 2 s": {2 * recipientTTL, []time.Duration{2 * time.Second, 2 * time.Second}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newEmulator(routers, 3, within)
+			f.startAll()
+			f.runUntil(settled, f.allKnowAll)
+			f.run(f.now+tc.sinceStart, func() {})
+			for _, interval := range tc.intervals {
+				f.store.epoch++
+				f.run(f.now+interval, func() {})
+			}
+			f.store.epoch++
+			f.resetCosts()
+			took := f.runUntil(settled, func() bool {
+				return f.countIf(func(r *emulatedRouter) bool { return r.d.asOf().Epoch < f.store.epoch }) == 0
+			})
+			t.Logf("known everywhere after %v; %d routers read the platform, %d calls", took, len(f.store.callsBy), f.store.calls)
+			if readers := len(f.store.callsBy); readers > maxReaders {
+				t.Errorf("%d routers read the platform, want at most %d", readers, maxReaders)
+			}
+			if f.store.calls > maxCalls {
+				t.Errorf("%d calls, want at most %d", f.store.calls, maxCalls)
+			}
+		})
+	}
+}
