Shorten the reply to a slot request, and order owners' queues in one place

The order of a queue stood twice, for engines and for other services, with the same lines but for the last comparison; the key of a slot request, and its removal from a queue by that key, were spelled out in seven places. handleAtEjected both asked and acted.

Change: newReceivedRequest, grantOrQueue, newGrantedEntry and recordGrant are steps of their own. sortQueue is given the order within an account, and stands with the other orders. key, isFirst and dequeue have names. isEjected asks, handleAtEjected acts.

Behaviour as before: orderQueue now finds out which requests are late before it reads any usage, and neither changes the other.

--- a/pkg/admit/estimate.go
+++ b/pkg/admit/estimate.go
@@ -76,7 +76,7 @@
 	e.slotsBefore = o.running + 1 - int(float64(s.Slots)*min(1, e.fraction+extraSlotFraction))
 	e.slotInterval = o.slotTime / time.Duration(max(1, s.Slots))
 	for _, x := range o.queue {
-		if (x.from != a.from || x.ID != a.ID) && compareInAccount(x, a) <= 0 {
+		if x.key() != a.key() && compareInAccount(x, a) <= 0 {
 			e.before += s.prefillOf(x.SlotRequest, c.now)
 			e.slotsBefore++
 		}
--- a/pkg/admit/holder_report.go
+++ b/pkg/admit/holder_report.go
@@ -38,7 +38,7 @@
 		o.observeSlotTime(key, c.now)
 		o.remove(key)
 	case wire.RequestCanceled:
-		o.queue = slices.DeleteFunc(o.queue, func(a *receivedRequest) bool { return a.from == from && a.ID == m.ID })
+		o.dequeue(key)
 	}
 	c.serveQueue(s)
 }
--- a/pkg/admit/owner_queue.go
+++ b/pkg/admit/owner_queue.go
@@ -83,22 +83,9 @@
 	}
 }
 
-// sortQueue orders slot requests: those that may have run go first, then by rank, by the
-// account's usage relative to its fair share, and by due time.
-func (c *Core) sortQueue(queue []*receivedRequest) {
-	usage := make(map[wire.NameHash]float64, len(queue))
-	for _, a := range queue {
-		if _, ok := usage[a.Account]; !ok {
-			usage[a.Account] = c.accounts.usageRatio(a.Account, c.now)
-		}
-	}
-	slices.SortStableFunc(queue, func(a, b *receivedRequest) int {
-		return cmp.Or(
-			trueFirst(a.MayHaveRun, b.MayHaveRun),
-			cmp.Compare(a.AccountRank, b.AccountRank), cmp.Compare(a.Rank, b.Rank),
-			cmp.Compare(usage[a.Account], usage[b.Account]), cmp.Compare(a.due, b.due),
-		)
-	})
+// dequeue removes a request from the queue.
+func (o *ownerState) dequeue(key entryKey) {
+	o.queue = slices.DeleteFunc(o.queue, func(a *receivedRequest) bool { return a.key() == key })
 }
 
 // trueFirst orders true before false.
--- a/pkg/admit/plain_owner.go
+++ b/pkg/admit/plain_owner.go
@@ -80,15 +80,15 @@
 func (c *Core) handlePlainRequest(s *server, a *receivedRequest) {
 	o := c.ownerStateOf(s)
 	c.plainStateOf(s)
-	if e, ok := o.entries[entryKey{a.from, a.ID}]; ok {
+	if e, ok := o.entries[a.key()]; ok {
 		if c.now-e.startedAt < plainRenewAfter {
 			// The request was repeated while the grant was on its way.
 			return
 		}
 		// The holder was restarted and uses the ID again.
-		o.remove(entryKey{a.from, a.ID})
+		o.remove(a.key())
 	}
-	o.queue = slices.DeleteFunc(o.queue, func(x *receivedRequest) bool { return x.from == a.from && x.ID == a.ID })
+	o.dequeue(a.key())
 	if a.Spill || a.WaitMillis <= 0 {
 		if len(o.queue) > 0 || !c.tryGrantPlain(s, a) {
 			c.reply(s, a, wire.SlotDenied)
@@ -135,7 +135,7 @@
 	if !c.tryGrant(s, a) {
 		return false
 	}
-	s.owned.entries[entryKey{a.from, a.ID}].inFlight = s.owned.running
+	s.owned.entries[a.key()].inFlight = s.owned.running
 	return true
 }
 
@@ -188,7 +188,7 @@
 // start that does so; the others follow by deadline.
 func (c *Core) sortPlainQueue(s *server, queue []*receivedRequest, e *concurrency.Estimate) {
 	slices.SortStableFunc(queue, func(a, b *receivedRequest) int {
-		return cmp.Or(comparePlainRank(a, b), cmp.Compare(a.due, b.due))
+		return cmp.Or(comparePlainRank(a, b), compareDue(a, b))
 	})
 	margin := marginFactor * s.owned.plain.limit.Margin()
 	for from := 0; from < len(queue); {
@@ -222,7 +222,7 @@
 }
 
 func comparePlainRank(a, b *receivedRequest) int {
-	return cmp.Or(trueFirst(a.MayHaveRun, b.MayHaveRun), cmp.Compare(a.AccountRank, b.AccountRank), cmp.Compare(a.Rank, b.Rank))
+	return cmp.Or(trueFirst(a.MayHaveRun, b.MayHaveRun), compareRank(a, b))
 }
 
 // observePlainEnd updates what is known about a plain server with the end of an attempt.
--- a/pkg/admit/queue_order.go
+++ b/pkg/admit/queue_order.go
@@ -33,36 +33,43 @@
 func (c *Core) orderQueue(s *server) {
 	o, svc := s.owned, c.serviceOf(s)
 	if !svc.engine {
-		c.sortQueue(o.queue)
+		c.sortQueue(o.queue, compareDue)
 		return
 	}
-	usage := make(map[wire.NameHash]float64, len(o.queue))
 	for _, a := range o.queue {
 		a.late = c.isLate(s, a)
-		if _, ok := usage[a.Account]; !ok {
-			usage[a.Account] = c.accounts.usageRatio(a.Account, c.now)
-		}
 	}
-	slices.SortStableFunc(o.queue, func(a, b *receivedRequest) int { return compareEngineRequests(a, b, usage) })
+	c.sortQueue(o.queue, compareInAccount)
 	o.chooseLateTurn(func(a *receivedRequest) bool { return c.memoryFits(svc, o, a) })
 }
 
-// compareEngineRequests orders slot requests at an engine: those that may have run go first, then by
-// rank, by the account's usage relative to its fair share, by whether they can still meet their
-// target, by whether their callers returned before they were told to, and by due time.
-func compareEngineRequests(a, b *receivedRequest, usage map[wire.NameHash]float64) int {
-	return cmp.Or(
-		trueFirst(a.MayHaveRun, b.MayHaveRun), compareRank(a, b),
-		cmp.Compare(usage[a.Account], usage[b.Account]),
-		compareInAccount(a, b),
-	)
+// sortQueue orders slot requests: those that may have run go first, then by rank, by the account's usage
+// relative to its fair share, and by inAccount.
+func (c *Core) sortQueue(queue []*receivedRequest, inAccount func(a, b *receivedRequest) int) {
+	usage := make(map[wire.NameHash]float64, len(queue))
+	for _, a := range queue {
+		if _, ok := usage[a.Account]; !ok {
+			usage[a.Account] = c.accounts.usageRatio(a.Account, c.now)
+		}
+	}
+	slices.SortStableFunc(queue, func(a, b *receivedRequest) int {
+		return cmp.Or(
+			trueFirst(a.MayHaveRun, b.MayHaveRun),
+			compareRank(a, b),
+			cmp.Compare(usage[a.Account], usage[b.Account]),
+			inAccount(a, b),
+		)
+	})
 }
 
-// compareInAccount orders the slot requests of an account.
+// compareInAccount orders the slot requests of an account at an engine: by whether they can still meet
+// their target, by whether their callers returned before they were told to, and by due time.
 func compareInAccount(a, b *receivedRequest) int {
-	return cmp.Or(trueFirst(!a.late, !b.late), trueFirst(!a.early, !b.early), cmp.Compare(a.due, b.due))
+	return cmp.Or(trueFirst(!a.late, !b.late), trueFirst(!a.early, !b.early), compareDue(a, b))
 }
 
+func compareDue(a, b *receivedRequest) int { return cmp.Compare(a.due, b.due) }
+
 func compareRank(a, b *receivedRequest) int {
 	return cmp.Or(cmp.Compare(a.AccountRank, b.AccountRank), cmp.Compare(a.Rank, b.Rank))
 }
--- a/pkg/admit/returns.go
+++ b/pkg/admit/returns.go
@@ -41,7 +41,7 @@
 	if !c.serviceOf(s).engine {
 		return
 	}
-	if !a.Spill && !a.MayHaveRun {
+	if a.isFirst() {
 		o.arriving.add(c.now, float64(s.prefillOf(a.SlotRequest, c.now)))
 	}
 	if o.returns != nil {
--- a/pkg/admit/shared_health.go
+++ b/pkg/admit/shared_health.go
@@ -246,20 +246,21 @@
 	c.send(a.from, &wire.SlotReply{ID: a.ID, Server: s.key, State: wire.SlotDenied, Running: o.running, PrefillTokens: o.prefill})
 }
 
-// handleAtEjected replies to a slot request at an ejected engine. It reports whether the engine is
-// ejected. A request that may have run is not used for a trial before its target has passed.
-func (c *Core) handleAtEjected(s *server, a *receivedRequest) bool {
+// isEjected reports whether the owner of an engine has ejected it for all holders.
+func (c *Core) isEjected(s *server) bool {
+	return c.ownerStateOf(s).health.ejectedUntil != 0 && c.sharesHealth(s)
+}
+
+// handleAtEjected replies to a slot request at an ejected engine. A request that may have run is not used
+// for a trial before its target has passed.
+func (c *Core) handleAtEjected(s *server, a *receivedRequest) {
 	h := &s.owned.health
-	if h.ejectedUntil == 0 || !c.sharesHealth(s) {
-		return false
-	}
 	mayTry := h.mayTry(c.now, a.from) && (!a.MayHaveRun || c.now >= a.due)
 	if !mayTry || !c.tryGrant(s, a) {
 		c.denyEjected(s, a)
-		return true
+		return
 	}
-	h.trial, h.trialAt = entryKey{a.from, a.ID}, c.now
-	return true
+	h.trial, h.trialAt = a.key(), c.now
 }
 
 // Reasons of ejections.
--- a/pkg/admit/slot_grant.go
+++ b/pkg/admit/slot_grant.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"slices"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
@@ -21,6 +20,23 @@
 	early, late bool
 }
 
+// newReceivedRequest returns the slot request of a holder, whose times are counted from now.
+func (c *Core) newReceivedRequest(from string, m *wire.SlotRequest) *receivedRequest {
+	context := c.takeSlotContext(from, m)
+	return &receivedRequest{
+		SlotRequest: m, from: from, context: context,
+		expiresAt:  c.now + time.Duration(m.WaitMillis)*time.Millisecond,
+		due:        c.now + time.Duration(m.TargetMillis)*time.Millisecond,
+		deadlineAt: c.now + promiseTime(context.DeadlineMillis),
+	}
+}
+
+// key returns the key of the entry that a grant creates.
+func (a *receivedRequest) key() entryKey { return entryKey{a.from, a.ID} }
+
+// isFirst reports whether this is the first slot request for a request that has not run anywhere.
+func (a *receivedRequest) isFirst() bool { return !a.Spill && !a.MayHaveRun }
+
 // takeSlotContext returns the context that precedes a slot request on the same connection, zero if
 // there is none.
 func (c *Core) takeSlotContext(from string, m *wire.SlotRequest) wire.SlotContext {
@@ -34,7 +50,7 @@
 
 // handleSlotRequest replies to a slot request.
 func (c *Core) handleSlotRequest(from string, m *wire.SlotRequest) {
-	context := c.takeSlotContext(from, m)
+	a := c.newReceivedRequest(from, m)
 	s, ok := c.servers[m.Server]
 	if !ok || !s.isOpen() {
 		if ok {
@@ -46,35 +62,36 @@
 	if c.weighted != nil && from != c.opt.self.Address {
 		c.weighted.recordPeerWaiting(usageKey{wire.HashName(c.serviceOf(s).name), m.Account}, c.now)
 	}
-	o := c.ownerStateOf(s)
-	isFirstRequest := !m.Spill && !m.MayHaveRun
-	if isFirstRequest {
+	if a.isFirst() {
 		c.serviceOf(s).shortestTarget.observe(c.now, time.Duration(m.TargetMillis)*time.Millisecond)
 	}
-	a := &receivedRequest{
-		SlotRequest: m, from: from, context: context,
-		expiresAt:  c.now + time.Duration(m.WaitMillis)*time.Millisecond,
-		due:        c.now + time.Duration(m.TargetMillis)*time.Millisecond,
-		deadlineAt: c.now + promiseTime(context.DeadlineMillis),
-	}
-	if c.managesPlain(s, a) {
+	switch {
+	case c.managesPlain(s, a):
 		c.handlePlainRequest(s, a)
-		return
-	}
-	if c.handleAtEjected(s, a) {
-		return
+	case c.isEjected(s):
+		c.handleAtEjected(s, a)
+	default:
+		c.grantOrQueue(s, a)
 	}
+}
+
+// grantOrQueue grants a slot to a request that may go before those in the queue, and queues or denies
+// others.
+func (c *Core) grantOrQueue(s *server, a *receivedRequest) {
+	o := c.ownerStateOf(s)
 	c.recognizeReturn(s, a)
-	granted := (len(o.queue) == 0 || !m.Spill && !a.early && !a.late) && c.tryGrant(s, a)
-	if isFirstRequest {
-		c.recordAdmission(m.Account, granted)
+	goesFirst := len(o.queue) == 0 || !a.Spill && !a.early && !a.late
+	granted := goesFirst && c.tryGrant(s, a)
+	if a.isFirst() {
+		c.recordAdmission(a.Account, granted)
 	}
 	switch {
 	case granted:
-	case m.Spill || c.now >= a.expiresAt || c.weighted != nil && s.owner != c.opt.self.Address:
+	case a.Spill || c.now >= a.expiresAt || c.weighted != nil && s.owner != c.opt.self.Address:
 		c.reply(s, a, wire.SlotDenied)
 	default:
-		o.queue = append(slices.DeleteFunc(o.queue, func(x *receivedRequest) bool { return x.from == from && x.ID == m.ID }), a)
+		o.dequeue(a.key())
+		o.queue = append(o.queue, a)
 		c.reply(s, a, wire.SlotQueued)
 	}
 }
@@ -88,30 +105,48 @@
 // tryGrant grants a slot if the backend server can take the request now.
 func (c *Core) tryGrant(s *server, a *receivedRequest) bool {
 	o := c.ownerStateOf(s)
-	svc := c.serviceOf(s)
 	prefill := s.prefillOf(a.SlotRequest, c.now)
-	if !c.canAdmit(svc, s, a, prefill) {
+	if !c.canAdmit(c.serviceOf(s), s, a, prefill) {
 		return false
 	}
 	hasPrefix := s.hasPrefix(a.SlotRequest, c.now)
-	copyPrefix := a.CopyPrefix && !hasPrefix
+	e := c.newGrantedEntry(s, a, prefill, hasPrefix)
+	c.recordGrant(s, a, e)
+	c.predict(s, a, e)
+	c.send(a.from, &wire.SlotReply{
+		ID: a.ID, Server: s.key, State: wire.SlotGranted, Running: o.running, PrefillTokens: o.prefill,
+		CopyPrefix: a.CopyPrefix && !hasPrefix, OwnPrefillTokens: prefill, TokensAhead: e.ahead,
+		ExpectedMillis: c.expectedFirst(s, e).Milliseconds(),
+	})
+	return true
+}
+
+// newGrantedEntry returns the entry of a request that is granted a slot. hasPrefix says that the backend
+// server has its shared prefix, or will have processed it before.
+func (c *Core) newGrantedEntry(s *server, a *receivedRequest, prefill int64, hasPrefix bool) *entry {
 	e := &entry{
-		prefill: prefill, ahead: c.unread(s) + prefill, others: o.running, startedAt: c.now, confirmedAt: c.now,
+		prefill: prefill, ahead: c.unread(s) + prefill, others: s.owned.running, startedAt: c.now, confirmedAt: c.now,
 		sharedPrefix: a.Prefix, shared: a.SharedTokens, own: ownTokens(a.PromptTokens, a.SharedTokens, a.context.OutputTokens),
 	}
-	if copyPrefix {
-		e.copied = a.SharedTokens
-	}
 	if hasPrefix {
 		e.waitsFor = a.Prefix
-	} else {
-		e.prefix = a.Prefix
+		return e
+	}
+	e.prefix = a.Prefix
+	if a.CopyPrefix {
+		e.copied = a.SharedTokens
 	}
-	key := entryKey{a.from, a.ID}
-	o.add(key, e)
+	return e
+}
+
+// recordGrant adds the entry of a request that is granted a slot, and records what follows from it for
+// later ones.
+func (c *Core) recordGrant(s *server, a *receivedRequest, e *entry) {
+	o, svc := s.owned, c.serviceOf(s)
+	o.add(a.key(), e)
 	c.recordEngineGrant(svc, s, a)
 	if a.Exclusive {
-		o.setExclusive(key, c.now)
+		o.setExclusive(a.key(), c.now)
 	}
 	c.recordStart(s)
 	if c.weighted != nil && a.from != c.opt.self.Address {
@@ -121,10 +156,4 @@
 		svc.sizes.learn(a.Prefix, a.SharedTokens)
 		o.prefixes.add(svc.cacheTokens, a.Prefix, a.SharedTokens, c.now)
 	}
-	c.predict(s, a, e)
-	c.send(a.from, &wire.SlotReply{
-		ID: a.ID, Server: s.key, State: wire.SlotGranted, Running: o.running, PrefillTokens: o.prefill,
-		CopyPrefix: copyPrefix, OwnPrefillTokens: prefill, TokensAhead: e.ahead, ExpectedMillis: c.expectedFirst(s, e).Milliseconds(),
-	})
-	return true
 }
