Decide in one place which reports a message includes

The source of a report was declared in peer.go, derived and filtered in weights.go.

Behaviour as before: the conditions are the same for each scope.

--- a/pkg/admit/fleet_capacity.go
+++ b/pkg/admit/fleet_capacity.go
@@ -198,12 +198,8 @@
 // Capacity returns the report of the capacity of a scope for a receiver, nil if none is known.
 func (s *Snapshot) Capacity(scope wire.Scope, receiver string) *wire.CapacityReport {
 	f, x := s.core.fleet, s.capacity
-	self := s.core.opt.self
 	for source, r := range f.reports {
-		switch {
-		case source.scope == wire.ScopeOwn && (scope == wire.ScopeZone || scope == wire.ScopeRest && source.name != receiver):
-			x.add(r.at(s.now))
-		case source.scope == wire.ScopeZone && source.name != self.Zone && scope == wire.ScopeRest:
+		if s.core.includesSource(source, scope, receiver) {
 			x.add(r.at(s.now))
 		}
 	}
--- a/pkg/admit/peer.go
+++ b/pkg/admit/peer.go
@@ -9,13 +9,6 @@
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
-// reportSource identifies whose flows a report sums up: those of a router, of a zone, or of all
-// other routers.
-type reportSource struct {
-	scope wire.Scope
-	name  string
-}
-
 // usageReport is the last report of a source.
 type usageReport struct {
 	receivedAt time.Duration
--- a/pkg/admit/weights.go
+++ b/pkg/admit/weights.go
@@ -371,19 +371,6 @@
 	return list
 }
 
-// includesSource reports whether a source's report is part of what is sent to a receiver for a
-// scope.
-func (c *Core) includesSource(source reportSource, scope wire.Scope, receiver string) bool {
-	switch scope {
-	case wire.ScopeZone:
-		return source.scope == wire.ScopeOwn
-	case wire.ScopeRest:
-		return source.scope == wire.ScopeOwn && source.name != receiver || source.scope == wire.ScopeZone && source.name != c.opt.self.Zone
-	default:
-		return false
-	}
-}
-
 // PeerUsage is another router's report of account usage.
 type PeerUsage struct {
 	From string
@@ -400,15 +387,3 @@
 	c.weighted.applyReport(source, e.Msg.Accounts, c.now)
 	c.serveQueues()
 }
-
-// sourceOf returns the source of a report.
-func sourceOf(scope wire.Scope, from, zone string) reportSource {
-	s := reportSource{scope: scope}
-	switch scope {
-	case wire.ScopeOwn:
-		s.name = from
-	case wire.ScopeZone:
-		s.name = zone
-	}
-	return s
-}
