Split scheduling by weight into usage, requests and reports

What hindered: weights.go held four ideas in 414 lines: the order of accounts by their usage, what is known of an account's usage, the requests of an account that wait or run here, and the reports between routers; its constants also served slot requests. The loop that forgets a source's reports stood twice, and "peers" of an account's usage were reports.

Change: account_usage.go, account_queue.go and usage_report.go have the last three, each constant stands where it is used, dropUnlisted forgets reports, accountUsage.peers is accountUsage.reports, and compareVirtualTime uses compareDue. Apart from these, the name of a loop variable and the layout of two literals, declarations moved only.

Behaviour as before.

--- a/pkg/admit/limits.go
+++ b/pkg/admit/limits.go
@@ -100,7 +100,7 @@
 		return evenQuota
 	}
 	running, demand := 0, 0
-	for _, x := range u.peers {
+	for _, x := range u.reports {
 		running += x.Running
 		demand += x.Running + x.Waiting
 	}
--- a/pkg/admit/slot_request.go
+++ b/pkg/admit/slot_request.go
@@ -31,6 +31,11 @@
 	smallPrefixFraction = 0.25
 	// maxSlotRequests bounds the slot requests per request.
 	maxSlotRequests = 4
+	// extraRequestInterval is the interval at which one more owner is asked for the same request.
+	extraRequestInterval = 250 * time.Millisecond
+	// renewRequestAfter is the time after which a queued slot request is repeated, since the owner
+	// may have lost it.
+	renewRequestAfter = 5 * time.Second
 	// busyPeriod is how long a backend server without a free slot is skipped if there are
 	// others.
 	busyPeriod = 30 * time.Millisecond
