Give actions, options and messages of the admission core their own files

What hindered: core.go declared, in 373 lines, the actions that callers carry out, the options, the state of a core and the messages of other routers, in turn.

Change: declarations moved only, to action.go, options.go and message.go; core.go keeps the state and its steps.

Behaviour as before.

--- a/pkg/admit/core.go
+++ b/pkg/admit/core.go
@@ -19,63 +19,12 @@
 	"github.com/yarrowmast/yarrowmast/pkg/returns"
 	"github.com/yarrowmast/yarrowmast/pkg/suspect"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
-	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 // Event is the input of Core.Step.
 type Event interface{ apply(c *Core) }
 
-// Action is an output of Core.Step, which the caller carries out.
-type Action interface{ action() }
-
-// Start sends a request to a backend server.
-type Start struct {
-	ID      uint64
-	Backend table.Backend
-	// CopyPrefixFrom is the address of the backend server from which to copy the cached prompt
-	// prefix, "" if no copy is needed.
-	CopyPrefixFrom string
-	// Reason is a code for why this backend server was chosen.
-	Reason string
-	// TokensAhead is the number of prompt tokens that the backend server processes before the first
-	// event of the response; ExpectedFirstEvent is the predicted time to that event, FirstEventMargin how
-	// much later it may arrive, 0 if unknown.
-	TokensAhead        int64
-	ExpectedFirstEvent time.Duration
-	FirstEventMargin   time.Duration
-	// Running is the number of requests in flight at the backend server.
-	Running int
-	// Waited is how long the request waited at this router.
-	Waited time.Duration
-}
-
-// Refuse rejects a request that was not sent to any backend server.
-type Refuse struct {
-	ID  uint64
-	Err *verdict.Error
-	// Waited is how long the request waited at this router.
-	Waited time.Duration
-	// Crashes is the number of backend servers that crashed under the request, if it is refused
-	// for that. Part is the part of its prompt that is blocked, 0 if it is refused for itself.
-	Crashes int
-	Part    suspect.Digest
-	// Expected is the shortest time to a response that the Asked owners of plain servers stated, Left
-	// the time until the deadline. They are 0 if the request is not refused for that.
-	Expected, Left time.Duration
-	Asked          int
-}
-
-// Send sends a message to another router.
-type Send struct {
-	To  string
-	Msg any
-}
-
-func (Start) action()  {}
-func (Refuse) action() {}
-func (Send) action()   {}
-
 // Core is the admission state of one router.
 type Core struct {
 	opt     options
@@ -174,34 +123,6 @@
 	Capacity float64
 }
 
-type options struct {
-	self Router
-	seed uint64
-	// uniqueIncarnations says that each incarnation of a backend server has its own name.
-	uniqueIncarnations bool
-	// weighted says that accounts are scheduled by weight.
-	weighted bool
-	// regions holds the region of each availability zone.
-	regions map[string]string
-}
-
-// Option configures a new Core.
-type Option func(*options)
-
-// WithSeed seeds the random choice among equal candidates.
-func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
-
-// WithUniqueIncarnations says that each incarnation of a backend server has its own name,
-// unless the directory gives it a number, and rejects requests meant for another one. A
-// response then always comes from the incarnation to which the request was sent.
-func WithUniqueIncarnations() Option { return func(o *options) { o.uniqueIncarnations = true } }
-
-// WithRegions sets the region of each availability zone. Requests that are restricted to some
-// regions are not sent to backend servers in zones without one.
-func WithRegions(byZone map[string]string) Option {
-	return func(o *options) { o.regions = byZone }
-}
-
 // New returns a Core without a table and without other routers.
 func New(self Router, opts ...Option) *Core {
 	c := &Core{
@@ -262,48 +183,6 @@
 	c.emit(Send{To: to, Msg: msg})
 }
 
-// Message is a message from another router.
-type Message struct {
-	From string
-	Msg  any
-}
-
-func (e Message) apply(c *Core) {
-	delete(c.unresponsiveSince, e.From)
-	c.receive(e.From, e.Msg)
-}
-
-func (c *Core) receive(from string, msg any) {
-	switch m := msg.(type) {
-	case *wire.SlotContext:
-		c.slotContexts[from] = m
-	case *wire.SlotRequest:
-		c.handleSlotRequest(from, m)
-	case *wire.SlotReply:
-		c.handleSlotReply(from, m)
-	case *wire.RequestUpdate:
-		c.handleRequestUpdate(from, m)
-	case *wire.SlotMargin:
-		c.handleSlotMargin(m)
-	case *wire.EngineStates:
-		c.handleEngineStates(m)
-	case *wire.ReturnOffer:
-		c.handleReturnOffer(m)
-	case *wire.ReturnPromise:
-		c.handleReturnPromise(m)
-	case *wire.StreamPauses:
-		c.handleStreamPauses(from, m)
-	case *wire.RequestSync:
-		c.reconcileInFlight(from, m)
-	case *wire.Leaving:
-		c.handleLeaving(from, m)
-	case *wire.SuspectUpdate:
-		c.handleSuspects(from, m)
-	case *wire.PartCrashes:
-		c.applyCrashes(from, m.Crashes, true)
-	}
-}
-
 // Tick advances time. It is due every few milliseconds while NeedsTicks reports true.
 type Tick struct{}
 
