Let the grace periods of catalogs change at run time

Cause: a catalog takes its grace periods, fractions of apply_within, at the start. After a reload of the settings it keeps the former ones, since dispatch.Reconfigure replaces the apply time only.

Change: Catalog.SetGracePeriods, and setApplyWithinEvent in the dispatcher, which calls it. The options and their default are in a file of their own.

Evidence: with SetGracePeriods and the event's apply empty, TestSetGracePeriods failed in six of eight cases (the two others say that a running epoch keeps its grace), and TestGracePeriodsAfterReload in both: 0 of 2 backend servers left before a longer grace ended, 2 of 2 left after a shorter one. Both pass now, and all tests of pkg/catalog and internal/dispatch (101 s).

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -95,15 +95,6 @@
 	routerHostSet map[string]bool
 }
 
-// removalGraceFraction of the apply time is how long backend servers stay in use if their
-// entries vanish together.
-const removalGraceFraction = 0.6
-
-// unlistedGraceFraction of the apply time is how long backend servers stay in use that a
-// platform restored from a backup does not list. Live servers register again with their next
-// heartbeat.
-const unlistedGraceFraction = 0.75
-
 func newState(d *Dispatcher) *state {
 	self := roster.Member{Address: d.id.Address, Name: d.id.Name, Zone: d.id.Zone, Incarnation: d.id.Incarnation, Capacity: d.id.Capacity}
 	now := d.now()
@@ -123,8 +114,8 @@
 		waiting:        map[uint64]*attempt{},
 		silentSince:    map[string]time.Duration{},
 	}
-	scale := func(p float64) time.Duration { return time.Duration(p * float64(d.opt.applyWithin)) }
-	s.catalog = catalog.New(catalog.WithRemovalGrace(scale(removalGraceFraction)), catalog.WithUnlistedGrace(scale(unlistedGraceFraction)), catalog.WithOwnAddress(s.isRouterAddress))
+	removal, unlisted := gracePeriods(d.opt.applyWithin)
+	s.catalog = catalog.New(catalog.WithRemovalGrace(removal), catalog.WithUnlistedGrace(unlisted), catalog.WithOwnAddress(s.isRouterAddress))
 	return s
 }
 
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -133,10 +133,6 @@
 // Option configures a new Catalog.
 type Option func(*Catalog)
 
-// WithRemovalGrace sets how long backend servers stay in the view when the entries of several
-// vanish together. The default is 0: not at all.
-func WithRemovalGrace(d time.Duration) Option { return func(c *Catalog) { c.removalGrace = d } }
-
 // WithOwnAddress sets the function that reports whether an address belongs to a router.
 func WithOwnAddress(own func(address string) bool) Option {
 	return func(c *Catalog) { c.ownAddress = own }
--- a/pkg/catalog/retained.go
+++ b/pkg/catalog/retained.go
@@ -12,13 +12,6 @@
 // exceeds the lifetime of the entry of a backend server that has stopped.
 const overrideTTL = 10 * time.Second
 
-// DefaultUnlistedGrace is the default for WithUnlistedGrace.
-const DefaultUnlistedGrace = 1500 * time.Millisecond
-
-// WithUnlistedGrace sets how long a backend server is retained that a new epoch does not list.
-// It may have registered after the backup was made, and registers again within that time.
-func WithUnlistedGrace(d time.Duration) Option { return func(c *Catalog) { c.unlistedGrace = d } }
-
 // Retained is what earlier epochs published and the current one has not published again.
 type Retained struct {
 	// Table is the operators' table, nil if the current epoch published it.
