Read the status of routers that own backend servers in drain and table

Cause: both commands decoded the status as that of the older scheduler. The status of the dispatch scheduler, whose field waiting is a number, failed to decode, so that each such router counted as one that does not answer. Its status also lacked what the commands need.

Change: the commands read either status, as yarrowctl status does. The dispatch status has, in addition, the use of the backend servers that leave or have requests (admit.BackendUses), how long the table is in force, and a refused table; sources mark a skipped item that is the table.

Tests: TestDrainSafeOnlyIfAllRoutersAgree and TestRoutersBehind have the same cases and wrap each status in the type that the commands now read. The tests on skipped tables also ask for the new mark.

--- a/cmd/yarrowctl/cmd_table.go
+++ b/cmd/yarrowctl/cmd_table.go
@@ -13,7 +13,6 @@
 	"github.com/yarrowmast/yarrowmast/internal/admin"
 	"github.com/yarrowmast/yarrowmast/internal/command"
 	"github.com/yarrowmast/yarrowmast/internal/fleet"
-	"github.com/yarrowmast/yarrowmast/internal/router"
 )
 
 var tableArgs struct {
@@ -44,8 +43,8 @@
 	if err != nil {
 		return err
 	}
-	query := func() []fleet.Response[router.Status] {
-		return fleet.Query[router.Status](client, routers, admin.PathStatus)
+	query := func() []fleet.Response[*statusRow] {
+		return fleet.Query[*statusRow](client, routers, admin.PathStatus)
 	}
 	responses := query()
 	if tableArgs.wait > 0 {
@@ -64,7 +63,7 @@
 }
 
 // waitForTable polls the routers until all that respond use the version, or until the timeout.
-func waitForTable(c *command.Context, query func() []fleet.Response[router.Status], responses []fleet.Response[router.Status]) ([]fleet.Response[router.Status], error) {
+func waitForTable(c *command.Context, query func() []fleet.Response[*statusRow], responses []fleet.Response[*statusRow]) ([]fleet.Response[*statusRow], error) {
 	deadline := time.Now().Add(tableArgs.timeout)
 	lastReport := time.Now()
 	for {
@@ -84,17 +83,17 @@
 	}
 }
 
-func routersBehind(responses []fleet.Response[router.Status]) []string {
+func routersBehind(responses []fleet.Response[*statusRow]) []string {
 	var behind []string
 	for _, resp := range responses {
-		if resp.Error == "" && resp.Value.Table < tableArgs.wait {
-			behind = append(behind, resp.Value.Name)
+		if resp.Error == "" && resp.Value.tableState().version < tableArgs.wait {
+			behind = append(behind, resp.Value.name())
 		}
 	}
 	return behind
 }
 
-func printTable(c *command.Context, responses []fleet.Response[router.Status]) error {
+func printTable(c *command.Context, responses []fleet.Response[*statusRow]) error {
 	t := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "router\tzone\tversion\tin force for\treader\trefused")
 	for _, resp := range responses {
@@ -102,13 +101,39 @@
 			_, _ = fmt.Fprintf(t, "%s\t%s\tno answer\t\t\t%s\n", resp.Router.Name, resp.Router.Zone, resp.Error)
 			continue
 		}
-		status := resp.Value
-		refused := ""
-		if status.RefusedTable > status.Table {
-			refused = fmt.Sprintf("%d: %s", status.RefusedTable, strings.ReplaceAll(status.Refusal, "\n", "; "))
-		}
-		age := (time.Duration(status.TableAgeMillis) * time.Millisecond).Round(time.Second)
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%v\t%s\n", status.Name, status.Zone, status.Table, age, status.Reader, refused)
+		_, _ = fmt.Fprintln(t, resp.Value.tableState().columns())
 	}
 	return t.Flush()
 }
+
+// tableState is what a router's status tells about its table.
+type tableState struct {
+	name, zone string
+	// version is the revision in force, 0 if there is none, age how long it has been so.
+	version uint64
+	age     time.Duration
+	// reader is set if the router reads the platform for others.
+	reader bool
+	// refused is the newest rejected revision, 0 if there is none, refusal the reason.
+	refused uint64
+	refusal string
+}
+
+func (s *statusRow) tableState() tableState {
+	if p := s.Pools; p != nil {
+		return tableState{p.Name, p.Zone, p.Table, milliseconds(p.TableAgeMillis), p.Reader, p.RefusedTable, p.Refusal}
+	}
+	d := s.Servers
+	return tableState{d.Name, d.Zone, d.Table, milliseconds(d.TableAgeMillis), d.ReadsPlatform(), d.RefusedTable, d.Refusal}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// columns returns the cells of a router, separated by tabs.
+func (s tableState) columns() string {
+	refused := ""
+	if s.refused > s.version {
+		refused = fmt.Sprintf("%d: %s", s.refused, strings.ReplaceAll(s.refusal, "\n", "; "))
+	}
+	return fmt.Sprintf("%s\t%s\t%d\t%s\t%v\t%s", s.name, s.zone, s.version, s.age.Round(time.Second), s.reader, refused)
+}
--- a/cmd/yarrowctl/status_row.go
+++ b/cmd/yarrowctl/status_row.go
@@ -48,6 +48,14 @@
 	return json.Marshal(s.Pools)
 }
 
+// name returns the name of the router.
+func (s *statusRow) name() string {
+	if s.Pools != nil {
+		return s.Pools.Name
+	}
+	return s.Servers.Name
+}
+
 // statusHeader is the header of the columns that columns returns.
 const statusHeader = "router\tzone\ttable\towned\twaiting\trunning\tleases\tidle\tclosed zones\tunusable\tleave, rest\tsuspects\tstate"
 
--- a/cmd/yarrowctl/yarrowctl_test.go
+++ b/cmd/yarrowctl/yarrowctl_test.go
@@ -11,35 +11,35 @@
 	"github.com/yarrowmast/yarrowmast/internal/router"
 )
 
-func response(name, mark string, running, leases int) fleet.Response[router.Status] {
-	return fleet.Response[router.Status]{
+func response(name, mark string, running, leases int) fleet.Response[*statusRow] {
+	return fleet.Response[*statusRow]{
 		Router: fleet.Router{Name: name},
-		Value: router.Status{Name: name, Table: 7, Backends: map[string]router.BackendStatus{
+		Value: &statusRow{Pools: &router.Status{Name: name, Table: 7, Backends: map[string]router.BackendStatus{
 			"form-1": {Mark: mark, Running: running, Leases: leases, OldestMillis: int64(1000 * running)},
-		}},
+		}}},
 	}
 }
 
-func unreachable(name string) fleet.Response[router.Status] {
-	return fleet.Response[router.Status]{Router: fleet.Router{Name: name}, Error: "refused"}
+func unreachable(name string) fleet.Response[*statusRow] {
+	return fleet.Response[*statusRow]{Router: fleet.Router{Name: name}, Error: "refused"}
 }
 
 // TestDrainSafeOnlyIfAllRoutersAgree guards against reporting a backend server as safe to stop
 // while a router may still use it.
 func TestDrainSafeOnlyIfAllRoutersAgree(t *testing.T) {
 	tests := map[string]struct {
-		responses []fleet.Response[router.Status]
+		responses []fleet.Response[*statusRow]
 		want      progress
 	}{
-		"all agree": {[]fleet.Response[router.Status]{response("a", "leaving", 0, 0), response("b", "stopping", 0, 0)},
+		"all agree": {[]fleet.Response[*statusRow]{response("a", "leaving", 0, 0), response("b", "stopping", 0, 0)},
 			progress{Backend: "form-1", Safe: true}},
-		"one has running requests": {[]fleet.Response[router.Status]{response("a", "leaving", 2, 0), response("b", "leaving", 0, 0)},
+		"one has running requests": {[]fleet.Response[*statusRow]{response("a", "leaving", 2, 0), response("b", "leaving", 0, 0)},
 			progress{Backend: "form-1", Running: 2, OldestMillis: 2000}},
-		"one has a lease": {[]fleet.Response[router.Status]{response("a", "leaving", 0, 1)},
+		"one has a lease": {[]fleet.Response[*statusRow]{response("a", "leaving", 0, 1)},
 			progress{Backend: "form-1", Leases: 1}},
-		"mark missing on one": {[]fleet.Response[router.Status]{response("a", "serving", 0, 0)},
+		"mark missing on one": {[]fleet.Response[*statusRow]{response("a", "serving", 0, 0)},
 			progress{Backend: "form-1", Unmarked: []string{"a"}}},
-		"one unreachable": {[]fleet.Response[router.Status]{response("a", "leaving", 0, 0), unreachable("b")},
+		"one unreachable": {[]fleet.Response[*statusRow]{response("a", "leaving", 0, 0), unreachable("b")},
 			progress{Backend: "form-1", Unreachable: []string{"b"}}},
 	}
 	for name, tc := range tests {
@@ -58,7 +58,7 @@
 func TestRoutersBehind(t *testing.T) {
 	tableArgs.wait = 8
 	defer func() { tableArgs.wait = 0 }()
-	if diff := cmp.Diff([]string{"a"}, routersBehind([]fleet.Response[router.Status]{response("a", "serving", 0, 0), unreachable("b")})); diff != "" {
+	if diff := cmp.Diff([]string{"a"}, routersBehind([]fleet.Response[*statusRow]{response("a", "serving", 0, 0), unreachable("b")})); diff != "" {
 		t.Errorf("routers behind (-want +got):\n%s", diff)
 	}
 }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -11,6 +11,7 @@
 	"github.com/yarrowmast/yarrowmast/pkg/returns"
 	"github.com/yarrowmast/yarrowmast/pkg/roster"
 	"github.com/yarrowmast/yarrowmast/pkg/suspect"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 )
 
 // state is the state that the event loop owns.
@@ -91,6 +92,11 @@
 	// since when others have been silent.
 	forwardLive map[string]bool
 	silentSince map[string]time.Duration
+	// refusedTable is the newest table that this router read and could not use. tableVersion is the
+	// version of the table in force, tableSince since when it is.
+	refusedTable refusedTable
+	tableVersion table.Version
+	tableSince   time.Duration
 	// routerHostSet caches the hosts of the live routers, nil after a change.
 	routerHostSet map[string]bool
 }
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -21,6 +21,12 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Table is the revision in force, 0 before there is one.
 	Table uint64 `json:"table"`
+	// TableAgeMillis is how long it has been in force here.
+	TableAgeMillis int64 `json:"table_age_ms"`
+	// RefusedTable is the newest revision that this router read and could not use, 0 if there is
+	// none in this epoch; Refusal is the reason.
+	RefusedTable uint64 `json:"refused_table,omitempty"`
+	Refusal      string `json:"refusal,omitempty"`
 	// Epoch and AsOf are the platform revision up to which everything is known,
 	// VerifiedMillisAgo the time since it was last confirmed as the newest.
 	Epoch             uint64 `json:"epoch"`
@@ -46,6 +52,9 @@
 	Seed    bool `json:"seed"`
 	// Owned are the backend servers that this router owns.
 	Owned []string `json:"owned"`
+	// Backends is the use of the backend servers that are leaving or stopping, and of those that have
+	// requests of this router, or are owned by it and have requests.
+	Backends map[string]admit.BackendUse `json:"backends,omitempty"`
 	// CachedPrefixTokens is the size of the prompt prefixes that these have, Uneven the number of
 	// engines of the fleet whose speed class is not the average one.
 	CachedPrefixTokens int64 `json:"cached_prefix_tokens"`
@@ -106,7 +115,7 @@
 		return "primary-relay"
 	case st.Relay:
 		return "relay"
-	case st.ReaderRank < watcherCount:
+	case st.ReadsPlatform():
 		return "reader"
 	case st.Seed:
 		return "seed"
@@ -115,6 +124,9 @@
 	}
 }
 
+// ReadsPlatform reports whether the router watches the platform for others.
+func (st *Status) ReadsPlatform() bool { return st.ReaderRank < watcherCount }
+
 // callCounter is a Source that counts its calls.
 type callCounter interface{ Calls() int64 }
 
@@ -148,9 +160,8 @@
 	if c, ok := s.d.source.(callCounter); ok {
 		st.Calls = c.Calls()
 	}
-	if v := s.catalog.View(); v != nil {
-		st.Table = v.Revision
-	}
+	st.Backends = s.core.BackendUses(s.now)
+	s.setTableStatus(st)
 	s.d.shared.status.Store(st)
 }
 
--- a/internal/dispatch/unusable.go
+++ b/internal/dispatch/unusable.go
@@ -46,6 +46,7 @@
 		}
 	}
 	s.recordNoTableReason(u)
+	s.recordRefusedTable(u)
 }
 
 // recordNoTableReason records why a router has no table yet.
--- a/internal/values/source.go
+++ b/internal/values/source.go
@@ -99,7 +99,7 @@
 	case errors.Is(err, errPageMismatch):
 		return catalog.Update{}, err
 	case err != nil:
-		u.Skipped = []catalog.Skipped{{Key: TableName, Revision: v.Revision, Unusable: catalog.Unusable{Reason: catalog.BadValue, Field: err.Error()}}}
+		u.Skipped = []catalog.Skipped{{Key: TableName, Revision: v.Revision, Unusable: catalog.Unusable{Reason: catalog.BadValue, Field: err.Error()}, Table: true}}
 	default:
 		t.Revision = v.Revision
 		u.Table = t
--- a/internal/values/source_test.go
+++ b/internal/values/source_test.go
@@ -67,7 +67,7 @@
 	}
 	c.values["two"] = platform.Value{Revision: 9, Data: account("moka", 4)}
 	got, err = s.Watch(context.Background(), catalog.Revision{Number: 11}, 0)
-	if err != nil || got.Table != nil || len(got.Skipped) != 1 || !strings.Contains(got.Skipped[0].Unusable.Field, "two:1: accounts[0].name") {
+	if err != nil || got.Table != nil || len(got.Skipped) != 1 || !got.Skipped[0].Table || !strings.Contains(got.Skipped[0].Unusable.Field, "two:1: accounts[0].name") {
 		t.Errorf("an account on two pages was accepted: %+v, %v", got, err)
 	}
 	if got.AsOf != 12 {
--- a/pkg/catalog/unusable.go
+++ b/pkg/catalog/unusable.go
@@ -48,6 +48,8 @@
 	// Server and Zone name the entry or zone mark that the item belongs to, "" if none. What
 	// was known of that stays in force.
 	Server, Zone string
+	// Table says that the item is the operators' table.
+	Table bool
 }
 
 // maxSlots bounds the slots of an entry. A higher figure is an error that would attract all
