Test the idle limit of connections for requests that must not run twice

Cause: TestConnectionReuse had a field for such requests that it neither set nor applied.

Change: the second request of a case can be one that must not run twice, and is sent after an idle time that the client's clock adds. Four cases more: idle for 1 s and for 5 s, not repeatable at once and after 260 ms. A run in which both requests took over 200 ms is repeated, since that adds to the idle time. The six former cases are unchanged.

--- a/internal/backend/routed_test.go
+++ b/internal/backend/routed_test.go
@@ -9,10 +9,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/yarrowmast/yarrowmast/internal/backend"
+	"github.com/yarrowmast/yarrowmast/internal/clock"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
 
@@ -154,55 +156,82 @@
 	}
 }
 
-// TestConnectionReuse guards against reusing a connection that is closed or has unread data.
+// reuseCase is a case of TestConnectionReuse.
+type reuseCase struct {
+	responses []string
+	// notRepeatable marks the second request as one that must not run twice. It is sent after idle.
+	notRepeatable bool
+	idle          time.Duration
+	conns         int64
+	// second is the version that the server's row states at the second request.
+	second string
+}
+
+// TestConnectionReuse guards against reusing a connection that is closed or has unread data, or that
+// was idle for longer than the request allows.
 func TestConnectionReuse(t *testing.T) {
 	response := func(id, extra string) string {
 		return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Proof: p\r\n" + extra + "Content-Length: 2\r\n\r\nok"
 	}
-	tests := map[string]struct {
-		responses     []string
-		notRepeatable bool
-		conns         int64
-		// second is the version that the server's row states at the second request.
-		second string
-	}{
-		"reused":                   {responses: []string{response("req-1", ""), response("req-1", "")}, conns: 1},
-		"another version since":    {responses: []string{response("req-1", ""), response("req-1", "")}, conns: 2, second: "v2"},
-		"Connection: close":        {responses: []string{response("req-1", "Connection: close\r\n")}, conns: 2},
-		"short Keep-Alive timeout": {responses: []string{response("req-1", "Keep-Alive: timeout=0\r\n")}, conns: 2},
-		"data after the response":  {responses: []string{response("req-1", "") + "more"}, conns: 2},
-		"late response discarded":  {responses: []string{response("req-1", ""), response("req-0", "") + response("req-1", "")}, conns: 1},
+	both := []string{response("req-1", ""), response("req-1", "")}
+	tests := map[string]reuseCase{
+		"reused":                          {responses: both, conns: 1},
+		"another version since":           {responses: both, conns: 2, second: "v2"},
+		"Connection: close":               {responses: []string{response("req-1", "Connection: close\r\n")}, conns: 2},
+		"short Keep-Alive timeout":        {responses: []string{response("req-1", "Keep-Alive: timeout=0\r\n")}, conns: 2},
+		"data after the response":         {responses: []string{response("req-1", "") + "more"}, conns: 2},
+		"late response discarded":         {responses: []string{response("req-1", ""), response("req-0", "") + response("req-1", "")}, conns: 1},
+		"idle for 1 s":                    {responses: both, idle: time.Second, conns: 1},
+		"idle for 5 s":                    {responses: both, idle: 5 * time.Second, conns: 2},
+		"not repeatable":                  {responses: both, notRepeatable: true, conns: 1},
+		"not repeatable, idle for 260 ms": {responses: both, notRepeatable: true, idle: 260 * time.Millisecond, conns: 2},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			var conns atomic.Int64
-			s := serve(t, func(s *server, conn net.Conn) {
-				if conns.Add(1) == 1 {
-					respondInOrder(tc.responses...)(s, conn)
-					return
-				}
-				respondInOrder(response("req-1", ""))(s, conn)
-			})
-			c := backend.New(backend.WithHeaders(testHeaders()))
-			defer c.Close()
-			for i := range 2 {
-				call := routedCall(s.ln.Addr().String())
-				call.MayStream = false
-				if i == 1 {
-					call.Software.Version = tc.second
-				}
-				sink := &recorder{}
-				if r := c.Do(context.Background(), call, sink); r.Err != nil || sink.body.String() != "ok" {
-					t.Fatalf("request %d: %v, %q", i, r.Err, sink.body.String())
-				}
+			// A slow run adds to the idle time, and says nothing.
+			const maxDuration = 200 * time.Millisecond
+			got, took := tc.run(t, response("req-1", ""))
+			for took > maxDuration {
+				got, took = tc.run(t, response("req-1", ""))
 			}
-			if got := conns.Load(); got != tc.conns {
+			if got != tc.conns {
 				t.Errorf("%d connections, want %d", got, tc.conns)
 			}
 		})
 	}
 }
 
+// run sends two requests. It returns the number of connections and the time that both took.
+func (tc *reuseCase) run(t *testing.T, last string) (connections int64, took time.Duration) {
+	var conns atomic.Int64
+	s := serve(t, func(s *server, conn net.Conn) {
+		if conns.Add(1) == 1 {
+			respondInOrder(tc.responses...)(s, conn)
+			return
+		}
+		respondInOrder(last)(s, conn)
+	})
+	start := time.Now()
+	var idle atomic.Int64
+	clk := clock.New(clock.WithBootClock(func() (time.Duration, error) { return time.Since(start) + time.Duration(idle.Load()), nil }))
+	c := backend.New(backend.WithHeaders(testHeaders()), backend.WithClock(clk))
+	defer c.Close()
+	for i := range 2 {
+		call := routedCall(s.ln.Addr().String())
+		call.MayStream = false
+		if i == 1 {
+			call.Software.Version, call.NotRepeatable = tc.second, tc.notRepeatable
+			idle.Store(int64(tc.idle))
+			clk.CheckSuspension()
+		}
+		sink := &recorder{}
+		if r := c.Do(context.Background(), call, sink); r.Err != nil || sink.body.String() != "ok" {
+			t.Fatalf("request %d: %v, %q", i, r.Err, sink.body.String())
+		}
+	}
+	return conns.Load(), time.Since(start)
+}
+
 // TestEarlyResponseClosesConnection checks that a connection is not reused while the body of
 // an earlier request may still be in transit.
 func TestEarlyResponseClosesConnection(t *testing.T) {
