--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -219,6 +219,7 @@
 // be applied.
 func (d *Dispatcher) Reconfigure(r allowance.Config, applyWithin time.Duration) {
 	d.shared.applyWithin.Store(int64(applyWithin))
+	d.post(setApplyWithinEvent{applyWithin})
 	d.post(setRetryConfigEvent{r})
 }
 
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -11,6 +11,7 @@
 	"github.com/yarrowmast/yarrowmast/pkg/returns"
 	"github.com/yarrowmast/yarrowmast/pkg/roster"
 	"github.com/yarrowmast/yarrowmast/pkg/suspect"
+	"github.com/yarrowmast/yarrowmast/pkg/table"
 )
 
 // state is the state that the event loop owns.
@@ -93,19 +94,15 @@
 	// since when others have been silent.
 	forwardLive map[string]bool
 	silentSince map[string]time.Duration
+	// refusedTable is the newest table that this router read and could not use. tableVersion is the
+	// version of the table in force, tableSince since when it is.
+	refusedTable refusedTable
+	tableVersion table.Version
+	tableSince   time.Duration
 	// routerHostSet caches the hosts of the live routers, nil after a change.
 	routerHostSet map[string]bool
 }
 
-// removalGraceFraction of the apply time is how long backend servers stay in use if their
-// entries vanish together.
-const removalGraceFraction = 0.6
-
-// unlistedGraceFraction of the apply time is how long backend servers stay in use that a
-// platform restored from a backup does not list. Live servers register again with their next
-// heartbeat.
-const unlistedGraceFraction = 0.75
-
 func newState(d *Dispatcher) *state {
 	self := roster.Member{Address: d.id.Address, Name: d.id.Name, Zone: d.id.Zone, Incarnation: d.id.Incarnation, Capacity: d.id.Capacity}
 	now := d.now()
@@ -125,8 +122,8 @@
 		waiting:        map[uint64]*attempt{},
 		silentSince:    map[string]time.Duration{},
 	}
-	scale := func(p float64) time.Duration { return time.Duration(p * float64(d.opt.applyWithin)) }
-	s.catalog = catalog.New(catalog.WithRemovalGrace(scale(removalGraceFraction)), catalog.WithUnlistedGrace(scale(unlistedGraceFraction)), catalog.WithOwnAddress(s.isRouterAddress))
+	removal, unlisted := gracePeriods(d.opt.applyWithin)
+	s.catalog = catalog.New(catalog.WithRemovalGrace(removal), catalog.WithUnlistedGrace(unlisted), catalog.WithOwnAddress(s.isRouterAddress))
 	return s
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,8 @@
 
 	mu          sync.Mutex
 	drainNotice time.Duration
+	// maxEventDelay is the maximum delay of a backend server's event on its way to the caller.
+	maxEventDelay time.Duration
 }
 
 // core is the scheduler of a router.
@@ -144,7 +146,7 @@
 	for _, f := range opts {
 		f(&o)
 	}
-	n := &Node{Settings: s, log: o.log.With("router", s.Name), serveErrors: make(chan error, 3), drainNotice: s.DrainNotice, clock: o.clock}
+	n := &Node{Settings: s, log: o.log.With("router", s.Name), serveErrors: make(chan error, 3), drainNotice: s.DrainNotice, maxEventDelay: s.Callers.MaxEventDelay, clock: o.clock}
 	if err := n.start(s, o); err != nil {
 		return nil, fmt.Errorf("node %s: %w", s.Name, err)
 	}
@@ -237,7 +239,9 @@
 const forwardedBatchFraction = 0.25
 
 func (n *Node) forwardedBatchDelay() time.Duration {
-	return time.Duration(forwardedBatchFraction * float64(n.Settings.Callers.MaxEventDelay))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Duration(forwardedBatchFraction * float64(n.maxEventDelay))
 }
 
 func (n *Node) peerOptions(o options, t tlsConfigs) []peer.Option {
@@ -289,7 +293,7 @@
 // Reload applies the settings that can change at run time.
 func (n *Node) Reload(s config.Settings) {
 	n.mu.Lock()
-	n.drainNotice = s.DrainNotice
+	n.drainNotice, n.maxEventDelay = s.DrainNotice, s.Callers.MaxEventDelay
 	n.mu.Unlock()
 	n.Front.SetCallerLimits(callerLimits(s))
 	if n.Dispatch != nil {
