Soak: run one router short of processors, and count forwarded connections

Cause: no run of the soak forwards a caller's connection from one router to another, since no router is short of processor time.

Which one is drawn from a random source of its own, so older seeds keep their faults. The report has the connections that were offered to other routers and those that one answered, counted in the logs.

--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -44,6 +44,8 @@
 	cmd                    *exec.Cmd
 	exited                 chan struct{}
 	settingsVersion        int
+	// small says that the router has little processor capacity.
+	small bool
 	// suspended is the total time for which the current process was suspended.
 	suspended time.Duration
 	// restarting is held while a fault restarts the process.
@@ -74,8 +76,9 @@
 	entryStates map[int]string
 }
 
-// newFleet starts the store, the workers and the routers.
-func newFleet(binary, dir string) (*fleet, error) {
+// newFleet starts the store, the workers and the routers. small is the index of the router with little processor
+// capacity, or noRouter.
+func newFleet(binary, dir string, small int) (*fleet, error) {
 	f := &fleet{binary: binary, dir: dir, store: standin.NewStore(), ports: usedPorts{}, entryStates: map[int]string{}}
 	f.publishConfig()
 	for i := range workers {
@@ -87,6 +90,7 @@
 		if err := f.addRouter(i); err != nil {
 			return f, err
 		}
+		f.routers[i].small = i == small
 	}
 	for _, r := range f.routers {
 		if err := f.start(r); err != nil {
@@ -236,7 +240,7 @@
 drain_for: 4s
 drain_notice: 300ms
 log_level: info
-`, r.name, r.endpoint.Address(), f.routers[0].peersAddr, f.routers[1].peersAddr, 100+r.settingsVersion, r.callersAddr, r.peersAddr, r.adminAddr)
+%s`, r.name, r.endpoint.Address(), f.routers[0].peersAddr, f.routers[1].peersAddr, 100+r.settingsVersion, r.callersAddr, r.peersAddr, r.adminAddr, r.machineSettings())
 	return os.WriteFile(r.settingsFile(), []byte(text), 0o600)
 }
 
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -63,7 +63,7 @@
 	for _, status := range slices.Sorted(maps.Keys(r.ByStatus)) {
 		fmt.Printf(" %d of %d", r.ByStatus[status], status)
 	}
-	fmt.Printf("; %d violations\n", len(r.Violations))
+	fmt.Printf("; %d of %d connections forwarded; %d violations\n", r.Forwarded, r.Offered, len(r.Violations))
 	for _, v := range r.Violations[:min(len(r.Violations), 10)] {
 		fmt.Println("  ", v)
 	}
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -92,6 +92,13 @@
 	entryGaps = 3
 )
 
+// smallRouterStream and stopStream are the random sources, next to those of newPlan, of the router with little
+// capacity and of the planned stops.
+const (
+	smallRouterStream = 7
+	stopStream        = 8
+)
+
 // newPlan draws the faults of a run from its seed. Kinds that were added later are drawn from random sources
 // of their own, so that older seeds keep their faults.
 func newPlan(seed uint64, length time.Duration, routers, workers int) []Step {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -33,8 +33,11 @@
 	Faults   int
 	Requests int
 	// ByStatus counts responses by status; 0 stands for no response.
-	ByStatus   map[int]int
-	Violations []Violation
+	ByStatus map[int]int
+	// Offered counts the connections that an overloaded router offered to others, Forwarded those of them that
+	// another router answered.
+	Offered, Forwarded int
+	Violations         []Violation
 	// Logs is the glob pattern of the routers' log files, which are removed after a run without
 	// violations.
 	Logs string
@@ -61,7 +64,11 @@
 	if err != nil {
 		return Report{}, err
 	}
-	f, err := newFleet(r.Binary, dir)
+	small := drawSmallRouter(r.Seed, routers)
+	if small != noRouter {
+		r.Log("r-%d has %g processors", small, smallProcessors)
+	}
+	f, err := newFleet(r.Binary, dir, small)
 	defer f.close()
 	if err != nil {
 		return Report{}, err
@@ -83,6 +90,9 @@
 		rep.Requests++
 		rep.ByStatus[res.Status]++
 	}
+	if rep.Offered, rep.Forwarded, err = countForwarded(rep.Logs); err != nil {
+		return rep, err
+	}
 	if len(rep.Violations) == 0 {
 		_ = os.RemoveAll(dir)
 	}
