Soak: check that planned stops of routers cut no request

Cause: callers lost requests without an answer while routers were stopped in turn (docs/incidents/cut-requests.md), and no rule of the soak sees that: a request without an answer is allowed under faults, and nothing is stopped after them.

Change: after the quiet end every router is stopped by SIGTERM and started again, in series, some overlapping, drawn from a random source of its own. Callers straight at the routers send requests whole or in two parts, on kept and on new connections. Rule cut-by-stop: a request that a router had begun to read, or sent more than 200 ms before its connection ended, gets a whole answer or a refusal. Whether it was read is told by the caller's system: an orderly end with bytes of the request acknowledged. The checks of the quiet time cover the same time as before.

TestSoak fails on these routers for that fault.

--- a/test/soak/checker.go
+++ b/test/soak/checker.go
@@ -86,8 +86,13 @@
 	// revokedAt is when the key was revoked, from the start of traffic; 0 if it was not.
 	revokedAt time.Duration
 	// quietAt is when the time without faults began, from the start of traffic; 0 before.
-	quietAt    time.Duration
-	violations []Violation
+	quietAt time.Duration
+	// stopsAt is when that time ended and the series of planned stops began; 0 before.
+	stopsAt time.Duration
+	// stopRequests are the requests during the planned stops, which responses holds as well.
+	stopRequests []stopRequest
+	stops        []stopTimes
+	violations   []Violation
 }
 
 func (c *checker) add(res response) {
@@ -135,7 +140,7 @@
 		add(RuleRefusedButRan, "status %d, but ran %d times", res.Status, ran)
 	}
 	// The callers together never use more than half of the slots of a plain worker, nor of the engines.
-	if c.quietAt > 0 && res.SentAt > c.quietAt && (!res.Kind.isStream() && res.isBusy() || res.isOverShare() || res.isHeldBack()) {
+	if c.isQuiet(res.SentAt) && (!res.Kind.isStream() && res.isBusy() || res.isOverShare() || res.isHeldBack()) {
 		add(RuleRefusedIdle, "a %s request was refused with status %d %s after the last fault, although workers were idle", res.Kind, res.Status, res.SentAt-c.quietAt)
 	}
 	if res.Status == http.StatusOK {
@@ -149,6 +154,11 @@
 	return list
 }
 
+// isQuiet reports whether there were no faults at a time, and no planned stops.
+func (c *checker) isQuiet(at time.Duration) bool {
+	return c.quietAt > 0 && at > c.quietAt && (c.stopsAt == 0 || at < c.stopsAt)
+}
+
 // isBusy reports whether a request was refused since no worker could run it in time.
 func (r *response) isBusy() bool {
 	return r.Status == http.StatusServiceUnavailable && strings.Contains(r.Body, `"code":"busy"`)
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -237,10 +237,10 @@
 seeds: [%q, %q]
 retries: {ratio: 0.2, extra: %d, window: 10s}
 listen: {callers: %q, peers: %q, admin: %q}
-drain_for: 4s
+drain_for: %s
 drain_notice: 300ms
 log_level: info
-%s`, r.name, r.endpoint.Address(), f.routers[0].peersAddr, f.routers[1].peersAddr, 100+r.settingsVersion, r.callersAddr, r.peersAddr, r.adminAddr, r.machineSettings())
+%s`, r.name, r.endpoint.Address(), f.routers[0].peersAddr, f.routers[1].peersAddr, 100+r.settingsVersion, r.callersAddr, r.peersAddr, r.adminAddr, drainFor, r.machineSettings())
 	return os.WriteFile(r.settingsFile(), []byte(text), 0o600)
 }
 
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -28,7 +28,7 @@
 	p.UInt64(&r.Seed, "s", "seed", "the first seed; derived from the time if not given")
 	p.Int(&seeds, "n", "seeds", "number of seeds to run in sequence")
 	p.Duration(&r.Duration, "l", "length", "how long faults are injected")
-	p.String(&r.Plant, "p", "plant", "violate a guarantee on purpose: twice, refused-but-ran, mixed, revoked-key, leaving, recover, copy, refused-while-idle, versions, unresumed")
+	p.String(&r.Plant, "p", "plant", "violate a guarantee on purpose: twice, refused-but-ran, mixed, revoked-key, leaving, recover, copy, refused-while-idle, versions, unresumed, cut-by-stop")
 	p.Bool(&verbose, "v", "verbose", "print each fault")
 	if err := p.ParseArgs(args); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
@@ -63,7 +63,8 @@
 	for _, status := range slices.Sorted(maps.Keys(r.ByStatus)) {
 		fmt.Printf(" %d of %d", r.ByStatus[status], status)
 	}
-	fmt.Printf("; %d of %d connections forwarded; %d violations\n", r.Forwarded, r.Offered, len(r.Violations))
+	fmt.Printf("; %d of %d connections forwarded; during planned stops %d answered, %d refused, %d closed while idle, %d overran, %d cut; %d violations\n",
+		r.Forwarded, r.Offered, r.Stops.Answered, r.Stops.Refused, r.Stops.InTransit, r.Stops.Overran, r.Stops.Cut, len(r.Violations))
 	for _, v := range r.Violations[:min(len(r.Violations), 10)] {
 		fmt.Println("  ", v)
 	}
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -37,7 +37,9 @@
 	// Offered counts the connections that an overloaded router offered to others, Forwarded those of them that
 	// another router answered.
 	Offered, Forwarded int
-	Violations         []Violation
+	// Stops counts the requests during the planned stops.
+	Stops      stopOutcomes
+	Violations []Violation
 	// Logs is the glob pattern of the routers' log files, which are removed after a run without
 	// violations.
 	Logs string
@@ -85,6 +87,7 @@
 	c.checkCrashes(f.crashes.Load(), plan)
 	r.Log("%d workers crashed under a part", f.part.crashes)
 	c.checkPart(&f.part, t.start, plan)
+	rep.Stops = c.checkStops(small)
 	rep.Violations = c.evaluate(f.runs())
 	for _, res := range c.responses {
 		rep.Requests++
@@ -99,7 +102,7 @@
 	return rep, nil
 }
 
-// play injects faults under traffic, then checks that the fleet serves again.
+// play injects faults under traffic, checks that the fleet serves again, and stops all routers in series.
 func (r *Run) play(f *fleet, c *checker, t *traffic, rep *Report) {
 	ctx, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
@@ -122,6 +125,7 @@
 	time.Sleep(quietPeriod)
 	stop()
 	tasks.Wait()
+	r.stopInSeries(f, c, t)
 }
 
 // injectFaults injects the planned faults, revokes a key and drains a worker.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -65,6 +65,7 @@
 	const (
 		revokedAt = 3 * time.Second
 		quietAt   = 10 * time.Second
+		stopsAt   = 12 * time.Second
 		busy      = `{"code":"busy"}`
 		overShare = `{"code":"over-share"}`
 	)
@@ -85,6 +86,8 @@
 		"stream busy without faults":   {response{Kind: PlainStream, Status: 503, Body: busy, SentAt: quietAt + 1}, 0, ""},
 		"refused for another reason":   {response{Kind: Lookup, Status: 503, Body: `{"code":"deadline"}`, SentAt: quietAt + 1}, 0, ""},
 		"busy without faults":          {response{Kind: Submit, Status: 503, Body: busy, SentAt: quietAt + 1}, 0, RuleRefusedIdle},
+		"busy while routers stop":      {response{Kind: Submit, Status: 503, Body: busy, SentAt: stopsAt}, 0, ""},
+		"busy before routers stop":     {response{Kind: Submit, Status: 503, Body: busy, SentAt: stopsAt - 1}, 0, RuleRefusedIdle},
 		"over its share under faults":  {response{Kind: ResumableStream, Status: 429, Body: overShare, SentAt: quietAt - 1}, 0, ""},
 		"over its share while idle":    {response{Kind: ResumableStream, Status: 429, Body: overShare, SentAt: quietAt + 1}, 0, RuleRefusedIdle},
 		"ran twice":                    {response{Kind: Submit, Status: 200, Body: "answer to x", Complete: true}, 2, RuleRanTwice},
@@ -100,7 +103,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := &checker{revokedAt: revokedAt, quietAt: quietAt}
+			c := &checker{revokedAt: revokedAt, quietAt: quietAt, stopsAt: stopsAt}
 			tc.response.ID = "x"
 			c.add(tc.response)
 			var runs []standin.Run
