--- a/test/soak/stopcheck.go
+++ b/test/soak/stopcheck.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -128,7 +129,7 @@
 func (r *stopRequest) cutDetail(stops []stopTimes) string {
 	detail := fmt.Sprintf("a %s request to r-%d ended with status %d after %s, %s", r.Kind, r.Router, r.Status, (r.EndedAt - r.SentAt).Round(time.Millisecond), r.Cause)
 	if r.Status != 0 && r.Complete {
-		detail += " " + r.Body
+		detail += " " + strings.TrimSpace(r.Body)
 	}
 	if r.Read {
 		detail += ", which the process had begun to read"
