--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -33,7 +33,12 @@
 	Faults   int
 	Requests int
 	// ByStatus counts responses by status; 0 stands for no response.
-	ByStatus   map[int]int
+	ByStatus map[int]int
+	// Offered counts the connections that an overloaded router offered to others, Forwarded those of them that
+	// another router answered.
+	Offered, Forwarded int
+	// Stops counts the requests during the planned stops.
+	Stops      stopOutcomes
 	Violations []Violation
 	// Logs is the glob pattern of the routers' log files, which are removed after a run without
 	// violations.
@@ -61,7 +66,11 @@
 	if err != nil {
 		return Report{}, err
 	}
-	f, err := newFleet(r.Binary, dir)
+	small := drawSmallRouter(r.Seed, routers)
+	if small != noRouter {
+		r.Log("r-%d has %g processors", small, smallProcessors)
+	}
+	f, err := newFleet(r.Binary, dir, small)
 	defer f.close()
 	if err != nil {
 		return Report{}, err
@@ -78,18 +87,22 @@
 	c.checkCrashes(f.crashes.Load(), plan)
 	r.Log("%d workers crashed under a part", f.part.crashes)
 	c.checkPart(&f.part, t.start, plan)
+	rep.Stops = c.checkStops(small)
 	rep.Violations = c.evaluate(f.runs())
 	for _, res := range c.responses {
 		rep.Requests++
 		rep.ByStatus[res.Status]++
 	}
+	if rep.Offered, rep.Forwarded, err = countForwarded(rep.Logs); err != nil {
+		return rep, err
+	}
 	if len(rep.Violations) == 0 {
 		_ = os.RemoveAll(dir)
 	}
 	return rep, nil
 }
 
-// play injects faults under traffic, then checks that the fleet serves again.
+// play injects faults under traffic, checks that the fleet serves again, and stops all routers in series.
 func (r *Run) play(f *fleet, c *checker, t *traffic, rep *Report) {
 	ctx, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
@@ -112,6 +125,7 @@
 	time.Sleep(quietPeriod)
 	stop()
 	tasks.Wait()
+	r.stopInSeries(f, c, t)
 }
 
 // injectFaults injects the planned faults, revokes a key and drains a worker.
