Open an unlisted zone that was closed at the update's last revision

Cause: openUnlisted left out zones closed exactly at AsOf, while removeUnlisted removes entries of that revision. A zone closed there stayed closed if its mark came first, and opened if the update without it came first. A mark of the revision of the change would also have been refused by mergeZone.

Change: both rules ask Update.covers, at or below AsOf. openUnlisted sets the mark without the comparison of revisions, which the rule implies.

--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -63,6 +63,9 @@
 	return u.Table == nil && len(u.Servers) == 0 && len(u.Zones) == 0 && u.Retained == nil && u.After > 0
 }
 
+// covers reports whether the update tells of all changes at a revision number.
+func (u *Update) covers(number uint64) bool { return number > u.After && number <= u.AsOf }
+
 // Catalog is the merged state. Create it with New.
 type Catalog struct {
 	// now is the time of the last Merge or Refresh.
@@ -319,7 +322,7 @@
 		listed[x.Server] = true
 	}
 	for name, s := range c.servers {
-		if s.Gone || s.Revision <= u.After || s.Revision > u.AsOf || listed[name] {
+		if s.Gone || !u.covers(s.Revision) || listed[name] {
 			continue
 		}
 		s, _ = c.current(name)
--- a/pkg/catalog/zone.go
+++ b/pkg/catalog/zone.go
@@ -27,17 +27,21 @@
 // mergeZone applies a mark and reports whether the view changes. It ignores marks up to the
 // revision number completeTo, and those of which it knows the same or a later change.
 func (c *Catalog) mergeZone(now time.Duration, z Zone, completeTo uint64) bool {
-	old := c.zones[z.Name]
-	if old.Revision >= z.Revision || z.Revision <= completeTo {
+	if c.zones[z.Name].Revision >= z.Revision || z.Revision <= completeTo {
 		return false
 	}
+	return c.setZone(now, z)
+}
+
+// setZone replaces a mark and reports whether the view changes.
+func (c *Catalog) setZone(now time.Duration, z Zone) bool {
 	c.highest = max(c.highest, z.Revision)
 	if z.Closed {
 		c.history.add(z.Revision, z.digest())
 	}
 	wasClosed := c.isClosed(z.Name)
 	delete(c.retainedZones, z.Name)
-	next := zone{Zone: z, opened: old.opened}
+	next := zone{Zone: z, opened: c.zones[z.Name].opened}
 	if wasClosed && !z.Closed {
 		next.opened = now
 	}
@@ -57,8 +61,8 @@
 	}
 	changed := false
 	for _, name := range slices.Sorted(maps.Keys(c.zones)) {
-		if z := c.zones[name]; z.Closed && !listed[name] && z.Revision > u.After && z.Revision < u.AsOf {
-			changed = c.mergeZone(now, Zone{Revision: u.AsOf, Name: name}, 0) || changed
+		if z := c.zones[name]; z.Closed && !listed[name] && u.covers(z.Revision) {
+			changed = c.setZone(now, Zone{Revision: u.AsOf, Name: name}) || changed
 		}
 	}
 	return changed
