Count unverified time from the start until the first verification

Cause: the time of the last verification is 0 for never, and the dispatcher's clock starts at an hour, so that verified_ms_ago and unverified_seconds were over an hour until the first verification.

Change: without a verification, the age counts from the router's start, as the due time of the next one does.

Evidence: TestVerifiedMillisAgo failed in two of six cases (verified 1h0m3s ago, want 3s) and passes.

--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -28,7 +28,8 @@
 	RefusedTable uint64 `json:"refused_table,omitempty"`
 	Refusal      string `json:"refusal,omitempty"`
 	// Epoch and AsOf are the platform revision up to which everything is known,
-	// VerifiedMillisAgo the time since it was last confirmed as the newest.
+	// VerifiedMillisAgo the time since it was last confirmed as the newest, or since the start if
+	// it never was.
 	Epoch             uint64 `json:"epoch"`
 	AsOf              uint64 `json:"as_of"`
 	VerifiedMillisAgo int64  `json:"verified_ms_ago"`
@@ -138,7 +139,7 @@
 	s.logEjections()
 	st := &Status{
 		Name: s.d.id.Name, Zone: s.d.id.Zone, Incarnation: s.d.id.Incarnation, Epoch: s.catalog.AsOf().Epoch, AsOf: s.catalog.AsOf().Number, ReaderRank: s.d.shared.readerRank.Load(),
-		VerifiedMillisAgo: (s.now - time.Duration(s.d.shared.lastVerified.Load())).Milliseconds(),
+		VerifiedMillisAgo: (s.now - s.verifiedAt()).Milliseconds(),
 		Live:              s.roster.Live(s.now), Relay: s.peerPlan.Relay, Primary: s.peerPlan.Primary, Seed: s.d.isSeed(), Owned: s.core.Owned(), Waiting: s.core.Waiting(),
 		ClosedZones: s.closedZones, Warming: s.core.Warming(), SuspendedMillis: s.suspended.Milliseconds(), Returns: s.core.ReturnCounts(),
 	}
@@ -165,6 +166,14 @@
 	s.d.shared.status.Store(st)
 }
 
+// verifiedAt returns when the known revision was last confirmed as the newest, the start if it never was.
+func (s *state) verifiedAt() time.Duration {
+	if at := s.d.shared.lastVerified.Load(); at > 0 {
+		return time.Duration(at)
+	}
+	return clockStart
+}
+
 // setBackendNotices adds the backend servers that announced a shutdown or a pause.
 func (s *state) setBackendNotices(st *Status) {
 	leaving, backingOff := s.core.Notices()
