Answer requests whose rest is late at a stop, and early refusals whose body is late

What callers see: no response, where a stop waits in vain for the rest of a header (2 s), and where a saturated router refuses a request whose body comes more than a second late; request_end named the refusal all the same.

The refusal was written only after the whole body, and a stalled header was closed.

Change: both get their refusal, and the connection is closed for writing first, so that what still arrives does not take the response away.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -36,6 +36,8 @@
 	unanswered   atomic.Int64
 	responded    atomic.Bool
 	onUnanswered func(bytes int64)
+	// onStalled is called before a planned stop closes the connection since the rest of a header is late.
+	onStalled func()
 }
 
 // http2Preface is the beginning of an HTTP/2 connection without TLS.
--- a/internal/front/connections.go
+++ b/internal/front/connections.go
@@ -127,28 +127,34 @@
 func (cs *connections) closeQuiet(now time.Time) bool {
 	cs.mu.Lock()
 	cs.stopped = true
-	var closing []*conn
-	for _, l := range []struct {
-		list    *list.List
-		timeout time.Duration
-	}{{&cs.idle, 0}, {&cs.fresh, freshTimeout}, {&cs.begun, headerTimeoutAtStop}} {
-		for elem := l.list.Front(); elem != nil; elem = elem.Next() {
-			if c := elem.Value.(*conn); now.Sub(c.settledAt) >= l.timeout && !hasUnread(c.Conn) {
-				closing = append(closing, c)
-			}
-		}
-	}
-	for _, c := range closing {
+	quiet := append(removable(&cs.idle, now, 0), removable(&cs.fresh, now, freshTimeout)...)
+	stalled := removable(&cs.begun, now, headerTimeoutAtStop)
+	for _, c := range append(quiet, stalled...) {
 		cs.remove(c)
 	}
 	done := cs.open == cs.multiplexed
 	cs.mu.Unlock()
-	for _, c := range closing {
+	for _, c := range stalled {
+		c.onStalled()
+	}
+	for _, c := range append(quiet, stalled...) {
 		_ = c.Close()
 	}
 	return done
 }
 
+// removable returns the connections that have been in a list for a time, and from which nothing waits to be
+// read.
+func removable(l *list.List, now time.Time, after time.Duration) []*conn {
+	var conns []*conn
+	for elem := l.Front(); elem != nil; elem = elem.Next() {
+		if c := elem.Value.(*conn); now.Sub(c.settledAt) >= after && !hasUnread(c.Conn) {
+			conns = append(conns, c)
+		}
+	}
+	return conns
+}
+
 // evictable returns an idle connection that may be closed in favor of a new one, nil if there is none. The
 // caller holds cs.mu.
 func (cs *connections) evictable() *conn {
@@ -171,7 +177,7 @@
 // add registers a new connection. A limit of 0 means no limit. It returns nil if there is no
 // capacity even for a refusal.
 func (cs *connections) add(nc net.Conn, limit int, now time.Time) *conn {
-	c := &conn{Conn: nc, conns: cs, onUnanswered: func(int64) {}}
+	c := &conn{Conn: nc, conns: cs, onUnanswered: func(int64) {}, onStalled: func() {}}
 	var oldest *conn
 	cs.mu.Lock()
 	if cs.stopped {
--- a/internal/front/early.go
+++ b/internal/front/early.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/pkg/returns"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
@@ -170,10 +171,12 @@
 	in.account.Name = early.request.Account
 	err = in.finalError(err)
 	_ = c.SetReadDeadline(time.Now().Add(earlyTimeout))
-	if discardBody(c, buf, early.bodyLength-bodyRead) {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(earlyTimeout))
-		// Ignore write errors: the caller may have disconnected. The refusal is logged below.
-		_, _ = c.Write(appendRefusal(buf[:0], &s.opt.headers, in.id, err))
+	whole := discardBody(c, buf, early.bodyLength-bodyRead)
+	_ = c.SetWriteDeadline(time.Now().Add(earlyTimeout))
+	// Ignore write errors: the caller may have disconnected. The refusal is logged below.
+	_, _ = c.Write(appendRefusal(buf[:0], &s.opt.headers, in.id, err))
+	if !whole {
+		lingerClose(c, buf)
 	}
 	_ = c.Close()
 	outcome := Outcome{Account: early.request.Account, Model: in.model, Status: err.Status, Code: err.Code, Verdict: err.Verdict.String(), Total: s.clock().Since(arrived), RetryAfter: err.RetryAfter, Return: err.Return}
@@ -181,6 +184,28 @@
 	s.logEnd(in, &outcome)
 }
 
+// lingerClose reads what else the caller sends after a refusal, for a bounded time: closing a connection with
+// unread bytes can lose the response.
+func lingerClose(c *conn, buf []byte) {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(earlyTimeout))
+	discardBody(c, buf, maxEarlyBody)
+}
+
+// refuseStalled refuses a request whose header is late for a planned stop.
+func (s *Server) refuseStalled(c *conn) {
+	if s.opt.tls != nil {
+		return
+	}
+	err := errDraining.WithReturn(returns.Elsewhere(s.limits.Load().Deadline, rand.Float64()))
+	_ = c.SetWriteDeadline(time.Now().Add(earlyTimeout))
+	// Ignore write errors: the caller may have disconnected.
+	_, _ = c.Write(appendRefusal(nil, &s.opt.headers, "", err))
+}
+
 // discardBody reads the rest of a body and reports whether all of it arrived.
 func discardBody(c net.Conn, buf []byte, remaining int) bool {
 	for remaining > 0 {
--- a/internal/front/early_test.go
+++ b/internal/front/early_test.go
@@ -137,3 +137,20 @@
 		}
 	}
 }
+
+// TestLateBodyIsRefused guards against an early refusal that is logged and never sent, since the rest of the
+// body does not come.
+func TestLateBodyIsRefused(t *testing.T) {
+	f, address := newRoutedServer(t, true)
+	f.shedding.Store(true)
+	const head = "POST /a/x HTTP/1.1\r\nHost: forms.example\r\n" + backend.HeaderRequestID + ": q-1\r\n" +
+		front.HeaderDeadline + ": 8000\r\nAuthorization: Bearer secret\r\nContent-Length: 100\r\n\r\n"
+	conn := dial(t, address)
+	_ = conn.SetDeadline(time.Now().Add(responseTimeout))
+	if _, err := io.WriteString(conn, head+"half of the body"); err != nil {
+		t.Fatal(err)
+	}
+	if resp := readWhole(t, conn.reader); resp.StatusCode != http.StatusTooManyRequests {
+		t.Errorf("status %d, want %d", resp.StatusCode, http.StatusTooManyRequests)
+	}
+}
--- a/internal/front/listen.go
+++ b/internal/front/listen.go
@@ -160,6 +160,7 @@
 		return nil
 	}
 	c.onUnanswered = func(bytes int64) { s.logUnanswered(c, now, bytes) }
+	c.onStalled = func() { s.refuseStalled(c) }
 	return c
 }
 
--- a/internal/front/shutdown_test.go
+++ b/internal/front/shutdown_test.go
@@ -141,7 +141,9 @@
 	f := &fake{table: newTable(t), results: []backend.Result{{}}}
 	url, srv := startServer(t, f)
 	idle, stalled := dial(t, url), dial(t, url)
-	_ = idle.SetDeadline(time.Now().Add(responseTimeout))
+	for _, c := range []*caller{idle, stalled} {
+		_ = c.SetDeadline(time.Now().Add(responseTimeout))
+	}
 	idle.send(t, true)
 	readWhole(t, idle.reader)
 	if _, err := io.WriteString(stalled, "POST /"); err != nil {
@@ -160,6 +162,9 @@
 		t.Fatalf("Shutdown returned (%v) without waiting for the rest of a header", err)
 	default:
 	}
+	if resp := readWhole(t, stalled.reader); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d for half a header, want a refusal", resp.StatusCode)
+	}
 	if err := <-done; err != nil {
 		t.Error(err)
 	}
