Soak: let some callers pause for longer in a planned stop

Cause: callers paused for 600 ms at most between the two parts of a request, and a stopping router closes a connection 2 s after the first part of a header. The rule cut-by-stop excludes only what runs past the time of the stop (3.6 s).

Change: one in thirty pauses is up to 3 s, and requests during the stops have a deadline of 5 s, so that a pause does not use it up.

--- a/test/soak/stopcaller.go
+++ b/test/soak/stopcaller.go
@@ -25,11 +25,14 @@
 	newConnOneIn = 4
 	maxLead      = 20 * time.Millisecond
 	// splitOneIn is how rarely a request is sent in two parts, the header and the body in turn.
-	// maxShortPause bounds the pause between the parts, and one in longPauseOneIn is up to maxLongPause.
+	// maxShortPause bounds the pause between the parts, and one in longPauseOneIn is up to maxLongPause. One in
+	// stallOneIn is up to maxStall, which is within the time of a stop.
 	splitOneIn     = 2
 	maxShortPause  = 150 * time.Millisecond
 	maxLongPause   = 600 * time.Millisecond
 	longPauseOneIn = 4
+	maxStall       = 3 * time.Second
+	stallOneIn     = 30
 	// maxThinkTime bounds the time between two requests of a caller, and one in longThinkOneIn is up to
 	// maxLongThinkTime.
 	maxThinkTime     = 30 * time.Millisecond
@@ -37,6 +40,8 @@
 	longThinkOneIn   = 5
 	// splitBodyBytes is the size of a body that is sent in two parts.
 	splitBodyBytes = 3000
+	// stopDeadline is the deadline of a request. It leaves a request that stalls time to run.
+	stopDeadline = 5 * time.Second
 	// giveUpAfter is how long a caller waits for an answer, longer than any stop takes.
 	giveUpAfter = drainFor + 2*time.Second
 	// redialInterval is the time between two tries to connect to a router.
@@ -98,6 +103,14 @@
 	return time.Duration(c.rng.Int64N(int64(short)))
 }
 
+// drawPause draws the time between the parts of a request.
+func (c *stopCaller) drawPause() time.Duration {
+	if c.rng.IntN(stallOneIn) == 0 {
+		return time.Duration(c.rng.Int64N(int64(maxStall)))
+	}
+	return c.drawTime(longPauseOneIn, maxShortPause, maxLongPause)
+}
+
 // answer is what a caller read on its connection after a request.
 type answer struct {
 	status   int
@@ -134,7 +147,7 @@
 			select {
 			case a = <-answers:
 				return a, sent, false
-			case <-time.After(c.drawTime(longPauseOneIn, maxShortPause, maxLongPause)):
+			case <-time.After(c.drawPause()):
 			}
 		}
 		n, err := c.conn.Write(part)
@@ -185,7 +198,7 @@
 
 // requestBytes returns a request as it is sent.
 func (c *stopCaller) requestBytes(r *stopRequest, body string) []byte {
-	req, err := standin.NewRequest(context.Background(), c.fleet.routers[c.router].callersAddr, host, pathOf(r.Kind), r.ID, key, deadline)
+	req, err := standin.NewRequest(context.Background(), c.fleet.routers[c.router].callersAddr, host, pathOf(r.Kind), r.ID, key, stopDeadline)
 	if err != nil {
 		panic(err) // The address and the path are well-formed.
 	}
