Look up staying routers in order

Cause: each change of members compared every router with every one that stays, 340,000 comparisons at 585 routers (by reading). The list is in order; a binary search does. The tests of forwarding, streams and leaving pass.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -73,7 +73,7 @@
 	routers     []admit.Router
 	knownByZone map[string]int
 	leaving     bool
-	// staying are the other routers to which connections may be forwarded.
+	// staying are the other routers to which connections may be forwarded, in order.
 	staying []string
 	// membersDirty is true if membership must be recomputed at a later tick.
 	membersUpdatedAt time.Duration
--- a/internal/dispatch/streams.go
+++ b/internal/dispatch/streams.go
@@ -22,7 +22,7 @@
 	}
 	var list []forward.Peer
 	for _, r := range s.routers {
-		if !slices.Contains(s.staying, r.Address) {
+		if _, stays := slices.BinarySearch(s.staying, r.Address); !stays {
 			continue
 		}
 		if isRemote := r.Zone != s.d.id.Zone; !isRemote || s.isSameRegion(r.Zone) {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -267,8 +267,8 @@
 // Live returns the addresses of the other routers that are alive. The list must not be modified.
 func (r *Roster) Live(now time.Duration) []string { return r.view(now).live }
 
-// Staying returns the addresses of the other routers that are alive and not leaving. The list must
-// not be modified.
+// Staying returns the addresses of the other routers that are alive and not leaving, in order. The list
+// must not be modified.
 func (r *Roster) Staying(now time.Duration) []string { return r.view(now).staying }
 
 // Active returns the addresses of the other routers that take part in the fleet's work: those that stay,
