--- a/internal/forward/ending_test.go
+++ b/internal/forward/ending_test.go
@@ -54,28 +54,16 @@
 		t.Run(name, func(t *testing.T) {
 			cut := 0
 			for range rounds {
-				sent := make(sentMessages, 64)
-				f := forward.New()
-				f.Bind(sent, nil)
-				f.SetPeers([]forward.Peer{{Address: "b", Capacity: 1}})
-				caller, accepted := connectedPair(t)
-				results := make(chan forward.Result, 1)
-				go func() {
-					results <- f.Forward(accepted, []byte("GET / HTTP/1.1\r\n\r\n"), table.Version{}, time.Now().Add(waitTimeout))
-				}()
-				stream := (<-sent).(*wire.Forward).Stream
+				e := newEntry(t)
 				var want bytes.Buffer
 				for seq := range uint64(messages) {
-					data := fmt.Appendf(nil, "event %d\n", seq)
-					want.Write(data)
-					f.Handle(peer.Inbound{From: "b", Msg: &wire.ForwardData{Stream: stream, Response: true, Seq: seq + 1, Data: data, Last: seq == messages-1}})
+					data := fmt.Sprintf("event %d\n", seq)
+					want.WriteString(data)
+					e.respond(1, seq+1, data, seq == messages-1)
 				}
-				end(f)
-				result := <-results
-				if result.Outcome != forward.Ended {
-					_ = accepted.Close()
-				}
-				got, err := io.ReadAll(caller)
+				end(e.Forwarder)
+				result := <-e.results
+				got, err := io.ReadAll(e.caller)
 				if err != nil || !bytes.Equal(got, want.Bytes()) || result.Reason != "" {
 					cut++
 				}
