--- a/review/platform/play/main.go
+++ b/review/platform/play/main.go
@@ -13,6 +13,7 @@
 
 // cases are the cases by name. Each returns the exit code.
 var cases = map[string]func(s *stage.Stage) (int, error){
+	"cold":  playCold,
 	"extra": playExtra,
 }
 
