--- a/review/platform/play/main.go
+++ b/review/platform/play/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(s *stage.Stage) (int, error){
 	"cold":  playCold,
 	"extra": playExtra,
+	"seeds": playSeeds,
 }
 
 func main() {
