--- a/review/platform/play/main.go
+++ b/review/platform/play/main.go
@@ -13,9 +13,10 @@
 
 // cases are the cases by name. Each returns the exit code.
 var cases = map[string]func(s *stage.Stage) (int, error){
-	"cold":  playCold,
-	"extra": playExtra,
-	"seeds": playSeeds,
+	"cold":   playCold,
+	"extra":  playExtra,
+	"memory": playMemory,
+	"seeds":  playSeeds,
 }
 
 func main() {
--- a/review/platform/stage/client.go
+++ b/review/platform/stage/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,8 @@
 	ID, Router string
 	Sent       time.Time
 	Took       time.Duration
+	// Kept says that it was sent on a connection that had carried another request.
+	Kept bool
 	// Status is 0 if there was no answer.
 	Status int
 	Seal   string
@@ -31,6 +34,43 @@
 	Method, Host, Path, Key, Body string
 	Deadline                      time.Duration
 	Header                        map[string]string
+	// BodyBytes is the size of a body that is sent within UploadTime, instead of Body.
+	BodyBytes  int
+	UploadTime time.Duration
+}
+
+// pieces is the number of pieces in which a large body is sent.
+const pieces = 64
+
+// body returns the body of a request and its length.
+func (r *Request) body() (io.Reader, int64) {
+	if r.BodyBytes == 0 {
+		return strings.NewReader(r.Body), int64(len(r.Body))
+	}
+	return &slowBody{piece: make([]byte, r.BodyBytes/pieces), pause: r.UploadTime / pieces}, int64(r.BodyBytes / pieces * pieces)
+}
+
+// slowBody is a body of pieces, with a pause before each.
+type slowBody struct {
+	piece []byte
+	pause time.Duration
+	sent  int
+	rest  []byte
+}
+
+// Read implements io.Reader.
+func (b *slowBody) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		if b.sent == pieces {
+			return 0, io.EOF
+		}
+		time.Sleep(b.pause)
+		b.sent++
+		b.rest = b.piece
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
 }
 
 // Clients send requests and record the answers.
@@ -73,16 +113,37 @@
 	}()
 }
 
-func (c *Clients) do(router string, r Request) Answer {
-	a := Answer{ID: fmt.Sprintf("%s%06x", c.prefix, c.last.Add(1)), Router: router, Sent: time.Now()}
+// Repeat sends a router requests one after the other until ctx is done.
+func (c *Clients) Repeat(ctx context.Context, router string, next func(n int) Request) {
+	c.pending.Add(1)
+	defer c.pending.Done()
+	for n := 0; ctx.Err() == nil; n++ {
+		a := c.do(router, next(n))
+		c.mu.Lock()
+		c.answers = append(c.answers, a)
+		c.mu.Unlock()
+		if a.Status != http.StatusOK {
+			time.Sleep(retryPause)
+		}
+	}
+}
+
+// retryPause is the time before the next request after one that was not served.
+const retryPause = 250 * time.Millisecond
+
+func (c *Clients) do(router string, r Request) (a Answer) {
+	a = Answer{ID: fmt.Sprintf("%s%06x", c.prefix, c.last.Add(1)), Router: router, Sent: time.Now()}
 	defer func() { a.Took = time.Since(a.Sent) }()
 	ctx, cancel := context.WithTimeout(context.Background(), r.Deadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+router+r.Path, strings.NewReader(r.Body))
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { a.Kept = c.Reused }})
+	body, length := r.body()
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+router+r.Path, body)
 	if err != nil {
 		a.Err = err.Error()
 		return a
 	}
+	req.ContentLength = length
 	req.Host = r.Host
 	req.Header.Set("Yarrowmast-Attempt-Id", a.ID)
 	req.Header.Set("Yarrowmast-Deadline-Ms", fmt.Sprint(r.Deadline.Milliseconds()))
