--- a/review/platform/play/deployment.go
+++ b/review/platform/play/deployment.go
@@ -29,6 +29,19 @@
 	sharedTokens, ownTokens int
 	coldTime                time.Duration
 	coldPerSecond           float64
+	// attempts and resumable are those of the route; versions are the software versions of the workers,
+	// v1 where none is given.
+	attempts  int
+	resumable bool
+	versions  []string
+}
+
+// version returns the software version of a worker, given its index.
+func (m *modelService) version(i int) string {
+	if len(m.versions) == 0 {
+		return "v1"
+	}
+	return m.versions[i%len(m.versions)]
 }
 
 type plainService struct {
@@ -55,7 +68,7 @@
 	if m := d.reader; m != nil {
 		routes = append(routes, map[string]any{
 			"name": m.route, "hostname": host, "pathPrefix": "/" + m.route + "/", "routeKind": "streaming", "timeoutMs": m.timeoutMs, "targetLatencyMs": m.targetMs,
-			"targetGapMs": m.gapMs, "priority": 1, "service": m.name, "maxAttempts": 1, "public": false, "sticky": true, "resumable": false,
+			"targetGapMs": m.gapMs, "priority": 1, "service": m.name, "maxAttempts": max(1, m.attempts), "public": false, "sticky": true, "resumable": m.resumable,
 		})
 		services = append(services, map[string]any{
 			"name": m.name, "healthPath": "/health", "maxConns": m.maxConns, "protocol": "h1", "tls": false, "coldStartS": m.coldTime.Seconds(), "coldPerS": m.coldPerSecond,
@@ -112,7 +125,7 @@
 	s.Store.Put("op/config", d.configuration(7))
 	for i, zone := range d.bounds.Zones {
 		if d.reader != nil {
-			w, err := s.AddWorker(fmt.Sprintf("i-7f3a91c%d", i), zone, d.reader.name, d.reader.slots)
+			w, err := s.AddWorker(fmt.Sprintf("i-7f3a91c%d", i), zone, d.reader.name, d.reader.version(i), d.reader.slots)
 			if err != nil {
 				return nil, err
 			}
--- a/review/platform/play/main.go
+++ b/review/platform/play/main.go
@@ -13,10 +13,11 @@
 
 // cases are the cases by name. Each returns the exit code.
 var cases = map[string]func(s *stage.Stage) (int, error){
-	"cold":   playCold,
-	"extra":  playExtra,
-	"memory": playMemory,
-	"seeds":  playSeeds,
+	"cold":     playCold,
+	"extra":    playExtra,
+	"memory":   playMemory,
+	"versions": playVersions,
+	"seeds":    playSeeds,
 }
 
 func main() {
--- a/review/platform/stage/client.go
+++ b/review/platform/stage/client.go
@@ -24,9 +24,10 @@
 	// Status is 0 if there was no answer.
 	Status int
 	Seal   string
-	// Events is the number of events of a stream. Err is how the answer broke off, "" if it is whole.
-	Events int
-	Err    string
+	// Events is the number of events of a stream, LastEvent the number of the last one. Err is how the answer broke off, "" if it is whole.
+	Events    int
+	LastEvent string
+	Err       string
 }
 
 // Request is what a client sends.
@@ -163,8 +164,9 @@
 	lines := bufio.NewReader(resp.Body)
 	for {
 		line, err := lines.ReadString('\n')
-		if strings.HasPrefix(line, "id:") {
+		if text, ok := strings.CutPrefix(line, "id:"); ok && err == nil {
 			a.Events++
+			a.LastEvent = strings.TrimSpace(text)
 		}
 		if err == io.EOF {
 			return a
@@ -176,6 +178,43 @@
 	}
 }
 
+// Stream sends a router a request for a stream in the background, and takes the stream up at another
+// router if it is broken off: after a pause, with so many tries. tries are given the answers in order.
+func (c *Clients) Stream(routers []string, r Request, pause time.Duration, most int, tries func([]Answer)) {
+	c.pending.Add(1)
+	go func() {
+		defer c.pending.Done()
+		var list []Answer
+		began, last := "", ""
+		for n := 0; n <= most; n++ {
+			next := r
+			next.Header = map[string]string{}
+			for name, value := range r.Header {
+				next.Header[name] = value
+			}
+			if began != "" {
+				next.Header["Last-Event-Id"], next.Header["Resumes"] = last, began
+			}
+			a := c.do(routers[n%len(routers)], next)
+			list = append(list, a)
+			if a.Events > 0 {
+				last = a.LastEvent
+				if began == "" {
+					began = a.ID
+				}
+			}
+			if a.Status == http.StatusOK && a.Err == "" || began == "" {
+				break
+			}
+			time.Sleep(pause)
+		}
+		c.mu.Lock()
+		c.answers = append(c.answers, list...)
+		c.mu.Unlock()
+		tries(list)
+	}()
+}
+
 // Flood sends a router so many requests a second until ctx is done.
 func (c *Clients) Flood(ctx context.Context, router string, perSecond float64, next func(n int) Request) {
 	tick := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
--- a/review/platform/stage/stage.go
+++ b/review/platform/stage/stage.go
@@ -63,11 +63,11 @@
 }
 
 // AddWorker starts a worker.
-func (s *Stage) AddWorker(id, zone, service string, slots int) (*Worker, error) {
-	w, err := StartWorker(s.Store, id, zone, service, slots)
+func (s *Stage) AddWorker(id, zone, service, version string, slots int) (*Worker, error) {
+	w, err := StartWorker(s.Store, id, zone, service, version, slots)
 	if err == nil {
 		s.workers = append(s.workers, w)
-		s.Note("worker %s of %s starts in %s", id, service, zone)
+		s.Note("worker %s of %s, version %s, starts in %s", id, service, version, zone)
 	}
 	return w, err
 }
--- a/review/platform/stage/worker.go
+++ b/review/platform/stage/worker.go
@@ -18,8 +18,8 @@
 
 // Worker is a stand-in of a model worker.
 type Worker struct {
-	// ID is the worker's id, Zone its availability zone.
-	ID, Zone string
+	// ID is the worker's id, Zone its availability zone, Version that of its software.
+	ID, Zone, Version string
 	// FirstEvent is the time to the first event, Gap that between events, Events their number.
 	FirstEvent, Gap time.Duration
 	Events          int
@@ -37,6 +37,8 @@
 	coldFrom time.Time
 	coldTill time.Time
 	arrivals []Arrival
+	served   map[string]int
+	unlisted bool
 	fellOver time.Time
 	running  int
 	queued   int
@@ -51,13 +53,13 @@
 const maxQueued = 67
 
 // StartWorker starts a worker that keeps itself in the store.
-func StartWorker(store *Store, id, zone, service string, slots int) (*Worker, error) {
+func StartWorker(store *Store, id, zone, service, version string, slots int) (*Worker, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("worker: %w", err)
 	}
 	w := &Worker{
-		ID: id, Zone: zone, FirstEvent: 30 * time.Millisecond, Gap: 10 * time.Millisecond, Events: 10,
+		ID: id, Zone: zone, Version: version, served: map[string]int{}, FirstEvent: 30 * time.Millisecond, Gap: 10 * time.Millisecond, Events: 10,
 		service: service, slots: slots, store: store, ln: ln, stop: make(chan struct{}),
 	}
 	w.slotFree = sync.NewCond(&w.mu)
@@ -87,9 +89,13 @@
 // writeEntry writes the worker's entry, as every heartbeat does.
 func (w *Worker) writeEntry() bool {
 	w.mu.Lock()
+	if w.unlisted {
+		w.mu.Unlock()
+		return false
+	}
 	w.seq++
 	entry := map[string]any{
-		"service": w.service, "address": w.Address(), "zone": w.Zone, "version": "v1", "slots": w.slots, "state": "ready",
+		"service": w.service, "address": w.Address(), "zone": w.Zone, "version": w.Version, "slots": w.slots, "state": "ready",
 		"coldLeftMs": w.coldLeft().Milliseconds(), "stage": "both", "seq": w.seq,
 		"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}},
 	}
@@ -110,6 +116,21 @@
 	return w.writeEntry()
 }
 
+// Unlist removes the worker's entry, as before a planned end of which it says nothing else. It serves on.
+func (w *Worker) Unlist() {
+	w.mu.Lock()
+	w.unlisted = true
+	w.mu.Unlock()
+	w.store.Delete("servers/" + w.ID)
+}
+
+// Served returns how many events the worker sent for a request.
+func (w *Worker) Served(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.served[id]
+}
+
 // Arrivals returns the requests that arrived.
 func (w *Worker) Arrivals() []Arrival {
 	w.mu.Lock()
@@ -248,5 +269,8 @@
 		pause = w.Gap
 		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s %d of %d\n\n", i, id, i, w.Events)
 		_ = control.Flush()
+		w.mu.Lock()
+		w.served[id]++
+		w.mu.Unlock()
 	}
 }
