--- a/review/platform/play/deployment.go
+++ b/review/platform/play/deployment.go
@@ -103,9 +103,9 @@
 	}
 }
 
-// submission returns a request for the plain workers that must not run twice.
-func (p *plainService) submission(int) stage.Request {
-	return stage.Request{Method: "POST", Host: host, Path: "/" + p.route + "/2f", Body: "household {id}", Deadline: 2 * time.Duration(p.timeoutMs) * time.Millisecond}
+// submission returns a request for the plain workers that must not run twice, for a household.
+func (p *plainService) submission(household string) stage.Request {
+	return stage.Request{Method: "POST", Host: host, Path: "/" + p.route + "/2f", Body: household, Deadline: 2 * time.Duration(p.timeoutMs) * time.Millisecond}
 }
 
 // fleet is what a play runs.
--- a/review/platform/play/extra.go
+++ b/review/platform/play/extra.go
@@ -25,6 +25,8 @@
 	// one has a second one: the dose of the site, for 5 s and 0.03 of the answers.
 	extraTime  = 5 * time.Second
 	extraEvery = 34
+	// submissionTries is how often a client sends a submission that was refused as not run.
+	submissionTries = 2
 )
 
 // playExtra lets one of three workers send second answers, late.
@@ -37,7 +39,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	for _, r := range f.routers {
-		go clients.Flood(ctx, r.Callers, f.perRouter, f.desk.submission)
+		go clients.Pace(ctx, f.perRouter, func(n int) {
+			clients.SendUntilServed(r.Callers, f.desk.submission(fmt.Sprintf("household %d of %s", n, r.Zone)), submissionTries)
+		})
 	}
 	time.Sleep(5 * time.Second)
 	faulty := f.desks[0]
@@ -57,10 +61,18 @@
 // judgeRefused applies the rule REFUSED.
 func (f *fleet) judgeRefused(s *stage.Stage, clients *stage.Clients) int {
 	s.RecordTraffic(clients)
-	ranAt := map[string]string{}
+	ranAt, entered := map[string]string{}, map[string]int{}
 	for _, d := range f.desks {
 		for _, x := range d.Runs() {
 			ranAt[x.ID] = d.ID
+			entered[x.Body]++
+		}
+	}
+	twice := 0
+	for household, n := range entered {
+		if n > 1 {
+			twice++
+			s.Note("%s was entered %d times", household, n)
 		}
 	}
 	broken, statuses := 0, map[int]int{}
@@ -74,10 +86,10 @@
 			}
 		}
 	}
-	s.Note("answers by status: %v", statuses)
+	s.Note("answers by status: %v; households entered twice, since their clients kept to the promise: %d", statuses, twice)
 	if broken > 0 {
 		s.Note("REFUSED is broken")
-		fmt.Printf("REFUSED is broken: %d requests that cannot be repeated got a promise and have run; answers by status: %v\n", broken, statuses)
+		fmt.Printf("REFUSED is broken: %d requests that cannot be repeated got a promise and have run; answers by status: %v; %d households were entered twice\n", broken, statuses, twice)
 		return stage.Broken
 	}
 	s.Note("REFUSED holds")
--- a/review/platform/stage/client.go
+++ b/review/platform/stage/client.go
@@ -152,7 +152,7 @@
 		req.Header.Set("Yarrowmast-Key", r.Key)
 	}
 	for name, value := range r.Header {
-		req.Header.Set(name, strings.ReplaceAll(value, "{id}", a.ID))
+		req.Header.Set(name, value)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -215,14 +215,38 @@
 	}()
 }
 
+// SendUntilServed sends a request in the background, and once more after each answer that promises that it
+// has not run, with a new id, most times at most.
+func (c *Clients) SendUntilServed(router string, r Request, most int) {
+	c.pending.Add(1)
+	go func() {
+		defer c.pending.Done()
+		for range most {
+			a := c.do(router, r)
+			c.mu.Lock()
+			c.answers = append(c.answers, a)
+			c.mu.Unlock()
+			if a.Status != http.StatusServiceUnavailable && a.Status != http.StatusTooManyRequests {
+				return
+			}
+			time.Sleep(retryPause)
+		}
+	}()
+}
+
 // Flood sends a router so many requests a second until ctx is done.
 func (c *Clients) Flood(ctx context.Context, router string, perSecond float64, next func(n int) Request) {
+	c.Pace(ctx, perSecond, func(n int) { c.Send(router, next(n)) })
+}
+
+// Pace calls a function so many times a second until ctx is done.
+func (c *Clients) Pace(ctx context.Context, perSecond float64, send func(n int)) {
 	tick := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
 	defer tick.Stop()
 	for n := 0; ; n++ {
 		select {
 		case <-tick.C:
-			c.Send(router, next(n))
+			send(n)
 		case <-ctx.Done():
 			return
 		}
--- a/review/platform/stage/desk.go
+++ b/review/platform/stage/desk.go
@@ -10,6 +10,12 @@
 	"time"
 )
 
+// Entry is a request that a plain worker ran, and its body, which it has entered.
+type Entry struct {
+	Arrival
+	Body string
+}
+
 // Desk is a stand-in of a plain worker that speaks on its sockets itself, so that it can send more
 // after a whole answer.
 type Desk struct {
@@ -22,7 +28,7 @@
 	ln      net.Listener
 	mu      sync.Mutex
 	seq     int
-	runs    []Arrival
+	runs    []Entry
 	// every is the number of answers of which one is followed by a second one, 0 for none. answers
 	// counts the answers since it was set, extras the second answers that were sent.
 	every, answers, extras int
@@ -75,10 +81,10 @@
 }
 
 // Runs returns the requests that the worker ran.
-func (d *Desk) Runs() []Arrival {
+func (d *Desk) Runs() []Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return append([]Arrival(nil), d.runs...)
+	return append([]Entry(nil), d.runs...)
 }
 
 // Extras returns how many second answers the worker sent.
@@ -122,7 +128,8 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
 		if owed {
@@ -132,7 +139,7 @@
 			d.extras++
 			d.mu.Unlock()
 		}
-		if !d.answer(c, r) {
+		if !d.answer(c, r, string(body)) {
 			return
 		}
 		owed = d.owesExtra()
@@ -147,14 +154,14 @@
 	return d.every > 0 && d.answers%d.every == 0
 }
 
-func (d *Desk) answer(c net.Conn, r *http.Request) bool {
+func (d *Desk) answer(c net.Conn, r *http.Request, entered string) bool {
 	id := r.Header.Get("Yarrowmast-Attempt-Id")
 	if expected := r.Header.Get("Yarrowmast-Expect-Instance"); expected != "" && expected != d.ID {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nYarrowmast-Attempt-Id: %s\r\nYarrowmast-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, d.ID)
 		return err == nil
 	}
 	d.mu.Lock()
-	d.runs = append(d.runs, Arrival{id, time.Now()})
+	d.runs = append(d.runs, Entry{Arrival{id, time.Now()}, entered})
 	d.mu.Unlock()
 	time.Sleep(d.Work)
 	body := "entered " + id + "\n"
