--- a/review/platform/play/main.go
+++ b/review/platform/play/main.go
@@ -16,6 +16,7 @@
 	"cold":     playCold,
 	"extra":    playExtra,
 	"memory":   playMemory,
+	"parts":    playParts,
 	"versions": playVersions,
 	"seeds":    playSeeds,
 }
--- a/review/platform/stage/worker.go
+++ b/review/platform/stage/worker.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,6 +27,10 @@
 	// FallsOverAt is the number of requests in a second at which the worker falls over while it is
 	// cold, 0 for never. The first second after it has turned cold does not count.
 	FallsOverAt int
+	// CrashOn is the part of a prompt that ends the worker as it begins to answer, "" for none. OnCrash is
+	// told the request. OnArrival, if set, is told each request that has the part.
+	CrashOn            string
+	OnCrash, OnArrival func(id string)
 
 	service  string
 	slots    int
@@ -181,12 +186,21 @@
 	if !w.arrive(id) {
 		panic(http.ErrAbortHandler)
 	}
+	deadly := w.CrashOn != "" && strings.Contains(r.Header.Get("Yarrowmast-Prompt-Prefix"), w.CrashOn)
+	if deadly {
+		w.OnArrival(id)
+	}
 	if !w.acquire() {
 		out.Header().Set("Yarrowmast-Not-Executed", "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer w.release()
+	if deadly {
+		time.Sleep(w.FirstEvent)
+		w.crash(id)
+		panic(http.ErrAbortHandler)
+	}
 	w.run(out, r, id)
 }
 
@@ -201,6 +215,20 @@
 	out.WriteHeader(http.StatusOK)
 }
 
+// crash ends the worker because of a request, once. Its entry is not written again.
+func (w *Worker) crash(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	select {
+	case <-w.stop:
+		return
+	default:
+	}
+	close(w.stop)
+	_ = w.http.Close()
+	go w.OnCrash(id)
+}
+
 // arrive records a request. It returns false if the worker has fallen over.
 func (w *Worker) arrive(id string) bool {
 	w.mu.Lock()
