Find out which versions were listed before the start

Cause: a router that starts lists the versions of that moment only. If all routers had started anew, their lists alone were taken for all there is to know ("every router replied"), so that a version that went a second before their start had never been. The store was read from its newest revision on; what came before was not asked for. The same rule let streams go on after any restart within two minutes of a release.

Ruled out: records of streams lost otherwise (with one router left alive all streams of the play are recorded), a stale directory (the removed entry is in no list), a slow decision (each took under 100 ms). The lines stream_resumed of the failing play have outcome=sole-version throughout.

Change: a router that starts is told by one that knows which versions were listed lately and how far back that reaches (ListedVersions), or reads the store's history from its oldest revision, which it finds by search, and tells the others. A stream that nobody remembers goes on only if a router has known all versions for as long as streams can be taken up: the longest timeout of the routes that may be resumed, and apply_within. A removal whose last write is no longer in the history stands for an unknown version. Knowledge survives an outage of the store that the history covers. While the store cannot be read, the lists of all routers count as before, if this one's knowledge reached back far enough until then.

New setting `history`: how long the store keeps changes.

TestResumptionIsDecided: the case of a young fleet took a version for the only one that had replaced another one 3 s before; it expects a refusal now, and a new case waits until the history no longer has the other one. The case "came and went during a cut" let nothing come; now a server does, and three cases tell it from a cut in which nothing came and from a history that is kept back.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -119,6 +119,8 @@
 	// ApplyWithin is the time within which all routers must apply a change at the platform.
 	// Default 2s.
 	ApplyWithin time.Duration `yaml:"apply_within"`
+	// History is how long the platform keeps past changes. Default none.
+	History time.Duration `yaml:"history"`
 	// Retries is the retry budget.
 	Retries Retries `yaml:"retries"`
 	// Machine holds the resource limits. Default none.
@@ -204,6 +206,9 @@
 		d.Add("must not be negative", "machine")
 	}
 	positive(d, int64(s.ApplyWithin), "apply_within")
+	if s.History < 0 {
+		d.Add("must not be negative", "history")
+	}
 	positive(d, int64(s.Retries.Window), "retries", "window")
 	if !(s.Retries.Ratio >= 0) || !(s.Retries.Extra >= 0) {
 		d.Add("must not be negative", "retries")
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -78,6 +78,8 @@
 	tasks       sync.WaitGroup
 	shared      shared
 	admission   admission
+	// historyRequests asks for the platform's history as of a revision.
+	historyRequests chan catalog.Revision
 }
 
 // shared holds the state that other goroutines may read.
@@ -106,6 +108,8 @@
 	applyWithin atomic.Int64
 	// versionsMissing says that the software versions of some backend servers are not known.
 	versionsMissing atomic.Bool
+	// readEverything says that this router has read everything that is published itself.
+	readEverything atomic.Bool
 	// versionsReadAt is when this router last read everything for that, on the dispatcher's clock.
 	versionsReadAt atomic.Int64
 	// readFailures counts failed platform reads since the last success.
@@ -124,6 +128,8 @@
 	seeds       []string
 	retryConfig allowance.Config
 	applyWithin time.Duration
+	// history is how long the platform keeps past changes, 0 if it keeps none.
+	history time.Duration
 	// random returns numbers in [0, 1).
 	random func() float64
 	// regions holds the region of each availability zone, nil if there are none.
@@ -170,6 +176,9 @@
 // platform.
 func WithApplyWithin(d time.Duration) Option { return func(o *options) { o.applyWithin = d } }
 
+// WithHistory sets for how long the platform keeps past changes. By default it keeps none.
+func WithHistory(d time.Duration) Option { return func(o *options) { o.history = d } }
+
 // WithClock sets the clock that measures the age of all state.
 func WithClock(c *clock.Clock) Option { return func(o *options) { o.clock = c } }
 
@@ -206,6 +215,7 @@
 			log: slog.Default(), retryConfig: allowance.DefaultConfig(), applyWithin: DefaultApplyWithin, random: rand.Float64, clock: clock.System(), wallClock: time.Now,
 		},
 		events: make(chan event, inboxSize), ctx: ctx, cancel: cancel, admission: newAdmission(),
+		historyRequests: make(chan catalog.Revision, 1),
 	}
 	for _, f := range opts {
 		f(&d.opt)
@@ -232,7 +242,7 @@
 
 // Start starts the goroutines.
 func (d *Dispatcher) Start() {
-	tasks := []func(){d.run, d.watchPlatform, d.verifyPlatform, d.measureLag}
+	tasks := []func(){d.run, d.watchPlatform, d.verifyPlatform, d.readHistories, d.measureLag}
 	if l, ok := d.source.(InstanceLister); ok {
 		tasks = append(tasks, func() { d.watchInstances(l) })
 	}
--- a/internal/dispatch/emulator_bench_test.go
+++ b/internal/dispatch/emulator_bench_test.go
@@ -85,7 +85,7 @@
 		for ; float64(made) < changesPerSecond*(f.now-began).Seconds(); made++ {
 			b := f.store.servers[names[made/2%len(names)]].Backend
 			b.Mark = marks[made%2]
-			f.store.put(b)
+			f.store.put(f.now, b)
 		}
 	})
 }
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"cmp"
+	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -39,8 +41,12 @@
 	slowEvery int
 	// isCut reports whether messages between two zones are lost; it may be nil.
 	isCut func(a, b int) bool
-	zones int
-	seeds []string
+	// turnsAway reports whether the platform's history is kept from a router; it may be nil. historyReads
+	// counts the reads of it.
+	turnsAway    func(r *emulatedRouter) bool
+	historyReads int
+	zones        int
+	seeds        []string
 	// within is the time in which changes must be in force.
 	within time.Duration
 }
@@ -69,6 +75,9 @@
 	// watch, or else a verification.
 	readsUntil         time.Duration
 	fullRead, watching bool
+	// history is the end of a read of the history that is under way until historyUntil, nil if there is none.
+	history      *historyEvent
+	historyUntil time.Duration
 }
 
 type emulatedMessage struct {
@@ -84,8 +93,11 @@
 	epoch, revision uint64
 	table           *table.Table
 	servers         map[string]catalog.Server
-	// changes are the changed entries by revision.
-	changes []catalog.Server
+	// changes are the changed entries by revision, changedAt when each changed.
+	changes   []catalog.Server
+	changedAt []time.Duration
+	// forgotten is the revision up to which the history was dropped before its time.
+	forgotten uint64
 	// away says that it answers nobody.
 	away  bool
 	calls int
@@ -102,6 +114,10 @@
 	// entries of an answer.
 	emulatedCall = 4 * time.Millisecond
 	emulatedPage = 200
+	// emulatedHistory is how long the platform keeps changes, emulatedTimeout the longest that a route holds a
+	// stream.
+	emulatedHistory = 20 * time.Second
+	emulatedTimeout = 15 * time.Second
 	// serversPerRouter is the number of backend servers for each router.
 	serversPerRouter = 10
 	emulatedAccounts = 200
@@ -114,14 +130,17 @@
 		now: clockStart, routers: map[string]*emulatedRouter{}, underWay: map[time.Duration][]emulatedMessage{}, costs: map[costKey]*cost{}, zones: zones, within: within,
 		store: emulatedStore{revision: 1, servers: map[string]catalog.Server{}, callsBy: map[string]int{}},
 	}
-	t := &table.Table{Revision: 1, Edition: 1, Services: []table.ServiceRow{{Name: "reader", Engine: true}}}
+	t := &table.Table{
+		Revision: 1, Edition: 1, Services: []table.ServiceRow{{Name: "reader", Engine: true}},
+		Routes: []table.Route{{Name: "page", Host: "h", Prefix: "/page/", Targets: []table.Target{{Service: "reader", Weight: 1}}, Repeat: table.RepeatResume, Stream: true, Timeout: emulatedTimeout}},
+	}
 	for i := range emulatedAccounts {
 		t.Accounts = append(t.Accounts, table.Account{Name: fmt.Sprintf("account-%d", i), Weight: 1, KeySHA256: fmt.Sprintf("%064x", i)})
 	}
 	t.Index()
 	f.store.table = t
 	for i := range serversPerRouter * routers {
-		f.store.put(table.Backend{
+		f.store.put(f.now, table.Backend{
 			Name: fmt.Sprintf("i-%08x", i*2654435761%(1<<32)), Address: fmt.Sprintf("10.200.%d.%d:8000", i/250, i%250), Zone: f.zone(i), Kind: table.Service,
 			Models: []string{"reader"}, Slots: 16, Mark: table.Serving, StartTime: 1_700_000_000_000 + int64(i),
 		})
@@ -146,11 +165,42 @@
 }
 
 // put writes an entry.
-func (s *emulatedStore) put(b table.Backend) {
+func (s *emulatedStore) put(now time.Duration, b table.Backend) {
 	s.revision++
 	entry := catalog.Server{Revision: s.revision, Backend: b}
 	s.servers[b.Name] = entry
-	s.changes = append(s.changes, entry)
+	s.change(now, entry)
+}
+
+// remove removes an entry.
+func (s *emulatedStore) remove(now time.Duration, name string) {
+	s.revision++
+	delete(s.servers, name)
+	s.change(now, catalog.Server{Revision: s.revision, Gone: true, Backend: table.Backend{Name: name}})
+}
+
+func (s *emulatedStore) change(now time.Duration, entry catalog.Server) {
+	s.changes, s.changedAt = append(s.changes, entry), append(s.changedAt, now)
+}
+
+// historySource is the platform as a router sees it that asks for past changes.
+type historySource struct {
+	emptySource
+	*emulator
+	router *emulatedRouter
+}
+
+// Watch implements Source.
+func (h historySource) Watch(_ context.Context, after catalog.Revision, _ time.Duration) (catalog.Update, error) {
+	s := &h.store
+	i, _ := slices.BinarySearchFunc(s.changes, after.Number+1, func(x catalog.Server, r uint64) int { return cmp.Compare(x.Revision, r) })
+	switch {
+	case s.away || h.turnsAway != nil && h.turnsAway(h.router):
+		return catalog.Update{}, errors.New("the platform does not answer")
+	case after.Epoch != s.epoch || after.Number < s.forgotten || i < len(s.changes) && h.now-s.changedAt[i] > emulatedHistory:
+		return catalog.Update{}, catalog.ErrCompacted
+	}
+	return catalog.Update{Epoch: s.epoch, After: after.Number, AsOf: s.revision, Servers: s.changes[i:]}, nil
 }
 
 // names returns the names of the entries in order.
@@ -186,9 +236,9 @@
 		capacity = 0.8
 	}
 	id := Identity{Name: fmt.Sprint("r-", r.index), Address: r.address, Zone: f.zone(r.index), Incarnation: r.incarnation, Capacity: capacity}
-	d := New(id, emptySource{}, r, WithSeeds(f.seeds), WithApplyWithin(f.within), WithLogger(slog.New(slog.DiscardHandler)))
+	d := New(id, emptySource{}, r, WithSeeds(f.seeds), WithApplyWithin(f.within), WithHistory(emulatedHistory), WithLogger(slog.New(slog.DiscardHandler)))
 	r.state = newState(d)
-	r.readsUntil, r.watching = 0, false
+	r.readsUntil, r.watching, r.history = 0, false, nil
 	r.now = f.now
 }
 
@@ -341,6 +391,7 @@
 			}
 			if r.up {
 				r.read()
+				r.readHistory()
 			}
 		}
 	}
@@ -428,6 +479,27 @@
 	}
 }
 
+// readHistory reads the platform's history where the router's task would do so.
+func (r *emulatedRouter) readHistory() {
+	f := r.emulator
+	if r.history != nil {
+		if f.now >= r.historyUntil {
+			ended := *r.history
+			r.history = nil
+			r.apply(ended)
+		}
+		return
+	}
+	select {
+	case asOf := <-r.d.historyRequests:
+		h, err := readHistory(context.Background(), historySource{emulator: f, router: r}, asOf)
+		f.store.count(r, h.calls)
+		f.historyReads++
+		r.history, r.historyUntil = &historyEvent{changeHistory: h, asOf: asOf, startedAt: f.now, err: err}, f.now+time.Duration(h.calls)*emulatedCall
+	default:
+	}
+}
+
 // verifyDueIn is verifyDue for a router that started at another time than the emulator.
 func (r *emulatedRouter) verifyDueIn(sinceStart time.Duration) time.Duration {
 	verified := time.Duration(r.d.shared.lastVerified.Load())
@@ -456,6 +528,7 @@
 		r.watching = false
 	case f.store.away:
 	case r.fullRead:
+		r.d.shared.readEverything.Store(true)
 		r.apply(updateEvent{Update: f.store.since(0), readAt: f.now})
 	case r.d.asOf() == catalog.Revision{Epoch: f.store.epoch, Number: f.store.revision}:
 		r.d.recordVerified(f.now)
--- a/internal/dispatch/origins.go
+++ b/internal/dispatch/origins.go
@@ -47,8 +47,6 @@
 	// have to be told of them since.
 	replicatedAt time.Duration
 	incomplete   bool
-	// currentSince is since when what this router knows has been the newest, 0 while it is not.
-	currentSince time.Duration
 	queries      map[uint64]*originQuery
 	lastSeq      uint64
 	// outcomes counts the decisions on streams that callers take up.
--- a/internal/dispatch/origins_test.go
+++ b/internal/dispatch/origins_test.go
@@ -34,7 +34,7 @@
 	for i, name := range f.store.names() {
 		b := f.store.servers[name].Backend
 		b.Version = versionOf(i)
-		f.store.put(b)
+		f.store.put(f.now, b)
 	}
 }
 
@@ -197,10 +197,21 @@
 		}},
 		"unknown, it came and went during a cut": {account: "moka", request: "id-2", want: "stream-unknown", prepare: func(f *emulator) {
 			oneVersion(f)
-			f.isCut, f.store.away = func(a, b int) bool { return a == 0 || b == 0 }, true
-			f.run(f.now+3*time.Second, func() {})
-			f.isCut, f.store.away = func(a, b int) bool { return a != b }, false
-			f.run(f.now+3*time.Second, func() {})
+			cutZoneOff(f, func() { f.addServer(otherVersion); f.store.remove(f.now, addedServer) })
+		}},
+		"unknown, it came and went during a cut, the history is kept back": {account: "moka", request: "id-2", want: "stream-unknown", prepare: func(f *emulator) {
+			oneVersion(f)
+			f.turnsAway = everyRouter
+			cutZoneOff(f, func() { f.addServer(otherVersion); f.store.remove(f.now, addedServer) })
+		}},
+		"unknown, the history of a cut is kept back": {account: "moka", request: "id-2", want: "stream-unknown", prepare: func(f *emulator) {
+			oneVersion(f)
+			f.turnsAway = everyRouter
+			cutZoneOff(f, func() {})
+		}},
+		"unknown, nothing came during a cut": {account: "moka", request: "id-2", want: beganAt, prepare: func(f *emulator) {
+			oneVersion(f)
+			cutZoneOff(f, func() {})
 		}},
 		"recorded, its version just went": {account: "moka", request: "id-1", want: beganAt, prepare: func(f *emulator) {
 			f.setVersions(func(int) string { return otherVersion })
@@ -208,9 +219,17 @@
 		}},
 		"reported at two versions":                   {account: "moka", request: "id-1", want: "stream-unknown", prepare: func(f *emulator) { f.inZone(0, 0).begin("id-1", otherVersion) }},
 		"began at an unknown version, one is listed": {account: "moka", request: "id-3", want: beganAt, prepare: func(f *emulator) { oneVersion(f); f.inZone(0, 0).beginAt("id-3", table.Software{Unknown: true}) }},
+		"began at an unknown version, another one was listed before the fleet started": {account: "moka", request: "id-3", want: "stream-unknown", prepare: func(f *emulator) {
+			f.killAll()
+			f.setVersions(func(int) string { return beganAt })
+			f.startAll()
+			f.run(f.now+3*time.Second, func() {})
+			f.inZone(0, 1).beginAt("id-3", table.Software{Unknown: true})
+		}},
 		"began at an unknown version, one is listed, fleet is young": {account: "moka", request: "id-3", want: beganAt, prepare: func(f *emulator) {
 			f.killAll()
 			f.setVersions(func(int) string { return beganAt })
+			f.run(f.now+emulatedHistory+time.Second, func() {})
 			f.startAll()
 			f.run(f.now+3*time.Second, func() {})
 			f.inZone(0, 1).beginAt("id-3", table.Software{Unknown: true})
@@ -239,6 +258,16 @@
 	f.run(f.now+2*time.Minute+5*time.Second, func() {})
 }
 
+// cutZoneOff cuts zone 0 off, during which something happens, and keeps it from the other zones afterwards, but not from
+// the platform.
+func cutZoneOff(f *emulator, during func()) {
+	f.isCut, f.store.away = func(a, b int) bool { return a == 0 || b == 0 }, true
+	f.run(f.now+3*time.Second, func() {})
+	during()
+	f.isCut, f.store.away = func(a, b int) bool { return a != b }, false
+	f.run(f.now+3*time.Second, func() {})
+}
+
 // otherVersionGoes lets the servers of the other version be replaced.
 func otherVersionGoes(f *emulator) {
 	f.setVersions(func(int) string { return beganAt })
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -57,6 +57,7 @@
 		s.sendEach(e.From, s.retainedUpdate())
 		s.sendAllSuspects(e.From)
 		s.sendAllSpeeds(e.Inbound)
+		s.sendVersions(e.From)
 		s.scheduleMembersUpdate()
 	}
 	switch m := e.Msg.(type) {
@@ -85,6 +86,8 @@
 		s.answerOriginQuery(e.From, m)
 	case *wire.OriginReply:
 		s.handleOriginReply(e.From, m)
+	case *wire.ListedVersions:
+		s.handleListedVersions(e.From, m)
 	case *wire.SoftwareVersions:
 		s.link(e.From).versions = m
 	case *wire.PlatformUpdate:
--- a/internal/dispatch/platform_verify.go
+++ b/internal/dispatch/platform_verify.go
@@ -119,6 +119,7 @@
 	if err != nil {
 		return err
 	}
+	d.shared.readEverything.Store(true)
 	d.applyRead(update, start)
 	return nil
 }
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/internal/front"
-	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/pkg/origin"
 	"github.com/yarrowmast/yarrowmast/pkg/rendezvous"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
@@ -107,12 +106,7 @@
 		}
 		q.doubtful = true
 	}
-	candidates := s.originCandidates(q.key)
-	if len(candidates) == 0 {
-		s.continueUnrecorded(q)
-		return
-	}
-	s.askForOrigin(q, candidates)
+	s.askForOrigin(q, s.originCandidates(q.key))
 }
 
 // askForOrigin asks other routers what began a stream.
@@ -128,6 +122,7 @@
 	}
 	q.asked = len(q.waiting)
 	s.origins.queries[msg.Seq] = q
+	s.settle(msg.Seq, q)
 }
 
 // originCandidates returns the routers that may remember a stream, wherever it began.
@@ -145,7 +140,7 @@
 
 // answerOriginQuery tells another router what this one knows of a stream.
 func (s *state) answerOriginQuery(from string, m *wire.OriginQuery) {
-	reply := &wire.OriginReply{Seq: m.Seq, MemoryMillis: s.versionMemory().Milliseconds()}
+	reply := &wire.OriginReply{Seq: m.Seq, MemoryMillis: s.versions.Span(s.now).Milliseconds(), Mixed: s.versions.UnknownLeft(s.now) > 0}
 	var o origin.Origin
 	if o, reply.Known = s.origins.store.Get(s.now, origin.Key(m.Key)); reply.Known {
 		reply.Origin = originMessage(origin.Key(m.Key), o)
@@ -169,9 +164,25 @@
 	case remembered && !q.doubtful:
 		delete(s.origins.queries, m.Seq)
 		s.continueAt(q, originOf(&m.Origin), from)
-	case len(q.waiting) == 0:
-		delete(s.origins.queries, m.Seq)
-		s.continueUnrecorded(q)
+	default:
+		s.settle(m.Seq, q)
+	}
+}
+
+// settle decides on a stream that nobody remembers once all routers that were asked have replied. It waits for the
+// versions that were listed lately if this router is about to learn them.
+func (s *state) settle(seq uint64, q *originQuery) {
+	if len(q.waiting) > 0 || s.versions.isLearning() && !s.coversResumption(q) {
+		return
+	}
+	delete(s.origins.queries, seq)
+	s.continueUnrecorded(q)
+}
+
+// settleQueries decides on the streams that waited for the versions that were listed lately.
+func (s *state) settleQueries() {
+	for seq, q := range s.origins.queries {
+		s.settle(seq, q)
 	}
 }
 
@@ -199,19 +210,32 @@
 }
 
 // continueUnrecorded decides on a stream of which nobody who replied remembers what began it. It may go on if it can have
-// begun at one version only, as far as is known up to now.
+// begun at one version only.
 func (s *state) continueUnrecorded(q *originQuery) {
 	sole, isSole := s.soleSoftware(q.Services, q.Service)
+	maySole := isSole && !q.mixed && s.versions.UnknownLeft(s.now) == 0
 	switch {
-	case isSole && !q.mixed && (max(q.memory, s.versionMemory()) >= admit.SoftwareTTL || s.askedAll(q)):
+	case maySole && s.coversResumption(q):
 		s.finishResumption(q, resumeSoleVersion, front.Continuation{Service: q.Service, Software: &sole}, "")
-	case isSole && !q.mixed || len(q.waiting) > 0 || s.now-clockStart < startPeriod:
+	case maySole || len(q.waiting) > 0 || s.now-clockStart < startPeriod:
 		s.refuseResumption(q, resumeNoReply, errOriginUnknown.WithRetryAfter(retryAfterNoReply))
 	default:
 		s.refuseResumption(q, resumeUnknown, errOriginUnknown.WithRetryAfter(retryAfterUnknown))
 	}
 }
 
+// coversResumption reports whether all versions are known that can have begun a stream: a router has known
+// what was listed for long enough, or every router of the fleet replied. Those count that knew it until the
+// platform could not be read, since none of them begins a stream at a version that came later. Without a
+// history a platform cannot tell what came before all of them started.
+func (s *state) coversResumption(q *originQuery) bool {
+	window := s.versions.window
+	if max(q.memory, s.versions.Span(s.now)) >= window {
+		return true
+	}
+	return s.askedAll(q) && (s.d.opt.history == 0 || s.versions.Reach(s.now) >= window)
+}
+
 // soleSoftware returns what the backend servers of a service run, and whether those of each service run
 // one version only.
 func (s *state) soleSoftware(services []string, service string) (sole table.Software, isSole bool) {
@@ -239,27 +263,6 @@
 	return r.Software
 }
 
-// versionMemory returns for how long this router has known all versions that were listed: since it started,
-// or since what it knew was last out of date, in which time one may have come and gone.
-func (s *state) versionMemory() time.Duration {
-	if s.origins.currentSince == 0 {
-		return 0
-	}
-	return s.now - s.origins.currentSince
-}
-
-// trackCurrency notes since when what this router knows has been the newest.
-func (s *state) trackCurrency() {
-	verified := time.Duration(s.d.shared.lastVerified.Load())
-	isCurrent := verified > 0 && s.now-verified < time.Duration(s.d.shared.applyWithin.Load())
-	switch {
-	case !isCurrent:
-		s.origins.currentSince = 0
-	case s.origins.currentSince == 0:
-		s.origins.currentSince = s.now
-	}
-}
-
 // askedAll reports whether every router of the fleet replied to a query.
 func (s *state) askedAll(q *originQuery) bool {
 	return len(q.waiting) == 0 && q.asked+1 >= int(s.d.shared.routerCount.Load()) && s.roster.HeardAllSeeds()
@@ -282,5 +285,6 @@
 		version = c.Software.String()
 	}
 	s.d.opt.log.Info("stream_resumed", "request", q.Request, "resumes", q.Resumes, "outcome", string(outcome), "service", c.Service, "version", version,
-		"from", from, "asked", q.asked, "no_reply", len(q.waiting), "mixed", q.mixed, "took_ms", (s.now - q.startedAt).Milliseconds())
+		"from", from, "asked", q.asked, "no_reply", len(q.waiting), "mixed", q.mixed, "memory_ms", max(q.memory, s.versions.Span(s.now)).Milliseconds(),
+		"window_ms", s.versions.window.Milliseconds(), "unknown_ms", s.versions.UnknownLeft(s.now).Milliseconds(), "took_ms", (s.now - q.startedAt).Milliseconds())
 }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -49,6 +49,7 @@
 	encodedRoster encodedRoster
 	keys          *idempotencyKeys
 	origins       *streamOrigins
+	versions      versionMemory
 	// tokenCounts counts the tokens of running requests by id, if accounts are scheduled
 	// by weight.
 	tokenCounts map[uint64]*atomic.Int64
@@ -201,7 +202,7 @@
 	s.reportRefusals()
 	s.step(admit.Tick{})
 	s.expireClaims()
-	s.trackCurrency()
+	s.updateVersionMemory()
 	s.expireOriginQueries()
 	s.replicateOrigins()
 	s.updateLoadReaders()
--- a/internal/dispatch/table_update.go
+++ b/internal/dispatch/table_update.go
@@ -73,6 +73,7 @@
 		return
 	}
 	s.d.shared.table.Store(v)
+	s.versions.window = resumptionWindow(v, s.applyWithin())
 	change := s.catalog.LastChange()
 	s.logTable(v, from, change)
 	s.step(admit.TableUpdate{Table: v, Partial: !change.All, Changed: change.Names})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -216,6 +216,7 @@
 	opts := []dispatch.Option{
 		dispatch.WithLogger(n.log), dispatch.WithSeeds(s.Seeds), dispatch.WithApplyWithin(s.ApplyWithin),
 		dispatch.WithRetryBudget(retryBudget(s.Retries)), dispatch.WithForwarder(n.forwarder), dispatch.WithClock(n.clock), dispatch.WithRegions(s.Regions),
+		dispatch.WithHistory(s.History),
 	}
 	if p.Backends.Instance != "" {
 		opts = append(opts, dispatch.WithUniqueIncarnations())
--- a/pkg/admit/versions.go
+++ b/pkg/admit/versions.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/pkg/catalog"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
@@ -54,6 +55,16 @@
 	}
 }
 
+// recordListed records that a software was listed lately.
+func (u softwareUses) recordListed(software table.Software, now time.Duration) {
+	use, ok := u[software]
+	if !ok {
+		use = &softwareUse{}
+		u[software] = use
+	}
+	use.lastListed = now
+}
+
 // reset takes all backend servers out of the counts.
 func (u softwareUses) reset(now time.Duration) {
 	for software, use := range u {
@@ -135,6 +146,33 @@
 	return false
 }
 
+// SoftwareListed tells of software versions that were listed lately, by services. Their backend servers may
+// have gone since. Services that the table lacks are ignored.
+type SoftwareListed struct{ Versions []catalog.ServiceVersion }
+
+func (e SoftwareListed) apply(c *Core) {
+	for _, v := range e.Versions {
+		if svc, ok := c.services[v.Service]; ok {
+			svc.software.recordListed(table.Software{Version: v.Version}, c.now)
+		}
+	}
+}
+
+// RecentSoftware returns the known software versions of all services, listed now or within SoftwareTTL.
+func (c *Core) RecentSoftware() []catalog.ServiceVersion {
+	var list []catalog.ServiceVersion
+	for _, name := range slices.Sorted(maps.Keys(c.services)) {
+		software := c.services[name].software
+		software.expire(c.now, SoftwareTTL)
+		for _, x := range software.sorted() {
+			if !x.Unknown {
+				list = append(list, catalog.ServiceVersion{Service: name, Version: x.Version})
+			}
+		}
+	}
+	return list
+}
+
 // CanContinue reports whether a stream that a software began may go on at a backend server other than the
 // one that it leaves, "" for none.
 func (c *Core) CanContinue(service string, regions table.RegionSet, software table.Software, leaves string) bool {
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -63,6 +63,7 @@
 	KindOriginQuery           Kind = 43
 	KindOriginReply           Kind = 44
 	KindPartCrashes           Kind = 45
+	KindListedVersions        Kind = 46
 )
 
 // Protocol is the version of the protocol that this program writes, OldestProtocol the
@@ -153,6 +154,7 @@
 	KindOriginQuery:           func() any { return &OriginQuery{} },
 	KindOriginReply:           func() any { return &OriginReply{} },
 	KindPartCrashes:           func() any { return &PartCrashes{} },
+	KindListedVersions:        func() any { return &ListedVersions{} },
 }
 
 // Encoder encodes the messages of one connection. It sends an interned string only
--- a/pkg/wire/versions.go
+++ b/pkg/wire/versions.go
@@ -78,3 +78,17 @@
 		f(&t.Backends[i])
 	}
 }
+
+// ListedVersions tells a router which software versions were listed lately, so that it need not have been
+// running then.
+type ListedVersions struct {
+	// Epoch and AsOf are the sender's revision.
+	Epoch, AsOf uint64
+	// SpanMillis is for how long, up to that revision, the sender has known all versions that were listed.
+	SpanMillis int64
+	// Versions were listed in that time. Some still may be.
+	Versions []catalog.ServiceVersion
+	// UnknownMillis is for how much longer streams may be taken up that began at a backend server of
+	// which the sender does not know the version, 0 if there is none.
+	UnknownMillis int64
+}
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -52,6 +52,7 @@
 		&wire.OriginQuery{Seq: 3, Key: 1 << 63, Services: []wire.NameHash{7, 9}},
 		&wire.OriginReply{Seq: 3, Known: true, Origin: wire.StreamOrigin{Key: 1 << 63, Service: 7, Version: "v1"}, Mixed: true, MemoryMillis: 120000},
 		&wire.SoftwareVersions{Epoch: 2, After: 4, AsOf: 9, Versions: []string{"v1", "", "v1.1"}, Unknown: []int{1}},
+		&wire.ListedVersions{Epoch: 2, AsOf: 9, SpanMillis: 20000, Versions: []catalog.ServiceVersion{{Service: "reader", Version: "v1"}, {Service: "reader"}}, UnknownMillis: 17000},
 		&wire.RestrictedUpdate{Update: catalog.Update{AsOf: 9}, Table: table.Restrictions{Routes: map[string][]string{"r": {"north"}}}, Retained: table.Restrictions{Accounts: map[string][]string{"a": {"north", "south"}}}},
 	}
 }
