Don't trust own lists in an outage once a router has started

What callers would see: a zone is cut off while streams begin at a new version elsewhere; all routers of the other zones are then lost, and the store is away when the cut ends. A stream of the new version went on at the old one, the only one that the routers of the zone knew.

Cause: during an outage the lists of all routers count if this one knew all versions until it last read the store. A router that started since may have begun streams before its start at versions that only it had read.

Change: such a start, heard while this router is out of date, ends what it knows until it reads the store again.

Evidence: TestOutageAfterCut fails with the mechanism off (goes on at v1), passes with it. The emulator can cut single routers off the platform, and no longer counts a router that was sent the directory as having checked it while the platform is away.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -41,6 +41,8 @@
 	slowEvery int
 	// isCut reports whether messages between two zones are lost; it may be nil.
 	isCut func(a, b int) bool
+	// isStoreCut reports whether a router cannot reach the platform; it may be nil.
+	isStoreCut func(r *emulatedRouter) bool
 	// turnsAway reports whether the platform's history is kept from a router; it may be nil. historyReads
 	// counts the reads of it.
 	turnsAway    func(r *emulatedRouter) bool
@@ -195,7 +197,7 @@
 	s := &h.store
 	i, _ := slices.BinarySearchFunc(s.changes, after.Number+1, func(x catalog.Server, r uint64) int { return cmp.Compare(x.Revision, r) })
 	switch {
-	case s.away || h.turnsAway != nil && h.turnsAway(h.router):
+	case !h.router.reachesStore() || h.turnsAway != nil && h.turnsAway(h.router):
 		return catalog.Update{}, errors.New("the platform does not answer")
 	case after.Epoch != s.epoch || after.Number < s.forgotten || i < len(s.changes) && h.now-s.changedAt[i] > emulatedHistory:
 		return catalog.Update{}, catalog.ErrCompacted
@@ -464,7 +466,7 @@
 	asOf := r.d.asOf()
 	due := r.verifyDueIn(sinceStart)
 	switch {
-	case due <= 0 && f.store.away:
+	case due <= 0 && !r.reachesStore():
 		f.store.count(r, 1)
 		r.readsUntil, r.fullRead = f.now+r.d.retryDelay(time.Second), false
 	case due <= 0 && asOf.IsZero():
@@ -472,13 +474,18 @@
 	case due <= 0:
 		f.store.count(r, 1)
 		r.readsUntil, r.fullRead = f.now+emulatedCall, false
-	case !asOf.IsZero() && asOf.Epoch == f.store.epoch && !f.store.away && r.d.shared.readerRank.Load() < watcherCount && sinceStart >= watchDelay && asOf.Number < f.store.revision:
+	case !asOf.IsZero() && asOf.Epoch == f.store.epoch && r.reachesStore() && r.d.shared.readerRank.Load() < watcherCount && sinceStart >= watchDelay && asOf.Number < f.store.revision:
 		f.store.count(r, 1)
 		r.readsUntil, r.fullRead, r.watching = f.now+time.Duration(watchPauseFraction*float64(f.within)), false, true
 		r.apply(updateEvent{Update: f.store.since(asOf.Number)})
 	}
 }
 
+func (r *emulatedRouter) reachesStore() bool {
+	f := r.emulator
+	return !f.store.away && !(f.isStoreCut != nil && f.isStoreCut(r))
+}
+
 // readHistory reads the platform's history where the router's task would do so.
 func (r *emulatedRouter) readHistory() {
 	f := r.emulator
@@ -503,7 +510,7 @@
 // verifyDueIn is verifyDue for a router that started at another time than the emulator.
 func (r *emulatedRouter) verifyDueIn(sinceStart time.Duration) time.Duration {
 	verified := time.Duration(r.d.shared.lastVerified.Load())
-	if verified > 0 || !r.d.asOf().IsZero() {
+	if verified > 0 || !r.d.asOf().IsZero() && r.reachesStore() {
 		if verified == 0 {
 			r.d.recordVerified(r.emulator.now)
 		}
@@ -526,7 +533,7 @@
 	switch {
 	case r.watching:
 		r.watching = false
-	case f.store.away:
+	case !r.reachesStore():
 	case r.fullRead:
 		r.d.shared.readEverything.Store(true)
 		r.apply(updateEvent{Update: f.store.since(0), readAt: f.now})
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -47,6 +47,7 @@
 	if isNew {
 		s.endStreamsOfRestarted(&e.Inbound)
 		s.origins.forgetRecipient(e.From)
+		s.versions.RecordNewcomer(s.now)
 		s.d.opt.log.Info("member_heard", "peer", e.Name, "address", e.From, "zone", e.Zone, "incarnation", e.Incarnation)
 		if _, isRoster := e.Msg.(*wire.Roster); !isRoster && s.introducesRouters() {
 			s.sendFullRoster(e.From, true)
--- a/internal/dispatch/version_memory_test.go
+++ b/internal/dispatch/version_memory_test.go
@@ -173,6 +173,29 @@
 	}
 }
 
+// TestOutageAfterCut: a router that was cut off while others began streams at a new version must not take its own list
+// for all there is when these have started anew and the store is away.
+func TestOutageAfterCut(t *testing.T) {
+	f := newReleasedFleet(false)
+	f.isCut = func(a, b int) bool { return (a == 0) != (b == 0) }
+	f.isStoreCut = func(r *emulatedRouter) bool { return r.index%f.zones == 0 }
+	f.run(f.now+2*time.Second, func() {})
+	f.addServer(otherVersion)
+	f.inZone(1, 0).begin("id-1", otherVersion)
+	f.store.away = true
+	f.run(f.now+3*time.Second, func() {})
+	f.killZone(1)
+	f.killZone(2)
+	f.isCut = nil
+	f.startAll()
+	f.run(f.now+time.Second, func() {})
+	for zone := range f.zones {
+		if got := f.resume(f.inZone(zone, 1), "moka", "id-1"); got != "stream-unknown" {
+			t.Errorf("zone %d: the stream goes on at %q", zone, got)
+		}
+	}
+}
+
 // TestVersionHistoryReachesAll: a few routers must read the history when a fleet starts, in few calls, and all must
 // know soon what it tells.
 func TestVersionHistoryReachesAll(t *testing.T) {
--- a/pkg/origin/memory.go
+++ b/pkg/origin/memory.go
@@ -14,6 +14,8 @@
 	current bool
 	// earlier is the period before the last gap, until something bridges that gap.
 	earlier period
+	// newcomerAt is when a router was last heard that has started, 0 if none was.
+	newcomerAt time.Duration
 	// unknownUntil is until when backend servers matter that were removed and whose versions are unknown.
 	unknownUntil time.Duration
 }
@@ -70,6 +72,10 @@
 	return m.from.Number
 }
 
+// RecordNewcomer records that another router has started. If this one is not current, that router may have
+// begun streams, before its start, at versions that this one has not read.
+func (m *Memory) RecordNewcomer(now time.Duration) { m.newcomerAt = now }
+
 // RecordUnknown records that a backend server was listed whose version is not known, and whose streams may
 // be taken up until the given time.
 func (m *Memory) RecordUnknown(until time.Duration) { m.unknownUntil = max(m.unknownUntil, until) }
@@ -92,10 +98,11 @@
 	return now - m.since
 }
 
-// Reach returns how far back the router has known every version that was listed, up to now or, if it is not
-// current, up to when it last was.
+// Reach returns how far back the router has known every version at which a running router may have begun a
+// stream. If it is not current, that is every version that was listed until it last was, provided that no
+// other router has started since.
 func (m *Memory) Reach(now time.Duration) time.Duration {
-	if m.until == 0 {
+	if m.IsEmpty() || !m.current && m.newcomerAt > m.until {
 		return 0
 	}
 	return now - m.since
--- a/pkg/origin/memory_test.go
+++ b/pkg/origin/memory_test.go
@@ -40,6 +40,16 @@
 			m.Observe(70*s, false, at(5))
 			m.Extend(10 * s)
 		}, 0, 40 * s, 5},
+		"out of date, another router started": {func(m *Memory) {
+			m.Observe(60*s, true, at(5))
+			m.Observe(70*s, false, at(5))
+			m.RecordNewcomer(71 * s)
+		}, 0, 0, 5},
+		"another router started before": {func(m *Memory) {
+			m.RecordNewcomer(59 * s)
+			m.Observe(60*s, true, at(5))
+			m.Observe(70*s, false, at(5))
+		}, 0, 40 * s, 5},
 		"after a gap": {func(m *Memory) {
 			m.Observe(60*s, true, at(5))
 			m.Observe(70*s, false, at(5))
