soak: all routers are killed just after a release

The fault comes before the store forgets its history or is restored from a copy: nobody can know then what it listed (docs/design/stream-versions.md has which promise gives way).

--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -51,6 +51,9 @@
 	EntryUnknown Fault = "entry-stray"
 	// WorkerReplaced crashes a worker and starts one of another software version under a new id.
 	WorkerReplaced Fault = "worker-replaced"
+	// ReleaseAndLoss replaces all workers of one software version by another one, and kills all routers at
+	// once just afterwards.
+	ReleaseAndLoss Fault = "release-all-killed"
 	// Suspend stops a router's process for a time that its monotonic clock does not show.
 	Suspend Fault = "suspend"
 	// RequestCrashing repeats a request that crashes the workers that run it.
@@ -92,11 +95,12 @@
 	entryGaps = 3
 )
 
-// smallRouterStream and stopStream are the random sources, next to those of newPlan, of the router with little
-// capacity and of the planned stops.
+// smallRouterStream, stopStream and lossStream are the random sources, next to those of newPlan, of the router with
+// little capacity, of the planned stops and of the loss of all routers.
 const (
 	smallRouterStream = 7
 	stopStream        = 8
+	lossStream        = 9
 )
 
 // newPlan draws the faults of a run from its seed. Kinds that were added later are drawn from random sources
@@ -129,6 +133,7 @@
 	})...)
 	plan = append(plan, drawCrashing(source(2), length, RequestCrashing, len(crashKinds))...)
 	plan = append(plan, drawCrashing(source(6), length, PartCrashing, len(partCrashes))...)
+	plan = append(plan, drawLoss(source(lossStream), plan, length)...)
 	slices.SortStableFunc(plan, func(a, b Step) int { return int(a.At - b.At) })
 	return plan
 }
@@ -161,6 +166,25 @@
 	return []Step{{At: at, Duration: length - at, Fault: fault, Target: rng.IntN(kinds)}}
 }
 
+// lossMargin is the least time between the loss of all routers and a later fault of the store.
+const lossMargin = 3 * time.Second
+
+// drawLoss draws a release after which all routers are lost, in half of the runs. It comes before the store
+// forgets its history or is restored, since nobody can know then which versions it listed.
+func drawLoss(rng *rand.Rand, plan []Step, length time.Duration) []Step {
+	until := length - lossMargin
+	for _, s := range plan {
+		if s.Fault == StoreCompact || s.Fault == StoreRestore {
+			until = min(until, s.At-lossMargin)
+		}
+	}
+	if rng.IntN(2) == 0 || until <= firstFaultAfter {
+		return nil
+	}
+	at := firstFaultAfter + time.Duration(rng.Int64N(int64(until-firstFaultAfter)))
+	return []Step{{At: at, Duration: minDuration, Fault: ReleaseAndLoss, Target: rng.IntN(len(versions))}}
+}
+
 func targetsWorker(f Fault) bool {
 	return slices.Contains([]Fault{
 		LinkBlocked, LinkReset, LinkSlow, WorkerFails, WorkerRefuses, WorkerDisconnects, WorkerStalls, WorkerRestart, WorkerReplaced, EntryCorrupt, EntryUnknown,
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -148,6 +148,8 @@
 				t.sendCrashing(s)
 			case PartCrashing:
 				t.sendCrashingPart(s)
+			case ReleaseAndLoss:
+				t.releaseAndLose(s)
 			default:
 				f.apply(s, &changes)
 			}
