Bound the memory of the bodies that a router holds

Cause: a router took memory for a body as soon as its length was stated, and nothing bounded the bodies that were held together: connections are bounded as if each took 64 KB, and a body may take 4 MB.

One that finds no room is refused at once and unread, as not run (503 bodies-full, Retry-After 1 s). One without a length reserves memory as it grows, three times its size since a growing buffer is copied. Smaller bodies are never refused for it.

Weighed: to count bodies as they come. They would take half as much on average, and the router would have to refuse some of them half way.

--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -52,6 +52,7 @@
 	"bad-answer":          {"the answer was not the backend server's own, or not in order", "other attempts there at that time"},
 	"crossed-answer":      {"the backend server answered another request", "other attempts there at that time"},
 	"too-many-open":       {"the router had as many requests open as its settings allow; it did not run", "callers.max_open of the settings"},
+	"bodies-full":         {"the large bodies of open requests took the memory that they may; it did not run", "request_end with a long total_ms there: callers that send slowly"},
 	"body-cut":            {"the caller's body ended early or came too slowly", "the caller's network"},
 	"body-too-large":      {"the body is over the table's limit", "the limits of the version in force"},
 	"bad-header":          {"a header could not be read", "the caller"},
--- a/internal/front/ask.go
+++ b/internal/front/ask.go
@@ -39,13 +39,15 @@
 
 // inboundRequest is a caller's request after parsing.
 type inboundRequest struct {
-	id            string
-	account       table.Account
-	model         string
-	method        string
-	host          string
-	path          string
-	body          []byte
+	id      string
+	account table.Account
+	model   string
+	method  string
+	host    string
+	path    string
+	body    []byte
+	// bodyMemory is reserved until the request ends.
+	bodyMemory    bodyReservation
 	mayStream     bool
 	notRepeatable bool
 	priority      int
@@ -132,28 +134,30 @@
 	return &e
 }
 
-// readBody reads the whole body. An incomplete body must not reach a backend server.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
+// readBody reads the whole body. An incomplete body must not reach a backend server. A body for which there is no
+// memory is refused at once, before it is read if its length is stated.
+func (s *Server) readBody(in *inboundRequest, w http.ResponseWriter, r *http.Request) *verdict.Error {
 	limit := s.maxBody()
 	if r.ContentLength > limit {
-		return nil, errBodyTooLarge
+		return errBodyTooLarge
 	}
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(s.limits.Load().IOTimeout))
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	var buf bytes.Buffer
-	if r.ContentLength > 0 {
-		buf.Grow(int(r.ContentLength) + bytes.MinRead)
-	}
-	_, err := buf.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		return buf.Bytes(), nil
-	}
+	in.bodyMemory.memory = &s.bodyMemory
+	body, err := in.bodyMemory.readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, s.limits.Load().MaxBodyMemory)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, errBodyTooLarge
+	switch {
+	case err == nil:
+		in.body = body
+		return nil
+	case errors.Is(err, errNoBodyMemory):
+		return errBodiesFull.WithRetryAfter(refusalRetryAfter)
+	case errors.As(err, &tooLarge):
+		return errBodyTooLarge
+	default:
+		return errBodyCut.Wrap(err)
 	}
-	return nil, errBodyCut.Wrap(err)
 }
 
 // parseModel checks that the body is JSON and returns its model field.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -139,6 +139,12 @@
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
+	return readReply(t, req)
+}
+
+// readReply sends a request and reads the response.
+func readReply(t *testing.T, req *http.Request) reply {
+	t.Helper()
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -68,6 +68,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, in *inboundRequest, parse func() *verdict.Error) {
 	s.requests.Add(1)
 	defer s.openRequests.Add(-1)
+	defer in.bodyMemory.release()
 	var err *verdict.Error
 	if s.openRequests.Add(1) > s.limits.Load().MaxOpen {
 		err = errTooManyOpen.WithRetryAfter(refusalRetryAfter)
@@ -227,12 +228,11 @@
 func (s *Server) completions(w http.ResponseWriter, r *http.Request) {
 	s.handleBuiltin(w, r, func(in *inboundRequest) *verdict.Error {
 		in.mayStream = true
-		body, err := s.readBody(w, r)
-		if err != nil {
+		if err := s.readBody(in, w, r); err != nil {
 			return err
 		}
-		in.body = body
-		in.model, err = parseModel(body)
+		var err *verdict.Error
+		in.model, err = parseModel(in.body)
 		return err
 	})
 }
@@ -246,9 +246,7 @@
 		if r.Header.Get(HeaderNotRepeatable) == "" {
 			in.notRepeatable = r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodOptions
 		}
-		body, err := s.readBody(w, r)
-		in.body = body
-		return err
+		return s.readBody(in, w, r)
 	})
 }
 
--- a/internal/front/problem.go
+++ b/internal/front/problem.go
@@ -36,6 +36,7 @@
 	errDraining        = verdict.New(verdict.PhaseAdmit, http.StatusServiceUnavailable, "draining", "this entry instance is stopping; send the request again")
 	errTooManyOpen     = verdict.New(verdict.PhaseAdmit, http.StatusServiceUnavailable, "too-many-open", "this entry instance has too many open requests")
 	errConnectionsFull = verdict.New(verdict.PhaseAdmit, http.StatusServiceUnavailable, "connections-full", "this entry instance has too many connections in use; send the request again, another one may have fewer")
+	errBodiesFull      = verdict.New(verdict.PhaseAdmit, http.StatusServiceUnavailable, "bodies-full", "this entry instance holds too many large bodies; send the request again, another one may have room")
 	errNoTable         = verdict.New(verdict.PhaseAdmit, http.StatusServiceUnavailable, "no-table", "this entry instance has no table yet")
 )
 
--- a/internal/front/routed.go
+++ b/internal/front/routed.go
@@ -98,9 +98,7 @@
 			return err
 		}
 	}
-	body, err := s.readBody(w, r)
-	in.body = body
-	return err
+	return s.readBody(in, w, r)
 }
 
 func (s *Server) readAccount(in *inboundRequest, r *http.Request, t *table.Table) *verdict.Error {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -93,6 +93,7 @@
 	idPrefix     string
 	nextID       atomic.Uint64
 	openRequests atomic.Int64
+	bodyMemory   bodyMemory
 	// requests counts all requests since the start.
 	requests        atomic.Int64
 	limits          atomic.Pointer[CallerLimits]
@@ -138,6 +139,8 @@
 	// limit.
 	MaxOpen        int64
 	MaxConnections int
+	// MaxBodyMemory bounds the memory of the bodies of open requests, in bytes; 0 means no limit.
+	MaxBodyMemory int64
 	// MaxEventDelay is the maximum delay of a backend server's event on its way to the caller.
 	MaxEventDelay time.Duration
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -316,7 +316,7 @@
 	return front.CallerLimits{
 		MaxBody: s.Callers.MaxBodyBytes, MaxHeader: s.Callers.MaxHeaderBytes, Deadline: s.Callers.DefaultDeadline,
 		IOTimeout: s.Callers.IOTimeout, MaxOpen: s.Callers.MaxOpen, MaxConnections: maxConnections(s.Machine),
-		MaxEventDelay: s.Callers.MaxEventDelay,
+		MaxBodyMemory: int64(bodyMemoryFraction * float64(s.Machine.MemoryMB<<20)), MaxEventDelay: s.Callers.MaxEventDelay,
 	}
 }
 
@@ -330,6 +330,9 @@
 	connectionMemory = 64 << 10
 	// connectionMemoryFraction is the fraction of the memory for callers' connections.
 	connectionMemoryFraction = 0.5
+	// bodyMemoryFraction is the fraction of the memory for the large bodies of open requests. It is less than
+	// the fraction for the heap, which has all else, too.
+	bodyMemoryFraction = 0.6
 )
 
 // maxConnections returns the limit on callers' connections, 0 for none.
