Send unsafe requests on connections of their own

Cause: a backend server's late second answer comes when the next request is on the connection. A refusal has no request id, so that it was taken for that of the request just sent. Unsafe requests took connections that had been used within 250 ms, against docs/AT-MOST-ONCE.md.

Change: a request that must not run twice gets a fresh connection, on which a refusal can only be its own. The connection is kept for requests that may be repeated.

Weighed: to pass over refusals without an id on a connection that was used before. Real refusals have none either, and a promise that callers can act on would become "may have run" wherever servers are full.

Before: TestLateRefusalIsNotOfAnotherRequest fails ("backend-refused, not run"). TestConnectionReuse expected the reuse; it expects a second connection now.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -27,11 +27,7 @@
 	keepAliveMargin = 700 * time.Millisecond
 	// maxIdlePerServer limits the idle connections to one backend server.
 	maxIdlePerServer = 32
-	// notRepeatableMaxIdle limits the idle time of a connection that carries a request
-	// that must not run twice. If a request meets a connection that the backend server
-	// is closing, it is unknown whether it ran.
-	notRepeatableMaxIdle = 250 * time.Millisecond
-	readBufferSize       = 4 << 10
+	readBufferSize   = 4 << 10
 	// sweepInterval is the minimum time between scans for expired connections.
 	sweepInterval = time.Second
 )
@@ -64,12 +60,13 @@
 }
 
 // acquire returns a healthy idle connection or a new one. A request that must not run
-// twice gets an idle connection only if it was used recently. The caller must pass the
+// twice gets a new one: on another one, a late second response to an earlier request could
+// be taken for its own, and the backend server may be closing it. The caller must pass the
 // connection to release or discard.
 func (p *connPool) acquire(ctx context.Context, c *Call) (*conn, error) {
 	key := c.connKey()
-	for {
-		idle := p.takeIdle(key, c.NotRepeatable)
+	for !c.NotRepeatable {
+		idle := p.takeIdle(key)
 		if idle == nil {
 			break
 		}
@@ -126,7 +123,7 @@
 	}
 }
 
-func (p *connPool) takeIdle(key string, notRepeatable bool) *conn {
+func (p *connPool) takeIdle(key string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
@@ -136,9 +133,6 @@
 		return nil
 	}
 	c := list[len(list)-1]
-	if notRepeatable && now.Sub(c.idleSince) > notRepeatableMaxIdle {
-		return nil
-	}
 	p.idle[key] = list[:len(list)-1]
 	p.inUse[key]++
 	return c
--- a/internal/backend/routed_test.go
+++ b/internal/backend/routed_test.go
@@ -183,7 +183,7 @@
 		"late response discarded":         {responses: []string{response("req-1", ""), response("req-0", "") + response("req-1", "")}, conns: 1},
 		"idle for 1 s":                    {responses: both, idle: time.Second, conns: 1},
 		"idle for 5 s":                    {responses: both, idle: 5 * time.Second, conns: 2},
-		"not repeatable":                  {responses: both, notRepeatable: true, conns: 1},
+		"not repeatable":                  {responses: both, notRepeatable: true, conns: 2},
 		"not repeatable, idle for 260 ms": {responses: both, notRepeatable: true, idle: 260 * time.Millisecond, conns: 2},
 	}
 	for name, tc := range tests {
@@ -232,6 +232,26 @@
 	return conns.Load(), time.Since(start)
 }
 
+// TestLateRefusalIsNotOfAnotherRequest guards against taking a late second response without an id, to an earlier request,
+// for the refusal of one that must not run twice and that runs.
+func TestLateRefusalIsNotOfAnotherRequest(t *testing.T) {
+	const (
+		served  = "HTTP/1.1 200 OK\r\nX-Id: req-1\r\nX-Proof: p\r\nContent-Length: 2\r\n\r\nok"
+		refused = "HTTP/1.1 503 Service Unavailable\r\nX-Unrun: 1\r\nContent-Length: 0\r\n\r\n"
+	)
+	s := serve(t, respondInOrder(served, refused+served))
+	c := backend.New(backend.WithHeaders(testHeaders()))
+	defer c.Close()
+	for i := range 2 {
+		call := routedCall(s.ln.Addr().String())
+		call.MayStream, call.NotRepeatable = false, true
+		sink := &recorder{}
+		if r := c.Do(context.Background(), call, sink); r.Err != nil || sink.body.String() != "ok" {
+			t.Errorf("request %d: %v, %q", i, r.Err, sink.body.String())
+		}
+	}
+}
+
 // TestEarlyResponseClosesConnection checks that a connection is not reused while the body of
 // an earlier request may still be in transit.
 func TestEarlyResponseClosesConnection(t *testing.T) {
