soak: end worker faults that wait for an event with the others

Trace: attempt_end has answer-cut after 10 of 20 events at the worker for which the plan had worker-cuts at second 10.7. That fault waits for the next stream to reach the event; none did before the planned stops, so that it struck after the last fault. Such faults end with the faults now. No check changes.

--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -114,6 +114,7 @@
 	plan := newPlan(r.Seed, r.Duration, routers, workers)
 	rep.Faults = len(plan)
 	r.injectFaults(f, c, t, plan)
+	f.endWorkerFaults()
 	if err := r.awaitServing(t, "end"); err != nil {
 		c.report(RuleRecovery, "-", err.Error())
 	} else {
@@ -325,6 +326,14 @@
 	f.republishEntry(i)
 }
 
+// endWorkerFaults ends the faults that wait for a stream to reach an event, so that none strikes after the last fault.
+func (f *fleet) endWorkerFaults() {
+	for _, w := range f.workers {
+		w.DisconnectAfter(0)
+		w.StallAfter(0)
+	}
+}
+
 // replaceWorker crashes a worker and starts one of another version under a new id. The old entry goes after
 // the new one has come.
 func (f *fleet) replaceWorker(s Step) {
