Take new seeds at a reload

What callers saw: routers that were added with stale seeds never joined the fleet, and acted as owners beside it: a backend server that was warming up got its rate from each of them (review/REPORT.md, play seeds, FAILBACK).

Cause: a reload took no seeds (need_start=[seeds]), and a router probes the seeds of its start alone.

Change: `seeds` is a setting that a running router takes. It probes the new ones at once. Settings that did not change the seeds leave alone those that the platform lists.

--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -7,7 +7,7 @@
 )
 
 // reloadable lists the settings that a running router applies. The others need a restart.
-var reloadable = []string{"retries", "apply_within", "drain_for", "drain_notice", "log_level", "callers", "machine"}
+var reloadable = []string{"seeds", "retries", "apply_within", "drain_for", "drain_notice", "log_level", "callers", "machine"}
 
 // Change lists the settings that differ, by their names in the file.
 type Change struct {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -83,6 +83,9 @@
 	writeSettings(t, file, "log_level: info\nobjectives: {latency_percent: 90}")
 	d.signals <- syscall.SIGHUP
 	log.waitFor(t, "msg=settings_reloaded", "need_start=[objectives]")
+	writeSettings(t, file, "log_level: info\nobjectives: {latency_percent: 90}\nseeds: [127.0.0.1:9]")
+	d.signals <- syscall.SIGHUP
+	log.waitFor(t, "msg=settings_reloaded", "taken=[seeds]")
 	writeSettings(t, file, "log_level: loud")
 	d.signals <- syscall.SIGHUP
 	log.waitFor(t, "msg=settings_refused", "cause=signal", "loud")
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -108,6 +108,8 @@
 	applyWithin atomic.Int64
 	// versionsMissing says that the software versions of some backend servers are not known.
 	versionsMissing atomic.Bool
+	// seeds are the addresses of the routers to contact first.
+	seeds atomic.Pointer[[]string]
 	// readEverything says that this router has read everything that is published itself.
 	readEverything atomic.Bool
 	// versionsReadAt is when this router last read everything for that, on the dispatcher's clock.
@@ -222,6 +224,7 @@
 	}
 	d.startTime = d.opt.clock.Now()
 	d.shared.applyWithin.Store(int64(d.opt.applyWithin))
+	d.shared.seeds.Store(&d.opt.seeds)
 	return d
 }
 
--- a/internal/dispatch/platform_verify.go
+++ b/internal/dispatch/platform_verify.go
@@ -47,7 +47,7 @@
 }
 
 // isSeed reports whether other routers know this one from their settings.
-func (d *Dispatcher) isSeed() bool { return slices.Contains(d.opt.seeds, d.id.Address) }
+func (d *Dispatcher) isSeed() bool { return slices.Contains(*d.shared.seeds.Load(), d.id.Address) }
 
 // verifyDue returns the time until this router must verify its revision. Values up to 0 mean
 // now.
@@ -68,7 +68,7 @@
 		// Another router sent everything. Its data is fresh enough to count as verified at
 		// the start.
 		verified = clockStart
-	case len(d.opt.seeds) == 0 || d.isSeed():
+	case len(*d.shared.seeds.Load()) == 0 || d.isSeed():
 		return 0
 	default:
 		return clockStart + firstReadDelay(d.shared.readerRank.Load(), readSpread(d.id.Address)) - now
--- a/internal/dispatch/reconfigure.go
+++ b/internal/dispatch/reconfigure.go
@@ -23,3 +23,16 @@
 func (e setApplyWithinEvent) apply(s *state) {
 	s.catalog.SetGracePeriods(gracePeriods(e.applyWithin))
 }
+
+// SetSeeds replaces the addresses of the routers to contact first. They are contacted at once.
+func (d *Dispatcher) SetSeeds(seeds []string) {
+	d.shared.seeds.Store(&seeds)
+	d.post(setSeedsEvent{seeds})
+}
+
+type setSeedsEvent struct{ seeds []string }
+
+func (e setSeedsEvent) apply(s *state) {
+	s.roster.SetSeeds(e.seeds)
+	s.scheduleMembersUpdate()
+}
--- a/internal/dispatch/reconfigure_test.go
+++ b/internal/dispatch/reconfigure_test.go
@@ -41,3 +41,29 @@
 	c.Refresh(at)
 	return []int{before, c.View().BackendCount()}
 }
+
+// TestRouterWithStaleSeedsJoinsAfterReload guards against routers that serve beside the fleet for good, as owners of the
+// same backend servers, because their seeds were gone when they started.
+func TestRouterWithStaleSeedsJoinsAfterReload(t *testing.T) {
+	const within = 2 * time.Second
+	f := newEmulator(9, 3, within)
+	right, added := f.seeds, f.order[7:]
+	f.seeds = []string{"10.9.9.1:8785", "10.9.9.2:8785", "10.9.9.3:8785"}
+	for _, address := range added {
+		f.routers[address].start()
+	}
+	f.seeds = right
+	f.startAll()
+	f.run(f.now+3*time.Second, func() {})
+	if f.allKnowAll() {
+		t.Fatal("the routers know each other without a seed")
+	}
+	for _, address := range added {
+		r := f.routers[address]
+		r.d.shared.seeds.Store(&right)
+		r.apply(setSeedsEvent{right})
+	}
+	if took := f.runUntil(settled, f.allKnowAll); took > within {
+		t.Errorf("the routers know each other %v after the settings name the right seeds", took)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,8 @@
 
 	mu          sync.Mutex
 	drainNotice time.Duration
+	// seeds are those of the settings.
+	seeds []string
 	// maxEventDelay is the maximum delay of a backend server's event on its way to the caller.
 	maxEventDelay time.Duration
 }
@@ -146,7 +148,7 @@
 	for _, f := range opts {
 		f(&o)
 	}
-	n := &Node{Settings: s, log: o.log.With("router", s.Name), serveErrors: make(chan error, 3), drainNotice: s.DrainNotice, maxEventDelay: s.Callers.MaxEventDelay, clock: o.clock}
+	n := &Node{Settings: s, log: o.log.With("router", s.Name), serveErrors: make(chan error, 3), drainNotice: s.DrainNotice, seeds: s.Seeds, maxEventDelay: s.Callers.MaxEventDelay, clock: o.clock}
 	if err := n.start(s, o); err != nil {
 		return nil, fmt.Errorf("node %s: %w", s.Name, err)
 	}
@@ -295,10 +297,15 @@
 func (n *Node) Reload(s config.Settings) {
 	n.mu.Lock()
 	n.drainNotice, n.maxEventDelay = s.DrainNotice, s.Callers.MaxEventDelay
+	seedsChanged := !slices.Equal(n.seeds, s.Seeds)
+	n.seeds = s.Seeds
 	n.mu.Unlock()
 	n.Front.SetCallerLimits(callerLimits(s))
 	if n.Dispatch != nil {
 		n.Dispatch.Reconfigure(retryBudget(s.Retries), s.ApplyWithin)
+		if seedsChanged {
+			n.Dispatch.SetSeeds(s.Seeds)
+		}
 	}
 }
 
