Take the length of the store's history from its client

The length is now a constant of the store's client in platform/, 20 s on all deployments; `history` in the settings replaces it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -119,7 +119,7 @@
 	// ApplyWithin is the time within which all routers must apply a change at the platform.
 	// Default 2s.
 	ApplyWithin time.Duration `yaml:"apply_within"`
-	// History is how long the platform keeps past changes. Default none.
+	// History is how long the platform keeps past changes. Default none, or what the platform client states.
 	History time.Duration `yaml:"history"`
 	// Retries is the retry budget.
 	Retries Retries `yaml:"retries"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -82,6 +83,8 @@
 type Platform struct {
 	// Source returns a reader of the platform at an address, host and port.
 	Source func(address string, d Dialer) dispatch.Source
+	// History is how long the platform keeps past changes, unless the settings say it.
+	History time.Duration
 	// Callers and Backends name the headers used with callers and backend servers.
 	Callers  front.HeaderConfig
 	Backends backend.HeaderConfig
@@ -218,7 +221,7 @@
 	opts := []dispatch.Option{
 		dispatch.WithLogger(n.log), dispatch.WithSeeds(s.Seeds), dispatch.WithApplyWithin(s.ApplyWithin),
 		dispatch.WithRetryBudget(retryBudget(s.Retries)), dispatch.WithForwarder(n.forwarder), dispatch.WithClock(n.clock), dispatch.WithRegions(s.Regions),
-		dispatch.WithHistory(s.History),
+		dispatch.WithHistory(cmp.Or(s.History, p.History)),
 	}
 	if p.Backends.Instance != "" {
 		opts = append(opts, dispatch.WithUniqueIncarnations())
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -234,7 +234,6 @@
 zone: a
 platform_kind: store
 platform: %q
-history: 20s
 seeds: [%q, %q]
 retries: {ratio: 0.2, extra: %d, window: 10s}
 listen: {callers: %q, peers: %q, admin: %q}
