Keep connections that a router's new process has forwarded

Cause: a router that hears of a restart ends the forwarded connections of the former process. Forwarded messages are handled as they arrive, and the restart is noticed in the event loop, so that the first connections of the new process may be there already. They were ended, too.

Evidence: forwarded_stream_ended reason=router-restarted stream=1 at r-2 in the same millisecond as member_heard of r-1, 126 ms after r-1's start.

Change: streams from another router are keyed by its incarnation; those of the incarnation that is heard stay. TestRestartKeepsStreamsOfTheNewProcess fails without it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -157,6 +157,8 @@
 	SetPeers(list []forward.Peer)
 	EndStreamsExcept(live map[string]bool)
 	EndStreams(address string, why forward.Reason)
+	// EndStreamsBefore ends the streams with the processes of a router before an incarnation.
+	EndStreamsBefore(address string, incarnation uint64)
 }
 
 // WithForwarder sets the forwarder that is kept up to date with the live routers.
--- a/internal/dispatch/streams.go
+++ b/internal/dispatch/streams.go
@@ -82,6 +82,6 @@
 func (s *state) endStreamsOfRestarted(from *peer.Inbound) {
 	known := s.link(from.From).incarnation
 	if f := s.d.opt.forwarder; f != nil && known != 0 && known < from.Incarnation {
-		f.EndStreams(from.From, forward.PeerRestarted)
+		f.EndStreamsBefore(from.From, from.Incarnation)
 	}
 }
--- a/internal/dispatch/streams_test.go
+++ b/internal/dispatch/streams_test.go
@@ -31,6 +31,10 @@
 	}
 }
 
+func (f *recordingForwarder) EndStreamsBefore(address string, _ uint64) {
+	f.EndStreams(address, forward.PeerRestarted)
+}
+
 // TestStreamsOfSilentRouter: a router that is silent for a while, since it lacks processor time or its
 // machine was paused, must not lose the forwarded connections. One that stays silent, whose process is
 // gone, or that runs a new one, must lose them.
--- a/internal/forward/ending_test.go
+++ b/internal/forward/ending_test.go
@@ -47,7 +47,7 @@
 	const rounds, messages = 100, 8
 	ends := map[string]func(f *forward.Forwarder){
 		"the connection is lost":  func(f *forward.Forwarder) { f.EndStreams("b", forward.ConnectionLost) },
-		"the router restarts":     func(f *forward.Forwarder) { f.EndStreams("b", forward.PeerRestarted) },
+		"the router restarts":     func(f *forward.Forwarder) { f.EndStreamsBefore("b", 2) },
 		"the router falls silent": func(f *forward.Forwarder) { f.EndStreamsExcept(map[string]bool{}) },
 	}
 	for name, end := range ends {
@@ -75,6 +75,51 @@
 	}
 }
 
+// acceptingServer serves forwarded connections until they end, and counts those that have ended.
+type acceptingServer struct{ ended chan struct{} }
+
+func (acceptingServer) AcceptsForwarded(table.Version) bool { return true }
+
+func (s acceptingServer) ServeForwarded(conn net.Conn) {
+	_, _ = io.Copy(io.Discard, conn)
+	s.ended <- struct{}{}
+}
+
+// TestRestartKeepsStreamsOfTheNewProcess guards against ending, as those of a router's former process, the connections that
+// its new process has forwarded before it was noticed.
+func TestRestartKeepsStreamsOfTheNewProcess(t *testing.T) {
+	const former, current = 1, 2
+	tests := map[string]struct {
+		incarnation uint64
+		isEnded     bool
+	}{
+		"of the former process": {former, true},
+		"of the new process":    {current, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := forward.New()
+			s := acceptingServer{make(chan struct{}, 1)}
+			f.Bind(make(sentMessages, 64), s)
+			f.Handle(peer.Inbound{From: "b", Incarnation: tc.incarnation, Conn: 1, Msg: &wire.Forward{Stream: 1, Data: []byte(requestHead)}})
+			f.EndStreamsBefore("b", current)
+			if !tc.isEnded {
+				select {
+				case <-s.ended:
+					t.Fatal("the connection was ended")
+				case <-time.After(50 * time.Millisecond):
+				}
+				f.Close()
+			}
+			select {
+			case <-s.ended:
+			case <-time.After(waitTimeout):
+				t.Error("the connection goes on")
+			}
+		})
+	}
+}
+
 // entry is a Forwarder with one peer, "b", whose part the test plays, and a connection that it forwards.
 type entry struct {
 	*forward.Forwarder
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -127,15 +128,24 @@
 	f.peers = peers
 }
 
+// anyIncarnation is above all incarnations.
+const anyIncarnation = math.MaxUint64
+
 // Close ends all streams.
 func (f *Forwarder) Close() {
-	f.closeMatching(Stopped, func(string) bool { return true })
+	f.closeMatching(Stopped, anyIncarnation, func(string) bool { return true })
 }
 
 // EndStreams ends all streams to and from the router at address, for example when messages to it may
 // have been lost. Responses that it has sent still reach their callers.
 func (f *Forwarder) EndStreams(address string, why Reason) {
-	f.closeMatching(why, func(a string) bool { return a == address })
+	f.closeMatching(why, anyIncarnation, func(a string) bool { return a == address })
+}
+
+// EndStreamsBefore ends the streams to the router at address, and those from its processes before an incarnation. The
+// process of that incarnation may have forwarded some already.
+func (f *Forwarder) EndStreamsBefore(address string, incarnation uint64) {
+	f.closeMatching(PeerRestarted, incarnation, func(a string) bool { return a == address })
 }
 
 // Drain waits until the responses to the callers of other routers have been sent, or ctx is done. The
@@ -160,11 +170,12 @@
 
 // EndStreamsExcept ends the streams to and from all routers that are not in live.
 func (f *Forwarder) EndStreamsExcept(live map[string]bool) {
-	f.closeMatching(PeerSilent, func(a string) bool { return !live[a] })
+	f.closeMatching(PeerSilent, anyIncarnation, func(a string) bool { return !live[a] })
 }
 
-// closeMatching ends the streams to and from the routers whose address matches.
-func (f *Forwarder) closeMatching(why Reason, match func(address string) bool) {
+// closeMatching ends the streams to the routers whose address matches, and those from their processes before an
+// incarnation.
+func (f *Forwarder) closeMatching(why Reason, before uint64, match func(address string) bool) {
 	f.mu.Lock()
 	var outs []*outgoing
 	var ins []*incoming
@@ -174,7 +185,7 @@
 		}
 	}
 	for key, i := range f.incoming {
-		if match(key.from) {
+		if match(key.from) && key.incarnation < before {
 			ins = append(ins, i)
 		}
 	}
