soak: replace a worker once at a time

The router had kept to the version (stream_resumed recorded v1.1); the plan replaces worker 2 twice within 0.1 s. By reading, two replacements at once can start its process at a version that its entry does not state. Now one waits for the other, and a worker that another fault has replaced is left alone. No check changes.

--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -70,6 +70,8 @@
 	part partRecord
 	// restartMu is held while crashed workers are restarted, restarts counts them.
 	restartMu sync.Mutex
+	// replaceMu is held while the process of a worker is replaced by one of another version.
+	replaceMu sync.Mutex
 	restarts  int
 	// entryStates are the states in the workers' entries, by index.
 	entriesMu   sync.Mutex
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -337,14 +337,29 @@
 // replaceWorker crashes a worker and starts one of another version under a new id. The old entry goes after
 // the new one has come.
 func (f *fleet) replaceWorker(s Step) {
+	oldID := f.startOtherVersion(s, f.workers[s.Target].Version)
+	if oldID == "" {
+		return
+	}
+	time.Sleep(s.Duration)
+	f.store.Deregister(oldID)
+}
+
+// startOtherVersion replaces the process of a worker if it runs a version, and returns the id of the former one. Two faults may
+// replace the same worker at once.
+func (f *fleet) startOtherVersion(s Step, version string) (oldID string) {
+	f.replaceMu.Lock()
+	defer f.replaceMu.Unlock()
 	w := f.workers[s.Target]
-	oldID := w.ID
+	if w.Version != version {
+		return ""
+	}
+	oldID = w.ID
 	w.Close()
 	w.SetID(fmt.Sprintf("i-%d-%d", s.Target, s.At.Milliseconds()))
 	w.SetVersion(versions[(slices.Index(versions, w.Version)+1)%len(versions)])
 	f.restartWorker(s.Target)
-	time.Sleep(s.Duration)
-	f.store.Deregister(oldID)
+	return oldID
 }
 
 // awaitServing waits until every router responds 200 to a request of each kind.
