Logs show accounts that wait and get less than half of their share

yarrowctl parts counted an account as waiting only if a request of it was refused in every second; one that is served late in every second waits too. request_end now has target_ms, which parts compares with the first event. The line shares came only while accounts were throttled or the fleet was short of capacity, so that it could not tell whether accounts that wait are held to a share; it now comes, once a second at most, whenever an account that waits starts less than half, and has engine_level, the share by which engines order requests.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -181,17 +181,22 @@
 	return counted
 }
 
-// sharesLogInterval is the interval of log lines while accounts are throttled.
-const sharesLogInterval = time.Second
+const (
+	// sharesLogInterval is the interval of log lines while accounts are throttled.
+	sharesLogInterval = time.Second
+	// reportedShare is the fraction of its share below which an account that waits is logged, whether
+	// or not any is throttled.
+	reportedShare = 0.5
+)
 
 func (s *state) logShares() {
 	if s.now-s.sharesLoggedAt < sharesLogInterval {
 		return
 	}
 	s.sharesLoggedAt = s.now
-	if sh := s.core.Shares(s.now); sh.Throttled > 0 || sh.Short {
+	if sh := s.core.Shares(s.now); sh.Throttled > 0 || sh.Short || sh.LeastServedFraction < reportedShare {
 		s.d.opt.log.Info("shares", "asked", int64(sh.Demand), "begun", int64(sh.Started), "level", int64(sh.FairShare),
-			"screened", sh.Throttled, "least_part", sh.MinFraction, "least_served", sh.LeastServedFraction, "least_account", s.accountName(sh.LeastServedAccount),
+			"engine_level", int64(sh.EngineShare), "screened", sh.Throttled, "least_part", sh.MinFraction, "least_served", sh.LeastServedFraction, "least_account", s.accountName(sh.LeastServedAccount),
 			"total", int64(sh.Total), "free", int64(sh.Free), "short", sh.Short, "report_age_ms", sh.ReportAge.Milliseconds())
 	}
 }
--- a/internal/explain/shares_test.go
+++ b/internal/explain/shares_test.go
@@ -73,6 +73,45 @@
 	}
 }
 
+// TestLateAccountsAreBacklogged: an account whose requests are served after their targets, and never refused, counts as
+// backlogged.
+func TestLateAccountsAreBacklogged(t *testing.T) {
+	tests := map[string]struct {
+		target, first int
+		want          bool
+	}{
+		"in time":            {400, 100, false},
+		"late":               {400, 401, true},
+		"no target is known": {0, 401, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var records []logread.Record
+			for second := 1; second <= 6; second++ {
+				for account, prompt := range map[string]int{"moka": 80, "best": 800} {
+					for _, line := range []string{
+						fmt.Sprintf("msg=attempt_end sent=true first_ms=%d total_ms=450", tc.first),
+						fmt.Sprintf("msg=request_end account=%s prompt=%d output=10 code= target_ms=%d total_ms=450", account, prompt, tc.target),
+					} {
+						r, ok := logread.Parse(fmt.Sprintf("time=2026-01-01T00:00:%02d.500Z level=INFO router=a request=%s-%d %s", second, account, second, line))
+						if !ok {
+							t.Fatal(line)
+						}
+						records = append(records, r)
+					}
+				}
+			}
+			var out bytes.Buffer
+			if err := explain.LeastServed(&out, records, 6*time.Second, 5); err != nil {
+				t.Fatal(err)
+			}
+			if got := strings.Contains(out.String(), "moka"); got != tc.want {
+				t.Errorf("moka is listed: %v, want %v\n%s", got, tc.want, out.String())
+			}
+		})
+	}
+}
+
 func TestLeastServedRejectsPartialSeconds(t *testing.T) {
 	for _, window := range []time.Duration{0, -time.Second, 1500 * time.Millisecond} {
 		if err := explain.LeastServed(&bytes.Buffer{}, nil, window, 5); err == nil {
--- a/internal/front/early.go
+++ b/internal/front/early.go
@@ -100,6 +100,7 @@
 // earlyRequest is a request as parsed for the early check.
 type earlyRequest struct {
 	request    Request
+	route      *table.Route
 	bodyLength int
 	prompt     prompt
 }
@@ -143,7 +144,7 @@
 			Route: route.Name, Regions: table.NewRegionSet(account.Regions).Intersect(table.NewRegionSet(route.Regions)),
 			Prefix: sizes.prefix, Key: requestKey(account.Name, fields.path, fields.parts),
 		},
-		bodyLength: fields.contentLength, prompt: sizes,
+		route: route, bodyLength: fields.contentLength, prompt: sizes,
 	}, true
 }
 
@@ -167,7 +168,7 @@
 // the body read so far.
 func (s *Server) refuseEarly(c *conn, early *earlyRequest, buf []byte, bodyRead int, arrived time.Time, err *verdict.Error) {
 	s.requests.Add(1)
-	in := &inboundRequest{id: early.request.ID, arrived: arrived, model: early.request.Model, route: &routeState{prompt: early.prompt}}
+	in := &inboundRequest{id: early.request.ID, arrived: arrived, model: early.request.Model, route: &routeState{Route: early.route, prompt: early.prompt}}
 	in.account.Name = early.request.Account
 	err = in.finalError(err)
 	_ = c.SetReadDeadline(time.Now().Add(earlyTimeout))
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -104,8 +104,9 @@
 
 func (s *Server) logEnd(in *inboundRequest, outcome *Outcome) {
 	var sizes prompt
+	var target time.Duration
 	if in.route != nil {
-		sizes = in.route.prompt
+		sizes, target = in.route.prompt, in.route.TargetLatency
 	}
 	var revision uint64
 	if t := s.scheduler.Table(); t != nil {
@@ -116,7 +117,8 @@
 		slog.Int64("prompt", sizes.tokens), slog.Int64("output", sizes.output), slog.Uint64("table", revision),
 		slog.Int("status", outcome.Status), slog.String("code", outcome.Code), slog.String("verdict", outcome.Verdict),
 		slog.Int64("tokens", outcome.Tokens), slog.Int("attempts", outcome.Attempts),
-		slog.Int64("waited_ms", outcome.Waited.Milliseconds()), slog.Int64("total_ms", outcome.Total.Milliseconds()),
+		slog.Int64("waited_ms", outcome.Waited.Milliseconds()), slog.Int64("target_ms", target.Milliseconds()),
+		slog.Int64("total_ms", outcome.Total.Milliseconds()),
 		slog.Int64("retry_after_ms", outcome.RetryAfter.Milliseconds()), slog.String("return", outcome.Return.String()),
 	}
 	if outcome.RetryAfter == 0 {
--- a/pkg/admit/shares.go
+++ b/pkg/admit/shares.go
@@ -14,6 +14,9 @@
 	Demand, Started float64
 	// FairShare bounds what an account gets while others wait, 0 if all demand is met.
 	FairShare float64
+	// EngineShare is the share above which an account leaves room to others at each engine, 0 if all
+	// demand is below it.
+	EngineShare float64
 	// Throttled is the number of accounts with a fraction of their requests refused early,
 	// MinFraction the least fraction admitted.
 	Throttled   int
@@ -59,5 +62,8 @@
 	if !math.IsInf(c.accounts.fairShare, 1) {
 		sh.FairShare = c.accounts.fairShare
 	}
+	if !math.IsInf(c.accounts.engineShare, 1) {
+		sh.EngineShare = c.accounts.engineShare
+	}
 	return sh
 }
