--- a/test/soak/checker.go
+++ b/test/soak/checker.go
@@ -77,6 +77,7 @@
 	RuleRefusedIdle   = "refused-while-idle"
 	RuleVersions      = "versions"
 	RuleUnresumed     = "unresumed"
+	RuleShare         = "share"
 )
 
 // checker collects what callers and workers observed.
--- /dev/null
+++ b/test/soak/compete_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/yarrowmast/yarrowmast/platform/standin"
+)
+
+// TestCompetitionIsDeterministic checks that a seed always yields the same accounts, and that another one yields others.
+func TestCompetitionIsDeterministic(t *testing.T) {
+	draw := func(seed uint64) competition { return drawCompetition(seed, routers) }
+	exported := cmp.AllowUnexported(competition{}, competitor{})
+	if diff := cmp.Diff(draw(7), draw(7), exported); diff != "" {
+		t.Errorf("two competitions of one seed differ:\n%s", diff)
+	}
+	if cmp.Equal(draw(7), draw(8), exported) {
+		t.Error("another seed yields the same competition")
+	}
+}
+
+// TestShareChecker checks which accounts are found to be starved.
+func TestShareChecker(t *testing.T) {
+	const perSecond = 20
+	start := time.Unix(1e6, 0)
+	plan := competition{competitors: []competitor{{name: "best", prompt: 100}, {name: "moka", prompt: 100}}}
+	tests := map[string]struct {
+		// began is the number of moka's requests that workers begin a second, of perSecond.
+		began int
+		// first is the time to their first events, refused says that the others are refused.
+		first   time.Duration
+		refused bool
+		want    string
+	}{
+		"half of the best served":          {10, time.Millisecond, true, ""},
+		"less than half, and refused":      {9, time.Millisecond, true, RuleShare},
+		"less than half, and late":         {9, competeTarget + 1, false, RuleShare},
+		"less than half, but in time":      {9, time.Millisecond, false, ""},
+		"nothing":                          {0, time.Millisecond, true, RuleShare},
+		"as much as the best served, late": {20, competeTarget + 1, false, ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			record := newCompeteRecord(plan, start)
+			for at := start; at.Before(start.Add(competeTime)); at = at.Add(time.Second) {
+				for n := range perSecond {
+					record.addRequest("best", at, time.Millisecond)
+					record.addRun(standin.Run{Tenant: "best", At: at})
+					switch {
+					case n < tc.began:
+						record.addRequest("moka", at, tc.first)
+						record.addRun(standin.Run{Tenant: "moka", At: at})
+					case tc.refused:
+						record.addRequest("moka", at, 0)
+					default:
+						record.addRequest("moka", at, time.Millisecond)
+					}
+				}
+			}
+			c := &checker{}
+			c.checkShares(record)
+			if (tc.want == "") != (len(c.violations) == 0) || len(c.violations) > 0 && c.violations[0].Rule != tc.want {
+				t.Errorf("violations %v, want %q", c.violations, tc.want)
+			}
+		})
+	}
+}
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -319,14 +319,19 @@
 			Attempts: 2, Timeout: 6 * time.Second, TargetLatency: 400 * time.Millisecond, TargetGap: 100 * time.Millisecond,
 		}
 	}
+	accounts := competitorKeys()
+	accounts["moka"] = keys
+	competing := route(Competing, standin.Streaming, competeService)
+	competing.TargetLatency = competeTarget
 	f.store.Configure(&standin.Config{
-		Version: f.configVersion, Host: host, TokensPerSecond: 600000, Keys: map[string][]string{"moka": keys},
+		Version: f.configVersion, Host: host, TokensPerSecond: 600000, Keys: accounts,
 		Routes: []standin.Route{
 			route(ResumableStream, standin.Streaming, serviceOf(0)), route(PlainStream, standin.Streaming, serviceOf(0)),
-			route(Submit, standin.Unsafe, serviceOf(streamWorkers)), route(Lookup, standin.Safe, serviceOf(streamWorkers)),
+			route(Submit, standin.Unsafe, serviceOf(streamWorkers)), route(Lookup, standin.Safe, serviceOf(streamWorkers)), competing,
 		},
 		Services: []standin.Service{
 			{Name: serviceOf(0), Slots: slots, MaxConnections: 500}, {Name: serviceOf(streamWorkers), MaxConnections: 500},
+			{Name: competeService, Slots: competeSlots, MaxConnections: 500},
 		},
 	})
 }
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -27,8 +27,8 @@
 	p.String(&r.Binary, "b", "binary", "path of the router binary")
 	p.UInt64(&r.Seed, "s", "seed", "the first seed; derived from the time if not given")
 	p.Int(&seeds, "n", "seeds", "number of seeds to run in sequence")
-	p.Duration(&r.Duration, "l", "length", "how long faults are injected")
-	p.String(&r.Plant, "p", "plant", "violate a guarantee on purpose: twice, refused-but-ran, mixed, revoked-key, leaving, recover, copy, refused-while-idle, versions, unresumed, cut-by-stop")
+	p.Duration(&r.Duration, "l", "length", "how long faults are injected; with 0s accounts compete, and nothing else happens")
+	p.String(&r.Plant, "p", "plant", "violate a guarantee on purpose: twice, refused-but-ran, mixed, revoked-key, leaving, recover, copy, refused-while-idle, versions, unresumed, share, cut-by-stop")
 	p.Bool(&verbose, "v", "verbose", "print each fault")
 	if err := p.ParseArgs(args); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -19,7 +19,7 @@
 	// Binary is the path of the router binary.
 	Binary string
 	Seed   uint64
-	// Duration is how long faults are injected.
+	// Duration is how long faults are injected. With 0 accounts compete, and nothing else happens.
 	Duration time.Duration
 	// Plant is the rule that is violated on purpose, "" for none.
 	Plant string
@@ -81,7 +81,9 @@
 	if err := r.awaitServing(t, "start"); err != nil {
 		return rep, err
 	}
-	r.play(f, c, t, &rep)
+	if err := r.play(f, c, t, &rep); err != nil {
+		return rep, err
+	}
 	r.Log("%d workers crashed under a request", f.crashes.Load())
 	plan := newPlan(r.Seed, r.Duration, routers, workers)
 	c.checkCrashes(f.crashes.Load(), plan)
@@ -102,8 +104,12 @@
 	return rep, nil
 }
 
-// play injects faults under traffic, checks that the fleet serves again, and stops all routers in series.
-func (r *Run) play(f *fleet, c *checker, t *traffic, rep *Report) {
+// play injects faults under traffic, checks that the fleet serves again, lets accounts
+// compete, and stops all routers in series.
+func (r *Run) play(f *fleet, c *checker, t *traffic, rep *Report) error {
+	if r.Duration == 0 {
+		return r.compete(f, c, t)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Add(1)
@@ -126,7 +132,11 @@
 	time.Sleep(quietPeriod)
 	stop()
 	tasks.Wait()
+	if err := r.compete(f, c, t); err != nil {
+		return err
+	}
 	r.stopInSeries(f, c, t)
+	return nil
 }
 
 // injectFaults injects the planned faults, revokes a key and drains a worker.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -193,6 +194,23 @@
 	playSeed(t, buildRouter(t), 80107, 12*time.Second)
 }
 
+// TestSoakWaitingAccountIsNotStarved guards against refusing nearly all requests of accounts that compete with others for
+// engines that are full, though they ask for less than the table states.
+func TestSoakWaitingAccountIsNotStarved(t *testing.T) {
+	binary := buildRouter(t)
+	for _, seed := range []uint64{83011, 83014} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			rep, err := (&Run{Binary: binary, Seed: seed, Log: t.Logf}).Play()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range rep.Violations {
+				t.Error(v)
+			}
+		})
+	}
+}
+
 func buildRouter(t *testing.T) (binary string) {
 	t.Helper()
 	binary = filepath.Join(t.TempDir(), "yarrowmast")
