Order waiting requests by what their accounts began, whatever is stated

Callers of some accounts were refused as busy while others were served. Owners sort slot requests by what each account began, but as a part of the share that the table's stated throughput allows. While accounts ask for less than that, the share is unlimited, all counted as equal, and the request with the earliest target went first, although the engines were full: engines that are slow, lost or short of slots or memory do less than what is stated.

--- a/pkg/admit/account.go
+++ b/pkg/admit/account.go
@@ -138,6 +138,11 @@
 	return as.get(key).flow(now).started / as.engineShare
 }
 
+// startedRate returns the rate of an account's started requests.
+func (as *accounts) startedRate(key wire.NameHash, now time.Duration) float64 {
+	return as.get(key).flow(now).started
+}
+
 // backlogged reports whether an account's demand exceeds engineShare.
 func (as *accounts) backlogged(key wire.NameHash, now time.Duration) bool {
 	as.refreshFairShare(now)
--- a/pkg/admit/queue_order.go
+++ b/pkg/admit/queue_order.go
@@ -43,20 +43,20 @@
 	o.chooseLateTurn(func(a *receivedRequest) bool { return c.memoryFits(svc, o, a) })
 }
 
-// sortQueue orders slot requests: those that may have run go first, then by rank, by the account's usage
-// relative to its fair share, and by inAccount.
+// sortQueue orders slot requests: those that may have run go first, then by rank, by how much of the account
+// was started lately, and by inAccount.
 func (c *Core) sortQueue(queue []*receivedRequest, inAccount func(a, b *receivedRequest) int) {
-	usage := make(map[wire.NameHash]float64, len(queue))
+	started := make(map[wire.NameHash]float64, len(queue))
 	for _, a := range queue {
-		if _, ok := usage[a.Account]; !ok {
-			usage[a.Account] = c.accounts.usageRatio(a.Account, c.now)
+		if _, ok := started[a.Account]; !ok {
+			started[a.Account] = c.accounts.startedRate(a.Account, c.now)
 		}
 	}
 	slices.SortStableFunc(queue, func(a, b *receivedRequest) int {
 		return cmp.Or(
 			trueFirst(a.MayHaveRun, b.MayHaveRun),
 			compareRank(a, b),
-			cmp.Compare(usage[a.Account], usage[b.Account]),
+			cmp.Compare(started[a.Account], started[b.Account]),
 			inAccount(a, b),
 		)
 	})
@@ -103,7 +103,7 @@
 // goesBefore reports whether a request has to wait until a late request has had its turn, or is that
 // request.
 func (c *Core) goesBefore(turn, a *receivedRequest) bool {
-	return a == turn || cmp.Or(compareRank(turn, a), cmp.Compare(c.accounts.usageRatio(turn.Account, c.now), c.accounts.usageRatio(a.Account, c.now))) <= 0
+	return a == turn || cmp.Or(compareRank(turn, a), cmp.Compare(c.accounts.startedRate(turn.Account, c.now), c.accounts.startedRate(a.Account, c.now))) <= 0
 }
 
 // admitsLateTurn reports whether an engine can take the late request whose turn has come: if it has a
