Ask no account for room that got less than its share

Callers of an account that asks for more than its share were refused as busy throughout, though the account had begun next to nothing. While requests of accounts with small demand are delayed, accounts whose demand exceeds their share are kept from the last slots and from a part of the target at each engine. Demand says nothing about what an account got: one with many refused requests was kept out for asking, accounts with little demand filled the rest, and its callers' retries raised its demand further.

Whose delays cause the pressure is unchanged.

--- a/pkg/admit/account.go
+++ b/pkg/admit/account.go
@@ -149,6 +149,13 @@
 	return as.get(key).flow(now).demand > as.engineShare
 }
 
+// leavesRoom reports whether an account leaves room to others at each engine: it is backlogged, and not
+// underserved. One that got next to nothing would otherwise be kept from the slots that accounts with less
+// demand fill.
+func (as *accounts) leavesRoom(key wire.NameHash, now time.Duration) bool {
+	return as.backlogged(key, now) && as.startedRate(key, now) >= underservedFraction*as.engineShare
+}
+
 // overcommit is the multiple of the fair share up to which an account's requests are admitted,
 // since some of them get no slot.
 const overcommit = 1.5
--- a/pkg/admit/pressure.go
+++ b/pkg/admit/pressure.go
@@ -8,8 +8,8 @@
 	penaltyThreshold = 0.9
 	// penaltySlope is how fast its target fraction falls above that.
 	penaltySlope = 2.0
-	// backloggedFraction is the target fraction under full pressure of an account whose demand
-	// exceeds its engine share. It would otherwise take every free slot.
+	// backloggedFraction is the target fraction under full pressure of an account that leaves room to
+	// others. It would otherwise take every free slot.
 	backloggedFraction = 0.6
 	// minPressure is the fraction of delayed requests of accounts within their shares from
 	// which others leave slots to them, maxPressure the one at which backloggedFraction applies
@@ -27,7 +27,7 @@
 		return 1
 	}
 	limit := 1.0
-	if c.accounts.backlogged(account, c.now) {
+	if c.accounts.leavesRoom(account, c.now) {
 		limit -= (1 - backloggedFraction) * c.pressure()
 	}
 	usage := c.accounts.usageRatio(account, c.now)
@@ -37,9 +37,9 @@
 	return max(minTargetFraction, limit-penaltySlope*(usage-penaltyThreshold))
 }
 
-// exceedsShare reports whether an account's demand or usage exceeds its engine share.
+// exceedsShare reports whether an account leaves room to others, or its usage is near its engine share.
 func (c *Core) exceedsShare(account wire.NameHash) bool {
-	return account != 0 && (c.accounts.backlogged(account, c.now) || c.accounts.usageRatio(account, c.now) > penaltyThreshold)
+	return account != 0 && (c.accounts.leavesRoom(account, c.now) || c.accounts.usageRatio(account, c.now) > penaltyThreshold)
 }
 
 // recordAdmission records whether a request of an account within its engine share got a slot at
