Hold accounts to a share when engines are short of slots or memory

Accounts that flood were let in without a limit while others waited, though the fleet knew that it was short of capacity: the share was that of the rate at which engines could read, or of what the table states. Engines whose slots or memory are the limit do less than either, and then no demand exceeds such a share.

While less than a tenth of the engines is unused, the share is now that of what is being started, extended to the unused part.

--- a/pkg/admit/fleet_share.go
+++ b/pkg/admit/fleet_share.go
@@ -95,16 +95,18 @@
 	case shareOfStarted:
 		as.fairShare = as.engineShare
 	case shareOfCapacity:
-		as.fairShare = as.shareOf(now, as.shortCapacity(x))
+		as.fairShare = as.shareOf(now, as.shortCapacity(now, x))
 	case shareUnlimited:
 		as.fairShare = unlimited
 	}
 }
 
 // shortCapacity returns what all engines can do in a shortage: what their owners measured, extended
-// to the engines of owners that do not report, but no more than the table states. Accounts are charged
-// for cached parts of prompts too, so that more may be started; shareOf takes that if it is more.
-func (as *accounts) shortCapacity(x engineCapacity) float64 {
+// to the engines of owners that do not report, but no more than the table states. Engines whose slots or memory
+// are occupied do less than they could read: while nearly all of them are in use, it is no more than what
+// is being started, extended to the unused part. Accounts are charged for cached parts of prompts too, so that more
+// may be started; shareOf takes that if it is more.
+func (as *accounts) shortCapacity(now time.Duration, x engineCapacity) float64 {
 	total := x.total
 	if x.owners > 0 {
 		total *= max(1, float64(as.fleet.knownOwners)/float64(x.owners))
@@ -112,6 +114,18 @@
 	if as.capacity > 0 {
 		total = min(total, as.capacity)
 	}
+	if started := as.totalStarted(now); started > 0 && x.free < shortBelow*x.total {
+		total = min(total, started/(1-x.free/x.total))
+	}
+	return total
+}
+
+// totalStarted returns the rate of the started requests of all accounts.
+func (as *accounts) totalStarted(now time.Duration) float64 {
+	total := 0.0
+	for _, a := range as.byKey {
+		total += a.flow(now).started
+	}
 	return total
 }
 
