Let underserved accounts use any engine

Callers of an account whose prompts share a part were refused as busy, though it had begun far less than others. Its requests wait at the engine that has the part. Elsewhere they count as spills, which may use 0.55 of the limits and are denied at once where these are reached, so that engines without the part are full of the requests of accounts that got more.

--- a/pkg/admit/account.go
+++ b/pkg/admit/account.go
@@ -153,7 +153,13 @@
 // underserved. One that got next to nothing would otherwise be kept from the slots that accounts with less
 // demand fill.
 func (as *accounts) leavesRoom(key wire.NameHash, now time.Duration) bool {
-	return as.backlogged(key, now) && as.startedRate(key, now) >= underservedFraction*as.engineShare
+	return as.backlogged(key, now) && !as.get(key).flow(now).isUnderserved(as.engineShare)
+}
+
+// isUnderserved reports whether an account waits and gets much less than its share.
+func (as *accounts) isUnderserved(key wire.NameHash, now time.Duration) bool {
+	as.refreshFairShare(now)
+	return key != 0 && as.get(key).flow(now).isUnderserved(min(as.fairShare, as.engineShare))
 }
 
 // overcommit is the multiple of the fair share up to which an account's requests are admitted,
@@ -196,11 +202,16 @@
 // rates of smaller accounts vary too much.
 const underservedMinDemand = 0.5
 
+// isUnderserved reports whether an account waits and gets much less than a share, or than its demand.
+func (f flow) isUnderserved(share float64) bool {
+	return f.demand > waitingThreshold*f.started && f.started < underservedFraction*min(f.demand, share)
+}
+
 // anyUnderserved reports whether any waiting account gets much less than its fair share.
 func (as *accounts) anyUnderserved(now time.Duration) bool {
 	for key, a := range as.byKey {
 		f := a.flow(now)
-		if key != 0 && f.demand > waitingThreshold*f.started && f.demand >= underservedMinDemand*as.fairShare && f.started < underservedFraction*min(f.demand, as.fairShare) {
+		if key != 0 && f.demand >= underservedMinDemand*as.fairShare && f.isUnderserved(as.fairShare) {
 			return true
 		}
 	}
--- a/pkg/admit/admission.go
+++ b/pkg/admit/admission.go
@@ -19,7 +19,8 @@
 	longPromptFraction = 0.25
 	// spillFraction of the usual limits applies to a request at a backend server that has to process its
 	// shared prefix again or to copy it. This pays off only if that server is much less loaded: with the
-	// full limits for copies, engines spent more time on copies than requests gained by them.
+	// full limits for copies, engines spent more time on copies than requests gained by them. It does not apply
+	// to an underserved account, which would otherwise get no more than its preferred engine has room for.
 	spillFraction = 0.55
 	// extraSlotFraction is added to the fraction of slots that an account above its engine share
 	// may use.
@@ -67,7 +68,7 @@
 	o := s.owned
 	fraction := c.targetFraction(a.Account)
 	readsPrefix := prefill > a.PromptTokens-a.SharedTokens
-	if a.Spill {
+	if a.Spill && !c.accounts.isUnderserved(a.Account, c.now) {
 		fraction *= spillFraction
 	}
 	if float64(o.running) >= float64(c.slotLimit(s))*min(1, fraction+extraSlotFraction) {
--- a/pkg/admit/slot_grant.go
+++ b/pkg/admit/slot_grant.go
@@ -87,7 +87,7 @@
 	}
 	switch {
 	case granted:
-	case a.Spill || c.now >= a.expiresAt || c.weighted != nil && s.owner != c.opt.self.Address:
+	case a.Spill && !c.accounts.isUnderserved(a.Account, c.now) || c.now >= a.expiresAt || c.weighted != nil && s.owner != c.opt.self.Address:
 		c.reply(s, a, wire.SlotDenied)
 	default:
 		o.dequeue(a.key())
