--- a/pkg/admit/crash_world_test.go
+++ b/pkg/admit/crash_world_test.go
@@ -28,6 +28,8 @@
 	restartHiddenFor time.Duration
 	// stallOnCrash says that connections stall on a crash instead of breaking.
 	stallOnCrash bool
+	// acceptsWhenDown says that connections to a server that is down are accepted, as by a proxy, and closed at once.
+	acceptsWhenDown bool
 	// unreachable counts the attempts at each backend server while it was down.
 	unreachable map[string]int
 	// cut holds the pairs of routers and backend servers without a connection.
@@ -265,6 +267,16 @@
 	w.step(a.router, admit.Arrive{Request: r})
 }
 
+// endUnsent reports to the holder that a request reached no backend server.
+func (x *crashSim) endUnsent(router string, a admit.Start) {
+	if x.acceptsWhenDown && x.down[a.Backend.Name] {
+		x.disconnect(a.ID)
+		return
+	}
+	x.w.step(router, admit.AttemptEnd{ID: a.ID, Result: admit.Unreachable})
+	x.onUnreachable(a.ID, a.Backend.Name)
+}
+
 // onUnreachable lets the holder retry a request that could not be sent, at another backend server.
 func (x *crashSim) onUnreachable(id uint64, server string) {
 	if !x.retryUnreachable {
--- a/pkg/admit/crashing_part_test.go
+++ b/pkg/admit/crashing_part_test.go
@@ -148,7 +148,7 @@
 				p.restart(p.order[n%len(p.order)])
 			})
 		}, lossy: true},
-		"all routers restart at once": {change: func(p *partWorld) { p.schedule(6*time.Second, p.restartAll) }, maxLate: 12, lossy: true},
+		"all routers restart at once": {change: func(p *partWorld) { p.schedule(6*time.Second, func() { p.restartAll() }) }, maxLate: 12, lossy: true},
 		"the zones are partitioned":   {change: func(p *partWorld) { p.cutZones() }, zones: []string{"a", "b"}, lossy: true},
 		"a fifth of the servers crashes each two seconds": {change: func(p *partWorld) {
 			p.every(2*time.Second, func() {
--- a/pkg/admit/isolation_test.go
+++ b/pkg/admit/isolation_test.go
@@ -118,13 +118,13 @@
 }
 
 // restartAll restarts all routers without their state.
-func (w *world) restartAll() {
+func (w *world) restartAll(opts ...admit.Option) {
 	for id := range w.requests {
 		w.crashes.disconnected[id] = true
 		w.crashes.onEnded(id)
 	}
 	for i, router := range w.order {
-		w.cores[router] = admit.New(admit.Router{Address: router, Zone: zoneOf(router)}, admit.WithSeed(uint64(200+i)))
+		w.cores[router] = admit.New(admit.Router{Address: router, Zone: zoneOf(router)}, append(opts, admit.WithSeed(uint64(200+i)))...)
 		w.step(router, admit.TableUpdate{Table: w.table})
 	}
 	w.updateRouters()
@@ -369,6 +369,35 @@
 	}
 }
 
+// TestDeadServersAccuseNoRequest: a request that many callers send must not be blocked because routers that have just
+// started send it to backend servers that crashed before, and others crash soon afterwards.
+func TestDeadServersAccuseNoRequest(t *testing.T) {
+	const end = 12 * time.Second
+	for seed := range uint64(10) {
+		w := newWorld(seed, 4, []string{"a"}, 2, admit.WithUniqueIncarnations())
+		x := withCrashes(w, nil)
+		x.acceptsWhenDown, x.restartAfter = true, 500*time.Millisecond
+		w.every(10*time.Millisecond, func() {
+			if w.now < end-time.Second {
+				digest := suspect.Digest(8 + w.rng.IntN(2))
+				w.submit(w.order[w.rng.IntN(len(w.order))], admit.Request{Prompt: 300, Output: 20, Digest: digest})
+			}
+		})
+		for _, at := range []time.Duration{2000, 2515} {
+			w.schedule(at*time.Millisecond, func() {
+				for _, b := range w.table.Backends {
+					x.crash(b.Name)
+				}
+			})
+		}
+		w.schedule(2100*time.Millisecond, func() { w.restartAll(admit.WithUniqueIncarnations()) })
+		w.run(end)
+		if x.blocked > 0 {
+			t.Errorf("seed %d: %d requests were refused for crashes", seed, x.blocked)
+		}
+	}
+}
+
 // TestLocalAdmissionWaitsForTrial: a request whose owner does not reply must not be sent while another attempt of it
 // runs as a trial.
 func TestLocalAdmissionWaitsForTrial(t *testing.T) {
--- a/pkg/admit/repeated_crash_test.go
+++ b/pkg/admit/repeated_crash_test.go
@@ -29,7 +29,7 @@
 		"after two restarts of all routers": {4 * time.Second, time.Minute, func(w *world, x *crashSim) {
 			x.singleTry = true
 			for _, at := range []time.Duration{16 * time.Second, 36 * time.Second} {
-				w.schedule(at, w.restartAll)
+				w.schedule(at, func() { w.restartAll() })
 			}
 		}},
 	}
--- a/pkg/admit/world_test.go
+++ b/pkg/admit/world_test.go
@@ -293,10 +293,7 @@
 	w.starts[a.ID] = startRecord{Start: a, router: name, at: w.now}
 	if !w.crashes.onSent(a.ID, r, a.Backend.Name) {
 		e.running--
-		w.schedule(netLatency, func() {
-			w.step(name, admit.AttemptEnd{ID: a.ID, Result: admit.Unreachable})
-			w.crashes.onUnreachable(a.ID, a.Backend.Name)
-		})
+		w.schedule(netLatency, func() { w.crashes.endUnsent(name, a) })
 		return
 	}
 	first := e.freeAt - w.now + w.baseLatency
