--- a/pkg/admit/competition_test.go
+++ b/pkg/admit/competition_test.go
@@ -99,10 +99,10 @@
 		w.schedule(time.Duration(w.rng.Float64()*float64(time.Second)), next)
 	}
 	w.run(competitionTime + time.Second)
-	timeline, largest := shares.Timeline{}, 0.0
+	timeline, outside, largest := shares.Timeline{}, shares.Timeline{}, 0.0
 	at := func(t time.Duration) *shares.Interval {
 		if t < competitionStart || t >= competitionTime {
-			return &shares.Interval{Demand: map[string]float64{}, Started: map[string]float64{}, Waiting: map[string]bool{}}
+			return outside.At(0)
 		}
 		return timeline.At(int64(t / time.Second))
 	}
