Handle signals from the start of the process on

A router that got SIGHUP, for settings that changed, or SIGTERM while it started ended at once, without a log line, and without a drain: signals had a handler only once the router ran, some 50 ms after its listeners were open. Callers saw connections that broke, and then none, until somebody started it again.

Signals now have their handler before the settings are read and wait until the router runs. TestSignalsDuringStart ended the test binary before (signal: hangup).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,22 +29,24 @@
 	changed  chan struct{}
 }
 
-// New reads the settings and starts a router that logs to out.
+// New reads the settings and starts a router that logs to out. Signals that arrive from here on wait for Run:
+// without a handler they would end the process.
 func New(file string, out io.Writer, opts ...node.Option) (*Daemon, error) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	s, err := config.Load(file)
 	if err != nil {
+		signal.Stop(signals)
 		return nil, err
 	}
-	d := &Daemon{
-		file: file, settings: s, level: &slog.LevelVar{},
-		signals: make(chan os.Signal, 4), changed: make(chan struct{}, 1),
-	}
+	d := &Daemon{file: file, settings: s, level: &slog.LevelVar{}, signals: signals, changed: make(chan struct{}, 1)}
 	d.level.Set(parseLevel(s.LogLevel))
 	d.sink = logsink.New(out, d.level)
 	d.log = d.sink.Logger()
 	applyMachineLimits(s.Machine)
 	d.node, err = node.Start(s, append(opts, node.WithLogger(d.log))...)
 	if err != nil {
+		signal.Stop(signals)
 		d.sink.Close(logFlushTimeout)
 		return nil, err
 	}
@@ -58,7 +60,6 @@
 // process. A second signal aborts the drain.
 func (d *Daemon) Run() int {
 	defer d.sink.Close(logFlushTimeout)
-	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go config.Watch(ctx, d.file, func() {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -111,3 +111,38 @@
 		t.Error("no error for a missing file")
 	}
 }
+
+// TestSignalsDuringStart guards against a signal that ends the process, without a log line or a drain, because it
+// arrives while the router starts.
+func TestSignalsDuringStart(t *testing.T) {
+	tests := map[string]struct {
+		signal syscall.Signal
+		want   []string
+	}{
+		"settings changed": {syscall.SIGHUP, []string{"msg=settings_unchanged", "cause=signal"}},
+		"planned stop":     {syscall.SIGTERM, []string{"msg=router_stopped"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "settings.yaml")
+			writeSettings(t, file, "drain_notice: 10ms")
+			log := &logBuffer{}
+			d, err := New(file, log)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := syscall.Kill(os.Getpid(), tc.signal); err != nil {
+				t.Fatal(err)
+			}
+			code := make(chan int, 1)
+			go func() { code <- d.Run() }()
+			log.waitFor(t, tc.want...)
+			if tc.signal == syscall.SIGHUP {
+				d.signals <- syscall.SIGTERM
+			}
+			if got := <-code; got != command.ExitOK {
+				t.Errorf("exit code %d, want %d", got, command.ExitOK)
+			}
+		})
+	}
+}
