--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -243,7 +243,20 @@
 drain_notice: 300ms
 log_level: info
 %s`, r.name, r.endpoint.Address(), f.routers[0].peersAddr, f.routers[1].peersAddr, 100+r.settingsVersion, r.callersAddr, r.peersAddr, r.adminAddr, drainFor, r.machineSettings())
-	return os.WriteFile(r.settingsFile(), []byte(text), 0o600)
+	return replaceFile(r.settingsFile(), text)
+}
+
+// replaceFile replaces a file at once, so that no process reads a part of it.
+func replaceFile(name, text string) error {
+	part, err := os.CreateTemp(filepath.Dir(name), filepath.Base(name)+".*")
+	if err != nil {
+		return err
+	}
+	_, err = part.WriteString(text)
+	if err = errors.Join(err, part.Close()); err != nil {
+		return err
+	}
+	return os.Rename(part.Name(), name)
 }
 
 // start starts a router's process.
