soak: compare shares only while all routers run

What is promised holds for calm seconds, with all processes running. A probe of each router every 50 ms, from outside, now finds the seconds in which one does not answer within 0.3 s, and windows with one are left out; the run prints how many. TestShareChecker has a case, the others are as before.

--- a/test/soak/compete.go
+++ b/test/soak/compete.go
@@ -128,6 +128,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), competeTime)
 	defer cancel()
+	for _, router := range f.routers {
+		tasks.Go(func() { watchFrozen(ctx, record, router) })
+	}
 	for i := range plan.competitors {
 		tasks.Go(func() { t.runCompetitor(ctx, record, plan, i) })
 	}
@@ -140,7 +143,8 @@
 			}
 		}
 	}
-	if lowest := record.timeline.Lowest(shareIntervals); len(lowest) > 0 {
+	r.Log("%d seconds in which a router did not run", len(record.frozen))
+	if lowest := record.calm().Lowest(shareIntervals); len(lowest) > 0 {
 		r.Log("least share of %d competing accounts: %s %.2f", len(plan.competitors), lowest[0].Account, lowest[0].Ratio())
 	}
 	if r.Plant == RuleShare {
--- a/test/soak/compete_callers.go
+++ b/test/soak/compete_callers.go
@@ -115,3 +115,26 @@
 	}
 	return min(seconds, maxRetryAfter)
 }
+
+const (
+	// probeInterval is the time between two probes of a router, frozenAfter the time after which one that
+	// does not answer counts as not running.
+	probeInterval = 50 * time.Millisecond
+	frozenAfter   = 300 * time.Millisecond
+)
+
+// watchFrozen probes a router's process until ctx is done, and records when it did not run.
+func watchFrozen(ctx context.Context, record *competeRecord, router *router) {
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		sentAt := time.Now()
+		if resp, err := client.Get("http://" + router.adminAddr + "/healthz"); err == nil {
+			_ = resp.Body.Close()
+		}
+		if now := time.Now(); now.Sub(sentAt) > frozenAfter {
+			record.addFrozen(sentAt, now)
+		}
+		time.Sleep(probeInterval)
+	}
+}
--- a/test/soak/compete_record.go
+++ b/test/soak/compete_record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -17,10 +18,12 @@
 	costs    map[string]float64
 	// refused are the requests of which the caller was told that they did not run.
 	refused map[string]bool
+	// frozen are the intervals in which a router did not run, as where the machine has too many processes.
+	frozen map[int64]bool
 }
 
 func newCompeteRecord(plan competition, start time.Time) *competeRecord {
-	r := &competeRecord{start: start, timeline: shares.Timeline{}, costs: map[string]float64{}, refused: map[string]bool{}}
+	r := &competeRecord{start: start, timeline: shares.Timeline{}, costs: map[string]float64{}, refused: map[string]bool{}, frozen: map[int64]bool{}}
 	for i := range plan.competitors {
 		r.costs[plan.competitors[i].name] = plan.competitors[i].cost()
 	}
@@ -57,6 +60,24 @@
 	r.refused[id] = true
 }
 
+// addFrozen notes that a router did not run for a time: nobody owes shares then.
+func (r *competeRecord) addFrozen(from, to time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for t := from; !t.After(to); t = t.Add(shareInterval / 2) {
+		r.frozen[int64(t.Sub(r.start)/shareInterval)] = true
+	}
+}
+
+// calm returns the timeline without the intervals in which a router did not run.
+func (r *competeRecord) calm() shares.Timeline {
+	calm := maps.Clone(r.timeline)
+	for n := range r.frozen {
+		delete(calm, n)
+	}
+	return calm
+}
+
 // addRun adds a request that a worker began.
 func (r *competeRecord) addRun(run standin.Run) {
 	r.mu.Lock()
@@ -72,7 +93,7 @@
 	for _, cost := range r.costs {
 		largest = max(largest, cost)
 	}
-	for _, s := range r.timeline.Lowest(shareIntervals) {
+	for _, s := range r.calm().Lowest(shareIntervals) {
 		if s.IsUnfair(largest) && !seen[s.Account] {
 			seen[s.Account] = true
 			c.report(RuleShare, "-", fmt.Sprintf("%s waited from second %d on and began %.0f of the %.0f that it asked for, %s began %.0f", s.Account, s.First, s.Started, s.Demand, s.Best, s.BestStarted))
--- a/test/soak/compete_test.go
+++ b/test/soak/compete_test.go
@@ -32,14 +32,17 @@
 		// first is the time to their first events, refused says that the others are refused.
 		first   time.Duration
 		refused bool
-		want    string
+		// frozen says that a router does not run for a while.
+		frozen bool
+		want   string
 	}{
-		"half of the best served":          {10, time.Millisecond, true, ""},
-		"less than half, and refused":      {9, time.Millisecond, true, RuleShare},
-		"less than half, and late":         {9, competeTarget + 1, false, RuleShare},
-		"less than half, but in time":      {9, time.Millisecond, false, ""},
-		"nothing":                          {0, time.Millisecond, true, RuleShare},
-		"as much as the best served, late": {20, competeTarget + 1, false, ""},
+		"half of the best served":          {10, time.Millisecond, true, false, ""},
+		"less than half, and refused":      {9, time.Millisecond, true, false, RuleShare},
+		"less than half, and late":         {9, competeTarget + 1, false, false, RuleShare},
+		"less than half, but in time":      {9, time.Millisecond, false, false, ""},
+		"nothing, a router is frozen":      {0, time.Millisecond, true, true, ""},
+		"nothing":                          {0, time.Millisecond, true, false, RuleShare},
+		"as much as the best served, late": {20, competeTarget + 1, false, false, ""},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -59,6 +62,9 @@
 					}
 				}
 			}
+			if tc.frozen {
+				record.addFrozen(start.Add(competeSettle+2*time.Second), start.Add(competeSettle+4*time.Second))
+			}
 			c := &checker{}
 			c.checkShares(record)
 			if (tc.want == "") != (len(c.violations) == 0) || len(c.violations) > 0 && c.violations[0].Rule != tc.want {
