--- a/cmd/yarrowctl/cmd_parts.go
+++ b/cmd/yarrowctl/cmd_parts.go
@@ -20,7 +20,7 @@
 	Description: "shows from the routers' logs which accounts got the least service compared with the best served account",
 	Flags: func(s *flaggy.Subcommand) {
 		partsArgs.window, partsArgs.rows = 6*time.Second, 10
-		s.Duration(&partsArgs.window, "w", "window", "how long an account must have had requests refused, in whole seconds")
+		s.Duration(&partsArgs.window, "w", "window", "how long an account must have had requests refused or late, in whole seconds")
 		s.Int(&partsArgs.rows, "n", "rows", "number of rows to print")
 		s.StringSlice(&partsArgs.logs, "l", "log", "log file, may be repeated; default standard input")
 	},
