Call what is there in the tests of competing accounts

Read once more: the simulation had early refusals of its own beside submitThrottled; the soak had the cost of an output token beside admit.Cost, and the path of the health check beside admin.PathHealth. TestWaitingAccountIsNotStarved looked at the account with the lowest part alone; it now checks every account in every window, as the soak does.

No product code.

--- a/pkg/admit/competition_test.go
+++ b/pkg/admit/competition_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/yarrowmast/yarrowmast/internal/shares"
 	"github.com/yarrowmast/yarrowmast/pkg/admit"
-	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 // competitor is an account that asks for more than it can get.
@@ -125,16 +124,11 @@
 func (c *competition) try(x competitor, retries int) {
 	w, r := c.world, x.request
 	router := draw(w.rng, x.routers...)
-	var id uint64
-	key := wire.HashName(r.Account)
-	if fraction, ok := w.cores[router].AdmitFractions(w.now)[key]; ok && w.rng.Float64() >= fraction {
-		w.cores[router].CountRefused(w.now, key, admit.Cost(r.Prompt, r.Output))
+	if !w.submitThrottled(router, r) {
 		w.nextID++
-		id = w.nextID
-		w.requests[id], w.refusals[id] = arrival{router: router, request: r, at: w.now}, 0
-	} else {
-		id = w.submit(router, r)
+		w.requests[w.nextID], w.refusals[w.nextID] = arrival{router: router, request: r, at: w.now}, 0
 	}
+	id := w.nextID
 	if retries > 0 {
 		w.schedule(r.Target/4+returnAfter, func() {
 			if _, refused := w.refusals[id]; refused {
@@ -159,8 +153,10 @@
 			if len(lowest) == 0 {
 				t.Fatal("no account waits")
 			}
-			if s := lowest[0]; s.IsUnfair(largest) {
-				t.Errorf("from second %d %s asked for %.0f and began %.0f, %s began %.0f", s.First, s.Account, s.Demand, s.Started, s.Best, s.BestStarted)
+			for _, s := range lowest {
+				if s.IsUnfair(largest) {
+					t.Errorf("from second %d %s asked for %.0f and began %.0f, %s began %.0f", s.First, s.Account, s.Demand, s.Started, s.Best, s.BestStarted)
+				}
 			}
 		})
 	}
--- a/test/soak/compete.go
+++ b/test/soak/compete.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/pkg/admit"
 	"github.com/yarrowmast/yarrowmast/platform/standin"
 )
 
@@ -29,8 +30,6 @@
 	// shareInterval and shareIntervals are the intervals of a window in which shares are compared.
 	shareInterval  = time.Second
 	shareIntervals = 6
-	// outputWeight is the cost of an output token relative to a prompt token.
-	outputWeight = 2
 	// minAccounts and maxAccounts bound the number of competing accounts.
 	minAccounts = 3
 	maxAccounts = 6
@@ -40,7 +39,7 @@
 type competitor struct {
 	name string
 	// prompt and output are the sizes of its requests in tokens, shared of the part that they share.
-	prompt, shared, output int
+	prompt, shared, output int64
 	perSecond              float64
 	// routers are the indexes of the routers to which its callers come.
 	routers []int
@@ -50,7 +49,7 @@
 
 func (c *competitor) key() string { return "secret-" + c.name }
 
-func (c *competitor) cost() float64 { return float64(c.prompt + outputWeight*c.output) }
+func (c *competitor) cost() float64 { return admit.Cost(c.prompt, c.output) }
 
 // competition is a plan for accounts that compete.
 type competition struct {
--- a/test/soak/compete_callers.go
+++ b/test/soak/compete_callers.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/yarrowmast/yarrowmast/internal/admin"
 	"github.com/yarrowmast/yarrowmast/platform/standin"
 )
 
@@ -125,11 +126,11 @@
 
 // watchFrozen probes a router's process until ctx is done, and records when it did not run.
 func watchFrozen(ctx context.Context, record *competeRecord, router *router) {
-	client := &http.Client{}
+	client := &http.Client{Timeout: readyTimeout}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		sentAt := time.Now()
-		if resp, err := client.Get("http://" + router.adminAddr + "/healthz"); err == nil {
+		if resp, err := client.Get("http://" + router.adminAddr + admin.PathHealth); err == nil {
 			_ = resp.Body.Close()
 		}
 		if now := time.Now(); now.Sub(sentAt) > frozenAfter {
