Log why a stream was broken off for bytes that are no event of it

An event with a number out of order, one that cannot be read or one over the size limit ended its attempt as answer-cut, the code of a response that ends early. On-call could not tell a faulty backend server from one that crashed, and each such attempt counted as a crash under the request that ran there.

Such an attempt now ends with bad-answer, and a warning invalid_event names the reason and the last event that was passed on; streams_invalid counts them. What is passed on and what is refused stays as it was.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -219,6 +219,10 @@
 	if x.result.Began {
 		_ = x.sink.Flush()
 	}
+	if invalid, ok := errors.AsType[*InvalidEventError](err); ok {
+		x.failInvalid(invalid)
+		return
+	}
 	if !errors.Is(err, io.EOF) {
 		x.failIncomplete(err)
 		return
@@ -255,6 +259,14 @@
 // statusClientClosedRequest is only logged, since the caller has disconnected.
 const statusClientClosedRequest = 499
 
+// failInvalid fails a call whose response holds bytes that are no event of it. Unlike a response that ends early,
+// that is no sign of a crash.
+func (x *roundTrip) failInvalid(err *InvalidEventError) {
+	x.result.Invalid = err
+	x.client.stats.invalidStreams.Add(1)
+	x.fail(verdict.PhaseStream, http.StatusBadGateway, "bad-answer", "the backend server's answer holds bytes that are no part of it", err)
+}
+
 func (x *roundTrip) failIncomplete(err error) {
 	if x.recordStall() || x.failIfCanceled(verdict.PhaseStream, err) {
 		return
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -147,6 +147,8 @@
 	LongestPause time.Duration
 	// Notice is read from the response headers.
 	Notice Notice
+	// Invalid is why the response was broken off, nil unless it held bytes that are no event of it.
+	Invalid *InvalidEventError
 }
 
 // Client calls backend servers.
@@ -157,18 +159,20 @@
 	stats    counters
 }
 
-type counters struct{ events, flushes atomic.Int64 }
+type counters struct{ events, flushes, invalidStreams atomic.Int64 }
 
 // Stats counts what a Client has forwarded since its creation.
 type Stats struct {
 	// Events counts stream events. Flushes counts writes to callers, each of which may
 	// hold several events.
 	Events, Flushes int64
+	// InvalidStreams counts streams that were broken off for bytes that are no event of them.
+	InvalidStreams int64
 }
 
 // Stats returns the current counts.
 func (c *Client) Stats() Stats {
-	return Stats{Events: c.stats.events.Load(), Flushes: c.stats.flushes.Load()}
+	return Stats{Events: c.stats.events.Load(), Flushes: c.stats.flushes.Load(), InvalidStreams: c.stats.invalidStreams.Load()}
 }
 
 type options struct {
--- /dev/null
+++ b/internal/backend/invalid_event.go
@@ -0,0 +1,28 @@
+package backend
+
+import "fmt"
+
+// InvalidReason says why bytes of a stream are no event of it.
+type InvalidReason string
+
+// The reasons.
+const (
+	// InvalidOrder: a number other than the one that was due.
+	InvalidOrder InvalidReason = "out-of-order"
+	// InvalidNumber: a number that cannot be read.
+	InvalidNumber InvalidReason = "bad-number"
+	// InvalidSize: an event over the size limit.
+	InvalidSize InvalidReason = "too-large"
+)
+
+// InvalidEventError means that a backend server sent bytes that are no event of its response.
+type InvalidEventError struct {
+	Reason InvalidReason
+	// After is the number of the last valid event, 0 if there was none.
+	After uint64
+}
+
+// Error implements error.
+func (e *InvalidEventError) Error() string {
+	return fmt.Sprintf("backend: stream holds an invalid event after event %d: %s", e.After, e.Reason)
+}
--- a/internal/explain/causes.go
+++ b/internal/explain/causes.go
@@ -49,7 +49,7 @@
 	"backend-refused":     {"the backend server refused it; it did not run", "running: full by work that this fleet does not count"},
 	"backend-replaced":    {"another backend server has the address; it did not run", "the backend server's entry on the platform"},
 	"backend-failed":      {"the backend server failed", "other attempts there: backend_untrusted follows if it goes on"},
-	"bad-answer":          {"the answer was not the backend server's own, or not in order", "other attempts there at that time"},
+	"bad-answer":          {"the answer was not the backend server's own, or held bytes that were no part of it", "invalid_event of this request, and other attempts there at that time"},
 	"crossed-answer":      {"the backend server answered another request", "other attempts there at that time"},
 	"too-many-open":       {"the router had as many requests open as its settings allow; it did not run", "callers.max_open of the settings"},
 	"bodies-full":         {"the large bodies of open requests took the memory that they may; it did not run", "request_end with a long total_ms there: callers that send slowly"},
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -74,6 +74,7 @@
 		"first_ms", firstByteMillis, "pause_ms", pauseMillis, "total_ms", s.clock().Since(started).Milliseconds(),
 		"sent", result.Sent, "events", result.LastEvent, "framing", result.Framing.String(), "parts", in.loggedParts(), "code", code)
 	s.logNotice(in, grant, outcome, result.Notice)
+	s.logInvalid(in, grant, outcome, result.Invalid)
 }
 
 // loggedParts returns the shared parts of the prompt for log lines.
@@ -93,6 +94,15 @@
 		"leaving", notice.Leaving, "rest_ms", notice.RetryAfter.Milliseconds(), "unread", notice.Invalid)
 }
 
+// logInvalid logs that a stream was broken off for bytes that are no event of it.
+func (s *Server) logInvalid(in *inboundRequest, grant Grant, outcome *Outcome, invalid *backend.InvalidEventError) {
+	if invalid == nil {
+		return
+	}
+	s.opt.log.Warn("invalid_event", "request", in.id, "attempt", outcome.Attempts, "backend", grant.Backend,
+		"reason", string(invalid.Reason), "after", invalid.After)
+}
+
 // chargedTokens returns what an attempt costs the account: the tokens that were generated, or
 // the duration in milliseconds for a plain service.
 func (s *Server) chargedTokens(in *inboundRequest, grant Grant, started time.Time) int64 {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -72,18 +72,20 @@
 	// UnansweredConnections were closed without a response to a request that had been read.
 	UnansweredConnections = "caller_connections_unanswered"
 	StreamEvents          = "stream_events_passed"
-	CallerWrites          = "caller_sends"
-	RefusedEarly          = "refused_unseen"
-	ProcessorSeconds      = "processor_seconds"
-	LagSeconds            = "late_seconds"
-	PredictedEvents       = "first_events_predicted"
-	ExceededEvents        = "first_events_beyond_margin"
-	ReturnsPromised       = "returns_promised"
-	ReturnsKept           = "returns_kept"
-	ReturnsEarly          = "returns_early"
-	ReturnsMissed         = "returns_missed"
-	ReturnsDropped        = "returns_dropped"
-	Events                = "events"
+	// InvalidStreams were broken off for bytes that were no event of them.
+	InvalidStreams   = "streams_invalid"
+	CallerWrites     = "caller_sends"
+	RefusedEarly     = "refused_unseen"
+	ProcessorSeconds = "processor_seconds"
+	LagSeconds       = "late_seconds"
+	PredictedEvents  = "first_events_predicted"
+	ExceededEvents   = "first_events_beyond_margin"
+	ReturnsPromised  = "returns_promised"
+	ReturnsKept      = "returns_kept"
+	ReturnsEarly     = "returns_early"
+	ReturnsMissed    = "returns_missed"
+	ReturnsDropped   = "returns_dropped"
+	Events           = "events"
 )
 
 // Names returns the names of all metrics.
@@ -94,7 +96,7 @@
 		PeerMsgsIn, PeerDropped, PlatformCalls, WaitingRequests, OwnedServers, CachedPrefixTokens, UnevenServers, EjectedServers, EjectedForAll, CrashSuspects, BlockedParts, LeavingServers, BackingOffServers, UnverifiedSeconds, ClosedZones, WarmingServers, UnusableEntries, EngineCapacity, FreeCapacity, CapacityOwners, CapacityShort, ReservedHeaders,
 		PlainLimit, PlainWaiting, PlainDenied, PauseLimited, LongPauses, StreamsKept,
 		KnownStreams, EvictedStreams, ResumedStreams, UnresumedStreams,
-		Connections, IdleConnections, RefusedConnections, EvictedConnections, UnansweredConnections, StreamEvents, CallerWrites, RefusedEarly, ProcessorSeconds,
+		Connections, IdleConnections, RefusedConnections, EvictedConnections, UnansweredConnections, StreamEvents, InvalidStreams, CallerWrites, RefusedEarly, ProcessorSeconds,
 		LagSeconds, PredictedEvents, ExceededEvents, ReturnsPromised, ReturnsKept, ReturnsEarly, ReturnsMissed, ReturnsDropped, Events,
 	}
 }
--- a/internal/node/work.go
+++ b/internal/node/work.go
@@ -16,6 +16,8 @@
 	// events counts forwarded stream events, flushes writes to callers, messages those
 	// received from and sent to other routers.
 	events, flushes, messages int64
+	// invalidStreams counts streams that were broken off for bytes that are no event of them.
+	invalidStreams int64
 }
 
 func (n *Node) currentWork() workCounters {
@@ -23,6 +25,7 @@
 	return workCounters{
 		processorTime: processorTime(), requests: n.Front.Requests(), refusedEarly: n.Dispatch.LoadStats().RefusedEarly,
 		events: forwarded.Events, flushes: forwarded.Flushes, messages: p.MessagesIn.Load() + p.MessagesOut.Load(),
+		invalidStreams: forwarded.InvalidStreams,
 	}
 }
 
@@ -42,6 +45,7 @@
 	n.lastWork = now
 	n.setGauges(map[string]int64{
 		metrics.StreamEvents: now.events, metrics.CallerWrites: now.flushes, metrics.RefusedEarly: now.refusedEarly,
+		metrics.InvalidStreams: now.invalidStreams,
 	})
 	n.metrics.Gauge(metrics.ProcessorSeconds, now.processorTime.Seconds())
 	n.metrics.Gauge(metrics.LagSeconds, load.Lag.Seconds())
