Pass on nothing but due events and comments of numbered streams

What callers saw: in a stream with numbered events, an event without a number, made by no run (ORDER).

Cause: the reader checked a number where there was one and passed on any block of lines that had none; it did not look at lines that are no field. The class: input is taken for valid unless it is seen to be wrong.

Now a block must consist of fields that the format has, or of the one with which the deployment's backend servers may begin events, in UTF-8 with lines that end with LF or CRLF; it must have the number that is due, once, and data. Blocks of comments alone pass. Anything else ends the attempt before a byte of the block is written, so that the stream goes on at another backend server after the last event that the caller has, or is cut.

Sound streams pass as before (TestSoundStreamsAreForwarded, TestNewWeightsDoNotBreakStreams).

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -172,7 +172,7 @@
 func (x *roundTrip) copyEvents(resp *http.Response) {
 	var events eventReader = NewCompletionReader(resp.Body)
 	if x.call.Opaque {
-		events = newNumberedReader(resp.Body, x.call.LastEvent)
+		events = newNumberedReader(resp.Body, x.call.LastEvent, x.client.opt.headers.EventField)
 	} else {
 		x.begin(resp)
 	}
--- a/internal/backend/headers.go
+++ b/internal/backend/headers.go
@@ -42,6 +42,9 @@
 	Leaving string
 	// LastEvent holds the number of the last event that was received.
 	LastEvent string
+	// EventField is a field with which backend servers may begin events, besides those of the
+	// format.
+	EventField string
 }
 
 // DefaultHeaders returns the header names of the built-in API.
--- a/internal/backend/invalid_event.go
+++ b/internal/backend/invalid_event.go
@@ -7,10 +7,18 @@
 
 // The reasons.
 const (
+	// InvalidUnnumbered: an event without a number.
+	InvalidUnnumbered InvalidReason = "unnumbered"
 	// InvalidOrder: a number other than the one that was due.
 	InvalidOrder InvalidReason = "out-of-order"
-	// InvalidNumber: a number that cannot be read.
+	// InvalidNumber: a number that cannot be read, or two in one event.
 	InvalidNumber InvalidReason = "bad-number"
+	// InvalidNoData: an event without data, which callers would ignore.
+	InvalidNoData InvalidReason = "no-data"
+	// InvalidField: a line that is no field of an event.
+	InvalidField InvalidReason = "unknown-field"
+	// InvalidText: a line that is not UTF-8, or has a CR inside, which callers take for its end.
+	InvalidText InvalidReason = "not-text"
 	// InvalidSize: an event over the size limit.
 	InvalidSize InvalidReason = "too-large"
 )
--- a/internal/backend/numbered.go
+++ b/internal/backend/numbered.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"unicode/utf8"
 )
 
 // eventReader reads the events of one response.
@@ -24,55 +25,100 @@
 	Buffered() bool
 }
 
-var idPrefix = []byte("id:")
-
-// numberedReader reads events without parsing their data. It checks that the event
-// numbers are consecutive.
+// numberedReader reads server-sent events whose numbers are consecutive. It does not
+// interpret their data. Only an event with the number that is due, and comments, are passed on.
 type numberedReader struct {
 	r     *bufio.Reader
 	event bytes.Buffer
-	last  uint64
-	count int64
+	// extension is a field with which events may begin, "" for none.
+	extension string
+	last      uint64
+	count     int64
 }
 
 // newNumberedReader returns a reader that expects the event after the given last one.
-func newNumberedReader(r io.Reader, last uint64) *numberedReader {
-	return &numberedReader{r: bufio.NewReaderSize(r, eventBufSize), last: last}
+func newNumberedReader(r io.Reader, last uint64, extension string) *numberedReader {
+	return &numberedReader{r: bufio.NewReaderSize(r, eventBufSize), last: last, extension: extension}
+}
+
+// eventFields are the fields of the event that is being read.
+type eventFields struct {
+	// number is the value of the id field, valid if hasNumber is set.
+	number             uint64
+	hasNumber, hasData bool
+	// any says that there is a field, comment that there is a comment.
+	any, comment bool
 }
 
 // Next implements eventReader.
 func (e *numberedReader) Next() ([]byte, error) {
 	e.event.Reset()
-	id := uint64(0)
+	var fields eventFields
 	for {
 		start := e.event.Len()
 		if err := readLine(e.r, &e.event); err != nil {
 			return nil, e.readError(err)
 		}
-		line := bytes.TrimRight(e.event.Bytes()[start:], "\r\n")
-		if len(line) == 0 {
-			if e.event.Len() <= 2 {
-				continue
+		line := trimLineEnd(e.event.Bytes()[start:])
+		if len(line) > 0 {
+			if reason := fields.add(line, e.extension); reason != "" {
+				return nil, e.invalid(reason)
 			}
-			return e.event.Bytes(), e.accept(id)
+			continue
 		}
-		if text, ok := bytes.CutPrefix(line, idPrefix); ok {
-			n, err := strconv.ParseUint(string(bytes.TrimSpace(text)), 10, 64)
-			if err != nil {
-				return nil, e.invalid(InvalidNumber)
-			}
-			id = n
+		switch {
+		case fields.any:
+			return e.event.Bytes(), e.accept(&fields)
+		case fields.comment:
+			return e.event.Bytes(), nil
 		}
 	}
 }
 
-func (e *numberedReader) accept(id uint64) error {
-	if id != 0 {
-		if id != e.last+1 {
-			return e.invalid(InvalidOrder)
+// add adds a line that is not blank. It returns why the line can belong to no event, "" if it can.
+func (f *eventFields) add(line []byte, extension string) InvalidReason {
+	if bytes.IndexByte(line, '\r') >= 0 || !utf8.Valid(line) {
+		return InvalidText
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	isFirst := !f.any
+	f.any = f.any || len(name) > 0
+	switch string(name) {
+	case "":
+		f.comment = true
+	case "id":
+		return f.setNumber(value)
+	case "data":
+		f.hasData = true
+	case "event", "retry":
+	default:
+		if !isFirst || string(name) != extension {
+			return InvalidField
 		}
-		e.last = id
 	}
+	return ""
+}
+
+func (f *eventFields) setNumber(text []byte) InvalidReason {
+	n, err := strconv.ParseUint(string(bytes.TrimSpace(text)), 10, 64)
+	if err != nil || f.hasNumber {
+		return InvalidNumber
+	}
+	f.number, f.hasNumber = n, true
+	return ""
+}
+
+// accept checks a complete event.
+func (e *numberedReader) accept(f *eventFields) error {
+	switch {
+	case !f.hasNumber:
+		return e.invalid(InvalidUnnumbered)
+	case f.number != e.last+1:
+		return e.invalid(InvalidOrder)
+	case !f.hasData:
+		return e.invalid(InvalidNoData)
+	}
+	e.last = f.number
 	e.count++
 	return nil
 }
@@ -115,6 +161,11 @@
 	}
 }
 
+// trimLineEnd returns a line without its end, which is LF or CRLF.
+func trimLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
 // eofToUnexpected replaces io.EOF by io.ErrUnexpectedEOF within an event.
 func eofToUnexpected(err error, event *bytes.Buffer) error {
 	if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event.Bytes())) > 0 {
--- a/internal/backend/routed_test.go
+++ b/internal/backend/routed_test.go
@@ -22,7 +22,7 @@
 func testHeaders() backend.HeaderConfig {
 	return backend.HeaderConfig{
 		RequestID: "X-Id", NotRun: "X-Unrun", Deadline: "X-Left", Instance: "X-Meant", Account: "X-Account", Proof: "X-Proof", LastEvent: "Last-Event-Id",
-		CopyPrefixFrom: "X-Fetch", Leaving: "X-Leaves",
+		CopyPrefixFrom: "X-Fetch", Leaving: "X-Leaves", EventField: "x-weights",
 	}
 }
 
