--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -472,7 +472,7 @@
 		sim.keyFirstUse[key] = sim.now.Milliseconds()
 	}
 	msg := &wire.Claim{Key: account + "\x00" + key, Request: id, At: sim.keyFirstUse[key]}
-	r.step(claimEvent{&pendingClaim{msg: msg, result: a.claim}})
+	r.step(claimEvent{msg, a.claim})
 }
 
 func (sim *simulation) queueRequest(r *simRouter, a *simRequest) {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -114,7 +114,6 @@
 		retryBudget:    allowance.New(d.opt.retryConfig, now),
 		retryConfig:    d.opt.retryConfig,
 		peerLinks:      map[string]*link{},
-		keys:           newIdempotencyKeys(d.id.Address, now, d.opt.wallClock()),
 		origins:        newStreamOrigins(),
 		tokenCounts:    map[uint64]*atomic.Int64{},
 		loadReaders:    map[string]context.CancelFunc{},
@@ -123,6 +122,7 @@
 		waiting:        map[uint64]*attempt{},
 		silentSince:    map[string]time.Duration{},
 	}
+	s.keys = newIdempotencyKeys(d.id.Address, now, d.opt.wallClock(), s.sendOrHandle)
 	removal, unlisted := gracePeriods(d.opt.applyWithin)
 	s.catalog = catalog.New(catalog.WithRemovalGrace(removal), catalog.WithUnlistedGrace(unlisted), catalog.WithOwnAddress(s.isRouterAddress))
 	return s
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -45,8 +45,8 @@
 	nextID  uint64
 	waiting map[uint64]chan<- acquireResult
 	served  map[uint64]*atomic.Int64
-	// claims contains the claims that wait for replies.
-	claims map[uint64]*pendingClaim
+	// claims are the claims of keys that wait for replies.
+	claims *once.Claims
 	// localMessages contains messages of this router to itself.
 	localMessages []any
 	started       bool
@@ -79,7 +79,6 @@
 		holder:     hold.New(r.opt.hold...),
 		owners:     map[wire.Pool]*pool.Owner{},
 		budget:     retry.New(retry.DefaultShare, retry.DefaultBurst),
-		claims:     map[uint64]*pendingClaim{},
 		pools:      map[wire.Pool][]table.Backend{},
 		ownerHints: map[wire.Pool]ownerHint{},
 		waiting:    map[uint64]chan<- acquireResult{},
@@ -87,6 +86,7 @@
 		loadFeeds:  map[string]*loadFeed{},
 	}
 	c.keys = once.New(r.id.Name, c.now)
+	c.claims = once.NewClaims(c.send)
 	c.lastStep = c.now
 	return c
 }
@@ -169,7 +169,7 @@
 		}
 	}
 	c.keys.Tick(c.now)
-	c.expireClaims()
+	c.claims.Expire(c.now)
 	c.snapshotIfDue()
 }
 
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -437,7 +437,7 @@
 		w.used[key] = w.now.Milliseconds()
 	}
 	msg := &wire.Claim{Key: account + "\x00" + key, Request: id, At: w.used[key]}
-	r.step(claimKey{&pendingClaim{msg: msg, reply: a.claim}})
+	r.step(claimKey{msg, a.claim})
 }
 
 func (w *world) acquireSlot(r *simRouter, a *simRequest) {
