Pass on only the fields that a response announces for its trailer

What callers could get: after the last chunk, any field that a faulty backend server wrote there, among them the id of another request, another proof, Retry-After, Set-Cookie, Content-Encoding and Content-Length.

Cause: net/http adds fields to Response.Trailer that the head does not announce, and the whole of it was passed on. The class: what is not seen to be wrong is taken for part of the response.

Now the head, which carries the proof of its origin, has to announce a field. Fields that concern one connection, how a response is framed, encoded, cached or repeated, and those by which backend servers and routers speak to each other, are never taken from a trailer. A sound trailer passes as before (TestResponseIsForwardedUnchanged).

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -116,7 +116,7 @@
 			return
 		}
 	}
-	x.sink.Trailer(resp.Trailer)
+	x.forwardTrailer(resp)
 }
 
 // fill reads until the buffer is full. It returns io.EOF if the response ends first.
@@ -150,7 +150,7 @@
 	}
 	x.begin(resp)
 	if x.deliver(body, true) {
-		x.sink.Trailer(resp.Trailer)
+		x.forwardTrailer(resp)
 	}
 }
 
@@ -234,7 +234,7 @@
 	if !x.result.Began {
 		x.begin(resp)
 	}
-	x.sink.Trailer(resp.Trailer)
+	x.forwardTrailer(resp)
 }
 
 // mayBeCut reports whether a stream that ended between events shows no sign of being whole: it had no event,
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -40,6 +40,8 @@
 	result Result
 	// written receives one result when the request is written or has failed.
 	written chan error
+	// announced are the fields that the response announces for its trailer.
+	announced []string
 	// reusable is set if the connection may carry another request.
 	reusable bool
 	stall    *stallDetector
@@ -98,6 +100,7 @@
 	// The body is not closed: Close would read it to its end, which may never come. A connection whose
 	// response was not read to its end is closed.
 	x.result.Status, x.result.Framing = resp.StatusCode, framingOf(resp)
+	x.announced = announcedTrailer(resp)
 	x.conn.applyKeepAlive(resp.Header)
 	x.forward(resp)
 	x.reusable = x.result.Err == nil && !resp.Close && x.conn.reader.Buffered() == 0
--- a/internal/backend/headers.go
+++ b/internal/backend/headers.go
@@ -52,6 +52,11 @@
 	return HeaderConfig{RequestID: HeaderRequestID, Priority: HeaderPriority, NotRun: HeaderNotRun}
 }
 
+// ofResponses returns the names of the headers that backend servers set in responses.
+func (c *HeaderConfig) ofResponses() []string {
+	return []string{c.RequestID, c.NotRun, c.Instance, c.Proof, c.Leaving}
+}
+
 // notRun reports whether the backend server declares that it did not run the request.
 func (c *HeaderConfig) notRun(resp *http.Response) bool {
 	switch resp.StatusCode {
