Refuse successes on streaming routes that are no event streams

What callers could get: on a streaming route, any bytes with status 200 to 299 whose head does not call them text/event-stream, whole to look at. None of the checks of a stream's events applied to them.

Cause: what was no event stream was passed on as a plain response. The class is that of events without a number: bytes pass unless something says that they are checked.

A success on a streaming route has to be an event stream now; anything else ends the attempt as bad-answer before a byte of it is written, so that the request goes to another backend server if it may. Failures (3xx to 5xx) are passed on as before (TestFailureOfStreamingRoute).

TestForwardedRequest, which is about the request, answered a streaming call with a success without a type; its server now sends what such a call is answered with. What it checks is unchanged.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -32,12 +32,12 @@
 	}
 	removeHopHeaders(resp.Header)
 	switch {
-	case !x.call.MayStream || x.call.Opaque && resp.StatusCode != http.StatusOK:
+	case !x.call.MayStream || x.call.Opaque && !isSuccess(resp):
 		x.copyPlain(resp)
 	case isEventStream(resp):
 		x.copyEvents(resp)
 	case x.call.Opaque:
-		x.copyPlain(resp)
+		x.fail(verdict.PhaseStream, http.StatusBadGateway, "bad-answer", "the backend server's answer is no stream", errNoStream)
 	default:
 		x.copyJSON(resp)
 	}
@@ -67,6 +67,10 @@
 	x.result.Err = verdict.New(verdict.PhaseQueue, http.StatusServiceUnavailable, code, detail)
 }
 
+func isSuccess(resp *http.Response) bool {
+	return resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
+}
+
 func isEventStream(resp *http.Response) bool {
 	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 	return err == nil && mediaType == "text/event-stream"
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -28,6 +28,7 @@
 	errLeaseExpired   = errors.New("backend: lease expired before the first byte was sent")
 	errStaleResponses = errors.New("backend: too many responses to other requests on the connection")
 	errStalled        = errors.New("backend: no data received before the timeout")
+	errNoStream       = errors.New("backend: response to a streaming call is no event stream")
 	errNoProof        = errors.New("backend: response has no valid proof of origin")
 )
 
--- a/internal/backend/routed_test.go
+++ b/internal/backend/routed_test.go
@@ -288,7 +288,7 @@
 		buf := make([]byte, 4096)
 		n, _ := conn.Read(buf)
 		got <- string(buf[:n])
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: req-1\r\nX-Proof: p\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(conn, streamHead+"Content-Length: 0\r\n\r\n")
 	})
 	call := routedCall(s.ln.Addr().String())
 	call.Path, call.Host = "/a/../b?x=%20", "forms.example"
