Pass on statuses that promise something only with a proof

What callers could hear: 503, 429, 408, and any 3xx or 4xx, from a head that nothing shows to be the backend server's own. By 503, 429 and 408 a request that may not run twice counts as one that never ran, though it was sent and may run (REFUSED); after a 4xx callers don't try again.

Cause: only successes had to bear the proof of their origin.

Now every response must, save refusals that declare themselves as such and server errors other than 503, which promise nothing and are passed on or withheld as before. What lacks the proof ends the attempt as bad-answer: another backend server gets the request if it may, and the caller hears 502, which promises nothing.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -22,8 +22,8 @@
 		x.failRefused(resp)
 		return
 	}
-	if !headers.hasProof(resp) {
-		x.fail(verdict.PhaseStream, http.StatusBadGateway, "bad-answer", "the backend server's answer is not its own", errNoProof)
+	if err := headers.checkOrigin(resp); err != nil {
+		x.fail(verdict.PhaseStream, http.StatusBadGateway, "bad-answer", "the backend server's answer is not its own", err)
 		return
 	}
 	if x.withholds(resp) {
--- a/internal/backend/headers.go
+++ b/internal/backend/headers.go
@@ -70,14 +70,6 @@
 	}
 }
 
-// hasProof reports whether a successful response comes from the backend server itself.
-func (c *HeaderConfig) hasProof(resp *http.Response) bool {
-	if c.Proof == "" || resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices {
-		return true
-	}
-	return resp.Header.Get(c.Proof) != "" && resp.Header.Get("Content-Encoding") == ""
-}
-
 // hopHeaders apply to a single connection and are not forwarded.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- /dev/null
+++ b/internal/backend/origin.go
@@ -0,0 +1,21 @@
+package backend
+
+import "net/http"
+
+// checkOrigin returns why a response is not to be taken for one that the backend server itself
+// created, nil if it is. Without a proof in use all are taken for that.
+func (c *HeaderConfig) checkOrigin(resp *http.Response) error {
+	if c.Proof == "" || !needsProof(resp.StatusCode) {
+		return nil
+	}
+	if resp.Header.Get(c.Proof) == "" || isSuccess(resp) && resp.Header.Get("Content-Encoding") != "" {
+		return errNoProof
+	}
+	return nil
+}
+
+// needsProof reports whether callers draw conclusions from a status that only the backend server can vouch for: that
+// the request ran, that it did not and never will, or that it is of no use to send it again. Other server errors say nothing.
+func needsProof(status int) bool {
+	return status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
+}
