--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -29,6 +29,7 @@
 	errStaleResponses = errors.New("backend: too many responses to other requests on the connection")
 	errStalled        = errors.New("backend: no data received before the timeout")
 	errNoStream       = errors.New("backend: response to a streaming call is no event stream")
+	errNotFinal       = errors.New("backend: response has a status that ends no request")
 	errNoProof        = errors.New("backend: response has no valid proof of origin")
 )
 
