Refuse heads that may be joined from two responses

What callers could get: a response whose head bears the id of another request after its own, or two proofs; a success without an id, which may be another request's; and a success without its proof, since a faulty head's Connection line had it removed on the way.

Cause: the first value of a field was looked at, an id that is missing counted as right, and the fields that concern a connection alone were removed after the proof had been seen.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -13,7 +13,7 @@
 // forward checks the response and forwards it according to its type.
 func (x *roundTrip) forward(resp *http.Response) {
 	headers := &x.client.opt.headers
-	if id := resp.Header.Get(headers.RequestID); id != "" && id != x.call.RequestID {
+	if headers.hasOtherID(resp, x.call.RequestID) {
 		x.fail(verdict.PhaseHeader, http.StatusBadGateway, "crossed-answer", "the backend server answered another request", nil)
 		return
 	}
@@ -22,6 +22,7 @@
 		x.failRefused(resp)
 		return
 	}
+	removeHopHeaders(resp.Header)
 	if err := headers.checkOrigin(resp); err != nil {
 		x.fail(verdict.PhaseStream, http.StatusBadGateway, "bad-answer", "the backend server's answer is not its own", err)
 		return
@@ -30,7 +31,6 @@
 		x.fail(verdict.PhaseDone, http.StatusBadGateway, "backend-failed", "the backend server failed", nil)
 		return
 	}
-	removeHopHeaders(resp.Header)
 	switch {
 	case !x.call.MayStream || x.call.Opaque && !isSuccess(resp):
 		x.copyPlain(resp)
