Take no response without an id where the server has stated ids

What callers could get: on a kept connection, a second response to an earlier request that came late and bore no id, as the response to their own: another request's failure or, where no proofs are in use, its body. A late refusal made the router believe that the request under way had not run.

Cause: a response without an id counted as the one that was due. Requests that must not be repeated were spared, as they get connections of their own.

A backend server that has stated the id once on a connection has to state it in each further response there. One without ends the attempt as backend-broke, may have run, and the connection with it. Servers that never state ids are trusted as before.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -43,9 +43,11 @@
 	// unread limits the bytes that may still be read from the connection.
 	unread *io.LimitedReader
 	// reused is set once the connection has carried a request.
-	reused    bool
-	idleSince time.Time
-	maxIdle   time.Duration
+	reused bool
+	// repeatsIDs is set once a response has stated the id of its request.
+	repeatsIDs bool
+	idleSince  time.Time
+	maxIdle    time.Duration
 }
 
 // connPool holds the idle connections to backend servers, by Call.connKey.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -27,6 +27,7 @@
 var (
 	errLeaseExpired   = errors.New("backend: lease expired before the first byte was sent")
 	errStaleResponses = errors.New("backend: too many responses to other requests on the connection")
+	errNoID           = errors.New("backend: response has no request id, unlike earlier ones")
 	errStalled        = errors.New("backend: no data received before the timeout")
 	errNoStream       = errors.New("backend: response to a streaming call is no event stream")
 	errNotFinal       = errors.New("backend: response has a status that ends no request")
@@ -189,7 +190,8 @@
 }
 
 // readResponse reads the header of the response. On a reused connection it discards
-// late responses to earlier requests, which it recognizes by their request id.
+// late responses to earlier requests, which it recognizes by their request id. It fails on one
+// without an id if the backend server has stated ids on the connection.
 func (x *roundTrip) readResponse() (*http.Response, error) {
 	req := &http.Request{Method: x.call.Method}
 	for range maxStale {
@@ -201,7 +203,11 @@
 			continue
 		}
 		id := resp.Header.Get(x.client.opt.headers.RequestID)
+		if id == "" && x.conn.repeatsIDs {
+			return nil, errNoID
+		}
 		if id == "" || id == x.call.RequestID || !x.conn.reused {
+			x.conn.repeatsIDs = id != ""
 			return resp, nil
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBody))
