Accuse no request of a crash for bytes that are no response

What it cost: each response that broke off for a malformed head, chunk or trailer counted as the end of its backend server. The request and the shared parts of its prompt were accused of crashing it, told to all routers, and after three such servers refused, though the server ran on.

Cause: every failure to read a response counted as a lost connection. They are told apart now by whether the connection has ended; what ends within the response (a cut chunk, a last chunk inside an event) still counts as a disconnect. attempt_end says which it was (malformed).

Evidence: TestWasDisconnected failed in its two new cases before.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -275,5 +275,6 @@
 	if x.recordStall() || x.failIfCanceled(verdict.PhaseStream, err) {
 		return
 	}
+	x.result.Malformed = x.conn.isMalformed(err)
 	x.fail(verdict.PhaseStream, http.StatusBadGateway, "answer-cut", "the backend server's answer ended before its end", err)
 }
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -137,6 +137,8 @@
 	Framing Framing
 	// Empty says that the response was a stream without events.
 	Empty bool
+	// Malformed says that the response broke off for bytes that are none of it, and not for the end of its connection.
+	Malformed bool
 	// FirstByte is the time of the first event or byte of the body, zero if there was none.
 	FirstByte time.Time
 	// LastEvent is the number of the last forwarded event.
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -42,6 +43,8 @@
 	reader *bufio.Reader
 	// unread limits the bytes that may still be read from the connection.
 	unread *io.LimitedReader
+	// received reads from the connection and notes its end.
+	received *endRecorder
 	// reused is set once the connection has carried a request.
 	reused bool
 	// repeatsIDs is set once a response has stated the id of its request.
@@ -200,15 +203,39 @@
 	if err != nil {
 		return nil, fmt.Errorf("backend: dial: %w", err)
 	}
-	unread := &io.LimitedReader{R: nc, N: math.MaxInt64}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(unread, readBufferSize), unread: unread, maxIdle: defaultMaxIdle}, nil
+	received := &endRecorder{r: nc}
+	unread := &io.LimitedReader{R: received, N: math.MaxInt64}
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(unread, readBufferSize), unread: unread, received: received, maxIdle: defaultMaxIdle}, nil
+}
+
+// endRecorder is a reader that notes that its source has ended or failed.
+type endRecorder struct {
+	r     io.Reader
+	ended bool
+}
+
+// Read implements io.Reader.
+func (e *endRecorder) Read(p []byte) (int, error) {
+	n, err := e.r.Read(p)
+	e.ended = e.ended || err != nil
+	return n, err
 }
 
 // readHead reads a response up to its body. It fails if the head is larger than maxResponseHead.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.unread.N = maxResponseHead
 	defer func() { c.unread.N = math.MaxInt64 }()
-	return http.ReadResponse(c.reader, req)
+	resp, err := http.ReadResponse(c.reader, req)
+	if err != nil && c.unread.N == 0 {
+		return nil, errHeadTooLarge
+	}
+	return resp, err
+}
+
+// isMalformed reports whether reading a response failed for its bytes: the connection has not ended, and neither has
+// the response.
+func (c *conn) isMalformed(err error) bool {
+	return !c.received.ended && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
 }
 
 // close closes the idle connections. Connections released later are closed, too.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -27,6 +27,7 @@
 var (
 	errLeaseExpired   = errors.New("backend: lease expired before the first byte was sent")
 	errStaleResponses = errors.New("backend: too many responses to other requests on the connection")
+	errHeadTooLarge   = errors.New("backend: response head exceeds the size limit")
 	errNoID           = errors.New("backend: response has no request id, unlike earlier ones")
 	errStalled        = errors.New("backend: no data received before the timeout")
 	errNoStream       = errors.New("backend: response to a streaming call is no event stream")
@@ -230,6 +231,7 @@
 	if x.recordStall() || x.failIfCanceled(verdict.PhaseHeader, err) {
 		return
 	}
+	x.result.Malformed = x.conn.isMalformed(err)
 	x.fail(verdict.PhaseHeader, http.StatusBadGateway, "backend-broke", "the connection broke before the backend server answered", err)
 }
 
--- a/internal/dispatch/acquire_test.go
+++ b/internal/dispatch/acquire_test.go
@@ -40,6 +40,11 @@
 	usage := func(code string, sent, stalled bool) front.Usage {
 		return front.Usage{Sent: sent, Stalled: stalled, Error: verdict.New(verdict.PhaseStream, http.StatusBadGateway, code, "")}
 	}
+	malformed := func(code string) front.Usage {
+		u := usage(code, true, false)
+		u.Malformed = true
+		return u
+	}
 	tests := map[string]struct {
 		usage front.Usage
 		want  bool
@@ -52,6 +57,8 @@
 		"caller disconnected":              {usage("caller-gone", true, false), false},
 		"deadline exceeded":                {usage("deadline", true, false), false},
 		"invalid response":                 {usage("bad-answer", true, false), false},
+		"bytes that are no response":       {malformed("backend-broke"), false},
+		"bytes within the response":        {malformed("answer-cut"), false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -23,9 +23,9 @@
 }
 
 // wasDisconnected reports whether the backend server closed the connection while the request
-// was in flight. A stalled server does not count: it may only be slow.
+// was in flight. A stalled server does not count: it may only be slow. Nor does one whose bytes were no response.
 func wasDisconnected(u front.Usage) bool {
-	return u.Error != nil && u.Sent && !u.Stalled && (u.Error.Code == "answer-cut" || u.Error.Code == "backend-broke")
+	return u.Error != nil && u.Sent && !u.Stalled && !u.Malformed && (u.Error.Code == "answer-cut" || u.Error.Code == "backend-broke")
 }
 
 // isCompleted reports whether the request ran to its end. An error of the caller or an empty stream does not show
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -29,7 +29,7 @@
 		LongestPause: longestPause, PauseTarget: pauseTarget,
 		Tokens: outcome.Tokens, Sent: result.Sent, Unreachable: result.Unreachable,
 		Status: result.Status, Error: result.Err, Stalled: result.Stalled,
-		Unframed: result.Framing == backend.FramingClose, Empty: result.Empty,
+		Unframed: result.Framing == backend.FramingClose, Empty: result.Empty, Malformed: result.Malformed,
 		Request: in.id, Digest: in.digest,
 	})
 	if in.route != nil {
@@ -72,7 +72,7 @@
 		"ahead", grant.TokensAhead, "running", grant.Running,
 		"expected_ms", grant.ExpectedFirstEvent.Milliseconds(), "margin_ms", grant.FirstEventMargin.Milliseconds(),
 		"first_ms", firstByteMillis, "pause_ms", pauseMillis, "total_ms", s.clock().Since(started).Milliseconds(),
-		"sent", result.Sent, "events", result.LastEvent, "framing", result.Framing.String(), "parts", in.loggedParts(), "code", code)
+		"sent", result.Sent, "events", result.LastEvent, "framing", result.Framing.String(), "malformed", result.Malformed, "parts", in.loggedParts(), "code", code)
 	s.logNotice(in, grant, outcome, result.Notice)
 	s.logInvalid(in, grant, outcome, result.Invalid)
 }
--- a/internal/front/scheduler.go
+++ b/internal/front/scheduler.go
@@ -189,6 +189,8 @@
 	// Unframed says that only the end of its connection marked the end of the response. Empty says that the
 	// response was a stream without events.
 	Unframed, Empty bool
+	// Malformed says that the response broke off for bytes that are none of it, and not for the end of its connection.
+	Malformed bool
 	// LongestPause is the longest pause between two events, PauseTarget that which the route desires,
 	// 0 if no pause was measured.
 	LongestPause, PauseTarget time.Duration
