Believe refusals without an id on kept connections

Backend servers refuse before they know a request, and such refusals (503, 421) bear no id. On a connection with ids each counted as a response that broke off: a full server looked faulty, and its refusal cost a retry.

A refusal is believed again.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -192,7 +192,7 @@
 
 // readResponse reads the header of the response. On a reused connection it discards
 // late responses to earlier requests, which it recognizes by their request id. It fails on one
-// without an id if the backend server has stated ids on the connection.
+// without an id if the backend server has stated ids on the connection, unless it is a refusal.
 func (x *roundTrip) readResponse() (*http.Response, error) {
 	req := &http.Request{Method: x.call.Method}
 	for range maxStale {
@@ -205,7 +205,7 @@
 		}
 		id := resp.Header.Get(x.client.opt.headers.RequestID)
 		if id == "" && x.conn.repeatsIDs {
-			return nil, errNoID
+			return resp, x.checkWithoutID(resp)
 		}
 		if id == "" || id == x.call.RequestID || !x.conn.reused {
 			x.conn.repeatsIDs = id != ""
@@ -219,6 +219,17 @@
 	return nil, errStaleResponses
 }
 
+// checkWithoutID decides on a response without an id from a backend server that states ids: it may be a late one to an
+// earlier request. A refusal is believed, since servers refuse before they know the request. If it is a late one, the
+// connection is closed while the request runs, which may be repeated: others get connections of their own.
+func (x *roundTrip) checkWithoutID(resp *http.Response) error {
+	if !x.client.opt.headers.notRun(resp) {
+		return errNoID
+	}
+	resp.Close = true
+	return nil
+}
+
 func (x *roundTrip) failUnreachable(detail string, err error) {
 	if x.failIfCanceled(verdict.PhaseDial, err) {
 		return
