Bound the nesting of messages between routers

A frame of 4 MB whose values nest four million arrays ended the router that read it. The msgpack library skips a value by recursion, of an unknown message kind as well as of an unknown field of a known one, and a goroutine whose stack reaches 1 GB ends the process; nothing can recover it. Each level is one byte, so a frame within its limit is enough, and each stated length fits the payload.

The pass over all headers that checks stated lengths now also counts open arrays and maps, and refuses a payload that nests deeper than 32.

--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -222,7 +222,7 @@
 // Decode returns all messages of a payload. It skips messages of unknown kinds,
 // which newer routers may send.
 func (d *Decoder) Decode(payload []byte) ([]any, error) {
-	if err := checkLengths(payload); err != nil {
+	if err := checkShape(payload); err != nil {
 		return nil, err
 	}
 	d.src.Reset(payload)
--- a/pkg/wire/lengths.go
+++ b/pkg/wire/lengths.go
@@ -9,6 +9,13 @@
 // library allocates what an array states before it reads the elements.
 var ErrLength = errors.New("wire: an element count or a length exceeds the payload")
 
+// ErrNesting says that a payload nests arrays and maps deeper than maxNesting. The msgpack library skips values
+// that it does not know by recursion, and a stack that grows too large ends the process.
+var ErrNesting = errors.New("wire: arrays or maps are nested too deep")
+
+// maxNesting is four times the depth of the deepest message, a RestrictedUpdate, so that later types may nest deeper.
+const maxNesting = 32
+
 // Format bytes of the msgpack specification. Those between two that are listed here belong to the first.
 const (
 	fixMap    = 0x80
@@ -28,19 +35,49 @@
 // numberSizes are the sizes of the formats from float32s to the last one before fixExt1, with the format byte.
 var numberSizes = [...]int{5, 9, 2, 3, 5, 9, 2, 3, 5, 9}
 
-// checkLengths reports ErrLength unless each value of the payload fits in it. Nested values follow their array or
-// map, so that one pass over all headers sees them.
-func checkLengths(payload []byte) error {
+// checkShape reports ErrLength unless each value of the payload fits in it, and ErrNesting if values nest too deep.
+// Nested values follow their array or map, so that one pass over all headers sees them.
+func checkShape(payload []byte) error {
+	var open nesting
 	for rest := payload; len(rest) > 0; {
 		size, children := headerOf(rest)
 		if size > len(rest) || children > len(rest)-size {
 			return ErrLength
 		}
+		if !open.add(children) {
+			return ErrNesting
+		}
 		rest = rest[size:]
 	}
 	return nil
 }
 
+// nesting is the position in nested arrays and maps: missing[i] is the number of values that the one at depth i still
+// lacks, for each i below depth.
+type nesting struct {
+	missing [maxNesting]int
+	depth   int
+}
+
+// add adds the next value, which has a number of children. It reports false if that would nest too deep.
+func (n *nesting) add(children int) bool {
+	if children > 0 {
+		if n.depth == maxNesting {
+			return false
+		}
+		n.missing[n.depth] = children
+		n.depth++
+		return true
+	}
+	for ; n.depth > 0; n.depth-- {
+		last := &n.missing[n.depth-1]
+		if *last--; *last > 0 {
+			break
+		}
+	}
+	return true
+}
+
 // headerOf returns the size of the next value without its elements, and the number of these. A size above len(p)
 // means that the value is cut off.
 func headerOf(p []byte) (size, children int) {
--- a/pkg/wire/wire_test.go
+++ b/pkg/wire/wire_test.go
@@ -117,6 +117,7 @@
 	}
 	f.Add(buf.Bytes())
 	f.Add([]byte{1, 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Add(append([]byte{200}, bytes.Repeat([]byte{0x91}, 100)...))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		_, _ = wire.NewDecoder().Decode(data)
 	})
