Bound the names in directory entries

A hundred entries that name a zone or a service of 60 kB, left by another writer, together exceed a message between routers (4 MB). The sender then drops the whole frame and ends the connection, with the leases and demands that it carried; four routers dropped 6 to 38 messages each, and followed the list only because they also read it themselves. An entry was bounded as a whole, but not what routers keep of it and tell each other.

Names of backend servers, services and zones, and addresses, now have 256 bytes at most, and no control characters, since names also go into headers and logs. The same check applies to entries from other routers.

TestManyOddEntries before: "router 2 dropped 38 messages" with a zone of 60 kB, "dropped 34" with a service. TestOddEntry and TestRoutersFollowListBesideOddEntries failed before only on these names and on a port of 4,000 digits; else they refute, with 285 odd entries (nested 50 to 200,000 deep in each field and alone, numbers, addresses, texts), that one odd entry ends a router or keeps it from following the list, also at its start and once the entry is sound.

--- a/pkg/catalog/unusable.go
+++ b/pkg/catalog/unusable.go
@@ -4,6 +4,9 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/yarrowmast/yarrowmast/pkg/table"
 )
@@ -56,15 +59,27 @@
 // requests.
 const maxSlots = 100_000
 
+// maxName bounds the names and the address of an entry, in bytes. Routers send them to each other with each change of
+// the entry, and all entries must fit in a message.
+const maxName = 256
+
+// IsName reports whether a text can name a backend server, a service or an availability zone. Names go into headers,
+// logs and messages.
+func IsName(s string) bool {
+	return s != "" && len(s) <= maxName && utf8.ValidString(s) && !strings.ContainsFunc(s, unicode.IsControl)
+}
+
 // Check returns why a row cannot be used as a backend server.
 func Check(b *table.Backend) Unusable {
 	address, err := netip.ParseAddrPort(b.Address)
 	switch {
-	case len(b.Models) == 0 || b.Models[0] == "":
+	case !IsName(b.Name):
+		return Unusable{BadValue, "name"}
+	case len(b.Models) == 0 || !allNames(b.Models):
 		return Unusable{BadValue, "service"}
-	case err != nil || address.Port() == 0 || address.Addr().IsUnspecified():
+	case err != nil || len(b.Address) > maxName || address.Port() == 0 || address.Addr().IsUnspecified():
 		return Unusable{BadValue, "address"}
-	case b.Zone == "":
+	case !IsName(b.Zone):
 		return Unusable{BadValue, "zone"}
 	case b.Slots < 1 || b.Slots > maxSlots:
 		return Unusable{BadValue, "slots"}
@@ -75,6 +90,10 @@
 	}
 }
 
+func allNames(list []string) bool {
+	return !slices.ContainsFunc(list, func(s string) bool { return !IsName(s) })
+}
+
 // Checked returns an update from another router with the unusable entries marked as such. The
 // other router may apply different rules.
 func (u Update) Checked() Update {
