Bound the text of odd items in logs and in the status

An odd value of 1 MB was logged as a whole, up to ten times a second, and stayed in the status page and in the answer why a router is not ready: the error of a decoder repeats the number that it cannot read, and a key may have any size. With a key and a reason of 1 MB, one update wrote 4 MB of log and kept 6 MB of text.

What was published and cannot be used is now repeated up to 1 kB with its full size, and the log writes at most 16 kB of any line, so that events which repeat other outside text (platform_read_failed, table_refused, peer_refused) are bounded at the one place where lines are written.

TestTextOfUnusableItemsIsBounded before: "the log has 4194522 bytes", "a refusal of 2097165 bytes". TestLinesAreBounded before: 4 lines with more than 3 MB.

--- a/internal/dispatch/table_status.go
+++ b/internal/dispatch/table_status.go
@@ -17,7 +17,7 @@
 	for _, x := range u.Skipped {
 		revision := catalog.Revision{Epoch: u.Epoch, Number: x.Revision}
 		if x.Table && s.refusedTable.revision.Before(revision) {
-			s.refusedTable = refusedTable{revision, fmt.Sprintf("%s: %s %s", x.Key, x.Unusable.Reason, x.Unusable.Field)}
+			s.refusedTable = refusedTable{revision, fmt.Sprintf("%s: %s %s", excerpt(x.Key), x.Unusable.Reason, excerpt(x.Unusable.Field))}
 		}
 	}
 }
--- a/internal/dispatch/unusable.go
+++ b/internal/dispatch/unusable.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/catalog"
@@ -31,18 +32,29 @@
 	return l.lines <= unusableLogLimit
 }
 
+// maxExcerpt bounds a text that was published, in logs and in the status, in bytes.
+const maxExcerpt = 1024
+
+// excerpt returns the begin of a text that may be of any size.
+func excerpt(text string) string {
+	if len(text) <= maxExcerpt {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxExcerpt], "") + fmt.Sprintf("... (%d bytes)", len(text))
+}
+
 // logUnusable logs the parts of an update that cannot be used.
 func (s *state) logUnusable(u *catalog.Update, from string) {
 	for _, x := range u.Skipped {
 		if x.Key == "" || !s.unusableLimiter.allow(s.now) {
 			continue
 		}
-		s.d.opt.log.Warn("published_unusable", "key", x.Key, "revision", x.Revision, "reason", string(x.Unusable.Reason), "field", x.Unusable.Field)
+		s.d.opt.log.Warn("published_unusable", "key", excerpt(x.Key), "revision", x.Revision, "reason", string(x.Unusable.Reason), "field", excerpt(x.Unusable.Field))
 	}
 	for _, e := range s.catalog.DrainUnusable() {
 		if s.unusableLimiter.allow(s.now) {
-			s.d.opt.log.Warn("entry_unusable", "backend", e.Backend.Name, "revision", e.Revision,
-				"reason", string(e.Unusable.Reason), "field", e.Unusable.Field, "from", from)
+			s.d.opt.log.Warn("entry_unusable", "backend", excerpt(e.Backend.Name), "revision", e.Revision,
+				"reason", string(e.Unusable.Reason), "field", excerpt(e.Unusable.Field), "from", from)
 		}
 	}
 	s.recordNoTableReason(u)
@@ -57,7 +69,7 @@
 	}
 	for _, x := range u.Skipped {
 		if x.Key != "" {
-			err := fmt.Errorf("dispatch: %s at revision %d cannot be used (%s %s); publish a corrected value", x.Key, x.Revision, x.Unusable.Reason, x.Unusable.Field)
+			err := fmt.Errorf("dispatch: %s at revision %d cannot be used (%s %s); publish a corrected value", excerpt(x.Key), x.Revision, x.Unusable.Reason, excerpt(x.Unusable.Field))
 			s.d.shared.noTableReason.Store(&err)
 		}
 	}
@@ -74,7 +86,7 @@
 func (s *state) unusableEntries() (list []UnusableEntry, count int) {
 	reasons, count := s.catalog.Unusable()
 	for _, name := range slices.Sorted(maps.Keys(reasons)) {
-		list = append(list, UnusableEntry{Backend: name, Reason: reasons[name].Reason, Field: reasons[name].Field})
+		list = append(list, UnusableEntry{Backend: excerpt(name), Reason: reasons[name].Reason, Field: excerpt(reasons[name].Field)})
 	}
 	return list, count
 }
--- a/internal/dispatch/unusable_test.go
+++ b/internal/dispatch/unusable_test.go
@@ -83,3 +83,31 @@
 		t.Error(err)
 	}
 }
+
+// TestTextOfUnusableItemsIsBounded guards against an odd value of 1 MB that is logged, or shown to operators, as a whole.
+func TestTextOfUnusableItemsIsBounded(t *testing.T) {
+	const maxLog, maxText = 8 << 10, 4 << 10
+	long := strings.Repeat("x", 1<<20)
+	var log bytes.Buffer
+	d := New(Identity{Name: "r", Address: "10.0.0.1:7", Zone: "a", Incarnation: 1}, emptySource{}, &recordingTransport{}, WithLogger(slog.New(slog.NewTextHandler(&log, nil))))
+	s := newState(d)
+	updateEvent{Update: catalog.Update{
+		AsOf:    4,
+		Skipped: []catalog.Skipped{{Key: long, Revision: 3, Unusable: catalog.Unusable{Reason: catalog.Unreadable, Field: long}, Table: true}},
+		Servers: []catalog.Server{{Revision: 4, Unusable: catalog.Unusable{Reason: catalog.WrongType, Field: long}, Backend: table.Backend{Name: long}}},
+	}}.apply(s)
+	s.publishStatus()
+	st := d.Status()
+	if st.UnusableCount != 1 || len(st.Unusable[0].Backend)+len(st.Unusable[0].Field) > maxText {
+		t.Errorf("the status shows %d unusable entries, with %d bytes of text", st.UnusableCount, len(st.Unusable[0].Backend)+len(st.Unusable[0].Field))
+	}
+	if st.RefusedTable != 3 || len(st.Refusal) > maxText || !strings.Contains(st.Refusal, "xxx... (1048576 bytes)") {
+		t.Errorf("the status shows a refusal of %d bytes of revision %d", len(st.Refusal), st.RefusedTable)
+	}
+	if reason := fmt.Sprint(d.Ready(t.Context())); len(reason) > maxText {
+		t.Errorf("the router says in %d bytes why it is not ready", len(reason))
+	}
+	if log.Len() > maxLog || strings.Count(log.String(), "_unusable") != 2 {
+		t.Errorf("the log has %d bytes: %.200s", log.Len(), log.String())
+	}
+}
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
@@ -19,6 +20,8 @@
 	// rest is reserved for warnings, errors and failed requests.
 	lowPriorityFraction = 0.5
 	maxBatchBytes       = 64 << 10
+	// maxLineBytes bounds a line. Values may repeat what came from outside, such as the number in an error of a decoder.
+	maxLineBytes = 16 << 10
 	// codeKey is the attribute with the code of a failure, "" for a success.
 	codeKey = "code"
 )
@@ -130,11 +133,16 @@
 	}
 }
 
-// format appends the text of a line to the batch.
+// format appends the text of a line to the batch, at most maxLineBytes of it.
 func (s *Sink) format(l *line) {
+	start := s.batch.Len()
 	if err := l.formatter.Handle(context.Background(), l.record); err != nil {
 		s.dropped.Add(1)
 	}
+	if size := s.batch.Len() - start; size > maxLineBytes {
+		s.batch.Truncate(start + maxLineBytes)
+		fmt.Fprintf(&s.batch, "... (%d bytes)\n", size)
+	}
 }
 
 func (s *Sink) logDropped() {
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"log/slog"
 	"regexp"
@@ -108,3 +109,28 @@
 		}
 	}
 }
+
+// TestLinesAreBounded guards against a value of any size that is logged as a whole, and against its taking other
+// lines along.
+func TestLinesAreBounded(t *testing.T) {
+	const maxText = 40 << 10
+	w := &blockedWriter{unblock: make(chan struct{})}
+	close(w.unblock)
+	s := logsink.New(w, slog.LevelInfo)
+	log := s.Logger()
+	log.Warn("before", "n", 1)
+	log.Warn("odd", "text", strings.Repeat("x", 1<<20))
+	log.Warn("odd", "error", errors.New(strings.Repeat("\n", 1<<20)))
+	log.Warn("after", "n", 2)
+	s.Close(testTimeout)
+	text := w.buf.String()
+	lines := strings.Split(strings.TrimSuffix(text, "\n"), "\n")
+	if len(lines) != 4 || len(text) > maxText || !strings.Contains(lines[0], "msg=before n=1") || !strings.HasSuffix(lines[3], "msg=after n=2") {
+		t.Fatalf("%d lines of %d bytes", len(lines), len(text))
+	}
+	for _, line := range lines[1:3] {
+		if !strings.Contains(line, "msg=odd") || !strings.HasSuffix(line, " bytes)") {
+			t.Errorf("line %.80q ... %q", line, line[len(line)-30:])
+		}
+	}
+}
