Bound the Keep-Alive timeout of backend servers

A backend server that states a Keep-Alive timeout of 18,446,744,074 seconds, 585 years, got a new connection for each request: the seconds overflow a duration and come out as 0.29 s. More than an hour is now taken for an hour. Negative ones are ignored, as before.

TestConnectionReuse "Keep-Alive of 585 years" before: 2 connections, want 1. TestOddResponseHeads and TestOddNotices passed before: odd lengths, chunk sizes and statuses, and odd values of Retry-After and other headers, neither end the process nor hold the call up.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -28,6 +28,8 @@
 	// keepAliveMargin is subtracted from the Keep-Alive timeout, so that no request is
 	// sent while the backend server closes the connection.
 	keepAliveMargin = 700 * time.Millisecond
+	// maxKeepAlive bounds the Keep-Alive timeout that is believed, in seconds.
+	maxKeepAlive = 3600
 	// maxIdlePerServer limits the idle connections to one backend server.
 	maxIdlePerServer = 32
 	readBufferSize   = 4 << 10
@@ -283,7 +285,7 @@
 			continue
 		}
 		if n, err := strconv.Atoi(seconds); err == nil && n >= 0 {
-			c.maxIdle = time.Duration(n)*time.Second - keepAliveMargin
+			c.maxIdle = time.Duration(min(n, maxKeepAlive))*time.Second - keepAliveMargin
 		}
 	}
 }
--- a/internal/backend/routed_test.go
+++ b/internal/backend/routed_test.go
@@ -179,6 +179,8 @@
 		"another version since":           {responses: both, conns: 2, second: "v2"},
 		"Connection: close":               {responses: []string{response("req-1", "Connection: close\r\n")}, conns: 2},
 		"short Keep-Alive timeout":        {responses: []string{response("req-1", "Keep-Alive: timeout=0\r\n")}, conns: 2},
+		"Keep-Alive of 585 years":         {responses: []string{response("req-1", "Keep-Alive: timeout=18446744074\r\n"), response("req-1", "")}, conns: 1},
+		"Keep-Alive below 0":              {responses: []string{response("req-1", "Keep-Alive: timeout=-1\r\n"), response("req-1", "")}, conns: 1},
 		"data after the response":         {responses: []string{response("req-1", "") + "more"}, conns: 2},
 		"late response discarded":         {responses: []string{response("req-1", ""), response("req-0", "") + response("req-1", "")}, conns: 1},
 		"idle for 1 s":                    {responses: both, idle: time.Second, conns: 1},
