Give the figures in tables upper bounds

A table of the project's own interface was accepted with a backend server at port 0 or at 0.0.0.0, with header_bytes of 2^63-1, to which the HTTP server adds so that each request is refused, with a target of 292 years, whose multiples overflow, and with infinite tokens_per_second.

The bounds of times, counts and rates are now in pkg/table, for tables of both kinds, and each problem names its field and line.

--- a/pkg/table/parse.go
+++ b/pkg/table/parse.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/strictyaml"
 )
@@ -19,6 +20,15 @@
 	hashBytes   = 32
 )
 
+// Bounds of the figures in tables of all sources. Sums and products of figures within them do not overflow.
+const (
+	MaxTime  = 365 * 24 * time.Hour
+	MaxCount = 1 << 53
+	MaxRate  = 1e15
+	// MinWarmupRate is the lowest rate of a service that warms up, in requests per second.
+	MinWarmupRate = 1e-3
+)
+
 // Page is a part of a table: a file, or a value of the platform.
 type Page struct {
 	// Name identifies the page in errors.
@@ -148,18 +158,33 @@
 }
 
 func (c *checker) limits(i int, l *Limits) {
-	c.notNegative(l.RequestsPerSecond, "accounts", i, "limits", "requests_per_second")
-	c.notNegative(l.TokensPerSecond, "accounts", i, "limits", "tokens_per_second")
-	c.notNegative(float64(l.InFlight), "accounts", i, "limits", "in_flight")
-	c.notNegative(float64(l.Queued), "accounts", i, "limits", "queued")
+	c.rate(l.RequestsPerSecond, "accounts", i, "limits", "requests_per_second")
+	c.rate(l.TokensPerSecond, "accounts", i, "limits", "tokens_per_second")
+	c.count(int64(l.InFlight), "accounts", i, "limits", "in_flight")
+	c.count(int64(l.Queued), "accounts", i, "limits", "queued")
 	if l.Queued == 0 {
 		l.Queued = DefaultQueued
 	}
 }
 
-func (c *checker) notNegative(x float64, path ...any) {
-	if !(x >= 0) || math.IsInf(x, 0) {
-		c.doc.Add(fmt.Sprintf("is %v; write 0 for no limit, or a number above 0", x), path...)
+// rate checks a rate, of which 0 means that there is no limit or that it is not stated.
+func (c *checker) rate(x float64, path ...any) {
+	if !(x >= 0) || x > MaxRate {
+		c.doc.Add(fmt.Sprintf("is %v; write 0 for no limit, or a number above 0 and up to %v", x, float64(MaxRate)), path...)
+	}
+}
+
+// count checks a number of things, bytes or tokens.
+func (c *checker) count(n int64, path ...any) {
+	if n < 0 || n > MaxCount {
+		c.doc.Add(fmt.Sprintf("is %d; write 0 to %d", n, int64(MaxCount)), path...)
+	}
+}
+
+// time checks a duration.
+func (c *checker) time(d time.Duration, path ...any) {
+	if d < 0 || d > MaxTime {
+		c.doc.Add(fmt.Sprintf("is %v; write 0s to %v", d, time.Duration(MaxTime)), path...)
 	}
 }
 
@@ -168,7 +193,7 @@
 	if b.Zone == "" {
 		c.doc.Add("is missing; write the availability zone", "backends", i, "zone")
 	}
-	if _, err := netip.ParseAddrPort(b.Address); err != nil {
+	if a, err := netip.ParseAddrPort(b.Address); err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
 		c.doc.Add(fmt.Sprintf("%q is not an IP address and port, such as 10.0.0.7:8000", b.Address), "backends", i, "address")
 	}
 	if b.Kind == "" {
--- a/pkg/table/parse_route.go
+++ b/pkg/table/parse_route.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"math"
 	"strings"
-	"time"
 )
 
 func (c *checker) route(i int, r *Route) {
@@ -25,14 +23,10 @@
 	}
 	c.repeat(i, r)
 	c.regions(r.Regions, "routes", i, "regions")
-	for _, d := range []struct {
-		field string
-		value time.Duration
-	}{{"timeout", r.Timeout}, {"target", r.TargetLatency}, {"pause", r.TargetGap}, {"attempts", time.Duration(r.Attempts)}} {
-		if d.value < 0 {
-			c.doc.Add("must not be negative", "routes", i, d.field)
-		}
-	}
+	c.time(r.Timeout, "routes", i, "timeout")
+	c.time(r.TargetLatency, "routes", i, "target")
+	c.time(r.TargetGap, "routes", i, "pause")
+	c.count(int64(r.Attempts), "routes", i, "attempts")
 }
 
 func (c *checker) repeat(i int, r *Route) {
@@ -54,18 +48,13 @@
 	if s.Health != "" && !strings.HasPrefix(s.Health, "/") {
 		c.doc.Add(fmt.Sprintf("%q must begin with a slash", s.Health), "services", i, "health")
 	}
-	if s.MaxConnections < 0 {
-		c.doc.Add("must not be negative", "services", i, "max_connections")
-	}
-	if !(s.WarmupRate >= 0) || math.IsInf(s.WarmupRate, 0) {
-		c.doc.Add("must be a finite number that is not negative", "services", i, "warmup_rate")
-	}
-	if s.WarmupTime < 0 {
-		c.doc.Add("must not be negative", "services", i, "warmup_time")
-	}
-	if s.CacheTokens < 0 {
-		c.doc.Add("must not be negative", "services", i, "cache_tokens")
+	c.count(int64(s.MaxConnections), "services", i, "max_connections")
+	c.rate(s.WarmupRate, "services", i, "warmup_rate")
+	if s.WarmupRate > 0 && s.WarmupRate < MinWarmupRate {
+		c.doc.Add(fmt.Sprintf("is %v; write 0 for no warm-up, or at least %v", s.WarmupRate, MinWarmupRate), "services", i, "warmup_rate")
 	}
+	c.time(s.WarmupTime, "services", i, "warmup_time")
+	c.count(s.CacheTokens, "services", i, "cache_tokens")
 }
 
 // bounds validates a page's bounds and adds them to the table. Only one page may have any.
@@ -76,8 +65,10 @@
 	if t.Bounds != (Bounds{}) {
 		c.doc.Add("occur on another page too; keep them on one", "bounds")
 	}
-	if b.HeaderBytes < 0 || b.BodyBytes < 0 || b.HeaderTime < 0 || b.IdleTime < 0 || !(b.TokensPerSecond >= 0) {
-		c.doc.Add("must not be negative", "bounds")
-	}
+	c.count(int64(b.HeaderBytes), "bounds", "header_bytes")
+	c.count(b.BodyBytes, "bounds", "body_bytes")
+	c.time(b.HeaderTime, "bounds", "header_time")
+	c.time(b.IdleTime, "bounds", "idle_time")
+	c.rate(b.TokensPerSecond, "bounds", "tokens_per_second")
 	t.Bounds = *b
 }
