Pass on nothing but chunks of the response in completion streams

What callers could get, as events of their completion: a chunk without an id where the others have one, and one before the first id; objects that are no chunk ({}, null); several objects, or the end marker, in one event; bytes that are no UTF-8; and, since a CR ends a line for callers, any data behind a CR in a comment, in another field or between two members.

What broke though sound: JSON over several lines of data, and a comment after the end marker.

Cause: each line was checked by itself, comments and other fields were not looked at, and a missing id counted as right.

Now an event is checked as a whole: lines that end with LF or CRLF, in UTF-8, its lines of data joined as callers join them. A chunk must bear the id of the response once that is known; before that only chunks without content may lack it; an engine that never states ids is trusted as before. After the end marker only comments may follow. Blocks of event, id and retry fields without data are passed on: the format allows them, and callers see no event in them.

--- a/internal/backend/events.go
+++ b/internal/backend/events.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"unicode/utf8"
 )
 
 const (
@@ -25,11 +26,16 @@
 // CompletionReader reads and checks the server-sent events of a completion. It counts
 // their tokens.
 type CompletionReader struct {
-	r      *bufio.Reader
-	event  bytes.Buffer
-	id     string
-	tokens int64
-	done   bool
+	r     *bufio.Reader
+	event bytes.Buffer
+	// data is the data of the event, valid if hasData is set. Its lines end with LF.
+	data    bytes.Buffer
+	hasData bool
+	// id is the id of the response, "" until a chunk states it. anonymous says that content came without one.
+	id        string
+	anonymous bool
+	tokens    int64
+	done      bool
 }
 
 // NewCompletionReader returns a reader of events from r.
@@ -46,24 +52,29 @@
 // Buffered reports whether more bytes can be read without waiting.
 func (e *CompletionReader) Buffered() bool { return e.r.Buffered() > 0 }
 
-// Next returns the next event including its blank line. The bytes are valid until the
-// next call. It returns io.EOF if the stream ends between events.
+// Next returns the next event including its blank line, or a block of comments or of other fields. The bytes are valid until
+// the next call. It returns io.EOF if the stream ends between events.
 func (e *CompletionReader) Next() ([]byte, error) {
 	e.event.Reset()
+	e.data.Reset()
+	e.hasData = false
 	for {
 		line, err := e.line()
 		if err != nil {
 			return nil, eofToUnexpected(err, &e.event)
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			if e.event.Len() > len(line) {
-				return e.event.Bytes(), nil
+		if text := trimLineEnd(line); len(text) > 0 {
+			if err := e.addLine(text); err != nil {
+				return nil, err
 			}
 			continue
 		}
-		if err := e.check(line); err != nil {
+		if err := e.checkEvent(); err != nil {
 			return nil, err
 		}
+		if e.event.Len() > len(line) {
+			return e.event.Bytes(), nil
+		}
 	}
 }
 
@@ -79,44 +90,47 @@
 	return e.event.Bytes()[start:], nil
 }
 
-var (
-	dataPrefix = []byte("data:")
-	doneMarker = []byte("[DONE]")
-	// otherPrefixes begin the other fields of an event, and comments.
-	otherPrefixes = [][]byte{[]byte("event:"), []byte("id:"), []byte("retry:"), []byte(":")}
-)
+var doneMarker = []byte("[DONE]")
 
-func (e *CompletionReader) check(line []byte) error {
+// addLine adds a line that is not blank to the event.
+func (e *CompletionReader) addLine(line []byte) error {
+	if bytes.IndexByte(line, '\r') >= 0 || !utf8.Valid(line) {
+		return ErrMalformed
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "":
+		return nil
+	case "data":
+		e.hasData = true
+		e.data.Write(value)
+		e.data.WriteByte('\n')
+	case "event", "id", "retry":
+	default:
+		return ErrMalformed
+	}
 	if e.done {
 		return ErrDataAfterEnd
 	}
-	data, ok := bytes.CutPrefix(line, dataPrefix)
-	if !ok {
-		for _, f := range otherPrefixes {
-			if bytes.HasPrefix(line, f) {
-				return nil
-			}
-		}
-		return ErrMalformed
+	return nil
+}
+
+// checkEvent checks the data of a whole event.
+func (e *CompletionReader) checkEvent() error {
+	if !e.hasData {
+		return nil
 	}
-	data = bytes.TrimSpace(data)
+	data := bytes.TrimSpace(e.data.Bytes())
 	if bytes.Equal(data, doneMarker) {
 		e.done = true
 		return nil
 	}
-	return e.checkData(data)
-}
-
-func (e *CompletionReader) checkData(data []byte) error {
 	info, err := parseChunk(data)
 	if err != nil {
 		return err
 	}
-	if info.ID != "" && e.id == "" {
-		e.id = info.ID
-	}
-	if info.ID != e.id && info.ID != "" {
-		return ErrMixedResponses
+	if err := e.checkID(&info); err != nil {
+		return err
 	}
 	if len(info.Choices) > 0 {
 		e.tokens++
@@ -127,14 +141,37 @@
 	return nil
 }
 
+// checkID checks that a chunk belongs to the response. An engine that states the response's id does so in each chunk
+// from the first one with content on; one that never does is trusted.
+func (e *CompletionReader) checkID(c *chunk) error {
+	switch {
+	case c.ID != "" && e.id == "" && !e.anonymous:
+		e.id = c.ID
+	case c.ID != e.id:
+		return ErrMixedResponses
+	case c.ID == "" && c.isEmpty():
+		return ErrMalformed
+	case c.ID == "":
+		e.anonymous = e.anonymous || c.hasContent()
+	}
+	return nil
+}
+
 // chunk holds the parsed fields of an engine's response or stream event. The bytes are
 // forwarded unchanged.
 type chunk struct {
 	ID      string            `json:"id"`
 	Choices []json.RawMessage `json:"choices"`
 	Usage   *usage            `json:"usage"`
+	Error   json.RawMessage   `json:"error"`
 }
 
+// isEmpty reports whether a chunk lacks all that an engine without ids sends.
+func (c *chunk) isEmpty() bool { return c.Choices == nil && c.Usage == nil && c.Error == nil }
+
+// hasContent reports whether a chunk holds a part of the completion.
+func (c *chunk) hasContent() bool { return len(c.Choices) > 0 || c.Usage != nil }
+
 type usage struct {
 	CompletionTokens int64 `json:"completion_tokens"`
 }
