Accuse no request that was not sent of a server's crash

Where a router could not reach a backend server that had crashed, the request was accused of the crash once the directory ceased to list the server: an attempt that ends without a result counts as a silent crash then, also if not one byte of it had been sent. That was so for calls that were called off while they dialed, and, at a router that lacks processor time, for each connection that was refused, since such a router takes its own failures for no evidence. A harmless request that met three dead servers was refused with ends-backends for ten minutes.

A request of which nothing was sent now has no digest when it ends, so that nothing is recorded against it; one that was sent is recorded as before.

--- a/internal/dispatch/release.go
+++ b/internal/dispatch/release.go
@@ -16,7 +16,8 @@
 		disconnected: wasDisconnected(u), completed: isCompleted(u), unframed: u.Unframed,
 		longestPause: u.LongestPause, pauseTarget: u.PauseTarget,
 	}
-	if u.Digest != nil {
+	if u.Digest != nil && u.Sent {
+		// No crash accuses a request of which the backend server received nothing.
 		e.digest = suspect.Digest(u.Digest())
 	}
 	d.post(e)
