soak: workers that send bytes of no event

Callers of numbered streams got events that no run had made, from backend servers that sent bytes beside their own. The soak could not show it: its workers fail, cut, stall and crash, but never send what belongs to no answer.

Sound workers send comments. Two rules judge what callers got: foreign-event (content of a stream that no run made, which was mixed with the rule for events at the wrong place) and barred (a refusal for crashes where nothing ends a worker).

--- a/test/soak/checker.go
+++ b/test/soak/checker.go
@@ -78,6 +78,8 @@
 	RuleVersions      = "versions"
 	RuleUnresumed     = "unresumed"
 	RuleShare         = "share"
+	RuleForeignEvent  = "foreign-event"
+	RuleBarred        = "barred"
 )
 
 // checker collects what callers and workers observed.
@@ -88,6 +90,8 @@
 	revokedAt time.Duration
 	// quietAt is when the time without faults began, from the start of traffic; 0 before.
 	quietAt time.Duration
+	// endsNoServer says that no fault ends a worker or its connections.
+	endsNoServer bool
 	// stopsAt is when that time ended and the series of planned stops began; 0 before.
 	stopsAt time.Duration
 	// stopRequests are the requests during the planned stops, which responses holds as well.
@@ -141,12 +145,15 @@
 		add(RuleRefusedButRan, "status %d, but ran %d times", res.Status, ran)
 	}
 	// The callers together never use more than half of the slots of a plain worker, nor of the engines.
-	if c.isQuiet(res.SentAt) && (!res.Kind.isStream() && res.isBusy() || res.isOverShare() || res.isHeldBack()) {
+	if c.isQuiet(res.SentAt) && (!res.Kind.isStream() && res.isBusy() || res.isOverShare() || res.accusesRequest()) {
 		add(RuleRefusedIdle, "a %s request was refused with status %d %s after the last fault, although workers were idle", res.Kind, res.Status, res.SentAt-c.quietAt)
 	}
+	if c.endsNoServer && res.accusesRequest() {
+		add(RuleBarred, "refused with %s, although nothing in the run ends a worker or its connections", res.Body)
+	}
 	if res.Status == http.StatusOK {
-		if why := bodyError(res); why != "" {
-			add(RuleWrongBody, "%s", why)
+		if rule, why := bodyError(res); why != "" {
+			add(rule, "%s", why)
 		}
 		if res.RevokedKey && c.revokedAt > 0 && res.SentAt > c.revokedAt+propagationLimit {
 			add(RuleRevokedKey, "accepted %s after its key was revoked", res.SentAt-c.revokedAt)
@@ -170,9 +177,9 @@
 	return r.Status == http.StatusTooManyRequests && strings.Contains(r.Body, `"code":"over-share"`)
 }
 
-// isHeldBack reports whether a request was refused because of crashes under a part of its prompt.
-func (r *response) isHeldBack() bool {
-	return r.Status == http.StatusServiceUnavailable && strings.Contains(r.Body, `"code":"part-ends-backends"`)
+// accusesRequest reports whether a request was refused because of crashes under it, or under a part of its prompt.
+func (r *response) accusesRequest() bool {
+	return r.Status == http.StatusServiceUnavailable && (strings.Contains(r.Body, `"code":"ends-backends"`) || strings.Contains(r.Body, `"code":"part-ends-backends"`))
 }
 
 // guaranteesNotRun reports whether a status guarantees that the request did not run and never
@@ -182,53 +189,3 @@
 		http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
 	}, status)
 }
-
-// bodyError describes what is wrong with the body of a 200 response; "" if nothing is.
-func bodyError(res response) string {
-	if !res.Kind.isStream() {
-		if want := "answer to " + res.ID; res.Body != want && (res.Complete || !strings.HasPrefix(want, res.Body)) {
-			return fmt.Sprintf("unexpected body %q", res.Body)
-		}
-		return ""
-	}
-	return streamError(res)
-}
-
-// streamError describes what is wrong with the body of a stream; "" if nothing is.
-func streamError(res response) string {
-	last, rest := res.After, res.Body
-	for {
-		event, after, whole := strings.Cut(rest, eventEnd)
-		if !whole {
-			break
-		}
-		if !isEvent(event+eventEnd, res.ID, last+1) {
-			return fmt.Sprintf("stream has unexpected content after event %d", last)
-		}
-		last, rest = last+1, after
-	}
-	switch {
-	case res.Complete && (last != events || rest != ""):
-		return fmt.Sprintf("stream ended without an error after event %d of %d", last, events)
-	case !isEventStart(rest, res.ID, last+1):
-		return fmt.Sprintf("stream has unexpected content after event %d", last)
-	default:
-		return ""
-	}
-}
-
-const eventEnd = "\n\n"
-
-// eventText returns an event of a stream as a stand-in worker of a version writes it.
-func eventText(id string, number int, version string) string {
-	return fmt.Sprintf("id: %d\ndata: %s %d %s%s", number, id, number, version, eventEnd)
-}
-
-// isEvent reports whether text is an event of a worker of any version, isEventStart whether it begins one.
-func isEvent(text, id string, number int) bool {
-	return slices.ContainsFunc(versions, func(v string) bool { return text == eventText(id, number, v) })
-}
-
-func isEventStart(text, id string, number int) bool {
-	return slices.ContainsFunc(versions, func(v string) bool { return strings.HasPrefix(eventText(id, number, v), text) })
-}
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -124,6 +124,7 @@
 	}
 	w.Version, w.TagEvents = versions[i%len(versions)], true
 	f.workers = append(f.workers, w)
+	w.SendComments(commentOneIn)
 	w.CrashOn(crashBody, func() { f.crashes.Add(1) })
 	link, err := newProxy(w.Address())
 	if err != nil {
@@ -358,6 +359,15 @@
 	return list
 }
 
+// garbled returns the number of answers beside which workers sent bytes of no event.
+func (f *fleet) garbled() int {
+	n := 0
+	for _, w := range f.workers {
+		n += w.Garbled()
+	}
+	return n
+}
+
 // close kills the routers and closes the proxies, the workers and the store.
 func (f *fleet) close() {
 	for _, r := range f.routers {
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -21,6 +21,7 @@
 func run(args []string) int {
 	r := Run{Binary: "bin/yarrowmast", Seed: uint64(time.Now().UnixNano() % 1e9), Duration: 12 * time.Second}
 	seeds := 1
+	var only []string
 	verbose := false
 	p := flaggy.NewParser("soak")
 	p.Description = "injects random faults into router processes on loopback"
@@ -28,12 +29,16 @@
 	p.UInt64(&r.Seed, "s", "seed", "the first seed; derived from the time if not given")
 	p.Int(&seeds, "n", "seeds", "number of seeds to run in sequence")
 	p.Duration(&r.Duration, "l", "length", "how long faults are injected; with 0s accounts compete, and nothing else happens")
-	p.String(&r.Plant, "p", "plant", "violate a guarantee on purpose: twice, refused-but-ran, mixed, revoked-key, leaving, recover, copy, refused-while-idle, versions, unresumed, share, cut-by-stop")
+	p.String(&r.Plant, "p", "plant", "violate a guarantee on purpose: twice, refused-but-ran, mixed, revoked-key, leaving, recover, copy, refused-while-idle, versions, unresumed, foreign-event, barred, share, cut-by-stop")
+	p.StringSlice(&only, "o", "only", "inject faults of this name only; may be repeated")
 	p.Bool(&verbose, "v", "verbose", "print each fault")
 	if err := p.ParseArgs(args); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		return command.ExitUsage
 	}
+	for _, name := range only {
+		r.Only = append(r.Only, Fault(name))
+	}
 	r.Log = func(format string, args ...any) {
 		if verbose {
 			fmt.Printf(format+"\n", args...)
@@ -63,12 +68,18 @@
 	for _, status := range slices.Sorted(maps.Keys(r.ByStatus)) {
 		fmt.Printf(" %d of %d", r.ByStatus[status], status)
 	}
-	fmt.Printf("; %d of %d connections forwarded; during planned stops %d answered, %d refused, %d closed while idle, %d overran, %d cut; %d violations\n",
-		r.Forwarded, r.Offered, r.Stops.Answered, r.Stops.Refused, r.Stops.InTransit, r.Stops.Overran, r.Stops.Cut, len(r.Violations))
+	fmt.Printf("; %d of %d connections forwarded; during planned stops %d answered, %d refused, %d closed while idle, %d overran, %d cut; %d answers with garbage; %d violations\n",
+		r.Forwarded, r.Offered, r.Stops.Answered, r.Stops.Refused, r.Stops.InTransit, r.Stops.Overran, r.Stops.Cut, r.Garbled, len(r.Violations))
 	for _, v := range r.Violations[:min(len(r.Violations), 10)] {
 		fmt.Println("  ", v)
 	}
-	if len(r.Violations) > 0 {
-		fmt.Println("   logs:", r.Logs)
+	if len(r.Violations) == 0 {
+		return
+	}
+	byRule := map[string]int{}
+	for _, v := range r.Violations {
+		byRule[v.Rule]++
 	}
+	fmt.Println("   by rule:", byRule)
+	fmt.Println("   logs:", r.Logs)
 }
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -54,6 +54,8 @@
 	// ReleaseAndLoss replaces all workers of one software version by another one, and kills all routers at
 	// once just afterwards.
 	ReleaseAndLoss Fault = "release-all-killed"
+	// WorkerGarbage lets a worker send bytes of no event beside a part of its answers.
+	WorkerGarbage Fault = "worker-garbage"
 	// Suspend stops a router's process for a time that its monotonic clock does not show.
 	Suspend Fault = "suspend"
 	// RequestCrashing repeats a request that crashes the workers that run it.
@@ -91,16 +93,19 @@
 	restoreGaps = 8
 	// replaceGaps is the mean time between replacements of a worker, in units of meanGap.
 	replaceGaps = 5
+	// garbageGaps is the mean time between times in which a worker sends garbage, in units of meanGap.
+	garbageGaps = 2
 	// entryGaps is the mean time between entryFaults, in units of meanGap.
 	entryGaps = 3
 )
 
-// smallRouterStream, stopStream and lossStream are the random sources, next to those of newPlan, of the router with
-// little capacity, of the planned stops and of the loss of all routers.
+// smallRouterStream to garbageStream are the random sources, next to those of newPlan, of the router with little capacity, of
+// the planned stops, of the loss of all routers and of workers that send garbage. competeStream is another one.
 const (
 	smallRouterStream = 7
 	stopStream        = 8
 	lossStream        = 9
+	garbageStream     = 11
 )
 
 // newPlan draws the faults of a run from its seed. Kinds that were added later are drawn from random sources
@@ -131,6 +136,10 @@
 	plan = append(plan, drawSteps(replaceRNG, length, replaceGaps, func() Step {
 		return Step{Duration: minDuration, Fault: WorkerReplaced, Target: replaceRNG.IntN(streamWorkers)}
 	})...)
+	garbageRNG := source(garbageStream)
+	plan = append(plan, drawSteps(garbageRNG, length, garbageGaps, func() Step {
+		return Step{Duration: drawDuration(garbageRNG), Fault: WorkerGarbage, Target: garbageRNG.IntN(workers)}
+	})...)
 	plan = append(plan, drawCrashing(source(2), length, RequestCrashing, len(crashKinds))...)
 	plan = append(plan, drawCrashing(source(6), length, PartCrashing, len(partCrashes))...)
 	plan = append(plan, drawLoss(source(lossStream), plan, length)...)
@@ -188,5 +197,22 @@
 func targetsWorker(f Fault) bool {
 	return slices.Contains([]Fault{
 		LinkBlocked, LinkReset, LinkSlow, WorkerFails, WorkerRefuses, WorkerDisconnects, WorkerStalls, WorkerRestart, WorkerReplaced, EntryCorrupt, EntryUnknown,
+		WorkerGarbage,
 	}, f)
 }
+
+// onlyFaults returns the steps of a plan with certain faults, and all if none is named.
+func onlyFaults(plan []Step, only []Fault) []Step {
+	if len(only) == 0 {
+		return plan
+	}
+	return slices.DeleteFunc(plan, func(s Step) bool { return !slices.Contains(only, s.Fault) })
+}
+
+// harmlessFaults end neither a worker nor a connection to one, and no router that forwards to one.
+var harmlessFaults = []Fault{Reload, StoreUnavailable, StoreUnresponsive, StoreReset, StoreNoChanges, StoreCompact, Configure, CallersReset, WorkerGarbage}
+
+// endsNoServer reports whether no fault of a plan ends a worker or its connections.
+func endsNoServer(plan []Step) bool {
+	return !slices.ContainsFunc(plan, func(s Step) bool { return !slices.Contains(harmlessFaults, s.Fault) })
+}
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -21,6 +21,8 @@
 	Seed   uint64
 	// Duration is how long faults are injected. With 0 accounts compete, and nothing else happens.
 	Duration time.Duration
+	// Only are the faults that are injected, all if it is empty.
+	Only []Fault
 	// Plant is the rule that is violated on purpose, "" for none.
 	Plant string
 	// Log is called once for each fault.
@@ -37,6 +39,8 @@
 	// Offered counts the connections that an overloaded router offered to others, Forwarded those of them that
 	// another router answered.
 	Offered, Forwarded int
+	// Garbled counts the answers beside which workers sent bytes of no event.
+	Garbled int
 	// Stops counts the requests during the planned stops.
 	Stops      stopOutcomes
 	Violations []Violation
@@ -85,8 +89,9 @@
 		return rep, err
 	}
 	r.Log("%d workers crashed under a request", f.crashes.Load())
-	plan := newPlan(r.Seed, r.Duration, routers, workers)
+	plan := r.plan()
 	c.checkCrashes(f.crashes.Load(), plan)
+	rep.Garbled = f.garbled()
 	r.Log("%d workers crashed under a part", f.part.crashes)
 	c.checkPart(&f.part, t.start, plan)
 	rep.Stops = c.checkStops(small)
@@ -104,6 +109,9 @@
 	return rep, nil
 }
 
+// plan returns the faults of the run.
+func (r *Run) plan() []Step { return onlyFaults(newPlan(r.Seed, r.Duration, routers, workers), r.Only) }
+
 // play injects faults under traffic, checks that the fleet serves again, lets accounts
 // compete, and stops all routers in series.
 func (r *Run) play(f *fleet, c *checker, t *traffic, rep *Report) error {
@@ -117,7 +125,8 @@
 		defer tasks.Done()
 		t.run(ctx)
 	}()
-	plan := newPlan(r.Seed, r.Duration, routers, workers)
+	plan := r.plan()
+	c.endsNoServer = endsNoServer(plan)
 	rep.Faults = len(plan)
 	r.injectFaults(f, c, t, plan)
 	f.endWorkerFaults()
@@ -281,6 +290,10 @@
 		f.store.PutCorrupt(id, w, serviceOf(s.Target), link.address(), slots, f.stepRand(s))
 		time.Sleep(s.Duration)
 		f.store.Deregister(id)
+	case WorkerGarbage:
+		w.SendGarbage(1 + f.stepRand(s).IntN(maxGarbageOneIn))
+		time.Sleep(s.Duration)
+		w.SendGarbage(0)
 	case WorkerFails, WorkerRefuses:
 		w.SetErrors(s.Fault == WorkerFails, s.Fault == WorkerRefuses)
 		time.Sleep(s.Duration)
@@ -288,6 +301,13 @@
 	}
 }
 
+const (
+	// maxGarbageOneIn is how rarely at most a worker that sends garbage does so.
+	maxGarbageOneIn = 4
+	// commentOneIn is how rarely a worker sends a comment beside an event.
+	commentOneIn = 40
+)
+
 // A restored store is unavailable for minDowntime to maxDowntime. Operators and workers write what
 // was lost again within rewriteWithin.
 const (
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -100,6 +100,17 @@
 		"stream with an event missing": {response{Kind: ResumableStream, Status: 200, Body: strings.Replace(fullStream("x"), eventText("x", 3, versions[0]), "", 1), Complete: true}, 1, RuleWrongBody},
 		"stream with an event twice":   {response{Kind: ResumableStream, Status: 200, Body: eventText("x", 1, versions[0]) + fullStream("x")}, 1, RuleWrongBody},
 		"stream that ends early":       {response{Kind: ResumableStream, Status: 200, Body: eventText("x", 1, versions[0]), Complete: true}, 1, RuleWrongBody},
+		"comments beside events":       {response{Kind: ResumableStream, Status: 200, Body: ": ping\n\n" + strings.ReplaceAll(fullStream("x"), "id: 3\n", ": ping\n: ping\nid: 3\n") + ": ping\n\n", Complete: true}, 1, ""},
+		"cut within a comment":         {response{Kind: ResumableStream, Status: 200, Body: eventText("x", 1, versions[0]) + ": pi"}, 1, ""},
+		"comments alone":               {response{Kind: ResumableStream, Status: 200, Body: ": ping\n\n", Complete: true}, 1, RuleWrongBody},
+		"event with a line of text":    {response{Kind: ResumableStream, Status: 200, Body: strings.Replace(fullStream("x"), "id: 4\n", "of no run\nid: 4\n", 1), Complete: true}, 1, RuleForeignEvent},
+		"event with a line more":       {response{Kind: ResumableStream, Status: 200, Body: strings.Replace(fullStream("x"), " 4 v1\n", " 4 v1\ndata: of no run\n", 1), Complete: true}, 1, RuleWrongBody},
+		"event of another stream":      {response{Kind: ResumableStream, Status: 200, Body: eventText("x", 1, versions[0]) + eventText("y", 2, versions[0])}, 1, RuleWrongBody},
+		"text after the last event":    {response{Kind: ResumableStream, Status: 200, Body: fullStream("x") + "of no run\n", Complete: true}, 1, RuleForeignEvent},
+		"text before a cut":            {response{Kind: ResumableStream, Status: 200, Body: eventText("x", 1, versions[0]) + "of no"}, 1, RuleForeignEvent},
+		"text after a plain answer":    {response{Kind: Lookup, Status: 200, Body: "answer to xof no run\n\n", Complete: true}, 1, RuleWrongBody},
+		"accused while idle":           {response{Kind: Submit, Status: 503, Body: `{"code":"ends-backends"}`, SentAt: quietAt + 1}, 0, RuleRefusedIdle},
+		"accused under faults":         {response{Kind: Submit, Status: 503, Body: `{"code":"ends-backends"}`, SentAt: quietAt - 1}, 0, ""},
 		"key revokedAt long ago":       {response{Kind: Lookup, Status: 200, Body: "answer to x", Complete: true, RevokedKey: true, SentAt: revokedAt + propagationLimit + 1}, 1, RuleRevokedKey},
 	}
 	for name, tc := range tests {
@@ -119,6 +130,71 @@
 	}
 }
 
+// TestGarbageChecker checks that each kind of bytes of no event is detected at each place of a stream.
+func TestGarbageChecker(t *testing.T) {
+	for _, kind := range standin.GarbageKinds {
+		for _, after := range []int{0, 1, events / 2, events} {
+			t.Run(fmt.Sprint(kind.Name, " after ", after), func(t *testing.T) {
+				var b strings.Builder
+				for i := 1; i <= events; i++ {
+					if i == after+1 {
+						b.WriteString(kind.Text)
+					}
+					b.WriteString(eventText("x", i, versions[0]))
+				}
+				if after == events {
+					b.WriteString(kind.Text)
+				}
+				c := &checker{}
+				c.add(response{ID: "x", Kind: ResumableStream, Status: 200, Body: b.String(), Complete: true})
+				if got := c.evaluate([]standin.Run{{ID: "x"}}); len(got) != 1 || got[0].Rule != RuleForeignEvent {
+					t.Errorf("violations %v, want one of %q", got, RuleForeignEvent)
+				}
+			})
+		}
+	}
+}
+
+// TestBarredChecker checks that no request may be accused of crashes if no worker and no connection ends.
+func TestBarredChecker(t *testing.T) {
+	for fault, want := range map[Fault]int{WorkerGarbage: 1, StoreRestore: 0, Kill: 0, WorkerDisconnects: 0} {
+		t.Run(string(fault), func(t *testing.T) {
+			c := &checker{endsNoServer: endsNoServer([]Step{{Fault: Configure}, {Fault: fault}})}
+			c.add(response{ID: "x", Kind: ResumableStream, Status: 503, Body: `{"code":"part-ends-backends"}`})
+			if got := c.evaluate(nil); len(got) != want || want > 0 && got[0].Rule != RuleBarred {
+				t.Errorf("violations %v, want %d of %q", got, want, RuleBarred)
+			}
+		})
+	}
+}
+
+// TestCallerCountsDueEvents checks that a caller takes a stream up after the last event that was due, whatever came beside it.
+func TestCallerCountsDueEvents(t *testing.T) {
+	second, third := eventText("x", 2, versions[0]), eventText("x", 3, versions[0])
+	tests := map[string]struct {
+		body string
+		want int
+	}{
+		"nothing":                        {"", 0},
+		"in order":                       {second + third, 2},
+		"comments":                       {": ping\n\n" + second + ": ping\n" + third + ": ping\n\n", 2},
+		"an event of no run":             {second + "data: of no run\n\n" + third, 2},
+		"an event twice":                 {second + second, 1},
+		"an event that is cut":           {second + third[:len(third)-1], 1},
+		"an event of number 0":           {"id: 0\ndata: of no run\n\n", 0},
+		"one that is not due":            {third, 0},
+		"a comment without a blank line": {": ping\n", 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := response{ID: "x", Kind: ResumableStream, Status: 200, Body: tc.body, After: 1}
+			if got := r.eventCount(); got != tc.want {
+				t.Errorf("%d events, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
 // TestStreamChecker checks that streams of two versions, and streams that cannot go on without a fault, are
 // detected over all tries of a caller.
 func TestStreamChecker(t *testing.T) {
@@ -223,7 +299,11 @@
 // playSeed plays the faults of a seed and fails the test if a promise is broken.
 func playSeed(t *testing.T, binary string, seed uint64, length time.Duration) {
 	t.Helper()
-	r := Run{Binary: binary, Seed: seed, Duration: length, Log: t.Logf}
+	playRun(t, &Run{Binary: binary, Seed: seed, Duration: length, Log: t.Logf})
+}
+
+func playRun(t *testing.T, r *Run) {
+	t.Helper()
 	rep, err := r.Play()
 	if err != nil {
 		t.Fatal(err)
--- a/test/soak/streams.go
+++ b/test/soak/streams.go
@@ -61,12 +61,12 @@
 	return hasEvents && !r.Complete && r.After+r.eventCount() < events
 }
 
-// eventCount returns the number of complete events of a stream's response.
+// eventCount returns the number of complete events of a stream's response, in the order of their numbers.
 func (r *response) eventCount() int {
 	if r.Status != http.StatusOK {
 		return 0
 	}
-	return strings.Count(r.Body, eventEnd)
+	return countEvents(r.Body, r.After)
 }
 
 // readBody reads the body of a response, to its end or to the event after which the caller leaves.
@@ -77,7 +77,7 @@
 	}
 	var b strings.Builder
 	buf := make([]byte, 64)
-	for strings.Count(b.String(), eventEnd) < leaveAfter {
+	for countEvents(b.String(), res.After) < leaveAfter {
 		n, err := body.Read(buf)
 		b.Write(buf[:n])
 		if err != nil {
--- a/test/soak/traffic.go
+++ b/test/soak/traffic.go
@@ -120,6 +120,16 @@
 			res.ID += "-planted"
 			res.Status, res.Body = http.StatusServiceUnavailable, `{"code":"busy"}`
 		}
+	case RuleForeignEvent:
+		if res.Kind.isStream() && res.Status == http.StatusOK {
+			res.Body = strings.Replace(res.Body, eventEnd, eventEnd+standin.GarbageKinds[0].Text, 1)
+		}
+	case RuleBarred:
+		if res.Kind == Lookup {
+			// No worker ran a request with this ID.
+			res.ID += "-planted"
+			res.Status, res.Body = http.StatusServiceUnavailable, `{"code":"ends-backends"}`
+		}
 	case RuleVersions:
 		if res.Resumes != "" {
 			res.Body = swapVersions(res.Body)
