soak: streams that garbage breaks off go on at another worker

Where workers only send bytes of no event, a stream that may be resumed has all its events after its caller's tries if another worker of its version serves throughout (rule unfinished).

--- a/test/soak/checker.go
+++ b/test/soak/checker.go
@@ -37,6 +37,8 @@
 	Kind Kind
 	// SentAt is the time since the start of traffic.
 	SentAt time.Duration
+	// EndedAt is when the response ended, from the start of traffic.
+	EndedAt time.Duration
 	// Status is 0 if there was no response.
 	Status int
 	// Body is the body to send until the response replaces it.
@@ -80,6 +82,7 @@
 	RuleShare         = "share"
 	RuleForeignEvent  = "foreign-event"
 	RuleBarred        = "barred"
+	RuleUnfinished    = "unfinished"
 )
 
 // checker collects what callers and workers observed.
@@ -90,6 +93,9 @@
 	revokedAt time.Duration
 	// quietAt is when the time without faults began, from the start of traffic; 0 before.
 	quietAt time.Duration
+	// garbage is when workers sent garbage, and onlyGarbage says that they do nothing else wrong.
+	garbage     []garbagePeriod
+	onlyGarbage bool
 	// endsNoServer says that no fault ends a worker or its connections.
 	endsNoServer bool
 	// stopsAt is when that time ended and the series of planned stops began; 0 before.
@@ -129,6 +135,7 @@
 		list = append(list, c.checkResponse(res, ran[res.ID])...)
 	}
 	list = append(list, c.checkStreams()...)
+	list = append(list, c.checkUnfinished()...)
 	slices.SortStableFunc(list, func(a, b Violation) int { return cmp.Compare(a.Rule, b.Rule) })
 	return list
 }
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -29,7 +29,7 @@
 	p.UInt64(&r.Seed, "s", "seed", "the first seed; derived from the time if not given")
 	p.Int(&seeds, "n", "seeds", "number of seeds to run in sequence")
 	p.Duration(&r.Duration, "l", "length", "how long faults are injected; with 0s accounts compete, and nothing else happens")
-	p.String(&r.Plant, "p", "plant", "violate a guarantee on purpose: twice, refused-but-ran, mixed, revoked-key, leaving, recover, copy, refused-while-idle, versions, unresumed, foreign-event, barred, share, cut-by-stop")
+	p.String(&r.Plant, "p", "plant", "violate a guarantee on purpose: twice, refused-but-ran, mixed, revoked-key, leaving, recover, copy, refused-while-idle, versions, unresumed, foreign-event, barred, unfinished, share, cut-by-stop")
 	p.StringSlice(&only, "o", "only", "inject faults of this name only; may be repeated")
 	p.Bool(&verbose, "v", "verbose", "print each fault")
 	if err := p.ParseArgs(args); err != nil {
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -209,6 +209,11 @@
 	return slices.DeleteFunc(plan, func(s Step) bool { return !slices.Contains(only, s.Fault) })
 }
 
+// isOnly reports whether a plan has a certain fault and no other.
+func isOnly(plan []Step, fault Fault) bool {
+	return len(plan) > 0 && !slices.ContainsFunc(plan, func(s Step) bool { return s.Fault != fault })
+}
+
 // harmlessFaults end neither a worker nor a connection to one, and no router that forwards to one.
 var harmlessFaults = []Fault{Reload, StoreUnavailable, StoreUnresponsive, StoreReset, StoreNoChanges, StoreCompact, Configure, CallersReset, WorkerGarbage}
 
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -126,7 +126,7 @@
 		t.run(ctx)
 	}()
 	plan := r.plan()
-	c.endsNoServer = endsNoServer(plan)
+	c.endsNoServer, c.onlyGarbage = endsNoServer(plan), isOnly(plan, WorkerGarbage)
 	rep.Faults = len(plan)
 	r.injectFaults(f, c, t, plan)
 	f.endWorkerFaults()
@@ -148,7 +148,7 @@
 	return nil
 }
 
-// injectFaults injects the planned faults, revokes a key and drains a worker.
+// injectFaults injects the planned faults, revokes a key and, unless workers only send garbage, drains a worker.
 func (r *Run) injectFaults(f *fleet, c *checker, t *traffic, plan []Step) {
 	var tasks sync.WaitGroup
 	at := func(when time.Duration, do func()) {
@@ -170,6 +170,8 @@
 				t.sendCrashingPart(s)
 			case ReleaseAndLoss:
 				t.releaseAndLose(s)
+			case WorkerGarbage:
+				f.sendGarbage(c, s)
 			default:
 				f.apply(s, &changes)
 			}
@@ -184,6 +186,11 @@
 		c.revokedAt = time.Since(t.start)
 		c.mu.Unlock()
 	})
+	if c.onlyGarbage {
+		// Streams go on at the other worker of their version.
+		tasks.Wait()
+		return
+	}
 	at(time.Duration(drainFraction*float64(r.Duration)), func() {
 		if r.Plant != RuleLeaving {
 			f.publishEntry(drainingWorker, standin.Draining)
@@ -290,10 +297,6 @@
 		f.store.PutCorrupt(id, w, serviceOf(s.Target), link.address(), slots, f.stepRand(s))
 		time.Sleep(s.Duration)
 		f.store.Deregister(id)
-	case WorkerGarbage:
-		w.SendGarbage(1 + f.stepRand(s).IntN(maxGarbageOneIn))
-		time.Sleep(s.Duration)
-		w.SendGarbage(0)
 	case WorkerFails, WorkerRefuses:
 		w.SetErrors(s.Fault == WorkerFails, s.Fault == WorkerRefuses)
 		time.Sleep(s.Duration)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -168,6 +168,54 @@
 	}
 }
 
+// TestUnfinishedChecker checks that a stream which garbage breaks off goes on where another worker of its version serves.
+func TestUnfinishedChecker(t *testing.T) {
+	const quietAt = 10 * time.Second
+	begun := response{ID: "x", Kind: ResumableStream, Status: 200, Body: eventText("x", 1, versions[0]), SentAt: time.Second, EndedAt: 2 * time.Second}
+	refused := response{ID: "x-r1", Kind: ResumableStream, Resumes: "x", After: 1, Status: 503, EndedAt: 3 * time.Second}
+	late := begun
+	late.EndedAt = quietAt + 1
+	var rest strings.Builder
+	for i := 2; i <= events; i++ {
+		rest.WriteString(eventText("x-r1", i, versions[0]))
+	}
+	whole := response{ID: "x-r1", Kind: ResumableStream, Resumes: "x", After: 1, Status: 200, Body: rest.String(), Complete: true}
+	otherVersion := begun
+	otherVersion.Body = eventText("x", 1, versions[1])
+	of := func(workers ...int) (list []garbagePeriod) {
+		for _, w := range workers {
+			list = append(list, garbagePeriod{w, time.Second, 4 * time.Second})
+		}
+		return list
+	}
+	tests := map[string]struct {
+		responses []response
+		garbage   []garbagePeriod
+		want      int
+	}{
+		"broken off":                       {[]response{begun}, of(0), 1},
+		"refused":                          {[]response{begun, refused}, of(0), 1},
+		"goes on":                          {[]response{begun, whole}, of(0), 0},
+		"no sound worker":                  {[]response{begun, refused}, of(0, 2), 0},
+		"no sound worker of its version":   {[]response{otherVersion, refused}, of(1), 0},
+		"garbage of another version":       {[]response{otherVersion, refused}, of(0, 2), 1},
+		"garbage after the caller's tries": {[]response{begun, refused}, []garbagePeriod{{0, 1, 2}, {2, 4 * time.Second, 5 * time.Second}}, 1},
+		"the run ends":                     {[]response{late}, of(0), 0},
+		"never began":                      {[]response{{ID: "x", Kind: ResumableStream, Status: 503}}, of(0), 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := &checker{quietAt: quietAt, garbage: tc.garbage, onlyGarbage: true}
+			for _, res := range tc.responses {
+				c.add(res)
+			}
+			if got := c.evaluate(nil); len(got) != tc.want || len(got) > 0 && got[0].Rule != RuleUnfinished {
+				t.Errorf("violations %v, want %d of %q", got, tc.want, RuleUnfinished)
+			}
+		})
+	}
+}
+
 // TestCallerCountsDueEvents checks that a caller takes a stream up after the last event that was due, whatever came beside it.
 func TestCallerCountsDueEvents(t *testing.T) {
 	second, third := eventText("x", 2, versions[0]), eventText("x", 3, versions[0])
--- a/test/soak/streams.go
+++ b/test/soak/streams.go
@@ -51,6 +51,7 @@
 
 func (t *traffic) sendAndCheck(client *http.Client, r *router, res *response) {
 	t.send(client, r.proxy.address(), res)
+	res.EndedAt = time.Since(t.start)
 	t.plantFault(res)
 	t.checker.add(*res)
 }
--- a/test/soak/traffic.go
+++ b/test/soak/traffic.go
@@ -124,6 +124,11 @@
 		if res.Kind.isStream() && res.Status == http.StatusOK {
 			res.Body = strings.Replace(res.Body, eventEnd, eventEnd+standin.GarbageKinds[0].Text, 1)
 		}
+	case RuleUnfinished:
+		if res.Kind == ResumableStream {
+			res.Body, _, _ = strings.Cut(res.Body, "id: 20\n")
+			res.Complete = false
+		}
 	case RuleBarred:
 		if res.Kind == Lookup {
 			// No worker ran a request with this ID.
