soak: routers out of step while another version joins

A router that is cut off from the store and from others, or stands still, while a backend server of another software version joins may take a stream up at the old version. The soak could not show it: nothing cut routers off from each other, and streams were taken up at routers drawn by chance.

A step now pauses one router or two, or cuts them off, for 0.1 to 3 s, in series and beside all other faults; meanwhile a worker of another version joins a service of its own, streams begin through other routers, and callers take them up at the router out of step: at once, during the cut and as it ends. A build with the tag soak reads from a file to which addresses its dialler lets nothing pass.

--- a/cmd/yarrowmast/main.go
+++ b/cmd/yarrowmast/main.go
@@ -27,7 +27,7 @@
 		fmt.Fprintln(os.Stderr, "yarrowmast: --settings FILE is required; see yarrowmast --help")
 		return command.ExitUsage
 	}
-	d, err := daemon.New(file, os.Stdout, node.WithPlatforms(platform.Platforms()))
+	d, err := daemon.New(file, os.Stdout, append(linkOptions(), node.WithPlatforms(platform.Platforms()))...)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "yarrowmast:", err)
 		return command.ExitFailed
--- a/test/soak/checker.go
+++ b/test/soak/checker.go
@@ -27,9 +27,11 @@
 )
 
 // repeatable reports whether a request may run more than once.
-func (k Kind) repeatable() bool { return k == ResumableStream || k == Lookup }
+func (k Kind) repeatable() bool { return k.isResumable() || k == Lookup }
 
-func (k Kind) isStream() bool { return k == ResumableStream || k == PlainStream }
+func (k Kind) isStream() bool { return k.isResumable() || k == PlainStream }
+
+func (k Kind) isResumable() bool { return k == ResumableStream || k.isReleased() }
 
 // response is what a caller observed of one request.
 type response struct {
--- a/test/soak/crash.go
+++ b/test/soak/crash.go
@@ -71,6 +71,8 @@
 			n++
 		case ReleaseAndLoss:
 			n += routers
+		case RouterOutOfStep:
+			n += len(drawSeparation(s, routers).Targets)
 		}
 	}
 	return n
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -73,6 +73,11 @@
 	// replaceMu is held while the process of a worker is replaced by one of another version.
 	replaceMu sync.Mutex
 	restarts  int
+	// cuts are the connections of routers that are cut.
+	cuts cuts
+	// released are the workers of the services that workers of another version join, steps counts their streams.
+	released [releases]releaseWorkers
+	steps    stepCounts
 	// entryStates are the states in the workers' entries, by index.
 	entriesMu   sync.Mutex
 	entryStates map[int]string
@@ -88,6 +93,11 @@
 			return f, err
 		}
 	}
+	for n := range releases {
+		if err := f.startReleaseWorker(n, versions[0]); err != nil {
+			return f, err
+		}
+	}
 	for i := range routers {
 		if err := f.addRouter(i); err != nil {
 			return f, err
@@ -276,7 +286,7 @@
 		return err
 	}
 	cmd := exec.Command(f.binary, "--settings", r.settingsFile())
-	cmd.Env = append(os.Environ(), "YARROWMAST_SOAK_SUSPENDED="+r.suspensionFile())
+	cmd.Env = append(os.Environ(), "YARROWMAST_SOAK_SUSPENDED="+r.suspensionFile(), "YARROWMAST_SOAK_LINKS="+f.linkAddresses(), "YARROWMAST_SOAK_CUT="+r.cutFile())
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("soak: start %s: %w", r.name, err)
@@ -329,7 +339,7 @@
 	}
 	route := func(kind Kind, repeat, service string) standin.Route {
 		return standin.Route{
-			Name: string(kind), Kind: repeat, Service: service, Public: kind == Submit, Resumable: kind == ResumableStream,
+			Name: string(kind), Kind: repeat, Service: service, Public: kind == Submit, Resumable: kind.isResumable(),
 			Attempts: 2, Timeout: 6 * time.Second, TargetLatency: 400 * time.Millisecond, TargetGap: 100 * time.Millisecond,
 		}
 	}
@@ -337,7 +347,7 @@
 	accounts["moka"] = keys
 	competing := route(Competing, standin.Streaming, competeService)
 	competing.TargetLatency = competeTarget
-	f.store.Configure(&standin.Config{
+	c := &standin.Config{
 		Version: f.configVersion, Host: host, TokensPerSecond: 600000, Keys: accounts,
 		Routes: []standin.Route{
 			route(ResumableStream, standin.Streaming, serviceOf(0)), route(PlainStream, standin.Streaming, serviceOf(0)),
@@ -347,7 +357,12 @@
 			{Name: serviceOf(0), Slots: slots, MaxConnections: 500}, {Name: serviceOf(streamWorkers), MaxConnections: 500},
 			{Name: competeService, Slots: competeSlots, MaxConnections: 500},
 		},
-	})
+	}
+	for n := range releases {
+		c.Routes = append(c.Routes, route(releaseKind(n), standin.Streaming, releaseService(n)))
+		c.Services = append(c.Services, standin.Service{Name: releaseService(n), Slots: slots, MaxConnections: 500})
+	}
+	f.store.Configure(c)
 }
 
 // runs returns the requests that all workers ran.
@@ -356,6 +371,11 @@
 	for _, w := range f.workers {
 		list = append(list, w.Runs()...)
 	}
+	for n := range f.released {
+		for _, w := range f.released[n].list {
+			list = append(list, w.Runs()...)
+		}
+	}
 	return list
 }
 
@@ -384,6 +404,11 @@
 	for _, w := range f.workers {
 		w.Close()
 	}
+	for n := range f.released {
+		for _, w := range f.released[n].list {
+			w.Close()
+		}
+	}
 	f.store.Close()
 }
 
--- a/test/soak/garbage.go
+++ b/test/soak/garbage.go
@@ -15,7 +15,7 @@
 // sendGarbage lets a worker send garbage for the time of a fault.
 func (f *fleet) sendGarbage(c *checker, s Step) {
 	w := f.workers[s.Target]
-	w.SendGarbage(1 + f.stepRand(s).IntN(maxGarbageOneIn))
+	w.SendGarbage(1 + stepRand(s).IntN(maxGarbageOneIn))
 	time.Sleep(s.Duration)
 	w.SendGarbage(0)
 	c.mu.Lock()
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -31,6 +31,7 @@
 	p.Duration(&r.Duration, "l", "length", "how long faults are injected; with 0s accounts compete, and nothing else happens")
 	p.String(&r.Plant, "p", "plant", "violate a guarantee on purpose: twice, refused-but-ran, mixed, revoked-key, leaving, recover, copy, refused-while-idle, versions, unresumed, foreign-event, barred, unfinished, share, cut-by-stop")
 	p.StringSlice(&only, "o", "only", "inject faults of this name only; may be repeated")
+	p.Bool(&r.FaultsOnly, "f", "faults-only", "end after the faults: no accounts compete, and routers are not stopped in series")
 	p.Bool(&verbose, "v", "verbose", "print each fault")
 	if err := p.ParseArgs(args); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
@@ -68,8 +69,9 @@
 	for _, status := range slices.Sorted(maps.Keys(r.ByStatus)) {
 		fmt.Printf(" %d of %d", r.ByStatus[status], status)
 	}
-	fmt.Printf("; %d of %d connections forwarded; during planned stops %d answered, %d refused, %d closed while idle, %d overran, %d cut; %d answers with garbage; %d violations\n",
-		r.Forwarded, r.Offered, r.Stops.Answered, r.Stops.Refused, r.Stops.InTransit, r.Stops.Overran, r.Stops.Cut, r.Garbled, len(r.Violations))
+	fmt.Printf("; %d of %d connections forwarded; during planned stops %d answered, %d refused, %d closed while idle, %d overran, %d cut; %d answers with garbage; out of step %d streams of the new version, taken up %d times, %d went on, %d refused, %d broken; %d violations\n",
+		r.Forwarded, r.Offered, r.Stops.Answered, r.Stops.Refused, r.Stops.InTransit, r.Stops.Overran, r.Stops.Cut, r.Garbled,
+		r.OutOfStep.Others, r.OutOfStep.TakenUp, r.OutOfStep.WentOn, r.OutOfStep.Refused, r.OutOfStep.Off, len(r.Violations))
 	for _, v := range r.Violations[:min(len(r.Violations), 10)] {
 		fmt.Println("  ", v)
 	}
--- a/test/soak/part.go
+++ b/test/soak/part.go
@@ -56,8 +56,12 @@
 	}
 }
 
-// parts returns the parts of a stream's prompt. Those of all callers share the first, and the second by kind.
+// parts returns the parts of a stream's prompt. Those of all callers share the first, and the second by kind, but for streams
+// of released services, which begin at either worker.
 func (r *response) parts() []string {
+	if r.Kind.isReleased() {
+		return []string{r.ID}
+	}
 	second := "50b" + string(r.Kind)
 	if r.Crashing {
 		second = crashPart
--- a/test/soak/plan.go
+++ b/test/soak/plan.go
@@ -56,6 +56,9 @@
 	ReleaseAndLoss Fault = "release-all-killed"
 	// WorkerGarbage lets a worker send bytes of no event beside a part of its answers.
 	WorkerGarbage Fault = "worker-garbage"
+	// RouterOutOfStep pauses routers, or cuts them off from the store and from other routers, while a worker of
+	// another software version joins, and callers take streams up at them.
+	RouterOutOfStep Fault = "out-of-step"
 	// Suspend stops a router's process for a time that its monotonic clock does not show.
 	Suspend Fault = "suspend"
 	// RequestCrashing repeats a request that crashes the workers that run it.
@@ -95,17 +98,21 @@
 	replaceGaps = 5
 	// garbageGaps is the mean time between times in which a worker sends garbage, in units of meanGap.
 	garbageGaps = 2
+	// outOfStepGaps is the mean time between series of times in which routers are out of step, in units of meanGap.
+	outOfStepGaps = 4
 	// entryGaps is the mean time between entryFaults, in units of meanGap.
 	entryGaps = 3
 )
 
-// smallRouterStream to garbageStream are the random sources, next to those of newPlan, of the router with little capacity, of
-// the planned stops, of the loss of all routers and of workers that send garbage. competeStream is another one.
+// smallRouterStream to outOfStepStream are the random sources, next to those of newPlan, of the router with little capacity, of
+// the planned stops, of the loss of all routers, of workers that send garbage and of routers out of step. competeStream is
+// another one.
 const (
 	smallRouterStream = 7
 	stopStream        = 8
 	lossStream        = 9
 	garbageStream     = 11
+	outOfStepStream   = 12
 )
 
 // newPlan draws the faults of a run from its seed. Kinds that were added later are drawn from random sources
@@ -142,6 +149,7 @@
 	})...)
 	plan = append(plan, drawCrashing(source(2), length, RequestCrashing, len(crashKinds))...)
 	plan = append(plan, drawCrashing(source(6), length, PartCrashing, len(partCrashes))...)
+	plan = append(plan, drawOutOfStep(source(outOfStepStream), length)...)
 	plan = append(plan, drawLoss(source(lossStream), plan, length)...)
 	slices.SortStableFunc(plan, func(a, b Step) int { return int(a.At - b.At) })
 	return plan
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -23,6 +23,8 @@
 	Duration time.Duration
 	// Only are the faults that are injected, all if it is empty.
 	Only []Fault
+	// FaultsOnly leaves the competition and the planned stops at the end out.
+	FaultsOnly bool
 	// Plant is the rule that is violated on purpose, "" for none.
 	Plant string
 	// Log is called once for each fault.
@@ -41,6 +43,8 @@
 	Offered, Forwarded int
 	// Garbled counts the answers beside which workers sent bytes of no event.
 	Garbled int
+	// OutOfStep counts the streams that callers took up at routers out of step.
+	OutOfStep *stepCounts
 	// Stops counts the requests during the planned stops.
 	Stops      stopOutcomes
 	Violations []Violation
@@ -92,6 +96,7 @@
 	plan := r.plan()
 	c.checkCrashes(f.crashes.Load(), plan)
 	rep.Garbled = f.garbled()
+	rep.OutOfStep = &f.steps
 	r.Log("%d workers crashed under a part", f.part.crashes)
 	c.checkPart(&f.part, t.start, plan)
 	rep.Stops = c.checkStops(small)
@@ -112,8 +117,8 @@
 // plan returns the faults of the run.
 func (r *Run) plan() []Step { return onlyFaults(newPlan(r.Seed, r.Duration, routers, workers), r.Only) }
 
-// play injects faults under traffic, checks that the fleet serves again, lets accounts
-// compete, and stops all routers in series.
+// play injects faults under traffic, checks that the fleet serves again and, unless there are to be faults only, lets
+// accounts compete and stops all routers in series.
 func (r *Run) play(f *fleet, c *checker, t *traffic, rep *Report) error {
 	if r.Duration == 0 {
 		return r.compete(f, c, t)
@@ -141,6 +146,9 @@
 	time.Sleep(quietPeriod)
 	stop()
 	tasks.Wait()
+	if r.FaultsOnly {
+		return nil
+	}
 	if err := r.compete(f, c, t); err != nil {
 		return err
 	}
@@ -170,6 +178,8 @@
 				t.sendCrashingPart(s)
 			case ReleaseAndLoss:
 				t.releaseAndLose(s)
+			case RouterOutOfStep:
+				t.outOfStep(s, r.Log)
 			case WorkerGarbage:
 				f.sendGarbage(c, s)
 			default:
@@ -289,12 +299,12 @@
 	case WorkerReplaced:
 		f.replaceWorker(s)
 	case EntryCorrupt:
-		f.store.PutCorrupt(w.ID, w, serviceOf(s.Target), link.address(), slots, f.stepRand(s))
+		f.store.PutCorrupt(w.ID, w, serviceOf(s.Target), link.address(), slots, stepRand(s))
 		time.Sleep(s.Duration)
 		f.republishEntry(s.Target)
 	case EntryUnknown:
 		id := fmt.Sprintf("stray-%d", s.At)
-		f.store.PutCorrupt(id, w, serviceOf(s.Target), link.address(), slots, f.stepRand(s))
+		f.store.PutCorrupt(id, w, serviceOf(s.Target), link.address(), slots, stepRand(s))
 		time.Sleep(s.Duration)
 		f.store.Deregister(id)
 	case WorkerFails, WorkerRefuses:
@@ -322,7 +332,7 @@
 // restoreStore restores the store from a backup, which loses what was written during the fault.
 // Operators and workers write it again, each after a random delay.
 func (f *fleet) restoreStore(s Step, changes *sync.Mutex) {
-	rng := f.stepRand(s)
+	rng := stepRand(s)
 	backup := f.store.Backup()
 	time.Sleep(s.Duration)
 	f.store.Restore(backup, minDowntime+time.Duration(rng.Int64N(int64(maxDowntime-minDowntime))), nil)
@@ -342,11 +352,14 @@
 	for i := range f.workers {
 		write(func() { f.republishEntry(i) })
 	}
+	for n := range f.released {
+		write(func() { f.republishReleased(n) })
+	}
 	writers.Wait()
 }
 
 // stepRand returns a random source for the details of a fault, determined by the step alone.
-func (f *fleet) stepRand(s Step) *rand.Rand {
+func stepRand(s Step) *rand.Rand {
 	return rand.New(rand.NewPCG(uint64(s.At), uint64(s.Target)))
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -46,6 +46,9 @@
 		if targetsWorker(s.Fault) {
 			limit = workers
 		}
+		if s.Fault == RouterOutOfStep {
+			limit = releases
+		}
 		if s.At < firstFaultAfter || s.At+s.Duration > length || s.Target < 0 || s.Target >= limit {
 			t.Errorf("fault %+v is out of bounds", s)
 		}
@@ -258,6 +261,13 @@
 	later := func(status int, body string, complete bool) response {
 		return response{ID: "x-r1", Kind: ResumableStream, Resumes: "x", After: 5, Status: status, Body: body, Complete: complete, SentAt: quietAt + 2}
 	}
+	released := func(id string, after int, version string) response {
+		res := response{ID: id, Kind: releaseKind(0), Status: 200, After: after, Body: part(id, after+1, after+5, version), SentAt: quietAt - 1}
+		if after > 0 {
+			res.Resumes = "x"
+		}
+		return res
+	}
 	unknown := `{"code":"stream-unknown"}`
 	earlier := first
 	earlier.SentAt = quietAt - 1
@@ -271,6 +281,8 @@
 		"one event of another":        {[]response{first, later(200, part("x-r1", 6, 6, "v1.1"), false)}, RuleVersions},
 		"begins anew":                 {[]response{first, later(200, part("x-r1", 1, events, "v1"), true)}, RuleWrongBody},
 		"an event is missing":         {[]response{first, later(200, part("x-r1", 7, events, "v1"), true)}, RuleWrongBody},
+		"released, at another":        {[]response{released("x", 0, "v1.1"), released("x-r1", 5, "v1")}, RuleVersions},
+		"released, at its version":    {[]response{released("x", 0, "v1.1"), released("x-r1", 5, "v1.1")}, ""},
 		"refused":                     {[]response{first, later(503, unknown, true)}, RuleUnresumed},
 		"refused, begun under faults": {[]response{earlier, later(503, unknown, true)}, ""},
 		"refused as busy":             {[]response{first, later(503, `{"code":"busy"}`, true)}, ""},
--- a/test/soak/streams.go
+++ b/test/soak/streams.go
@@ -93,7 +93,7 @@
 	var list []Violation
 	versionsOf, begunAt := map[string]map[string]bool{}, map[string]time.Duration{}
 	for _, res := range c.responses {
-		if res.Kind != ResumableStream {
+		if !res.Kind.isResumable() {
 			continue
 		}
 		root := res.ID
