Log why a completion stream was broken off, as for numbered streams

A chunk of another response, data that is no chunk or an event after the end marker ended its attempt as answer-cut, the code of a response that ends early.

The sentinel errors, which nobody compared, give way to the reasons, and both readers share what they wrote twice.

--- a/internal/backend/invalid_event.go
+++ b/internal/backend/invalid_event.go
@@ -19,6 +19,12 @@
 	InvalidField InvalidReason = "unknown-field"
 	// InvalidText: a line that is not UTF-8, or has a CR inside, which callers take for its end.
 	InvalidText InvalidReason = "not-text"
+	// InvalidData: data that is no chunk of a completion.
+	InvalidData InvalidReason = "bad-data"
+	// InvalidOrigin: a chunk of another response, or one that does not say of which.
+	InvalidOrigin InvalidReason = "other-response"
+	// InvalidAfterEnd: an event after the end marker.
+	InvalidAfterEnd InvalidReason = "after-end"
 	// InvalidSize: an event over the size limit.
 	InvalidSize InvalidReason = "too-large"
 )
@@ -26,7 +32,7 @@
 // InvalidEventError means that a backend server sent bytes that are no event of its response.
 type InvalidEventError struct {
 	Reason InvalidReason
-	// After is the number of the last valid event, 0 if there was none.
+	// After is the number of the last valid event, 0 if there was none or events have no numbers.
 	After uint64
 }
 
--- a/internal/backend/numbered.go
+++ b/internal/backend/numbered.go
@@ -57,7 +57,7 @@
 	for {
 		start := e.event.Len()
 		if err := readLine(e.r, &e.event); err != nil {
-			return nil, e.readError(err)
+			return nil, readError(err, &e.event, e.last)
 		}
 		line := trimLineEnd(e.event.Bytes()[start:])
 		if len(line) > 0 {
@@ -77,7 +77,7 @@
 
 // add adds a line that is not blank. It returns why the line can belong to no event, "" if it can.
 func (f *eventFields) add(line []byte, extension string) InvalidReason {
-	if bytes.IndexByte(line, '\r') >= 0 || !utf8.Valid(line) {
+	if !isText(line) {
 		return InvalidText
 	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
@@ -127,14 +127,6 @@
 	return &InvalidEventError{Reason: reason, After: e.last}
 }
 
-// readError converts an error of reading a line.
-func (e *numberedReader) readError(err error) error {
-	if errors.Is(err, ErrEventTooLarge) {
-		return e.invalid(InvalidSize)
-	}
-	return eofToUnexpected(err, &e.event)
-}
-
 // Tokens implements eventReader.
 func (e *numberedReader) Tokens() int64 { return e.count }
 
@@ -153,7 +145,7 @@
 		part, err := r.ReadSlice('\n')
 		event.Write(part)
 		if event.Len() > maxEventBytes {
-			return ErrEventTooLarge
+			return errEventTooLarge
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
@@ -166,6 +158,17 @@
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 }
 
+// isText reports whether a line is UTF-8 without a CR, which callers would take for the line's end.
+func isText(line []byte) bool { return bytes.IndexByte(line, '\r') < 0 && utf8.Valid(line) }
+
+// readError converts an error of reading a line of an event. after is the number of the event before it.
+func readError(err error, event *bytes.Buffer, after uint64) error {
+	if errors.Is(err, errEventTooLarge) {
+		return &InvalidEventError{Reason: InvalidSize, After: after}
+	}
+	return eofToUnexpected(err, event)
+}
+
 // eofToUnexpected replaces io.EOF by io.ErrUnexpectedEOF within an event.
 func eofToUnexpected(err error, event *bytes.Buffer) error {
 	if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event.Bytes())) > 0 {
