Give the streams of each router process numbers of their own

What a caller could get: the response to another caller's request. A router numbered the connections that it forwards from 1 in each process. If it starts anew while a peer still serves a connection of the former process, the peer's messages go to the same address, since what waits for a peer outlives the connection to it, and they bear the number of a connection of the new process. A first message was relayed to the new caller; any other message ended its connection.

Cause: responses are found by the address and the number alone. What arrives from a former process is told apart by its incarnation, what is sent to one was not.

Now the numbers of a process start at random among 2^63, so that those of two processes do not meet. Messages have the same form, so that routers of earlier builds understand them.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -70,7 +70,9 @@
 	// batchDelay returns how long to collect response bytes before sending the next message.
 	batchDelay func() time.Duration
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// lastID is the number of the last stream. It starts at random, since peers may send responses to streams of a
+	// former process of this router.
 	lastID uint64
 	peers  []Peer
 	// busyUntil holds the peers that refused a connection recently.
@@ -105,7 +107,7 @@
 func New(opts ...Option) *Forwarder {
 	f := &Forwarder{
 		clock: clock.System(), log: slog.New(slog.DiscardHandler), batchDelay: func() time.Duration { return 0 },
-		busyUntil: map[string]time.Time{}, outgoing: map[uint64]*outgoing{}, incoming: map[streamKey]*incoming{},
+		lastID: rand.Uint64() >> 1, busyUntil: map[string]time.Time{}, outgoing: map[uint64]*outgoing{}, incoming: map[streamKey]*incoming{},
 	}
 	for _, o := range opts {
 		o(f)
