Pass on completions without tokens that state their end

What callers saw: a completion of no tokens, or an engine's error, that ended with its marker and then with its connection was cut at its end.

Cause: a stream without an event counts as cut if only the end of its connection marks its end; the end marker of completions was not counted as such a mark.

Streams without a marker are cut as before (TestEmptyAnswerIsNoWholeAnswer, TestRoutedResponses).

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -242,8 +242,10 @@
 }
 
 // mayBeCut reports whether a stream that ended between events shows no sign of being whole: it had no event,
-// and nothing but the end of its connection marks its end.
-func (x *roundTrip) mayBeCut() bool { return x.result.Framing == FramingClose && x.result.Empty }
+// and nothing but the end of its connection marks its end. Completions have an end marker.
+func (x *roundTrip) mayBeCut() bool {
+	return x.call.Opaque && x.result.Framing == FramingClose && x.result.Empty
+}
 
 // deliver writes bytes to the caller. It fails the call and returns false if the caller
 // has disconnected.
--- a/internal/backend/foreign_event_test.go
+++ b/internal/backend/foreign_event_test.go
@@ -116,6 +116,8 @@
 		"a block without data":          {"retry: 3000\n\n" + event("x") + event("x") + doneEvent, 2},
 		"error with its id":             {event("x") + event("x") + "data: {\"id\":\"x\",\"error\":{\"message\":\"no\"}}\n\n" + doneEvent, 2},
 		"usage at the end":              {event("x") + "data: {\"id\":\"x\",\"choices\":[],\"usage\":{\"completion_tokens\":2}}\n\n" + doneEvent, 2},
+		"error of a server without ids": {"data: {\"error\":{\"message\":\"no\"}}\n\n" + doneEvent, 0},
+		"no token":                      {doneEvent, 0},
 		"an event of 64 KB":             {event("x") + "data: {\"id\":\"x\",\"choices\":[\"" + strings.Repeat("x", 64<<10) + "\"]}\n\n" + doneEvent, 2},
 		"an event of almost 1 MB":       {event("x") + "data: {\"id\":\"x\",\"choices\":[\"" + strings.Repeat("x", 1<<20-100) + "\"]}\n\n" + doneEvent, 2},
 		"no blank after the colon":      {strings.ReplaceAll(event("x")+event("x")+doneEvent, "data: ", "data:"), 2},
