Tell apart names that read like another's start

An entry named "i-a@" took the place of the worker i-a that was born at that time: once it was marked as draining, i-a got no requests. Routers tell the processes of backend servers apart by a text of name, "@" and start time, and left out a start time that is not known, so that both had the same text.

A name that contains the separator now always states its start time, 0 if unknown, which makes the text unique.

--- a/pkg/table/incarnation.go
+++ b/pkg/table/incarnation.go
@@ -1,6 +1,12 @@
 package table
 
-import "strconv"
+import (
+	"strconv"
+	"strings"
+)
+
+// startSeparator precedes the start time in the text of an incarnation.
+const startSeparator = "@"
 
 // Incarnation identifies one process of a backend server. A restarted server has the same name
 // but another StartTime, and none of the state of the former process.
@@ -18,8 +24,8 @@
 
 // String returns a string that is unique to the incarnation.
 func (i Incarnation) String() string {
-	if i.StartTime == 0 {
+	if i.StartTime == 0 && !strings.Contains(i.Name, startSeparator) {
 		return i.Name
 	}
-	return i.Name + "@" + strconv.FormatInt(i.StartTime, 10)
+	return i.Name + startSeparator + strconv.FormatInt(i.StartTime, 10)
 }
--- a/pkg/table/incarnation_test.go
+++ b/pkg/table/incarnation_test.go
@@ -19,6 +19,8 @@
 		"other name":            {table.Incarnation{Name: "x", StartTime: 5}, table.Incarnation{Name: "y", StartTime: 5}, true},
 		"start unknown":         {table.Incarnation{Name: "x"}, table.Incarnation{Name: "x"}, false},
 		"start becomes known":   {table.Incarnation{Name: "x"}, table.Incarnation{Name: "x", StartTime: 6}, true},
+		"name like another's":   {table.Incarnation{Name: "x", StartTime: 6}, table.Incarnation{Name: "x@6"}, true},
+		"name with a start":     {table.Incarnation{Name: "x@6"}, table.Incarnation{Name: "x@6", StartTime: 7}, true},
 		"start becomes unknown": {table.Incarnation{Name: "x", StartTime: 6}, table.Incarnation{Name: "x"}, true},
 	}
 	for name, tc := range tests {
