--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -324,6 +325,12 @@
 	}
 }
 
+// TestSoakGarbageReachesNoCaller guards against passing on bytes of no event that workers send beside their answers, and
+// against taking them for crashes under a request.
+func TestSoakGarbageReachesNoCaller(t *testing.T) {
+	playRun(t, &Run{Binary: buildRouter(t), Seed: 86004, Duration: 6 * time.Second, Only: []Fault{WorkerGarbage}, FaultsOnly: true, Log: t.Logf})
+}
+
 // TestSoakIdenticalRequestsAreNotBarred guards against barring a harmless request, of which many copies run at once, for
 // the ends of backend servers that another request crashes while the fleet starts anew.
 func TestSoakIdenticalRequestsAreNotBarred(t *testing.T) {
@@ -371,6 +378,9 @@
 	for _, v := range rep.Violations {
 		t.Error(v)
 	}
+	if slices.Contains(r.Only, WorkerGarbage) && rep.Garbled == 0 {
+		t.Error("no worker sent garbage")
+	}
 	if rep.Requests == 0 || rep.ByStatus[200] == 0 {
 		t.Errorf("no request succeeded: %+v", rep)
 	}
