--- a/test/soak/checker.go
+++ b/test/soak/checker.go
@@ -39,7 +39,7 @@
 	Kind Kind
 	// SentAt is the time since the start of traffic.
 	SentAt time.Duration
-	// EndedAt is when the response ended, from the start of traffic.
+	// EndedAt is when the response was complete or its connection ended, from the start of traffic.
 	EndedAt time.Duration
 	// Status is 0 if there was no response.
 	Status int
--- a/test/soak/compete.go
+++ b/test/soak/compete.go
@@ -109,7 +109,7 @@
 
 // compete lets accounts compete for engines of their own, without faults but for a router that is killed at the beginning.
 func (r *Run) compete(f *fleet, c *checker, t *traffic) error {
-	plan := drawCompetition(r.Seed, routers)
+	plan := drawCompetition(r.Seed, r.Routers)
 	workers, err := f.startCompeteWorkers()
 	defer f.stopCompeteWorkers(workers)
 	if err != nil {
--- a/test/soak/compete_test.go
+++ b/test/soak/compete_test.go
@@ -11,7 +11,7 @@
 
 // TestCompetitionIsDeterministic checks that a seed always yields the same accounts, and that another one yields others.
 func TestCompetitionIsDeterministic(t *testing.T) {
-	draw := func(seed uint64) competition { return drawCompetition(seed, routers) }
+	draw := func(seed uint64) competition { return drawCompetition(seed, defaultRouters) }
 	exported := cmp.AllowUnexported(competition{}, competitor{})
 	if diff := cmp.Diff(draw(7), draw(7), exported); diff != "" {
 		t.Errorf("two competitions of one seed differ:\n%s", diff)
--- a/test/soak/crash.go
+++ b/test/soak/crash.go
@@ -55,15 +55,15 @@
 
 // checkCrashes records a violation if one request crashed too many workers. Each router that is
 // restarted or resumed may send one more attempt before it learns of the crashes.
-func (c *checker) checkCrashes(crashes int64, plan []Step) {
-	allowed := int64(maxCrashes + routerLosses(plan))
+func (c *checker) checkCrashes(crashes int64, plan []Step, routers int) {
+	allowed := int64(maxCrashes + routerLosses(plan, routers))
 	if crashes > allowed {
 		c.report(RuleCrashes, "-", fmt.Sprintf("one request crashed %d workers, %d allowed", crashes, allowed))
 	}
 }
 
 // routerLosses counts the faults after which a router has to learn of crashes again, or learns of them late.
-func routerLosses(plan []Step) int {
+func routerLosses(plan []Step, routers int) int {
 	n := 0
 	for _, s := range plan {
 		switch s.Fault {
--- a/test/soak/crash_test.go
+++ b/test/soak/crash_test.go
@@ -22,7 +22,7 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := &checker{}
-			c.checkCrashes(tc.crashes, tc.plan)
+			c.checkCrashes(tc.crashes, tc.plan, defaultRouters)
 			if got := len(c.violations) > 0; got != tc.violation {
 				t.Errorf("violation: got %v", got)
 			}
@@ -49,7 +49,7 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := &checker{}
-			c.checkPart(&partRecord{crashes: 6, fifthAt: start.Add(10 * time.Second), late: tc.late}, start, tc.plan)
+			c.checkPart(&partRecord{crashes: 6, fifthAt: start.Add(10 * time.Second), late: tc.late}, start, tc.plan, defaultRouters)
 			if got := len(c.violations) > 0; got != tc.violation {
 				t.Errorf("violation: got %v", got)
 			}
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -21,10 +21,11 @@
 
 // The size of a fleet.
 const (
-	routers       = 4
-	streamWorkers = 3
-	plainWorkers  = 2
-	workers       = streamWorkers + plainWorkers
+	// defaultRouters is the number of routers unless a run states another one.
+	defaultRouters = 4
+	streamWorkers  = 3
+	plainWorkers   = 2
+	workers        = streamWorkers + plainWorkers
 	// slots is the number of slots that a worker announces.
 	slots = 64
 	// events is the number of events of a stream. eventInterval is the time between them, and the
@@ -85,7 +86,7 @@
 
 // newFleet starts the store, the workers and the routers. small is the index of the router with little processor
 // capacity, or noRouter.
-func newFleet(binary, dir string, small int) (*fleet, error) {
+func newFleet(binary, dir string, routers, small int) (*fleet, error) {
 	f := &fleet{binary: binary, dir: dir, store: standin.NewStore(), ports: usedPorts{}, entryStates: map[int]string{}}
 	f.publishConfig()
 	for i := range workers {
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -19,7 +19,7 @@
 }
 
 func run(args []string) int {
-	r := Run{Binary: "bin/yarrowmast", Seed: uint64(time.Now().UnixNano() % 1e9), Duration: 12 * time.Second}
+	r := Run{Binary: "bin/yarrowmast", Seed: uint64(time.Now().UnixNano() % 1e9), Duration: 12 * time.Second, Routers: defaultRouters}
 	seeds := 1
 	var only []string
 	verbose := false
@@ -28,6 +28,7 @@
 	p.String(&r.Binary, "b", "binary", "path of the router binary")
 	p.UInt64(&r.Seed, "s", "seed", "the first seed; derived from the time if not given")
 	p.Int(&seeds, "n", "seeds", "number of seeds to run in sequence")
+	p.Int(&r.Routers, "r", "routers", "number of routers, 2 at least")
 	p.Duration(&r.Duration, "l", "length", "how long faults are injected; with 0s accounts compete, and nothing else happens")
 	p.String(&r.Plant, "p", "plant", "violate a guarantee on purpose: twice, refused-but-ran, mixed, revoked-key, leaving, recover, copy, refused-while-idle, versions, unresumed, foreign-event, barred, unfinished, share, cut-by-stop")
 	p.StringSlice(&only, "o", "only", "inject faults of this name only; may be repeated")
--- a/test/soak/outofstep.go
+++ b/test/soak/outofstep.go
@@ -134,10 +134,10 @@
 	return fmt.Sprint("cut off ", s.Targets)
 }
 
-// drawSeparation draws what a step puts out of step, one router or two; the step determines it.
+// drawSeparation draws what a step puts out of step, from one router to half of them; the step determines it.
 func drawSeparation(s Step, routers int) separation {
 	rng := stepRand(s)
-	order, count := rng.Perm(routers), 1+rng.IntN(2)
+	order, count := rng.Perm(routers), 1+rng.IntN(routers/2)
 	return separation{Targets: order[:count], Others: order[count:], Paused: rng.IntN(2) == 0, JoinAfter: time.Duration(rng.Int64N(int64(maxJoinDelay)))}
 }
 
--- a/test/soak/outofstep_test.go
+++ b/test/soak/outofstep_test.go
@@ -15,12 +15,12 @@
 	seen, ways := 0, map[bool]int{}
 	for seed := range uint64(20) {
 		var services []int
-		for _, s := range onlyFaults(newPlan(seed, 12*time.Second, routers, workers), []Fault{RouterOutOfStep}) {
-			sep := drawSeparation(s, routers)
+		for _, s := range onlyFaults(newPlan(seed, 12*time.Second, defaultRouters, workers), []Fault{RouterOutOfStep}) {
+			sep := drawSeparation(s, defaultRouters)
 			if slices.Contains(services, s.Target) || s.Target >= releases {
 				t.Errorf("seed %d: service %d after %v", seed, s.Target, services)
 			}
-			if s.Duration < minOutOfStep || s.Duration > maxOutOfStep || len(sep.Targets) == 0 || len(sep.Targets)+len(sep.Others) != routers || len(sep.Others) < 2 {
+			if s.Duration < minOutOfStep || s.Duration > maxOutOfStep || len(sep.Targets) == 0 || len(sep.Targets)+len(sep.Others) != defaultRouters || len(sep.Others) < 2 {
 				t.Errorf("seed %d: %+v, %+v", seed, s, sep)
 			}
 			services = append(services, s.Target)
--- a/test/soak/overload_test.go
+++ b/test/soak/overload_test.go
@@ -11,18 +11,18 @@
 	const seeds = 200
 	drawn := map[int]int{}
 	for seed := range uint64(seeds) {
-		small := drawSmallRouter(seed, routers)
-		if again := drawSmallRouter(seed, routers); again != small {
+		small := drawSmallRouter(seed, defaultRouters)
+		if again := drawSmallRouter(seed, defaultRouters); again != small {
 			t.Errorf("seed %d draws router %d, then %d", seed, small, again)
 		}
 		drawn[small]++
 	}
-	for i := range routers {
+	for i := range defaultRouters {
 		if drawn[i] == 0 {
 			t.Errorf("router %d is never drawn", i)
 		}
 	}
-	if drawn[noRouter] < seeds/4 || drawn[noRouter] > seeds*3/4 || len(drawn) != routers+1 {
+	if drawn[noRouter] < seeds/4 || drawn[noRouter] > seeds*3/4 || len(drawn) != defaultRouters+1 {
 		t.Errorf("drawn %v", drawn)
 	}
 }
--- a/test/soak/part.go
+++ b/test/soak/part.go
@@ -103,13 +103,13 @@
 // checkPart records a violation if too many requests with the crashing part reached workers late. Each router
 // that is restarted or resumed after the fifth crash, or shortly before, may send one more before it learns of
 // the crashes.
-func (c *checker) checkPart(p *partRecord, start time.Time, plan []Step) {
+func (c *checker) checkPart(p *partRecord, start time.Time, plan []Step, routers int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	recent := slices.DeleteFunc(slices.Clone(plan), func(s Step) bool {
 		return start.Add(s.At + s.Duration + partContact).Before(p.fifthAt)
 	})
-	if allowed := maxLateParts + routerLosses(recent); p.late > allowed {
+	if allowed := maxLateParts + routerLosses(recent, routers); p.late > allowed {
 		c.report(RulePart, "-", fmt.Sprintf("%d requests with a part that had crashed %d workers reached workers late, %d allowed; %d crashed in all", p.late, crashesBeforeContact, allowed, p.crashes))
 	}
 }
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -21,6 +21,8 @@
 	Seed   uint64
 	// Duration is how long faults are injected. With 0 accounts compete, and nothing else happens.
 	Duration time.Duration
+	// Routers is the size of the fleet.
+	Routers int
 	// Only are the faults that are injected, all if it is empty.
 	Only []Fault
 	// FaultsOnly leaves the competition and the planned stops at the end out.
@@ -74,11 +76,11 @@
 	if err != nil {
 		return Report{}, err
 	}
-	small := drawSmallRouter(r.Seed, routers)
+	small := drawSmallRouter(r.Seed, r.Routers)
 	if small != noRouter {
 		r.Log("r-%d has %g processors", small, smallProcessors)
 	}
-	f, err := newFleet(r.Binary, dir, small)
+	f, err := newFleet(r.Binary, dir, r.Routers, small)
 	defer f.close()
 	if err != nil {
 		return Report{}, err
@@ -94,11 +96,11 @@
 	}
 	r.Log("%d workers crashed under a request", f.crashes.Load())
 	plan := r.plan()
-	c.checkCrashes(f.crashes.Load(), plan)
+	c.checkCrashes(f.crashes.Load(), plan, r.Routers)
 	rep.Garbled = f.garbled()
 	rep.OutOfStep = &f.steps
 	r.Log("%d workers crashed under a part", f.part.crashes)
-	c.checkPart(&f.part, t.start, plan)
+	c.checkPart(&f.part, t.start, plan, r.Routers)
 	rep.Stops = c.checkStops(small)
 	rep.Violations = c.evaluate(f.runs())
 	for _, res := range c.responses {
@@ -115,7 +117,9 @@
 }
 
 // plan returns the faults of the run.
-func (r *Run) plan() []Step { return onlyFaults(newPlan(r.Seed, r.Duration, routers, workers), r.Only) }
+func (r *Run) plan() []Step {
+	return onlyFaults(newPlan(r.Seed, r.Duration, r.Routers, workers), r.Only)
+}
 
 // play injects faults under traffic, checks that the fleet serves again and, unless there are to be faults only, lets
 // accounts compete and stops all routers in series.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -35,15 +35,15 @@
 // and that another seed yields others.
 func TestPlanIsDeterministic(t *testing.T) {
 	const length = 12 * time.Second
-	a, b := newPlan(7, length, routers, workers), newPlan(7, length, routers, workers)
+	a, b := newPlan(7, length, defaultRouters, workers), newPlan(7, length, defaultRouters, workers)
 	if diff := cmp.Diff(a, b); diff != "" || len(a) == 0 {
 		t.Errorf("%d faults; two plans of one seed differ:\n%s", len(a), diff)
 	}
-	if cmp.Equal(a, newPlan(8, length, routers, workers)) {
+	if cmp.Equal(a, newPlan(8, length, defaultRouters, workers)) {
 		t.Error("another seed yields the same plan")
 	}
 	for _, s := range a {
-		limit := routers
+		limit := defaultRouters
 		if targetsWorker(s.Fault) {
 			limit = workers
 		}
@@ -328,7 +328,7 @@
 // TestSoakGarbageReachesNoCaller guards against passing on bytes of no event that workers send beside their answers, and
 // against taking them for crashes under a request.
 func TestSoakGarbageReachesNoCaller(t *testing.T) {
-	playRun(t, &Run{Binary: buildRouter(t), Seed: 86004, Duration: 6 * time.Second, Only: []Fault{WorkerGarbage}, FaultsOnly: true, Log: t.Logf})
+	playRun(t, &Run{Binary: buildRouter(t), Routers: defaultRouters, Seed: 86004, Duration: 6 * time.Second, Only: []Fault{WorkerGarbage}, FaultsOnly: true, Log: t.Logf})
 }
 
 // TestSoakIdenticalRequestsAreNotBarred guards against barring a harmless request, of which many copies run at once, for
@@ -343,7 +343,7 @@
 	binary := buildRouter(t)
 	for _, seed := range []uint64{83011, 83014} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			rep, err := (&Run{Binary: binary, Seed: seed, Log: t.Logf}).Play()
+			rep, err := (&Run{Binary: binary, Routers: defaultRouters, Seed: seed, Log: t.Logf}).Play()
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -366,7 +366,7 @@
 // playSeed plays the faults of a seed and fails the test if a promise is broken.
 func playSeed(t *testing.T, binary string, seed uint64, length time.Duration) {
 	t.Helper()
-	playRun(t, &Run{Binary: binary, Seed: seed, Duration: length, Log: t.Logf})
+	playRun(t, &Run{Binary: binary, Routers: defaultRouters, Seed: seed, Duration: length, Log: t.Logf})
 }
 
 func playRun(t *testing.T, r *Run) {
--- a/test/soak/stopcheck.go
+++ b/test/soak/stopcheck.go
@@ -25,8 +25,6 @@
 	response
 	// Router is the index of the router that the caller connected to.
 	Router int
-	// EndedAt is when the answer was complete or the connection ended, from the start of traffic.
-	EndedAt time.Duration
 	// Read reports whether the process had begun to read the request when it closed the connection.
 	Read bool
 	// Cause is the error that ended the connection.
--- a/test/soak/stops.go
+++ b/test/soak/stops.go
@@ -26,7 +26,7 @@
 	var callers, stops sync.WaitGroup
 	t.startStopCallers(ctx, &callers)
 	time.Sleep(callersFirst)
-	for _, s := range drawStops(r.Seed, routers) {
+	for _, s := range drawStops(r.Seed, r.Routers) {
 		if !s.Overlaps {
 			stops.Wait()
 		}
--- a/test/soak/stops_test.go
+++ b/test/soak/stops_test.go
@@ -15,8 +15,8 @@
 	const seeds = 100
 	overlapping := 0
 	for seed := range uint64(seeds) {
-		stops := drawStops(seed, routers)
-		if diff := cmp.Diff(stops, drawStops(seed, routers)); diff != "" {
+		stops := drawStops(seed, defaultRouters)
+		if diff := cmp.Diff(stops, drawStops(seed, defaultRouters)); diff != "" {
 			t.Errorf("two draws of seed %d differ:\n%s", seed, diff)
 		}
 		stopped := map[int]bool{}
@@ -29,12 +29,12 @@
 				t.Errorf("seed %d: stop %d %+v is out of bounds", seed, i, s)
 			}
 		}
-		if len(stopped) != routers || len(stops) != routers {
+		if len(stopped) != defaultRouters || len(stops) != defaultRouters {
 			t.Errorf("seed %d stops %v", seed, stopped)
 		}
 	}
 	if overlapping < seeds/4 {
-		t.Errorf("%d of %d stops overlap", overlapping, seeds*routers)
+		t.Errorf("%d of %d stops overlap", overlapping, seeds*defaultRouters)
 	}
 }
 
