soak: count time from the moment at which all routers serve

Faults were planned from before the routers had started: on a busy machine, or with 40 routers, many struck at once as traffic began.

--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -87,10 +88,11 @@
 	}
 	rep := Report{Seed: r.Seed, ByStatus: map[int]int{}, Logs: f.logPattern()}
 	c := &checker{}
-	t := &traffic{fleet: f, checker: c, seed: r.Seed, start: time.Now(), plant: r.Plant}
+	t := &traffic{fleet: f, checker: c, seed: r.Seed, plant: r.Plant}
 	if err := r.awaitServing(t, "start"); err != nil {
 		return rep, err
 	}
+	t.start = time.Now()
 	if err := r.play(f, c, t, &rep); err != nil {
 		return rep, err
 	}
@@ -419,25 +421,35 @@
 			t.fleet.store.Deregister(w.ID)
 		}
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	timeout := readyTimeout
 	if r.Plant == RuleRecovery {
 		timeout /= 4
 	}
 	limit := time.Now().Add(timeout)
-	for i, router := range t.fleet.routers {
-		for _, kind := range kinds {
-			for n := 0; ; n++ {
-				res := response{ID: fmt.Sprintf("%s-%d-%s-%d", when, i, kind, n), Kind: kind}
-				t.send(client, router.proxy.address(), &res)
-				if res.Status == http.StatusOK {
-					break
-				}
-				if time.Now().After(limit) {
-					return fmt.Errorf("soak: %s did not serve %s requests at the %s: status %d", router.name, kind, when, res.Status)
-				}
-				time.Sleep(50 * time.Millisecond)
+	failures := make([]error, len(t.fleet.routers))
+	var probes sync.WaitGroup
+	for i := range t.fleet.routers {
+		probes.Go(func() { failures[i] = t.awaitRouter(i, when, limit) })
+	}
+	probes.Wait()
+	return errors.Join(failures...)
+}
+
+// awaitRouter waits until a router responds 200 to a request of each kind.
+func (t *traffic) awaitRouter(i int, when string, limit time.Time) error {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	router := t.fleet.routers[i]
+	for _, kind := range kinds {
+		for n := 0; ; n++ {
+			res := response{ID: fmt.Sprintf("%s-%d-%s-%d", when, i, kind, n), Kind: kind}
+			t.send(client, router.proxy.address(), &res)
+			if res.Status == http.StatusOK {
+				break
+			}
+			if time.Now().After(limit) {
+				return fmt.Errorf("soak: %s did not serve %s requests at the %s: status %d", router.name, kind, when, res.Status)
 			}
+			time.Sleep(50 * time.Millisecond)
 		}
 	}
 	return nil
