Verify what is listed before a stream nobody remembers goes on

During a release, streams that began at a new software version through other routers broke and were taken up at a router that had heard nothing for a moment: cut off, or stood still. It sent them to a server of the version that it knew, and the caller got one answer of two versions.

A stream that nobody remembers goes on if one version alone can have begun it. The router took its own memory of versions as proof, even if no other router replied, and held that memory for current until its last verification was as old as changes may take (2 s). What was listed in that time was not on its list. Replies do not help where those that reply are inside the same cut.

The decision now needs a verification of the revision that began after the request came. A router verifies on request: one read serves all requests that came before it began, and reads begin at intervals that make 800 a second for a fleet of any size at most, 20 a router. Where a router cannot read, it asks the first reader of up to three zones for the same (VerifyRequest); their reply is what the router lacks, and the report that carries verifications already. If neither is possible, the rule for an outage is left: every router of the fleet replied, all seeds included, and none may have started since the last verification.

The same cause elsewhere, mended here: - the memory of versions took the time between two verifications for covered if nobody looked in between, so that a router that stood still for long and heard a report before its first tick noticed no gap; a period now ends with its verification, however often it is observed; - the memory of a router that replies was joined to the list of the one that asks whatever their revisions; now nothing may be missing between; - the rule for an outage counted up to the moment at which the router ceased to count as current, so that routers that started within 2 s of its last verification were left out. Replies say for how long a router runs, so that one that is new to this router only does not count.

The tests of the memory state verifications where they stated that the router is current; their cases are kept, with six more.

TestRouterOutOfStepJoinsNoVersions plays cuts of one router and of a zone from the store, the others or both, and routers that stand still, for 0.05 to 3 s in fleets of 9 and 60 routers in 3 and 9 zones. TestRouterOutOfStepContinuesSoleVersion has the same plays with one version: nothing is refused but by routers that reach nobody, and within 0.3 s afterwards, for which their callers are told to wait.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -80,6 +80,8 @@
 	admission   admission
 	// historyRequests asks for the platform's history as of a revision.
 	historyRequests chan catalog.Revision
+	// verifyRequests asks for a verification of the known revision.
+	verifyRequests chan struct{}
 }
 
 // shared holds the state that other goroutines may read.
@@ -104,6 +106,8 @@
 	// lastVerified is when the known revision was last confirmed as the newest, on the
 	// dispatcher's clock; 0 if never.
 	lastVerified atomic.Int64
+	// verifyWanted is the latest time for which a verification was requested.
+	verifyWanted atomic.Int64
 	// applyWithin is the option of that name in nanoseconds.
 	applyWithin atomic.Int64
 	// versionsMissing says that the software versions of some backend servers are not known.
@@ -219,7 +223,7 @@
 			log: slog.Default(), retryConfig: allowance.DefaultConfig(), applyWithin: DefaultApplyWithin, random: rand.Float64, clock: clock.System(), wallClock: time.Now,
 		},
 		events: make(chan event, inboxSize), ctx: ctx, cancel: cancel, admission: newAdmission(),
-		historyRequests: make(chan catalog.Revision, 1),
+		historyRequests: make(chan catalog.Revision, 1), verifyRequests: make(chan struct{}, 1),
 	}
 	for _, f := range opts {
 		f(&d.opt)
@@ -247,7 +251,7 @@
 
 // Start starts the goroutines.
 func (d *Dispatcher) Start() {
-	tasks := []func(){d.run, d.watchPlatform, d.verifyPlatform, d.readHistories, d.measureLag}
+	tasks := []func(){d.run, d.watchPlatform, d.verifyPlatform, d.verifyOnRequest, d.readHistories, d.measureLag}
 	if l, ok := d.source.(InstanceLister); ok {
 		tasks = append(tasks, func() { d.watchInstances(l) })
 	}
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -41,8 +41,12 @@
 	slowEvery int
 	// isCut reports whether messages between two zones are lost; it may be nil.
 	isCut func(a, b int) bool
+	// isLinkCut reports whether messages between two routers are lost; it may be nil.
+	isLinkCut func(a, b *emulatedRouter) bool
 	// isStoreCut reports whether a router cannot reach the platform; it may be nil.
 	isStoreCut func(r *emulatedRouter) bool
+	// standsStill reports whether a router gets no processor time, so that what others send it waits; it may be nil.
+	standsStill func(r *emulatedRouter) bool
 	// turnsAway reports whether the platform's history is kept from a router; it may be nil. historyReads
 	// counts the reads of it.
 	turnsAway    func(r *emulatedRouter) bool
@@ -77,9 +81,16 @@
 	// watch, or else a verification.
 	readsUntil         time.Duration
 	fullRead, watching bool
+	// ranAt is when the router last ran, held are the messages that wait for it while it stands still.
+	ranAt time.Duration
+	held  []emulatedMessage
 	// history is the end of a read of the history that is under way until historyUntil, nil if there is none.
 	history      *historyEvent
 	historyUntil time.Duration
+	// verifying is the verification on request that is under way, which ends at verifyUntil. The next one begins at
+	// nextVerify at the earliest.
+	verifying               *verifyEndedEvent
+	verifyUntil, nextVerify time.Duration
 }
 
 type emulatedMessage struct {
@@ -241,7 +252,8 @@
 	d := New(id, emptySource{}, r, WithSeeds(f.seeds), WithApplyWithin(f.within), WithHistory(emulatedHistory), WithLogger(slog.New(slog.DiscardHandler)))
 	r.state = newState(d)
 	r.readsUntil, r.watching, r.history = 0, false, nil
-	r.now = f.now
+	r.ranAt, r.held, r.verifying, r.nextVerify = f.now, nil, nil, 0
+	r.now, r.state.startedAt = f.now, f.now
 }
 
 // kill stops a router without notice.
@@ -380,20 +392,22 @@
 		for _, m := range arriving {
 			f.deliver(m)
 		}
+		f.deliverHeld()
 		ticks := int(tickInterval / emulatedStep)
 		for i := int(f.now/emulatedStep) % ticks; i < len(f.order); i += ticks {
-			if r := f.routers[f.order[i]]; r.up && !f.isSlow(r) {
+			if r := f.routers[f.order[i]]; r.runs() && !f.isSlow(r) {
 				r.apply(tickEvent{})
 			}
 		}
 		for _, address := range f.order {
 			r := f.routers[address]
-			if r.up && f.isSlow(r) && f.runsNow(r) {
+			if r.runs() && f.isSlow(r) && f.runsNow(r) {
 				r.apply(tickEvent{})
 			}
-			if r.up {
+			if r.runs() {
 				r.read()
 				r.readHistory()
+				r.verifyOnRequest()
 			}
 		}
 	}
@@ -407,6 +421,27 @@
 // runsNow reports whether a router gets processor time now.
 func (f *emulator) runsNow(r *emulatedRouter) bool { return !f.isSlow(r) || f.now%slowInterval == 0 }
 
+// runs reports whether a router is up and does not stand still.
+func (r *emulatedRouter) runs() bool {
+	f := r.emulator
+	return r.up && !(f.standsStill != nil && f.standsStill(r))
+}
+
+// deliverHeld delivers what waited for routers that no longer stand still.
+func (f *emulator) deliverHeld() {
+	for _, address := range f.order {
+		r := f.routers[address]
+		if len(r.held) == 0 || !r.runs() {
+			continue
+		}
+		held := r.held
+		r.held = nil
+		for _, m := range held {
+			f.deliver(m)
+		}
+	}
+}
+
 // runUntil runs until a condition holds, which is checked every 10 ms, and returns how long that
 // took, at most for the given time.
 func (f *emulator) runUntil(most time.Duration, done func() bool) time.Duration {
@@ -420,6 +455,10 @@
 // apply applies an event like the event loop.
 func (r *emulatedRouter) apply(ev event) {
 	r.now = r.emulator.now
+	if r.now-r.ranAt >= pauseThreshold && !r.emulator.isSlow(r) {
+		r.recordPause(r.ranAt)
+	}
+	r.ranAt = r.now
 	ev.apply(r.state)
 }
 
@@ -434,10 +473,12 @@
 		m.msg = decoded
 	}
 	switch {
-	case to != nil && f.isCut != nil && f.isCut(from.index%f.zones, to.index%f.zones):
+	case to != nil && f.cuts(from, to):
 		if from.up {
 			from.apply(lossEvent{peer.Loss{Peer: m.to}})
 		}
+	case to != nil && to.up && !to.runs():
+		to.held = append(to.held, m)
 	case to != nil && to.up && !f.runsNow(to):
 		at := (f.now/slowInterval + 1) * slowInterval
 		f.underWay[at] = append(f.underWay[at], m)
@@ -450,6 +491,11 @@
 	}
 }
 
+// cuts reports whether messages between two routers are lost.
+func (f *emulator) cuts(a, b *emulatedRouter) bool {
+	return f.isCut != nil && f.isCut(a.index%f.zones, b.index%f.zones) || f.isLinkCut != nil && f.isLinkCut(a, b)
+}
+
 // read reads the platform where the router's tasks would do so.
 func (r *emulatedRouter) read() {
 	f := r.emulator
@@ -507,6 +553,65 @@
 	}
 }
 
+// emulatedSilence is the time until a call fails to which nobody replies.
+const emulatedSilence = 1500 * time.Millisecond
+
+// errStoreSilent is the failure of such a call.
+var errStoreSilent = errors.New("the platform does not answer")
+
+// verifyOnRequest verifies the revision where the router's task would do so.
+func (r *emulatedRouter) verifyOnRequest() {
+	f := r.emulator
+	if r.verifying != nil {
+		if f.now >= r.verifyUntil {
+			r.endVerify()
+		}
+		return
+	}
+	if f.now < r.nextVerify {
+		return
+	}
+	select {
+	case <-r.d.verifyRequests:
+	default:
+		return
+	}
+	if !r.d.needsVerification() {
+		return
+	}
+	f.store.count(r, 1)
+	r.verifying, r.verifyUntil = &verifyEndedEvent{startedAt: f.now}, f.now+emulatedCall
+	if !r.reachesStore() {
+		r.verifying.err = errStoreSilent
+		if !f.store.away {
+			r.verifyUntil = f.now + emulatedSilence
+		}
+	}
+}
+
+// endVerify applies the answer to a verification, or reads first what it lacks.
+func (r *emulatedRouter) endVerify() {
+	f, ended := r.emulator, *r.verifying
+	newest := catalog.Revision{Epoch: f.store.epoch, Number: f.store.revision}
+	switch asOf := r.d.asOf(); {
+	case ended.err != nil:
+	case asOf == newest:
+		r.d.recordVerified(ended.startedAt)
+		r.apply(verifiedEvent{})
+	case f.now < r.verifyUntil+emulatedCall:
+		// The changes are on their way.
+		return
+	case asOf.Epoch == newest.Epoch:
+		f.store.count(r, 1)
+		r.apply(updateEvent{Update: f.store.since(asOf.Number), readAt: ended.startedAt})
+	default:
+		ended.err = catalog.ErrCompacted
+	}
+	r.verifying = nil
+	r.nextVerify = ended.startedAt + r.d.verifyPause(ended.err)
+	r.apply(ended)
+}
+
 // verifyDueIn is verifyDue for a router that started at another time than the emulator.
 func (r *emulatedRouter) verifyDueIn(sinceStart time.Duration) time.Duration {
 	verified := time.Duration(r.d.shared.lastVerified.Load())
--- a/internal/dispatch/origins_test.go
+++ b/internal/dispatch/origins_test.go
@@ -51,6 +51,18 @@
 
 // resume takes a stream up at a router and returns the outcome: the version, or the code of the refusal.
 func (f *emulator) resume(r *emulatedRouter, account, request string, services ...string) string {
+	result := r.takeUp(account, request, services...)
+	if f.runUntil(time.Second, func() bool { return len(result) > 0 }) >= time.Second {
+		return noDecision
+	}
+	return outcomeOf(result)
+}
+
+// noDecision is the outcome of a stream on which nothing was decided.
+const noDecision = "no decision"
+
+// takeUp begins to take a stream up at a router.
+func (r *emulatedRouter) takeUp(account, request string, services ...string) <-chan resumeResult {
 	if len(services) == 0 {
 		services = []string{"reader"}
 	}
@@ -60,18 +72,23 @@
 		key:        origin.KeyOf(account, request), result: result, waiting: map[string]bool{},
 	}
 	r.apply(resumeEvent{q})
-	var got resumeResult
-	if f.runUntil(time.Second, func() bool { return len(result) > 0 }) >= time.Second {
-		return "no decision"
-	}
-	got = <-result
-	switch {
-	case got.err != nil && got.err.Verdict != verdict.NotRun:
-		return fmt.Sprint("not said to be not run: ", got.err)
-	case got.err != nil:
-		return got.err.Code
+	return result
+}
+
+// outcomeOf returns what was decided on a stream: the version, or the code of the refusal.
+func outcomeOf(result <-chan resumeResult) string {
+	select {
+	case got := <-result:
+		switch {
+		case got.err != nil && got.err.Verdict != verdict.NotRun:
+			return fmt.Sprint("not said to be not run: ", got.err)
+		case got.err != nil:
+			return got.err.Code
+		default:
+			return got.Software.String()
+		}
 	default:
-		return got.Software.String()
+		return noDecision
 	}
 }
 
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -47,7 +47,7 @@
 	if isNew {
 		s.endStreamsOfRestarted(&e.Inbound)
 		s.origins.forgetRecipient(e.From)
-		s.versions.RecordNewcomer(s.now)
+		s.versions.RecordNewcomer(e.From, s.now)
 		s.d.opt.log.Info("member_heard", "peer", e.Name, "address", e.From, "zone", e.Zone, "incarnation", e.Incarnation)
 		if _, isRoster := e.Msg.(*wire.Roster); !isRoster && s.introducesRouters() {
 			s.sendFullRoster(e.From, true)
@@ -87,6 +87,8 @@
 		s.answerOriginQuery(e.From, m)
 	case *wire.OriginReply:
 		s.handleOriginReply(e.From, m)
+	case *wire.VerifyRequest:
+		s.handleVerifyRequest(e.Inbound, m)
 	case *wire.ListedVersions:
 		s.handleListedVersions(e.From, m)
 	case *wire.SoftwareVersions:
@@ -126,13 +128,18 @@
 	return l
 }
 
-// handleState processes a report of another router.
-func (s *state) handleState(from peer.Inbound, m *wire.RouterState) {
+// recordStamp records a time stamp of another router, to be echoed to it.
+func (s *state) recordStamp(from peer.Inbound, stamp wire.Stamp) {
 	l := s.link(from.From)
 	if l.incarnation < from.Incarnation {
 		*l = link{incarnation: from.Incarnation}
 	}
-	l.stamp, l.stampReceivedAt = m.Stamp, s.now
+	l.stamp, l.stampReceivedAt = stamp, s.now
+}
+
+// handleState processes a report of another router.
+func (s *state) handleState(from peer.Inbound, m *wire.RouterState) {
+	s.recordStamp(from, m.Stamp)
 	if m.Leaving {
 		s.roster.MarkLeaving(from.From)
 	}
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -65,9 +65,14 @@
 	// doubtful says that a router remembers the stream, but not what began it.
 	doubtful bool
 	// mixed says that a router knows of several versions of a service, memory is the longest time for
-	// which one of those that replied has known all versions.
+	// which all versions have been known to one of those that replied, and then to this one.
 	mixed  bool
 	memory time.Duration
+	// verifyDue is until when it waits for a verification, 0 if it does not yet. verifyFailed says that this
+	// router could not make one after it came, verifications how many had been made on request before.
+	verifyDue     time.Duration
+	verifyFailed  bool
+	verifications int64
 }
 
 type resumeResult struct {
@@ -98,7 +103,7 @@
 
 func (e resumeEvent) apply(s *state) {
 	q := e.originQuery
-	q.startedAt = s.now
+	q.startedAt, q.verifications = s.now, s.verifications.done
 	if o, known := s.origins.store.Get(s.now, q.key); known && q.Resumes != "" {
 		if !o.Software.Unknown {
 			s.continueAt(q, o, "")
@@ -140,7 +145,10 @@
 
 // answerOriginQuery tells another router what this one knows of a stream.
 func (s *state) answerOriginQuery(from string, m *wire.OriginQuery) {
-	reply := &wire.OriginReply{Seq: m.Seq, MemoryMillis: s.versions.Span(s.now).Milliseconds(), Mixed: s.versions.UnknownLeft(s.now) > 0}
+	s.updateVersionMemory()
+	asOf := s.catalog.AsOf()
+	reply := &wire.OriginReply{Seq: m.Seq, MemoryMillis: s.versions.Span(s.now).Milliseconds(), Mixed: s.versions.UnknownLeft(s.now) > 0,
+		UpMillis: (s.now - s.startedAt).Milliseconds(), Epoch: asOf.Epoch, AsOf: asOf.Number}
 	var o origin.Origin
 	if o, reply.Known = s.origins.store.Get(s.now, origin.Key(m.Key)); reply.Known {
 		reply.Origin = originMessage(origin.Key(m.Key), o)
@@ -157,7 +165,11 @@
 		return
 	}
 	delete(q.waiting, from)
-	q.mixed, q.memory = q.mixed || m.Mixed, max(q.memory, time.Duration(m.MemoryMillis)*time.Millisecond)
+	s.versions.RecordStart(from, s.now-time.Duration(m.UpMillis)*time.Millisecond)
+	q.mixed = q.mixed || m.Mixed
+	if s.knowsSince(m.Epoch, m.AsOf) {
+		q.memory = max(q.memory, time.Duration(m.MemoryMillis)*time.Millisecond)
+	}
 	remembered := m.Known && uint64(q.key) == m.Origin.Key && q.Resumes != ""
 	q.doubtful = q.doubtful || remembered && m.Origin.Unknown
 	switch {
@@ -169,34 +181,53 @@
 	}
 }
 
-// settle decides on a stream that nobody remembers once all routers that were asked have replied. It waits for the
-// versions that were listed lately if this router is about to learn them.
+// settle decides on a stream that nobody remembers once all routers that were asked have replied, or did not in time. It
+// waits for the versions that were listed lately if this router is about to learn them, and for a verification if the
+// stream could go on with one.
 func (s *state) settle(seq uint64, q *originQuery) {
-	if len(q.waiting) > 0 || s.versions.isLearning() && !s.coversResumption(q) {
+	isLate := s.now-q.startedAt >= originTimeout+2*s.estimator.Lag()
+	if !isLate && (len(q.waiting) > 0 || s.versions.isLearning() && !s.remembersWindow(q)) {
+		return
+	}
+	if s.awaitsVerification(q) {
 		return
 	}
 	delete(s.origins.queries, seq)
 	s.continueUnrecorded(q)
 }
 
-// settleQueries decides on the streams that waited for the versions that were listed lately.
+// settleQueries decides on the streams that need not wait any more.
 func (s *state) settleQueries() {
+	if len(s.origins.queries) == 0 {
+		return
+	}
+	s.updateVersionMemory()
 	for seq, q := range s.origins.queries {
 		s.settle(seq, q)
 	}
 }
 
-// expireOriginQueries decides on the streams for which routers did not reply in time.
-func (s *state) expireOriginQueries() {
-	timeout := originTimeout + 2*s.estimator.Lag()
-	for seq, q := range s.origins.queries {
-		if s.now-q.startedAt >= timeout {
-			delete(s.origins.queries, seq)
-			s.continueUnrecorded(q)
-		}
+// awaitsVerification reports whether a stream waits until what this router knows is verified.
+func (s *state) awaitsVerification(q *originQuery) bool {
+	if _, may := s.maySole(q); !may || s.isVerifiedFor(q) {
+		return false
+	}
+	if q.verifyDue == 0 {
+		q.verifyDue = s.now + verifyTimeout + s.d.verifyInterval() + 2*s.estimator.Lag()
+	}
+	if s.now >= q.verifyDue || q.verifyFailed && s.coversOutage(q) {
+		return false
 	}
+	s.d.requestVerification(q.startedAt)
+	if left := q.verifyDue - s.now; q.verifyFailed || left <= s.d.verifyInterval()+verifyTimeout-askToVerifyAfter {
+		s.askToVerify()
+	}
+	return true
 }
 
+// isVerifiedFor reports whether what this router knows was the newest after a request came.
+func (s *state) isVerifiedFor(q *originQuery) bool { return s.lastVerified() >= q.startedAt }
+
 // continueAt decides on a stream of which a router remembers what began it. from is that router, "" for
 // this one.
 func (s *state) continueAt(q *originQuery, o origin.Origin, from string) {
@@ -212,28 +243,38 @@
 // continueUnrecorded decides on a stream of which nobody who replied remembers what began it. It may go on if it can have
 // begun at one version only.
 func (s *state) continueUnrecorded(q *originQuery) {
-	sole, isSole := s.soleSoftware(q.Services, q.Service)
-	maySole := isSole && !q.mixed && s.versions.UnknownLeft(s.now) == 0
+	sole, may := s.maySole(q)
 	switch {
-	case maySole && s.coversResumption(q):
+	case may && s.coversResumption(q):
 		s.finishResumption(q, resumeSoleVersion, front.Continuation{Service: q.Service, Software: &sole}, "")
-	case maySole || len(q.waiting) > 0 || s.now-clockStart < startPeriod:
+	case may || len(q.waiting) > 0 || s.now-clockStart < startPeriod:
 		s.refuseResumption(q, resumeNoReply, errOriginUnknown.WithRetryAfter(retryAfterNoReply))
 	default:
 		s.refuseResumption(q, resumeUnknown, errOriginUnknown.WithRetryAfter(retryAfterUnknown))
 	}
 }
 
-// coversResumption reports whether all versions are known that can have begun a stream: a router has known
-// what was listed for long enough, or every router of the fleet replied. Those count that knew it until the
-// platform could not be read, since none of them begins a stream at a version that came later. Without a
-// history a platform cannot tell what came before all of them started.
+// maySole returns the only version at which a stream can have begun, as far as this router and those that replied know.
+func (s *state) maySole(q *originQuery) (sole table.Software, may bool) {
+	sole, may = s.soleSoftware(q.Services, q.Service)
+	return sole, may && !q.mixed && s.versions.UnknownLeft(s.now) == 0
+}
+
+// coversResumption reports whether all versions are known that can have begun a stream.
 func (s *state) coversResumption(q *originQuery) bool {
-	window := s.versions.window
-	if max(q.memory, s.versions.Span(s.now)) >= window {
-		return true
-	}
-	return s.askedAll(q) && (s.d.opt.history == 0 || s.versions.Reach(s.now) >= window)
+	return s.isVerifiedFor(q) && s.remembersWindow(q) || s.coversOutage(q)
+}
+
+// remembersWindow reports whether a router has known for long enough what was listed, up to its last verification.
+func (s *state) remembersWindow(q *originQuery) bool {
+	return max(q.memory, s.versions.Span(s.now)) >= s.versions.window
+}
+
+// coversOutage reports whether every router of the fleet replied, which need not know what the platform lists now: none
+// of them begins a stream at a version that it has not read. Without a history a platform cannot tell what came before
+// all of them started.
+func (s *state) coversOutage(q *originQuery) bool {
+	return s.askedAll(q) && (s.d.opt.history == 0 || s.versions.Reach(s.now) >= s.versions.window)
 }
 
 // soleSoftware returns what the backend servers of a service run, and whether those of each service run
@@ -278,6 +319,14 @@
 	q.result <- resumeResult{Continuation: c}
 }
 
+// verifiedAge returns for how long what this router knows has not been verified, in milliseconds, -1 if it never was.
+func (s *state) verifiedAge() int64 {
+	if s.lastVerified() == 0 {
+		return -1
+	}
+	return (s.now - s.lastVerified()).Milliseconds()
+}
+
 func (s *state) logResumption(q *originQuery, outcome resumeOutcome, c *front.Continuation, from string) {
 	s.origins.outcomes[outcome]++
 	version := ""
@@ -285,6 +334,7 @@
 		version = c.Software.String()
 	}
 	s.d.opt.log.Info("stream_resumed", "request", q.Request, "resumes", q.Resumes, "outcome", string(outcome), "service", c.Service, "version", version,
-		"from", from, "asked", q.asked, "no_reply", len(q.waiting), "mixed", q.mixed, "memory_ms", max(q.memory, s.versions.Span(s.now)).Milliseconds(),
+		"from", from, "asked", q.asked, "no_reply", len(q.waiting), "mixed", q.mixed, "verified_ms", s.verifiedAge(), "verified_after", s.isVerifiedFor(q),
+		"verifications", s.verifications.done-q.verifications, "memory_ms", max(q.memory, s.versions.Span(s.now)).Milliseconds(),
 		"window_ms", s.versions.window.Milliseconds(), "unknown_ms", s.versions.UnknownLeft(s.now).Milliseconds(), "took_ms", (s.now - q.startedAt).Milliseconds())
 }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -18,6 +18,7 @@
 type state struct {
 	d           *Dispatcher
 	now         time.Duration
+	startedAt   time.Duration
 	lastEventAt time.Duration
 	// suspended is the total time that the machine had been suspended by lastEventAt.
 	suspended   time.Duration
@@ -50,6 +51,7 @@
 	keys          *idempotencyKeys
 	origins       *streamOrigins
 	versions      versionMemory
+	verifications verifications
 	// tokenCounts counts the tokens of running requests by id, if accounts are scheduled
 	// by weight.
 	tokenCounts map[uint64]*atomic.Int64
@@ -108,13 +110,14 @@
 	self := roster.Member{Address: d.id.Address, Name: d.id.Name, Zone: d.id.Zone, Incarnation: d.id.Incarnation, Capacity: d.id.Capacity}
 	now := d.now()
 	s := &state{
-		d: d, now: now, lastEventAt: now, suspended: d.opt.clock.Suspended(),
+		d: d, now: now, startedAt: now, lastEventAt: now, suspended: d.opt.clock.Suspended(),
 		core:           admit.New(admit.Router{Address: d.id.Address, Zone: d.id.Zone, Capacity: d.id.Capacity}, append(d.opt.coreOptions, admit.WithSeed(d.id.Incarnation))...),
 		roster:         roster.New(self, d.opt.seeds),
 		retryBudget:    allowance.New(d.opt.retryConfig, now),
 		retryConfig:    d.opt.retryConfig,
 		peerLinks:      map[string]*link{},
 		origins:        newStreamOrigins(),
+		verifications:  verifications{requests: map[string]verifyRequest{}},
 		tokenCounts:    map[uint64]*atomic.Int64{},
 		loadReaders:    map[string]context.CancelFunc{},
 		clearedCrashes: map[suspect.Reason]int64{},
@@ -203,7 +206,7 @@
 	s.step(admit.Tick{})
 	s.expireClaims()
 	s.updateVersionMemory()
-	s.expireOriginQueries()
+	s.useVerification()
 	s.replicateOrigins()
 	s.updateLoadReaders()
 	if s.membersDirty {
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -168,8 +168,8 @@
 
 // verifiedAt returns when the known revision was last confirmed as the newest, the start if it never was.
 func (s *state) verifiedAt() time.Duration {
-	if at := s.d.shared.lastVerified.Load(); at > 0 {
-		return time.Duration(at)
+	if at := s.lastVerified(); at > 0 {
+		return at
 	}
 	return clockStart
 }
--- a/internal/dispatch/verified.go
+++ b/internal/dispatch/verified.go
@@ -18,6 +18,7 @@
 	before := time.Duration(s.d.shared.lastVerified.Load())
 	at := m.Echo.At() + time.Duration(m.EchoAgeMillis-m.VerifiedAgeMillis)*time.Millisecond
 	s.d.recordVerified(at)
+	s.useVerification()
 	if at-before < minVerifiedGain || !s.peerPlan.Relay {
 		return
 	}
--- a/internal/dispatch/version_memory.go
+++ b/internal/dispatch/version_memory.go
@@ -70,17 +70,13 @@
 // listed before.
 func (s *state) updateVersionMemory() {
 	m := &s.versions
-	verified := time.Duration(s.d.shared.lastVerified.Load())
-	isCurrent := verified > 0 && s.now-verified < s.applyWithin()
-	became := isCurrent && !m.Current()
-	m.Observe(s.now, isCurrent, s.catalog.AsOf())
-	if became {
+	if m.Observe(s.now, s.lastVerified(), s.applyWithin(), s.catalog.AsOf()) {
 		m.readDue = s.now + s.historyDelay(historyReadDelay)
 		if s.d.shared.readEverything.Load() {
 			m.readDue = s.now
 		}
 	}
-	if told := m.told; told.msg != nil && isCurrent {
+	if told := m.told; told.msg != nil && m.Current() {
 		m.told = toldVersions{}
 		if s.now-told.at < s.applyWithin() {
 			s.learnVersions(told.from, told.msg)
@@ -100,6 +96,11 @@
 // knowsWindow reports whether this router has known all versions that were listed for long enough.
 func (s *state) knowsWindow() bool { return s.versions.Span(s.now) >= s.versions.window }
 
+// knowsSince reports whether this router knows everything that changed after a revision that another one knows.
+func (s *state) knowsSince(epoch, number uint64) bool {
+	return epoch == s.catalog.AsOf().Epoch && s.catalog.HasHistorySince(number)
+}
+
 // requestHistory lets the platform's history be read if that is due and of use.
 func (s *state) requestHistory() {
 	m := &s.versions
@@ -191,7 +192,7 @@
 // changes known here.
 func (s *state) learnVersions(from string, m *wire.ListedVersions) {
 	span := time.Duration(m.SpanMillis) * time.Millisecond
-	if m.Epoch != s.catalog.AsOf().Epoch || !s.catalog.HasHistorySince(m.AsOf) || s.knowsWindow() || span <= s.versions.Span(s.now) {
+	if !s.knowsSince(m.Epoch, m.AsOf) || s.knowsWindow() || span <= s.versions.Span(s.now) {
 		return
 	}
 	versions := make([]catalog.ServiceVersion, len(m.Versions))
--- a/pkg/origin/memory.go
+++ b/pkg/origin/memory.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"maps"
 	"time"
 
 	"github.com/yarrowmast/yarrowmast/pkg/catalog"
@@ -9,13 +10,14 @@
 // Memory tracks for how long a router has known every software version that the platform listed. The zero
 // value knows none. It is not safe for concurrent use.
 type Memory struct {
-	// period is the latest time without a gap. It ends when this router was last current.
+	// period is the latest time without a gap. It ends at the last verification.
 	period
 	current bool
 	// earlier is the period before the last gap, until something bridges that gap.
 	earlier period
-	// newcomerAt is when a router was last heard that has started, 0 if none was.
-	newcomerAt time.Duration
+	// starts holds when other routers started, at the latest, that were heard of for the first time after the last
+	// verification.
+	starts map[string]time.Duration
 	// unknownUntil is until when backend servers matter that were removed and whose versions are unknown.
 	unknownUntil time.Duration
 }
@@ -29,19 +31,25 @@
 	from catalog.Revision
 }
 
-// Observe updates the memory. isCurrent says that the router's revision, asOf, is the newest now.
-func (m *Memory) Observe(now time.Duration, isCurrent bool, asOf catalog.Revision) {
+// Observe updates the memory. verified is when the router's revision, asOf, was last known to be the newest, 0 if never.
+// It counts as current until that is within old. The time between two verifications that are further apart is a gap,
+// whether or not the memory was updated in between. It reports whether a period begins.
+func (m *Memory) Observe(now, verified, within time.Duration, asOf catalog.Revision) (begins bool) {
+	isCurrent := verified > 0 && now-verified < within
+	begins = isCurrent && (!m.current || verified-m.until >= within)
 	switch {
-	case isCurrent && !m.current:
+	case begins:
 		m.earlier = m.period
-		m.period = period{since: now, until: now, from: asOf}
+		m.period = period{since: now, until: verified, from: asOf}
 	case isCurrent && m.from.Epoch != asOf.Epoch:
 		// Revisions of different epochs cannot be compared.
-		m.from, m.until = asOf, now
+		m.from, m.until = asOf, verified
 	case isCurrent:
-		m.until = now
+		m.until = verified
 	}
 	m.current = isCurrent
+	maps.DeleteFunc(m.starts, func(_ string, at time.Duration) bool { return at <= m.until })
+	return begins
 }
 
 // Extend records that every version listed between since and now is known. It reports whether that
@@ -72,9 +80,31 @@
 	return m.from.Number
 }
 
-// RecordNewcomer records that another router has started. If this one is not current, that router may have
-// begun streams, before its start, at versions that this one has not read.
-func (m *Memory) RecordNewcomer(now time.Duration) { m.newcomerAt = now }
+// RecordNewcomer records that another router was heard of for the first time since its start. It may have begun
+// streams, before that start, at versions that were listed after this router's last verification.
+func (m *Memory) RecordNewcomer(router string, now time.Duration) {
+	if m.starts == nil {
+		m.starts = map[string]time.Duration{}
+	}
+	m.starts[router] = now
+}
+
+// RecordStart records when a router that was heard started, at the latest.
+func (m *Memory) RecordStart(router string, at time.Duration) {
+	if known, ok := m.starts[router]; ok {
+		m.starts[router] = min(known, at)
+	}
+}
+
+// hasNewcomer reports whether another router may have started after the last verification.
+func (m *Memory) hasNewcomer() bool {
+	for _, at := range m.starts {
+		if at > m.until {
+			return true
+		}
+	}
+	return false
+}
 
 // RecordUnknown records that a backend server was listed whose version is not known, and whose streams may
 // be taken up until the given time.
@@ -99,10 +129,10 @@
 }
 
 // Reach returns how far back the router has known every version at which a running router may have begun a
-// stream. If it is not current, that is every version that was listed until it last was, provided that no
-// other router has started since.
+// stream. That is every version that was listed until the last verification, provided that no other router has
+// started since.
 func (m *Memory) Reach(now time.Duration) time.Duration {
-	if m.IsEmpty() || !m.current && m.newcomerAt > m.until {
+	if m.IsEmpty() || m.hasNewcomer() {
 		return 0
 	}
 	return now - m.since
--- a/pkg/origin/memory_test.go
+++ b/pkg/origin/memory_test.go
@@ -7,6 +7,13 @@
 	"github.com/yarrowmast/yarrowmast/pkg/catalog"
 )
 
+// current records that a router has not been behind since it was last observed, behind that it is.
+func current(m *Memory, now time.Duration, asOf catalog.Revision) {
+	m.Observe(now, now, time.Hour, asOf)
+}
+
+func behind(m *Memory, now time.Duration, asOf catalog.Revision) { m.Observe(now, 0, time.Hour, asOf) }
+
 // TestMemoryHasNoGaps: a router must not claim to know what was listed while it was out of date, unless the platform's
 // history covers that time.
 func TestMemoryHasNoGaps(t *testing.T) {
@@ -20,64 +27,94 @@
 	}{
 		"never current": {func(*Memory) {}, 0, 0, 0},
 		"current": {func(m *Memory) {
-			m.Observe(60*s, true, at(5))
-			m.Observe(100*s, true, at(9))
+			current(m, 60*s, at(5))
+			current(m, 100*s, at(9))
 		}, 40 * s, 40 * s, 5},
 		"read the history": {func(m *Memory) {
-			m.Observe(99*s, true, at(5))
+			current(m, 99*s, at(5))
 			m.Extend(80 * s)
 		}, 20 * s, 20 * s, 5},
 		"read a shorter history": {func(m *Memory) {
-			m.Observe(60*s, true, at(5))
+			current(m, 60*s, at(5))
 			m.Extend(80 * s)
 		}, 40 * s, 40 * s, 5},
 		"out of date": {func(m *Memory) {
-			m.Observe(60*s, true, at(5))
-			m.Observe(70*s, false, at(5))
+			current(m, 60*s, at(5))
+			behind(m, 70*s, at(5))
 		}, 0, 40 * s, 5},
 		"out of date, told": {func(m *Memory) {
-			m.Observe(60*s, true, at(5))
-			m.Observe(70*s, false, at(5))
+			current(m, 60*s, at(5))
+			behind(m, 70*s, at(5))
 			m.Extend(10 * s)
 		}, 0, 40 * s, 5},
 		"out of date, another router started": {func(m *Memory) {
-			m.Observe(60*s, true, at(5))
-			m.Observe(70*s, false, at(5))
-			m.RecordNewcomer(71 * s)
+			current(m, 60*s, at(5))
+			behind(m, 70*s, at(5))
+			m.RecordNewcomer("b", 71*s)
 		}, 0, 0, 5},
 		"another router started before": {func(m *Memory) {
-			m.RecordNewcomer(59 * s)
-			m.Observe(60*s, true, at(5))
-			m.Observe(70*s, false, at(5))
+			m.RecordNewcomer("b", 59*s)
+			current(m, 60*s, at(5))
+			behind(m, 70*s, at(5))
 		}, 0, 40 * s, 5},
 		"after a gap": {func(m *Memory) {
-			m.Observe(60*s, true, at(5))
-			m.Observe(70*s, false, at(5))
-			m.Observe(95*s, true, at(9))
+			current(m, 60*s, at(5))
+			behind(m, 70*s, at(5))
+			current(m, 95*s, at(9))
 		}, 5 * s, 5 * s, 9},
 		"a gap that the history bridges": {func(m *Memory) {
-			m.Observe(50*s, true, at(5))
-			m.Observe(78*s, true, at(6))
-			m.Observe(79*s, false, at(6))
-			m.Observe(95*s, true, at(9))
+			current(m, 50*s, at(5))
+			current(m, 78*s, at(6))
+			behind(m, 79*s, at(6))
+			current(m, 95*s, at(9))
 			m.Extend(76 * s)
 		}, 50 * s, 50 * s, 5},
 		"a gap longer than the history": {func(m *Memory) {
-			m.Observe(50*s, true, at(5))
-			m.Observe(60*s, false, at(5))
-			m.Observe(95*s, true, at(9))
+			current(m, 50*s, at(5))
+			behind(m, 60*s, at(5))
+			current(m, 95*s, at(9))
 			m.Extend(76 * s)
 		}, 24 * s, 24 * s, 9},
 		"a gap with another epoch": {func(m *Memory) {
-			m.Observe(50*s, true, at(5))
-			m.Observe(78*s, true, at(6))
-			m.Observe(79*s, false, at(6))
-			m.Observe(95*s, true, catalog.Revision{Epoch: 2, Number: 3})
+			current(m, 50*s, at(5))
+			current(m, 78*s, at(6))
+			behind(m, 79*s, at(6))
+			current(m, 95*s, catalog.Revision{Epoch: 2, Number: 3})
 			m.Extend(76 * s)
 		}, 24 * s, 24 * s, 3},
+		"verified again in time": {func(m *Memory) {
+			m.Observe(60*s, 59*s, 2*s, at(5))
+			m.Observe(61*s, 60*s, 2*s, at(5))
+			m.Observe(62*s, 61*s+900*time.Millisecond, 2*s, at(9))
+		}, 40 * s, 40 * s, 5},
+		"verified again too late, not observed in between": {func(m *Memory) {
+			m.Observe(60*s, 60*s, 2*s, at(5))
+			m.Observe(62*s, 62*s, 2*s, at(9))
+		}, 38 * s, 38 * s, 9},
+		"not verified in time": {func(m *Memory) {
+			m.Observe(60*s, 60*s, 2*s, at(5))
+			m.Observe(62*s, 60*s, 2*s, at(5))
+		}, 0, 40 * s, 5},
+		"another router started after the last verification": {func(m *Memory) {
+			m.Observe(60*s, 60*s, 2*s, at(5))
+			m.Observe(61*s, 60*s, 2*s, at(5))
+			m.RecordNewcomer("b", 60*s+500*time.Millisecond)
+		}, 40 * s, 0, 5},
+		"another router, started before the last verification, was heard after it": {func(m *Memory) {
+			m.Observe(60*s, 60*s, 2*s, at(5))
+			m.RecordNewcomer("b", 61*s)
+			m.RecordStart("b", 59*s)
+			m.RecordStart("c", 61*s)
+		}, 40 * s, 40 * s, 5},
+		"it started anew since": {func(m *Memory) {
+			m.Observe(60*s, 60*s, 2*s, at(5))
+			m.RecordNewcomer("b", 61*s)
+			m.RecordStart("b", 59*s)
+			m.RecordNewcomer("b", 62*s)
+		}, 40 * s, 0, 5},
 		"another epoch while current": {func(m *Memory) {
-			m.Observe(50*s, true, at(5))
-			m.Observe(60*s, true, catalog.Revision{Epoch: 2, Number: 3})
+			current(m, 50*s, at(5))
+			current(m, 60*s, catalog.Revision{Epoch: 2, Number: 3})
 		}, 50 * s, 50 * s, 3},
 	}
 	for name, tc := range tests {
@@ -101,9 +138,9 @@
 // time before a gap.
 func TestGapIsBridgedBeforeItsRemovalsCount(t *testing.T) {
 	m := &Memory{}
-	m.Observe(50*time.Second, true, catalog.Revision{Number: 5})
-	m.Observe(60*time.Second, false, catalog.Revision{Number: 5})
-	m.Observe(70*time.Second, true, catalog.Revision{Number: 9})
+	current(m, 50*time.Second, catalog.Revision{Number: 5})
+	behind(m, 60*time.Second, catalog.Revision{Number: 5})
+	current(m, 70*time.Second, catalog.Revision{Number: 9})
 	for since, want := range map[time.Duration]uint64{49 * time.Second: 5, 50 * time.Second: 5, 51 * time.Second: 9, 65 * time.Second: 9} {
 		if got := m.ListedAfter(since); got != want {
 			t.Errorf("known since %v: entries removed after %d were listed, want %d", since, got, want)
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -64,6 +64,7 @@
 	KindOriginReply           Kind = 44
 	KindPartCrashes           Kind = 45
 	KindListedVersions        Kind = 46
+	KindVerifyRequest         Kind = 47
 )
 
 // Protocol is the version of the protocol that this program writes, OldestProtocol the
@@ -155,6 +156,7 @@
 	KindOriginReply:           func() any { return &OriginReply{} },
 	KindPartCrashes:           func() any { return &PartCrashes{} },
 	KindListedVersions:        func() any { return &ListedVersions{} },
+	KindVerifyRequest:         func() any { return &VerifyRequest{} },
 }
 
 // Encoder encodes the messages of one connection. It sends an interned string only
--- a/pkg/wire/origin.go
+++ b/pkg/wire/origin.go
@@ -27,6 +27,14 @@
 	Services []NameHash
 }
 
+// VerifyRequest asks a router to verify its platform revision. The reply is what the sender lacks, and a RouterState
+// with a verification that began after the request came.
+type VerifyRequest struct {
+	Stamp Stamp
+	// Epoch and After are the revision up to which the sender knows everything.
+	Epoch, After uint64
+}
+
 // OriginReply answers an OriginQuery.
 type OriginReply struct {
 	Seq uint64
@@ -36,6 +44,9 @@
 	// Mixed says that backend servers of one of the services run several software versions, or did
 	// recently, as far as the sender knows.
 	Mixed bool
-	// MemoryMillis is for how long the sender has known all versions that were listed.
+	// MemoryMillis is for how long the sender has known all versions that were listed, up to the revision AsOf.
 	MemoryMillis int64
+	// UpMillis is the time since the start of the sender, 0 if it does not say.
+	UpMillis    int64
+	Epoch, AsOf uint64
 }
