Let routers of the model of stream origins hear of changes late

The model of what began a stream let each router in touch hear of a change at once, so that it could not show that a router which takes itself for up to date continues a stream at the version that it knows.

A router may now hear late. It reads what changed before it decides without a record, and the other router's memory counts only if nothing is missing after it.

A router that started counts against another one during an outage until that one next hears of the directory, instead of ending its memory.

--- a/spec/origin.pml
+++ b/spec/origin.pml
@@ -4,17 +4,20 @@
  * remembers the version and tells the other router; what it tells is lost if
  * one of them restarts first, or while they cannot reach each other. A router
  * that is cut off hears neither of the other one nor of the directory, and
- * nobody hears of the directory while that is away. Then the caller takes the
- * stream up at either router.
+ * nobody hears of the directory while that is away. A router may also hear of
+ * changes late, for a moment in which it takes itself for up to date. Then the
+ * caller takes the stream up at either router.
  *
  * That router goes on at the version that it remembers, or that the other one
- * does if it can be asked. If none does, it goes on at the only version that it
- * has listed, if one of the two has known all versions that were listed for as
- * long as streams can be taken up, and that one knows of no other. A router that
- * starts, or hears again of the directory, does not know them until it has read
- * the directory's history or was told by a router that knows. While the
- * directory is away, a router counts that knew them until then and reaches the
- * other one, unless the other one has started since.
+ * does if it can be asked. If none does, it reads what changed, and goes on at the
+ * only version that it has listed, if one of the two has known all versions that
+ * were listed for as long as streams can be taken up, and that one knows of no
+ * other. What the other one knows counts only if nothing is missing between that
+ * and what this one has read. A router that starts, or hears again of the
+ * directory, does not know them until it has read the directory's history or was
+ * told by a router that knows. While the directory is away, a router counts that
+ * knew them until then and reaches the other one, unless the other one has started
+ * since it last heard of the directory.
  *
  * The history keeps a version for longer than streams that began there can be
  * taken up. Of a version that goes it may keep the removal alone, which does not
@@ -35,6 +38,8 @@
  *   -DBROKEN_REMOVAL   a removal alone counts as nothing
  *   -DBROKEN_TOLD      a router tells what it does not know
  *   -DBROKEN_NEWCOMER  a router counts during an outage although another one started
+ *   -DBROKEN_BELIEF    a router decides by what it last heard, without a read
+ *   -DBROKEN_REVISION  what the other one knows counts although changes are missing after it
  */
 #define ROUTERS 2
 #define NONE 2          /* no version; the versions are 0 and 1 */
@@ -49,6 +54,9 @@
 bool listed[4];         /* the same, at any time that the router knows of */
 bool unknown[ROUTERS];  /* the router knows of a removal alone */
 bool spans[ROUTERS];    /* the router knows all that was listed, or did when it last heard of the directory */
+bool late[ROUTERS];     /* the router has yet to hear of changes, and takes itself for up to date */
+bool missed[4];         /* the versions listed meanwhile */
+bool newcomer[ROUTERS]; /* the other router started since this one last heard of the directory */
 byte remembers[ROUTERS] = NONE;
 chan told[ROUTERS] = [1] of { byte };
 
@@ -64,12 +72,27 @@
 inline learn(r) {
 	lists[2*r] = serves[0]; lists[2*r+1] = serves[1];
 	listed[2*r] = listed[2*r] || serves[0];
-	listed[2*r+1] = listed[2*r+1] || serves[1]
+	listed[2*r+1] = listed[2*r+1] || serves[1];
+	newcomer[r] = false
+}
+
+/* A router reads all that it has yet to hear of. */
+inline hear(r) {
+	listed[2*r] = listed[2*r] || missed[2*r];
+	listed[2*r+1] = listed[2*r+1] || missed[2*r+1];
+	missed[2*r] = false; missed[2*r+1] = false;
+	late[r] = false;
+	learn(r)
+}
+
+inline miss(r) {
+	missed[2*r] = missed[2*r] || serves[0];
+	missed[2*r+1] = missed[2*r+1] || serves[1]
 }
 
 inline learnAll() {
-	if :: current(0) -> learn(0) :: else fi;
-	if :: current(1) -> learn(1) :: else fi
+	if :: current(0) && !late[0] -> learn(0) :: current(0) && late[0] -> miss(0) :: else fi;
+	if :: current(1) && !late[1] -> learn(1) :: current(1) && late[1] -> miss(1) :: else fi
 }
 
 #ifdef BROKEN_FORGET
@@ -84,13 +107,20 @@
 #define elsewhere(r, v) (reaches(r) && (knew(other(r), v) || unknown[other(r)]))
 #endif
 
+#ifdef BROKEN_REVISION
+#define isComplete(from) true
+#else
+#define isComplete(from) (!late[from])
+#endif
+
 #ifdef BROKEN_GAP
 #define covers(r) current(r)
 #else
 #ifdef BROKEN_ALL
 #define covers(r) (reaches(r) || current(r) && spans[r])
 #else
-#define covers(r) (current(r) && spans[r] || reaches(r) && (spans[r] || spans[other(r)] && !away))
+#define coversOutage(r) (away && reaches(r) && spans[r] && !newcomer[r])
+#define covers(r) (current(r) && (spans[r] || reaches(r) && spans[other(r)] && isComplete(other(r))) || coversOutage(r))
 #endif
 #endif
 
@@ -112,6 +142,9 @@
 }
 
 inline takeUp(r) {
+#ifndef BROKEN_BELIEF
+	if :: current(r) -> hear(r) :: else fi;
+#endif
 	if
 	:: remembers[r] != NONE -> goOn(remembers[r])
 	:: remembers[r] == NONE && asks(r) && remembers[other(r)] != NONE -> goOn(remembers[other(r)])
@@ -132,6 +165,7 @@
 	if :: nempty(told[r]) -> told[r]?_ :: empty(told[r]) fi;
 	listed[2*r] = false; listed[2*r+1] = false;
 	lists[2*r] = false; lists[2*r+1] = false;
+	missed[2*r] = false; missed[2*r+1] = false; late[r] = false; newcomer[r] = false;
 	if
 	:: current(r) -> learn(r)
 	:: !current(r) && reaches(r) ->      /* the other router sends what it lists */
@@ -140,7 +174,7 @@
 	:: else
 	fi;
 #ifndef BROKEN_NEWCOMER
-	if :: !current(other(r)) -> spans[other(r)] = false :: else fi
+	if :: !current(other(r)) || late[other(r)] -> newcomer[other(r)] = true :: else fi
 #endif
 }
 
@@ -192,7 +226,7 @@
 #ifdef BROKEN_TOLD
 #define mayTell(from, to) (reaches(from) && current(from))
 #else
-#define mayTell(from, to) (reaches(from) && current(from) && spans[from])
+#define mayTell(from, to) (reaches(from) && current(from) && spans[from] && isComplete(from))
 #endif
 
 /* The history keeps a version until no stream that began there can be taken up. */
@@ -210,6 +244,9 @@
 	:: atomic { !decided && changes < MOST_CHANGES -> changes++; select(r : 0 .. 1); restart(r) }
 	:: atomic { !decided && changes < MOST_CHANGES -> changes++; select(r : 0 .. 1); switchCut(r) }
 	:: atomic { !decided && changes < MOST_CHANGES -> changes++; switchAway() }
+	:: atomic { !decided && changes < MOST_CHANGES -> changes++; select(r : 0 .. 1); if :: current(r) -> late[r] = true :: else fi }
+	:: atomic { current(0) && late[0] -> hear(0) }
+	:: atomic { current(1) && late[1] -> hear(1) }
 	:: atomic { current(0) && !spans[0] -> readHistory(0) }
 	:: atomic { current(1) && !spans[1] -> readHistory(1) }
 	:: atomic { mayTell(0, 1) && !spans[1] -> tell(0, 1) }
