Keep the encoding of replies on what began a stream

Routers of earlier builds decode messages as arrays of a fixed length: the two further fields of OriginReply and the time since the start would have ended their connections to newer routers at each stream that is taken up.

They go in a message of their own before the reply, OriginBasis, which earlier builds pass over. A reply without it counts for the versions that it knows and not for how far back its memory reaches.

--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -85,6 +85,8 @@
 		s.origins.addAll(s.now, m)
 	case *wire.OriginQuery:
 		s.answerOriginQuery(e.From, m)
+	case *wire.OriginBasis:
+		s.handleOriginBasis(e.From, m)
 	case *wire.OriginReply:
 		s.handleOriginReply(e.From, m)
 	case *wire.VerifyRequest:
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -62,6 +62,8 @@
 	// asked is the number of routers that were asked, waiting are those that have not replied.
 	asked   int
 	waiting map[string]bool
+	// joined are the routers of which this one knows all changes since the revision that they know.
+	joined map[string]bool
 	// doubtful says that a router remembers the stream, but not what began it.
 	doubtful bool
 	// mixed says that a router knows of several versions of a service, memory is the longest time for
@@ -121,6 +123,7 @@
 	for _, service := range q.Services {
 		msg.Services = append(msg.Services, wire.HashName(service))
 	}
+	q.joined = map[string]bool{}
 	for _, to := range routers {
 		q.waiting[to] = true
 		s.d.transport.Send(to, msg)
@@ -147,8 +150,8 @@
 func (s *state) answerOriginQuery(from string, m *wire.OriginQuery) {
 	s.updateVersionMemory()
 	asOf := s.catalog.AsOf()
-	reply := &wire.OriginReply{Seq: m.Seq, MemoryMillis: s.versions.Span(s.now).Milliseconds(), Mixed: s.versions.UnknownLeft(s.now) > 0,
-		UpMillis: (s.now - s.startedAt).Milliseconds(), Epoch: asOf.Epoch, AsOf: asOf.Number}
+	s.d.transport.Send(from, &wire.OriginBasis{Seq: m.Seq, UpMillis: (s.now - s.startedAt).Milliseconds(), Epoch: asOf.Epoch, AsOf: asOf.Number})
+	reply := &wire.OriginReply{Seq: m.Seq, MemoryMillis: s.versions.Span(s.now).Milliseconds(), Mixed: s.versions.UnknownLeft(s.now) > 0}
 	var o origin.Origin
 	if o, reply.Known = s.origins.store.Get(s.now, origin.Key(m.Key)); reply.Known {
 		reply.Origin = originMessage(origin.Key(m.Key), o)
@@ -159,15 +162,22 @@
 	s.d.transport.Send(from, reply)
 }
 
+// handleOriginBasis records what the reply that follows goes by.
+func (s *state) handleOriginBasis(from string, m *wire.OriginBasis) {
+	s.versions.RecordStart(from, s.now-time.Duration(m.UpMillis)*time.Millisecond)
+	if q, ok := s.origins.queries[m.Seq]; ok && q.waiting[from] && s.knowsSince(m.Epoch, m.AsOf) {
+		q.joined[from] = true
+	}
+}
+
 func (s *state) handleOriginReply(from string, m *wire.OriginReply) {
 	q, ok := s.origins.queries[m.Seq]
 	if !ok || !q.waiting[from] {
 		return
 	}
 	delete(q.waiting, from)
-	s.versions.RecordStart(from, s.now-time.Duration(m.UpMillis)*time.Millisecond)
 	q.mixed = q.mixed || m.Mixed
-	if s.knowsSince(m.Epoch, m.AsOf) {
+	if q.joined[from] {
 		q.memory = max(q.memory, time.Duration(m.MemoryMillis)*time.Millisecond)
 	}
 	remembered := m.Known && uint64(q.key) == m.Origin.Key && q.Resumes != ""
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -65,6 +65,7 @@
 	KindPartCrashes           Kind = 45
 	KindListedVersions        Kind = 46
 	KindVerifyRequest         Kind = 47
+	KindOriginBasis           Kind = 48
 )
 
 // Protocol is the version of the protocol that this program writes, OldestProtocol the
@@ -157,6 +158,7 @@
 	KindPartCrashes:           func() any { return &PartCrashes{} },
 	KindListedVersions:        func() any { return &ListedVersions{} },
 	KindVerifyRequest:         func() any { return &VerifyRequest{} },
+	KindOriginBasis:           func() any { return &OriginBasis{} },
 }
 
 // Encoder encodes the messages of one connection. It sends an interned string only
--- a/pkg/wire/origin.go
+++ b/pkg/wire/origin.go
@@ -44,9 +44,17 @@
 	// Mixed says that backend servers of one of the services run several software versions, or did
 	// recently, as far as the sender knows.
 	Mixed bool
-	// MemoryMillis is for how long the sender has known all versions that were listed, up to the revision AsOf.
+	// MemoryMillis is for how long the sender has known all versions that were listed, up to the revision of the
+	// OriginBasis before it.
 	MemoryMillis int64
-	// UpMillis is the time since the start of the sender, 0 if it does not say.
-	UpMillis    int64
+}
+
+// OriginBasis precedes an OriginReply and says what that goes by. It is a message of its own, since routers of earlier
+// builds decode replies of a fixed length.
+type OriginBasis struct {
+	Seq uint64
+	// UpMillis is the time since the start of the sender.
+	UpMillis int64
+	// Epoch and AsOf are the revision that the sender knows.
 	Epoch, AsOf uint64
 }
