soak: a restored store does not list gone workers for ever

When the store came back from a copy, an entry that had been removed since was listed again until the end of the run, while another worker had its address. Who removed such an entry now removes it again, as others write again what was lost.

--- a/test/soak/crash.go
+++ b/test/soak/crash.go
@@ -46,7 +46,7 @@
 		if !w.Crashed() {
 			continue
 		}
-		f.store.Deregister(w.ID)
+		f.removeEntry(w.ID)
 		f.restarts++
 		w.SetID(fmt.Sprintf("i-%d-%d", i, f.restarts))
 		f.restartWorker(i)
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -82,6 +82,8 @@
 	// entryStates are the states in the workers' entries, by index.
 	entriesMu   sync.Mutex
 	entryStates map[int]string
+	// removed are the ids under which no worker serves any more.
+	removed []string
 }
 
 // newFleet starts the store, the workers and the routers. small is the index of the router with little processor
@@ -162,6 +164,25 @@
 	f.putEntry(i)
 }
 
+// removeEntry removes the entry of a worker that has gone.
+func (f *fleet) removeEntry(id string) {
+	f.entriesMu.Lock()
+	defer f.entriesMu.Unlock()
+	f.removed = append(f.removed, id)
+	f.store.Deregister(id)
+}
+
+// removeRestored removes the entries of workers that have gone which a restored store lists again.
+func (f *fleet) removeRestored() {
+	f.entriesMu.Lock()
+	defer f.entriesMu.Unlock()
+	for _, id := range f.removed {
+		if f.store.Lists(id) {
+			f.store.Deregister(id)
+		}
+	}
+}
+
 // putEntry writes a worker's entry. The caller holds f.entriesMu.
 func (f *fleet) putEntry(i int) {
 	f.store.Register(f.workers[i], serviceOf(i), f.links[i].address(), f.entryStates[i], slots)
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -312,7 +312,7 @@
 		id := fmt.Sprintf("stray-%d", s.At)
 		f.store.PutCorrupt(id, w, serviceOf(s.Target), link.address(), slots, stepRand(s))
 		time.Sleep(s.Duration)
-		f.store.Deregister(id)
+		f.removeEntry(id)
 	case WorkerFails, WorkerRefuses:
 		w.SetErrors(s.Fault == WorkerFails, s.Fault == WorkerRefuses)
 		time.Sleep(s.Duration)
@@ -358,6 +358,7 @@
 	for i := range f.workers {
 		write(func() { f.republishEntry(i) })
 	}
+	write(f.removeRestored)
 	for n := range f.released {
 		write(func() { f.republishReleased(n) })
 	}
@@ -394,7 +395,7 @@
 		return
 	}
 	time.Sleep(s.Duration)
-	f.store.Deregister(oldID)
+	f.removeEntry(oldID)
 }
 
 // startOtherVersion replaces the process of a worker if it runs a version, and returns the id of the former one. Two faults may
