Refuse JSON that holds no completion

What callers could get, with status 200 where a completion in JSON was due: {}, null, an object of another kind, or bytes that are no UTF-8.

Cause: a body counted as a completion if it could be read as an object of which no field is required. It needs choices, usage or an error now.

--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -6,6 +6,7 @@
 	"mime"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/yarrowmast/yarrowmast/pkg/verdict"
 )
@@ -166,6 +167,9 @@
 	if err != nil {
 		return err
 	}
+	if info.isEmpty() || !utf8.Valid(body) {
+		return errNoCompletion
+	}
 	if info.Usage != nil {
 		x.call.Served.Store(info.Usage.CompletionTokens)
 	}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -32,6 +32,7 @@
 	errStalled        = errors.New("backend: no data received before the timeout")
 	errNoStream       = errors.New("backend: response to a streaming call is no event stream")
 	errNotFinal       = errors.New("backend: response has a status that ends no request")
+	errNoCompletion   = errors.New("backend: response holds no completion")
 	errNoProof        = errors.New("backend: response has no valid proof of origin")
 )
 
