--- a/internal/backend/unframed_plain_test.go
+++ b/internal/backend/unframed_plain_test.go
@@ -50,3 +50,27 @@
 		})
 	}
 }
+
+// TestBytesThatCannotBeTold holds which bytes of a faulty server look like its own, since what a proof holds is not known: a
+// change that tells them apart belongs into docs/INVARIANTS.md.
+func TestBytesThatCannotBeTold(t *testing.T) {
+	tests := map[string]struct{ text, body string }{
+		"within the length":                   {plainHead + "Content-Length: 8\r\n\r\nbodyoops", "bodyoops"},
+		"a chunk of its own":                  {plainHead + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n4\r\noops\r\n0\r\n\r\n", "bodyoops"},
+		"behind one that ends with its end":   {plainHead + "\r\nbodyoops", "bodyoops"},
+		"early end of one without a length":   {plainHead + "\r\nbo", "bo"},
+		"chunks of a version that knows none": {strings.Replace(plainHead, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", "4\r\nbody\r\n"},
+		"last chunk between two events":       {chunked(streamHead, numbered(1, 2), true) + "f\r\n" + numbered(3, 3) + "\r\n0\r\n\r\n", numbered(1, 2)},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, respond(tc.text))
+			call := routedCall(s.ln.Addr().String())
+			call.MayStream = strings.Contains(name, "events")
+			sink := &recorder{}
+			if r := doRouted(call, sink); r.Err != nil || sink.body.String() != tc.body {
+				t.Errorf("%v, the caller received %q", r.Err, sink.body.String())
+			}
+		})
+	}
+}
