See a gap in the known versions before a stream is decided on

A router that stood still for longer than changes may take notes that gap with its next tick. A stream that nobody remembers was decided on as soon as the last reply of other routers came, which may be before that tick: the read that the stream waited for had renewed the time of the verification, and the memory of versions still reached back across the gap. The stream went on at the only version that is listed, although another one had come and gone meanwhile.

The memory is now brought up to date with each update that is applied, after the table, whose routes set its window.

TestGapIsSeenBeforeReplies failed before: the stream went on at v1. That a router of a real fleet meets it was not seen: it takes a pause of apply_within, replies of routers that do not know the other version, and a first tick later than the read's end.

--- a/internal/dispatch/table_update.go
+++ b/internal/dispatch/table_update.go
@@ -39,6 +39,8 @@
 	if changed {
 		s.applyTable(e.senderName)
 	}
+	// Streams may be decided on by this verification before the next tick.
+	s.updateVersionMemory()
 	switch {
 	case asOf.Epoch != before.Epoch && !before.IsZero():
 		s.handleNewEpoch(before, e.senderName)
