Believe only echoes of this process's own time stamps

A router takes another's verification of the revision for a time by its own clock, which it finds by the stamp that the other one echoes. After a restart the other one goes on echoing the stamp of the former process until it hears of the new one, whose clock begins anew: the verification then lies as far ahead as the former process had run for longer. Until that time the router takes itself for up to date, reads nothing to verify, and streams that nobody remembers go on without a verification after they came.

Each process now adds a number of its own to its stamps, which follows from its incarnation, and believes an echo only if it is of a time since its start.

It was not seen in a real fleet.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -12,13 +12,16 @@
 	"github.com/yarrowmast/yarrowmast/pkg/roster"
 	"github.com/yarrowmast/yarrowmast/pkg/suspect"
 	"github.com/yarrowmast/yarrowmast/pkg/table"
+	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
 // state is the state that the event loop owns.
 type state struct {
-	d           *Dispatcher
-	now         time.Duration
-	startedAt   time.Duration
+	d         *Dispatcher
+	now       time.Duration
+	startedAt time.Duration
+	// stampOffset is added to the stamps that this process sends.
+	stampOffset wire.Stamp
 	lastEventAt time.Duration
 	// suspended is the total time that the machine had been suspended by lastEventAt.
 	suspended   time.Duration
@@ -110,7 +113,7 @@
 	self := roster.Member{Address: d.id.Address, Name: d.id.Name, Zone: d.id.Zone, Incarnation: d.id.Incarnation, Capacity: d.id.Capacity}
 	now := d.now()
 	s := &state{
-		d: d, now: now, startedAt: now, lastEventAt: now, suspended: d.opt.clock.Suspended(),
+		d: d, now: now, startedAt: now, stampOffset: stampOffset(d.id.Incarnation), lastEventAt: now, suspended: d.opt.clock.Suspended(),
 		core:           admit.New(admit.Router{Address: d.id.Address, Zone: d.id.Zone, Capacity: d.id.Capacity}, append(d.opt.coreOptions, admit.WithSeed(d.id.Incarnation))...),
 		roster:         roster.New(self, d.opt.seeds),
 		retryBudget:    allowance.New(d.opt.retryConfig, now),
--- a/internal/dispatch/verified.go
+++ b/internal/dispatch/verified.go
@@ -12,11 +12,31 @@
 // once.
 const minVerifiedGain = 200 * time.Millisecond
 
+// stampOffset returns what a process adds to its stamps. Routers echo them to its address, where another process may run by
+// then, whose clock starts again.
+func stampOffset(incarnation uint64) wire.Stamp {
+	const mix, bits = 0x9e3779b97f4a7c15, 31
+	return wire.Stamp(incarnation * mix >> (64 - bits))
+}
+
+// stamp returns a time stamp of this process, to be echoed by another router.
+func (s *state) stamp() wire.Stamp { return s.stampOffset + wire.StampOf(s.now) }
+
+// timeOf returns the time of an echoed stamp. It reports false if it is not one of this process.
+func (s *state) timeOf(echo wire.Stamp) (at time.Duration, isOwn bool) {
+	own := echo - s.stampOffset
+	return own.At(), own >= wire.StampOf(s.startedAt) && own <= wire.StampOf(s.now)
+}
+
 // handleVerified records that another router verified the revision known here. A relay passes
 // that on to the relays of other zones.
 func (s *state) handleVerified(from peer.Inbound, m *wire.RouterState) {
 	before := time.Duration(s.d.shared.lastVerified.Load())
-	at := m.Echo.At() + time.Duration(m.EchoAgeMillis-m.VerifiedAgeMillis)*time.Millisecond
+	sentAt, isOwn := s.timeOf(m.Echo)
+	if !isOwn {
+		return
+	}
+	at := min(s.now, sentAt+time.Duration(m.EchoAgeMillis-m.VerifiedAgeMillis)*time.Millisecond)
 	s.d.recordVerified(at)
 	s.useVerification()
 	if at-before < minVerifiedGain || !s.peerPlan.Relay {
@@ -69,7 +89,7 @@
 func (s *state) stateMessage(to string) *wire.RouterState {
 	l := s.link(to)
 	asOf := s.catalog.AsOf()
-	m := &wire.RouterState{Stamp: wire.StampOf(s.now), Epoch: asOf.Epoch, AsOf: asOf.Number, VerifiedAgeMillis: -1, Leaving: s.d.shared.leaving.Load()}
+	m := &wire.RouterState{Stamp: s.stamp(), Epoch: asOf.Epoch, AsOf: asOf.Number, VerifiedAgeMillis: -1, Leaving: s.d.shared.leaving.Load()}
 	if l.stamp > 0 {
 		m.Echo, m.EchoAgeMillis = l.stamp, (s.now - l.stampReceivedAt).Milliseconds()
 	}
--- a/internal/dispatch/verify_request.go
+++ b/internal/dispatch/verify_request.go
@@ -128,7 +128,7 @@
 	}
 	s.verifications.askedAt = s.now
 	asOf := s.catalog.AsOf()
-	msg := &wire.VerifyRequest{Stamp: wire.StampOf(s.now), Epoch: asOf.Epoch, After: asOf.Number}
+	msg := &wire.VerifyRequest{Stamp: s.stamp(), Epoch: asOf.Epoch, After: asOf.Number}
 	for _, to := range s.verifiers() {
 		s.d.transport.Send(to, msg)
 	}
