--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -331,6 +331,17 @@
 	playRun(t, &Run{Binary: buildRouter(t), Routers: defaultRouters, Seed: 86004, Duration: 6 * time.Second, Only: []Fault{WorkerGarbage}, FaultsOnly: true, Log: t.Logf})
 }
 
+// TestSoakRouterOutOfStepKeepsVersions guards against streams that go on at another software version at a router that is cut off
+// while that joins.
+func TestSoakRouterOutOfStepKeepsVersions(t *testing.T) {
+	binary := buildRouter(t)
+	for _, seed := range []uint64{86002, 86106} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			playRun(t, &Run{Binary: binary, Routers: defaultRouters, Seed: seed, Duration: 12 * time.Second, Only: []Fault{RouterOutOfStep}, FaultsOnly: true, Log: t.Logf})
+		})
+	}
+}
+
 // TestSoakIdenticalRequestsAreNotBarred guards against barring a harmless request, of which many copies run at once, for
 // the ends of backend servers that another request crashes while the fleet starts anew.
 func TestSoakIdenticalRequestsAreNotBarred(t *testing.T) {
