Pass on an engine's error without an id within a stream

Since chunks must bear the id of their response, a chunk that holds an error alone, as engines send when they fail within a stream, ended the attempt as bad-answer after chunks with an id, and its caller heard nothing of the reason. It is passed on again, as long as it holds no part of a completion (TestSoundCompletionsAreForwarded, case error without an id, which failed before).

--- a/internal/backend/events.go
+++ b/internal/backend/events.go
@@ -146,6 +146,8 @@
 	switch {
 	case c.ID != "" && e.id == "" && !e.anonymous:
 		e.id = c.ID
+	case c.ID == "" && c.Error != nil && !c.hasContent():
+		// Engines report a failure within a stream without the id.
 	case c.ID != e.id:
 		return &InvalidEventError{Reason: InvalidOrigin}
 	case c.ID == "" && c.isEmpty():
--- a/internal/backend/foreign_event_test.go
+++ b/internal/backend/foreign_event_test.go
@@ -116,6 +116,7 @@
 		"a block without data":          {"retry: 3000\n\n" + event("x") + event("x") + doneEvent, 2},
 		"error with its id":             {event("x") + event("x") + "data: {\"id\":\"x\",\"error\":{\"message\":\"no\"}}\n\n" + doneEvent, 2},
 		"usage at the end":              {event("x") + "data: {\"id\":\"x\",\"choices\":[],\"usage\":{\"completion_tokens\":2}}\n\n" + doneEvent, 2},
+		"error without an id":           {event("x") + event("x") + "data: {\"error\":{\"message\":\"no\"}}\n\n" + doneEvent, 2},
 		"error of a server without ids": {"data: {\"error\":{\"message\":\"no\"}}\n\n" + doneEvent, 0},
 		"no token":                      {doneEvent, 0},
 		"an event of 64 KB":             {event("x") + "data: {\"id\":\"x\",\"choices\":[\"" + strings.Repeat("x", 64<<10) + "\"]}\n\n" + doneEvent, 2},
