Leave reads of everything to the readers' own pace

A verification that streams wait for read everything anew where the platform had another epoch or had forgotten what changed: every router at which a caller takes a stream up would have done so at once, some 7,600 calls for 585 routers (by reckoning), beside the read that verifyPlatform makes, which is spread over the routers.

A requested verification compares revisions and reads changes only; it fails where that is not enough, and the stream waits, asks other routers or is refused as in an outage. TestRequestedVerificationReadsNoList fails with the former call in its place (one read of everything).

--- a/internal/dispatch/platform_verify.go
+++ b/internal/dispatch/platform_verify.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -85,12 +86,20 @@
 		d.shared.versionsReadAt.Store(int64(start))
 	}
 	if asOf := d.asOf(); !asOf.IsZero() && !readsVersions {
-		return d.verifyRevision(asOf, start)
+		err := d.verifyRevision(asOf, start)
+		if !errors.Is(err, errChangesUnknown) {
+			return err
+		}
+		start = d.now()
 	}
 	return d.readAll(start)
 }
 
-// verifyRevision compares the known revision with that of the platform, and reads what has changed since.
+// errChangesUnknown means that the platform no longer tells what changed since the known revision.
+var errChangesUnknown = errors.New("dispatch: the platform does not tell what changed since the known revision; everything must be read")
+
+// verifyRevision compares the known revision with that of the platform, and reads what has changed since. It
+// returns errChangesUnknown if that takes a read of everything.
 func (d *Dispatcher) verifyRevision(known catalog.Revision, start time.Duration) error {
 	newest, err := d.source.Revision(d.ctx)
 	if err != nil {
@@ -110,7 +119,7 @@
 		d.applyRead(update, start)
 		return nil
 	}
-	return d.readAll(start)
+	return errChangesUnknown
 }
 
 // readAll reads and applies everything that is published, which is the newest as of start.
--- a/internal/dispatch/verify_request.go
+++ b/internal/dispatch/verify_request.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		start := d.now()
-		err := d.verifyOnce(start)
+		err := d.verifyChanges(start)
 		if err != nil {
 			d.recordReadFailure("verify on request", err)
 		} else {
@@ -88,6 +88,16 @@
 	}
 }
 
+// verifyChanges verifies the revision for requests. A read of everything is left to verifyPlatform, which spreads
+// these reads over the routers.
+func (d *Dispatcher) verifyChanges(start time.Duration) error {
+	known := d.asOf()
+	if known.IsZero() {
+		return errChangesUnknown
+	}
+	return d.verifyRevision(known, start)
+}
+
 // verifyPause returns the least time from the begin of a verification to that of the next one.
 func (d *Dispatcher) verifyPause(err error) time.Duration {
 	if err != nil {
