--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -315,6 +315,7 @@
 	"arbitrary":                         {1, 5 * time.Second},
 	"a part of prompts crashes engines": {71252, 12 * time.Second},
 	"all routers lost after a release":  {80011, 12 * time.Second},
+	"stamps of a former process":        {86030, 12 * time.Second},
 }
 
 // TestSoak injects faults into router processes.
