Trust no restored platform alone for what had been listed before

Cause: the platform had come back from a backup that lacks the entry of the other version. Both routers read and verified the new epoch 9 ms before; their memory of versions went on across it, as if the platform told all that had been listed.

For as long as streams can be taken up after a router learns of a new epoch, what nobody remembers goes on only if every router replied: those that had read the lost entries keep them.

--- a/internal/dispatch/epoch.go
+++ b/internal/dispatch/epoch.go
@@ -8,6 +8,7 @@
 // the new epoch and receive what the backup lacks.
 func (s *state) handleNewEpoch(before catalog.Revision, from string) {
 	s.fullUpdates.forgetRecipients()
+	s.versions.restoredAt = s.now
 	asOf, retained := s.catalog.AsOf(), s.catalog.Retained()
 	servers, zones := 0, 0
 	if retained != nil {
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -270,9 +270,11 @@
 	return sole, may && !q.mixed && s.versions.UnknownLeft(s.now) == 0
 }
 
-// coversResumption reports whether all versions are known that can have begun a stream.
+// coversResumption reports whether all versions are known that can have begun a stream. What a restored platform lacks
+// is known to the routers that had read it, all of which must have replied then.
 func (s *state) coversResumption(q *originQuery) bool {
-	return s.isVerifiedFor(q) && s.remembersWindow(q) || s.coversOutage(q)
+	isComplete := !s.versions.mayLack(s.now) || s.askedAll(q)
+	return s.isVerifiedFor(q) && s.remembersWindow(q) && isComplete || s.coversOutage(q)
 }
 
 // remembersWindow reports whether a router has known for long enough what was listed, up to its last verification.
--- a/internal/dispatch/version_memory.go
+++ b/internal/dispatch/version_memory.go
@@ -27,6 +27,9 @@
 	origin.Memory
 	// window is for how long a stream may be taken up after its version was last listed.
 	window time.Duration
+	// restoredAt is when this router learned that the platform was restored from a backup, 0 if never. The backup may
+	// lack versions that were listed before.
+	restoredAt time.Duration
 	// reading says that the history is being read, readDue when it may be read, 0 if it need not be.
 	reading bool
 	readDue time.Duration
@@ -34,6 +37,11 @@
 	told toldVersions
 }
 
+// mayLack reports whether versions may have been listed within the window that a restored platform does not tell of.
+func (m *versionMemory) mayLack(now time.Duration) bool {
+	return m.restoredAt > 0 && now-m.restoredAt < m.window
+}
+
 // isLearning reports whether this router may know more of the versions listed lately within moments.
 func (m *versionMemory) isLearning() bool {
 	return m.reading || m.readDue > 0 || m.told.msg != nil || m.IsEmpty()
