--- a/internal/dispatch/odd_messages_test.go
+++ b/internal/dispatch/odd_messages_test.go
@@ -88,8 +88,8 @@
 	return []any{
 		&wire.RouterState{}, &wire.SlotRequest{}, &wire.SlotContext{}, &wire.SlotReply{}, &wire.RequestUpdate{}, &wire.RequestSync{}, &wire.Leaving{}, &wire.SuspectUpdate{}, &wire.PartCrashes{},
 		&wire.SlotMargin{}, &wire.StreamPauses{}, &wire.EngineStates{}, &wire.ReturnOffer{}, &wire.ReturnPromise{}, &wire.CapacityReport{}, &wire.Usage{}, &wire.ServerSpeeds{},
-		&wire.Claim{}, &wire.ClaimRelease{}, &wire.ClaimReply{}, &wire.Roster{}, &wire.PlatformUpdateRequest{}, &wire.UpdateReferral{}, &wire.StreamOrigins{}, &wire.OriginQuery{}, &wire.OriginReply{},
-		&wire.ListedVersions{}, &wire.SoftwareVersions{}, &wire.PlatformUpdate{}, &wire.RestrictedUpdate{},
+		&wire.Claim{}, &wire.ClaimRelease{}, &wire.ClaimReply{}, &wire.Roster{}, &wire.PlatformUpdateRequest{}, &wire.UpdateReferral{}, &wire.StreamOrigins{}, &wire.OriginQuery{}, &wire.OriginReply{}, &wire.OriginBasis{},
+		&wire.VerifyRequest{}, &wire.ListedVersions{}, &wire.SoftwareVersions{}, &wire.PlatformUpdate{}, &wire.RestrictedUpdate{},
 	}
 }
 
--- a/internal/dispatch/suspects_test.go
+++ b/internal/dispatch/suspects_test.go
@@ -57,12 +57,18 @@
 	d := New(Identity{Name: "r-0", Address: "r-0", Zone: "a", Incarnation: 1}, singleServerSource{}, net, append(opts, WithLogger(slog.New(slog.DiscardHandler)))...)
 	d.Start()
 	t.Cleanup(d.Close)
-	for end := time.Now().Add(testTimeout); d.Table() == nil; time.Sleep(time.Millisecond) {
+	waitFor(t, "a table", func() bool { return d.Table() != nil })
+	return d, net
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); !condition(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatal("no table before the timeout")
+			t.Fatalf("not before the timeout: %s", what)
 		}
 	}
-	return d, net
 }
 
 // TestWaitingRequestIsBlockedAfterCrashes guards against starting a waiting request after
--- a/internal/dispatch/unsent_test.go
+++ b/internal/dispatch/unsent_test.go
@@ -53,7 +53,7 @@
 			d := New(Identity{Name: "r-0", Address: "r-0", Zone: "a", Incarnation: 1}, source, testTransport{make(chan peer.Inbound)}, WithLogger(slog.New(slog.DiscardHandler)))
 			d.Start()
 			t.Cleanup(d.Close)
-			waitFor(t, func() bool { return d.Table() != nil })
+			waitFor(t, "a table", func() bool { return d.Table() != nil })
 			grant, err := d.Acquire(t.Context(), front.Request{Model: "reader", Deadline: time.Now().Add(testTimeout)})
 			if err != nil {
 				t.Fatal(err)
@@ -62,20 +62,10 @@
 			tc.usage.Digest = func() uint64 { return 7 }
 			d.Release(grant, tc.usage)
 			close(source.vanish)
-			waitFor(t, func() bool { return d.Status().AsOf == 6 })
+			waitFor(t, "the removal", func() bool { return d.Status().AsOf == 6 })
 			if n := d.Status().SuspectCount; n != tc.suspects {
 				t.Errorf("crashes are counted under %d requests, want %d", n, tc.suspects)
 			}
 		})
 	}
 }
-
-// waitFor waits until a condition holds.
-func waitFor(t *testing.T, cond func() bool) {
-	t.Helper()
-	for end := time.Now().Add(testTimeout); !cond(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the condition does not hold after the timeout")
-		}
-	}
-}
--- a/internal/dispatch/verify_changes_test.go
+++ b/internal/dispatch/verify_changes_test.go
@@ -44,7 +44,7 @@
 	source := forgetfulSource{forgets: &atomic.Bool{}, reads: &atomic.Int64{}}
 	d := New(Identity{Name: "r-0", Address: "r-0", Zone: "a", Incarnation: 1}, source, testTransport{make(chan peer.Inbound)}, WithLogger(slog.New(slog.DiscardHandler)))
 	d.Start()
-	waitFor(t, func() bool { return d.Table() != nil })
+	waitFor(t, "a table", func() bool { return d.Table() != nil })
 	d.Close()
 	source.forgets.Store(true)
 	before := source.reads.Load()
--- a/pkg/wire/origin_test.go
+++ b/pkg/wire/origin_test.go
@@ -1,11 +1,8 @@
 package wire_test
 
 import (
-	"bytes"
 	"testing"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/yarrowmast/yarrowmast/pkg/wire"
 )
 
@@ -21,16 +18,8 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			var buf bytes.Buffer
-			if err := wire.NewEncoder(&buf).Append(tc.msg); err != nil {
-				t.Fatal(err)
-			}
-			dec := msgpack.NewDecoder(&buf)
-			if _, err := dec.DecodeUint8(); err != nil {
-				t.Fatal(err)
-			}
-			if n, err := dec.DecodeArrayLen(); err != nil || n != tc.fields {
-				t.Errorf("%d fields, %v, want %d", n, err, tc.fields)
+			if n, _ := encodedFields(t, tc.msg); n != tc.fields {
+				t.Errorf("%d fields, want %d", n, tc.fields)
 			}
 		})
 	}
