--- a/review/second/platform/drive/client.go
+++ b/review/second/platform/drive/client.go
@@ -26,10 +26,13 @@
 	path     string
 	deadline time.Duration
 	headers  map[string]string
+	// safe says that the requests may be repeated after any failure.
+	safe bool
 
 	next    atomic.Int64
 	wait    sync.WaitGroup
 	mu      sync.Mutex
+	sent    []time.Time
 	answers map[string]int
 }
 
@@ -57,6 +60,10 @@
 func (c *clients) request() {
 	until := time.Now().Add(c.deadline)
 	status, again := c.try(until)
+	if c.safe && (status == 0 || status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable) {
+		c.try(until)
+		return
+	}
 	left := time.Until(until)
 	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests || again > left/3 {
 		return
@@ -82,6 +89,9 @@
 	for name, value := range c.headers {
 		req.Header.Set(name, value)
 	}
+	c.mu.Lock()
+	c.sent = append(c.sent, time.Now())
+	c.mu.Unlock()
 	c.play.record.say("client sends %s to %s", id, r.name)
 	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 	defer transport.CloseIdleConnections()
@@ -109,3 +119,10 @@
 	c.mu.Unlock()
 	c.play.record.say("client gets %s for %s", what, id)
 }
+
+// sentTimes returns when requests were sent.
+func (c *clients) sentTimes() []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]time.Time(nil), c.sent...)
+}
--- a/review/second/platform/drive/main.go
+++ b/review/second/platform/drive/main.go
@@ -62,6 +62,8 @@
 var cases = map[string]func(*play) (bool, error){
 	"owners": playOwners,
 	"again":  playAgain,
+	"dark":   playDark,
+	"budget": playBudget,
 }
 
 func main() { os.Exit(run()) }
--- a/review/second/platform/drive/owners.go
+++ b/review/second/platform/drive/owners.go
@@ -91,7 +91,7 @@
 func judgeCold(p *play, c *clients, w *worker, back, coldUntil time.Time) bool {
 	var taken []time.Time
 	for _, a := range w.arrivals() {
-		if a.ran && a.at.Before(coldUntil) {
+		if a.ran && !a.at.Before(back) && a.at.Before(coldUntil) {
 			taken = append(taken, a.at)
 		}
 	}
--- a/review/second/platform/drive/worker.go
+++ b/review/second/platform/drive/worker.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -33,6 +34,9 @@
 	http *http.Server
 	mu   sync.Mutex
 	seen []arrival
+	// coldUntil is until when it is cold, checks counts the health checks.
+	coldUntil time.Time
+	checks    int
 }
 
 // startWorker starts a worker at an address, "" for a free one.
@@ -85,8 +89,52 @@
 	return append([]arrival(nil), w.seen...)
 }
 
+// turnCold makes the worker say in its health answers that it is cold.
+func (w *worker) turnCold(until time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.coldUntil = until
+}
+
+// healthChecks returns how many health checks reached the worker.
+func (w *worker) healthChecks() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.checks
+}
+
+// setFailing sets which share of its requests it fails.
+func (w *worker) setFailing(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failing = share
+}
+
+// fails draws whether a request fails.
+func (w *worker) fails() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return rand.Float64() < w.failing
+}
+
+// health answers a health check.
+func (w *worker) health(out http.ResponseWriter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checks++
+	out.Header().Set("Yarrowmast-Instance-Id", w.id)
+	if left := time.Until(w.coldUntil); left > 0 {
+		out.Header().Set("Yarrowmast-Cold-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	}
+	out.WriteHeader(http.StatusOK)
+}
+
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == "/health" {
+		w.health(out)
+		return
+	}
 	id := r.Header.Get("Yarrowmast-Attempt-Id")
 	h := out.Header()
 	h.Set("Yarrowmast-Attempt-Id", id)
@@ -100,7 +148,7 @@
 	w.note(arrival{id: id, ran: true})
 	if w.events == 0 {
 		time.Sleep(w.pace)
-		if rand.Float64() < w.failing {
+		if w.fails() {
 			out.WriteHeader(http.StatusInternalServerError)
 			return
 		}
