--- a/review/second/platform/drive/fleet.go
+++ b/review/second/platform/drive/fleet.go
@@ -50,7 +50,7 @@
 	lowestPort, highestPort = 21000, 31000
 )
 
-var nextPort = lowestPort + os.Getpid()%5000
+var nextPort = lowestPort + os.Getpid()*97%(highestPort-lowestPort)
 
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress() (string, error) {
--- a/review/second/platform/drive/main.go
+++ b/review/second/platform/drive/main.go
@@ -60,10 +60,11 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(*play) (bool, error){
-	"owners": playOwners,
-	"again":  playAgain,
-	"dark":   playDark,
-	"budget": playBudget,
+	"owners":   playOwners,
+	"again":    playAgain,
+	"budget":   playBudget,
+	"joined":   playJoined,
+	"versions": playVersions,
 }
 
 func main() { os.Exit(run()) }
--- a/review/second/platform/drive/worker.go
+++ b/review/second/platform/drive/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -21,6 +22,8 @@
 // others back unrun.
 type worker struct {
 	id, service string
+	// version is that of its software, "" for v1.
+	version string
 	// events is the length of its streams, 0 for plain answers. pace is the time between events, or
 	// the work of a plain request.
 	events int
@@ -34,9 +37,6 @@
 	http *http.Server
 	mu   sync.Mutex
 	seen []arrival
-	// coldUntil is until when it is cold, checks counts the health checks.
-	coldUntil time.Time
-	checks    int
 }
 
 // startWorker starts a worker at an address, "" for a free one.
@@ -65,7 +65,7 @@
 // entry is what the worker writes to the store about itself.
 func (w *worker) entry(state string, coldLeft time.Duration) map[string]any {
 	return map[string]any{
-		"service": w.service, "address": w.address(), "zone": zone, "version": "v1", "slots": w.slots,
+		"service": w.service, "address": w.address(), "zone": zone, "version": cmp.Or(w.version, "v1"), "slots": w.slots,
 		"state": state, "coldLeftMs": coldLeft.Milliseconds(), "seq": 1,
 	}
 }
@@ -89,20 +89,6 @@
 	return append([]arrival(nil), w.seen...)
 }
 
-// turnCold makes the worker say in its health answers that it is cold.
-func (w *worker) turnCold(until time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.coldUntil = until
-}
-
-// healthChecks returns how many health checks reached the worker.
-func (w *worker) healthChecks() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.checks
-}
-
 // setFailing sets which share of its requests it fails.
 func (w *worker) setFailing(share float64) {
 	w.mu.Lock()
@@ -117,24 +103,8 @@
 	return rand.Float64() < w.failing
 }
 
-// health answers a health check.
-func (w *worker) health(out http.ResponseWriter) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.checks++
-	out.Header().Set("Yarrowmast-Instance-Id", w.id)
-	if left := time.Until(w.coldUntil); left > 0 {
-		out.Header().Set("Yarrowmast-Cold-Ms", strconv.FormatInt(left.Milliseconds(), 10))
-	}
-	out.WriteHeader(http.StatusOK)
-}
-
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodGet && r.URL.Path == "/health" {
-		w.health(out)
-		return
-	}
 	id := r.Header.Get("Yarrowmast-Attempt-Id")
 	h := out.Header()
 	h.Set("Yarrowmast-Attempt-Id", id)
@@ -158,9 +128,10 @@
 	}
 	h.Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(out)
-	for i := 1; i <= w.events; i++ {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := after + 1; i <= w.events; i++ {
 		time.Sleep(w.pace)
-		if _, err := fmt.Fprintf(out, "id: %d\ndata: piece %d of %s\n\n", i, i, id); err != nil {
+		if _, err := fmt.Fprintf(out, "id: %d\ndata: %s piece %d of %s\n\n", i, cmp.Or(w.version, "v1"), i, id); err != nil {
 			return
 		}
 		_ = control.Flush()
