--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -7,7 +7,7 @@
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
 [ -x "$root/target/yarrowmast" ] && [ -x "$root/target/review-2/drive" ] || exit 2
-"$root/target/review-2/drive" --case again --router "$root/target/yarrowmast" --record "$here/record.txt" "--trouble=$trouble"
+"$root/target/review-2/drive" --case versions --router "$root/target/yarrowmast" --record "$here/record.txt" "--trouble=$trouble"
 code=$?
 [ $code -le 1 ] || code=2
 exit $code
