Logs: who begins most beside the level, and when a shortage begins or ends

Cause: the line shares named the account that is served least only, and said nothing at the moment when shares are lifted, so that a level that lapses could not be told from bounds that allow too much: both show as one account far below another one.

Change: shares has least_begun, most_account and most_begun; shortage is a line for each change of the state, with what was asked and begun then.

Measured: TestMostServedAccount; it needs fields that did not exist before.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -181,40 +181,6 @@
 	return counted
 }
 
-const (
-	// sharesLogInterval is the interval of log lines while accounts are throttled.
-	sharesLogInterval = time.Second
-	// reportedShare is the fraction of its share below which an account that waits is logged, whether
-	// or not any is throttled.
-	reportedShare = 0.5
-)
-
-func (s *state) logShares() {
-	if s.now-s.sharesLoggedAt < sharesLogInterval {
-		return
-	}
-	s.sharesLoggedAt = s.now
-	if sh := s.core.Shares(s.now); sh.Throttled > 0 || sh.Short || sh.LeastServedFraction < reportedShare {
-		s.d.opt.log.Info("shares", "asked", int64(sh.Demand), "begun", int64(sh.Started), "level", int64(sh.FairShare),
-			"engine_level", int64(sh.EngineShare), "screened", sh.Throttled, "least_part", sh.MinFraction, "least_served", sh.LeastServedFraction, "least_account", s.accountName(sh.LeastServedAccount),
-			"total", int64(sh.Total), "free", int64(sh.Free), "short", sh.Short, "report_age_ms", sh.ReportAge.Milliseconds())
-	}
-}
-
-// accountName returns the name of an account in the table, "" if it is not there.
-func (s *state) accountName(key wire.NameHash) string {
-	t := s.d.Table()
-	if t == nil || key == 0 {
-		return ""
-	}
-	for i := range t.Accounts {
-		if wire.HashName(t.Accounts[i].Name) == key {
-			return t.Accounts[i].Name
-		}
-	}
-	return ""
-}
-
 func storeFractions(fractions *atomic.Pointer[map[wire.NameHash]float64], m map[wire.NameHash]float64) {
 	if len(m) == 0 {
 		fractions.Store(nil)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -40,6 +40,9 @@
 	// returnsLogged are the counts of promised retries that have been logged, as of returnsLoggedAt.
 	returnsLogged   returns.Counts
 	returnsLoggedAt time.Duration
+	// isShort says that the fleet is short of capacity, as it was last logged, shortChangedAt since when.
+	isShort        bool
+	shortChangedAt time.Duration
 	// saturatedAt is when the router last lacked processor time for a request, 0 if never.
 	saturatedAt time.Duration
 	// peerPlan lists the routers to exchange reports with. rosterDigest is the digest of
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -29,7 +29,7 @@
 // each kind before the request arrived.
 var stateEvents = []string{
 	"router_started", "router_leaving", "router_was_paused", eventTable, "members", "platform_read_failed",
-	"platform_read_again", "router_pace", "router_work", "router_overloaded", "router_recovered", "shares", "returns", "settings_reloaded",
+	"platform_read_again", "router_pace", "router_work", "router_overloaded", "router_recovered", "shares", "shortage", "returns", "settings_reloaded",
 }
 
 // proximity is the maximum time between the ends of two attempts at the same backend server
--- a/pkg/admit/fleet_share.go
+++ b/pkg/admit/fleet_share.go
@@ -141,6 +141,12 @@
 	Short bool
 }
 
+// IsShort reports whether the fleet is short of capacity.
+func (c *Core) IsShort(now time.Duration) bool {
+	c.accounts.refreshFairShare(now)
+	return c.fleet.shortage.isShort
+}
+
 // FleetCapacity returns the current summary.
 func (c *Core) FleetCapacity(now time.Duration) FleetCapacity {
 	c.accounts.refreshFairShare(now)
--- a/pkg/admit/shares.go
+++ b/pkg/admit/shares.go
@@ -26,6 +26,9 @@
 	// no account waits.
 	LeastServedAccount  wire.NameHash
 	LeastServedFraction float64
+	// LeastServed and MostServed are the started rates of that account and of the best served one.
+	LeastServed, MostServed float64
+	MostServedAccount       wire.NameHash
 	FleetCapacity
 }
 
@@ -36,22 +39,21 @@
 // Shares returns the current summary.
 func (c *Core) Shares(now time.Duration) Shares {
 	sh := Shares{MinFraction: 1, LeastServedFraction: 1}
-	best := 0.0
 	for key, a := range c.accounts.byKey {
 		f := a.flow(now)
 		sh.Demand += f.demand
 		sh.Started += f.started
-		if key != 0 {
-			best = max(best, f.started)
+		if key != 0 && f.started > sh.MostServed {
+			sh.MostServed, sh.MostServedAccount = f.started, key
 		}
 	}
 	for key, a := range c.accounts.byKey {
 		f := a.flow(now)
-		if key == 0 || f.demand <= waitingThreshold*f.started || best == 0 {
+		if key == 0 || f.demand <= waitingThreshold*f.started || sh.MostServed == 0 {
 			continue
 		}
-		if fraction := f.started / min(f.demand, best); fraction < sh.LeastServedFraction {
-			sh.LeastServedAccount, sh.LeastServedFraction = key, fraction
+		if fraction := f.started / min(f.demand, sh.MostServed); fraction < sh.LeastServedFraction {
+			sh.LeastServedAccount, sh.LeastServedFraction, sh.LeastServed = key, fraction, f.started
 		}
 	}
 	for _, fraction := range c.AdmitFractions(now) {
--- a/pkg/admit/shares_test.go
+++ b/pkg/admit/shares_test.go
@@ -45,3 +45,16 @@
 		})
 	}
 }
+
+// TestMostServedAccount: the summary names the best served account beside the least served one, with their rates.
+func TestMostServedAccount(t *testing.T) {
+	c := admit.New(admit.Router{Address: "r", Zone: "a"})
+	flows := []wire.AccountFlow{
+		{Demand: 5000, Started: 4000}, {Account: wire.HashName("a"), Demand: 900, Started: 100}, {Account: wire.HashName("b"), Demand: 900, Started: 400},
+	}
+	c.Step(time.Hour, admit.PeerState{From: "x", Zone: "a", Msg: &wire.RouterState{Scope: wire.ScopeRest, Accounts: flows}})
+	sh := c.Shares(time.Hour)
+	if sh.MostServedAccount != wire.HashName("b") || sh.MostServed != 400 || sh.LeastServed != 100 {
+		t.Errorf("best served account %v with %.0f, least served one with %.0f; want b with 400, and 100", sh.MostServedAccount, sh.MostServed, sh.LeastServed)
+	}
+}
