A shortage lasts while accounts ask for more than their share

Cause: a shortage ended when a fifth of the capacity had been free for two seconds. Accounts above their share leave room at each engine, and the share followed what had begun lately, so that the limit itself kept 0.2 to 0.35 free. Every four to five seconds it was lifted, and for up to a second whatever a flood asked was let in: it began three to five times the share, by router and not by account, until engines were full and the shortage began anew.

Change: a shortage goes on while the share limits an account. So that this leaves nothing idle, the capacity that is shared is at least what is being started, extended to all but 0.15 of it. That is no integrator: as long as what is in use is in proportion to what is started, it names the same capacity at any level, and it leads from any level to it within a second or two.

Two rows of TestShortageHysteresis expected the fault: that a shortage ends while an account asks for thirteen times the capacity. They state demand that fits now, and four rows are new. TestShareUsesFreeCapacity is new.

--- a/pkg/admit/fleet_share.go
+++ b/pkg/admit/fleet_share.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 )
 
@@ -9,9 +10,11 @@
 	// of it, shortUntil the one from which it no longer is.
 	shortBelow = 0.1
 	shortUntil = 0.2
+	// shortReserve is the fraction of the capacity that shares are to leave free in a shortage.
+	shortReserve = 0.15
 	// shortAfter is how long the free capacity must have been too low.
 	shortAfter = 200 * time.Millisecond
-	// shortFor is how long the free capacity must have sufficed for a shortage to end. Requests that
+	// shortFor is how long capacity must have sufficed for a shortage to end. Requests that
 	// started without a limit occupy engines for seconds, and a limit that comes and goes faster lets
 	// those of a burst in again before they have ended.
 	shortFor = 2 * time.Second
@@ -38,20 +41,20 @@
 	isShort bool
 	// lowSince is since when the free capacity has been too low, 0 if it is not.
 	lowSince time.Duration
-	// lowAt is when the free capacity was last too low.
+	// lowAt is when the free capacity was last too low, or an account was limited.
 	lowAt time.Duration
 	// coveredAt is when at least half of the owners last reported, or the time of the first update.
 	coveredAt time.Duration
 }
 
-// update applies what is known of the capacity. knownOwners is the number of routers that own engines.
-// It returns how the share is computed.
-func (sh *shortage) update(now time.Duration, x engineCapacity, knownOwners int) shareMode {
+// update applies what is known of the capacity. knownOwners is the number of routers that own engines, isLimited
+// says that an account asks for more than the fair share. It returns how the share is computed.
+func (sh *shortage) update(now time.Duration, x engineCapacity, knownOwners int, isLimited bool) shareMode {
 	isCovered := knownOwners > 0 && 2*x.owners >= knownOwners
 	if isCovered || sh.coveredAt == 0 {
 		sh.coveredAt = now
 	}
-	sh.updateShort(now, x, isCovered)
+	sh.updateShort(now, x, isCovered, isLimited)
 	switch {
 	case knownOwners == 0 || now-sh.coveredAt >= coverageGrace:
 		return shareOfStarted
@@ -63,10 +66,11 @@
 }
 
 // updateShort updates isShort. A shortage begins only if at least half of the owners report, but goes
-// on with fewer: part of a network partition shares what it reaches.
-func (sh *shortage) updateShort(now time.Duration, x engineCapacity, isCovered bool) {
+// on with fewer: part of a network partition shares what it reaches. It goes on while the share limits any account:
+// limited accounts leave capacity free, which therefore does not show that the limit is not needed.
+func (sh *shortage) updateShort(now time.Duration, x engineCapacity, isCovered, isLimited bool) {
 	if sh.isShort {
-		if x.total > 0 && x.free <= shortUntil*x.total {
+		if x.total > 0 && (x.free <= shortUntil*x.total || isLimited) {
 			sh.lowAt = now
 		}
 		sh.isShort = x.total > 0 && now-sh.lowAt < shortFor
@@ -91,7 +95,7 @@
 	as.fairShareAt = now
 	as.engineShare = as.shareOf(now, as.capacity)
 	x := as.fleet.known(now)
-	switch as.fleet.shortage.update(now, x, as.fleet.knownOwners) {
+	switch as.fleet.shortage.update(now, x, as.fleet.knownOwners, !math.IsInf(as.fairShare, 1)) {
 	case shareOfStarted:
 		as.fairShare = as.engineShare
 	case shareOfCapacity:
@@ -104,7 +108,8 @@
 // shortCapacity returns what all engines can do in a shortage: what their owners measured, extended
 // to the engines of owners that do not report, but no more than the table states. Engines whose slots or memory
 // are occupied do less than they could read: while nearly all of them are in use, it is no more than what
-// is being started, extended to the unused part. Accounts are charged for cached parts of prompts too, so that more
+// is being started, extended to the unused part. While more is free, it is at least what is being started,
+// extended to the free capacity beyond shortReserve. Accounts are charged for cached parts of prompts too, so that more
 // may be started; shareOf takes that if it is more.
 func (as *accounts) shortCapacity(now time.Duration, x engineCapacity) float64 {
 	total := x.total
@@ -114,10 +119,15 @@
 	if as.capacity > 0 {
 		total = min(total, as.capacity)
 	}
-	if started := as.totalStarted(now); started > 0 && x.free < shortBelow*x.total {
-		total = min(total, started/(1-x.free/x.total))
+	started := as.totalStarted(now)
+	if started <= 0 || x.total <= 0 {
+		return total
 	}
-	return total
+	used := 1 - x.free/x.total
+	if used > 1-shortBelow {
+		return min(total, started/used)
+	}
+	return max(total, started*(1-shortReserve)/used)
 }
 
 // totalStarted returns the rate of the started requests of all accounts.
--- a/pkg/admit/fleet_share_test.go
+++ b/pkg/admit/fleet_share_test.go
@@ -251,38 +251,74 @@
 }
 
 // TestShortageHysteresis: a shortage begins only after 200 ms with less than a tenth of the capacity
-// free, and ends with more than a fifth. In between nothing changes, so that it does not oscillate.
+// free. It ends once, for two seconds, more than a fifth has been free and no account has been limited. In between
+// nothing changes, so that it does not oscillate.
 func TestShortageHysteresis(t *testing.T) {
+	// The engines can do 600,000 tokens per second.
+	const much, little = 8_000_000, 400_000
 	type step struct {
-		free      float64
-		lasts     time.Duration
-		wantShort bool
+		free        float64
+		demand      uint32
+		lasts       time.Duration
+		wantShort   bool
+		wantLimited bool
 	}
 	tests := map[string][]step{
-		"idle":                   {{1, time.Second, false}},
-		"little free":            {{0.12, time.Second, false}},
-		"short":                  {{0.09, time.Second, true}},
-		"short for a moment":     {{0.02, 150 * time.Millisecond, false}, {0.5, 100 * time.Millisecond, false}, {0.02, 150 * time.Millisecond, false}},
-		"begins in time":         {{0.5, time.Second, false}, {0.02, 300 * time.Millisecond, true}},
-		"goes on with a seventh": {{0.02, time.Second, true}, {0.15, 5 * time.Second, true}},
-		"ends with a quarter":    {{0.02, time.Second, true}, {0.25, 1900 * time.Millisecond, true}, {0.25, 300 * time.Millisecond, false}, {0.15, time.Second, false}},
-		"low once more":          {{0.02, time.Second, true}, {0.25, 1500 * time.Millisecond, true}, {0.15, 100 * time.Millisecond, true}, {0.25, 1500 * time.Millisecond, true}},
+		"idle":               {{1, much, time.Second, false, false}},
+		"little free":        {{0.12, much, time.Second, false, false}},
+		"short":              {{0.09, much, time.Second, true, true}},
+		"short for a moment": {{0.02, much, 150 * time.Millisecond, false, false}, {0.5, much, 100 * time.Millisecond, false, false}, {0.02, much, 150 * time.Millisecond, false, false}},
+		"begins in time":     {{0.5, much, time.Second, false, false}, {0.02, much, 300 * time.Millisecond, true, true}},
+
+		"goes on with a seventh":         {{0.02, much, time.Second, true, true}, {0.15, much, 5 * time.Second, true, true}},
+		"goes on with a seventh, unused": {{0.02, little, time.Second, true, false}, {0.15, little, 5 * time.Second, true, false}},
+		"goes on while accounts wait":    {{0.02, much, time.Second, true, true}, {0.25, much, 10 * time.Second, true, true}, {0.9, much, 10 * time.Second, true, true}},
+		"ends with a quarter":            {{0.02, little, time.Second, true, false}, {0.25, little, 1900 * time.Millisecond, true, false}, {0.25, little, 300 * time.Millisecond, false, false}, {0.15, much, time.Second, false, false}},
+		"ends after accounts waited":     {{0.02, much, time.Second, true, true}, {0.25, much, 5 * time.Second, true, true}, {0.25, little, 1900 * time.Millisecond, true, false}, {0.25, little, 400 * time.Millisecond, false, false}},
+		"low once more":                  {{0.02, little, time.Second, true, false}, {0.25, little, 1500 * time.Millisecond, true, false}, {0.15, little, 100 * time.Millisecond, true, false}, {0.25, little, 1500 * time.Millisecond, true, false}},
+		"waits once more":                {{0.02, little, time.Second, true, false}, {0.25, little, 1500 * time.Millisecond, true, false}, {0.25, much, 200 * time.Millisecond, true, true}, {0.25, little, 1500 * time.Millisecond, true, false}},
 	}
 	for name, steps := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newShareFixture(0)
 			for i, x := range steps {
 				f.setFree(x.free)
+				f.flows[0].Demand = x.demand
 				f.run(x.lasts)
 				sh := f.core.Shares(f.now)
-				if sh.Short != x.wantShort || (sh.FairShare > 0) != x.wantShort {
-					t.Errorf("step %d: short %v, fair share %.0f, want short %v", i, sh.Short, sh.FairShare, x.wantShort)
+				if sh.Short != x.wantShort || (sh.FairShare > 0) != x.wantLimited {
+					t.Errorf("step %d: short %v, fair share %.0f, want short %v, limited %v", i, sh.Short, sh.FairShare, x.wantShort, x.wantLimited)
 				}
 			}
 		})
 	}
 }
 
+// TestShareUsesFreeCapacity: in a shortage, accounts share at least what is being started, extended to the free capacity
+// beyond a reserve of 0.15, whatever the table states.
+func TestShareUsesFreeCapacity(t *testing.T) {
+	const started = 500_000
+	tests := map[string]struct{ free, want float64 }{
+		"a tenth":     {0.1, started},
+		"the reserve": {0.15, started},
+		"a third":     {1 / 3.0, started * 0.85 * 1.5},
+		"two thirds":  {2 / 3.0, started * 0.85 * 3},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newShareFixture(started / 2)
+			f.flows[0].Started = started
+			f.setFree(0.02)
+			f.run(time.Second)
+			f.setFree(tc.free)
+			f.run(5 * time.Second)
+			if sh := f.core.Shares(f.now); !sh.Short || !within(sh.FairShare, tc.want, 0.01) {
+				t.Errorf("short %v, fair share %.0f, want %.0f", sh.Short, sh.FairShare, tc.want)
+			}
+		})
+	}
+}
+
 // TestShareWithRoutersOfOlderVersion: if fewer than half of the owners report their capacity, the share
 // is computed from the stated throughput of the reachable engines, as routers of the older version
 // do. With half of them, the others' engines are assumed to be like the known ones.
