Ask the kernel whether a caller has left before its request is sent

What callers and servers saw: while one account floods a small router, requests reach servers up to four seconds after their callers have closed (GONE).

Cause: a router that lacks processor time reads a request seconds after it came, and learns of the end of the connection later still.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -47,8 +47,12 @@
 	return result, nil
 }
 
-// send sends the request to its backend server and relays the response, unless a planned stop would cut it.
+// send sends the request to its backend server and relays the response, unless its caller has left or a planned stop
+// would cut it.
 func (s *Server) send(ctx context.Context, in *inboundRequest, r *http.Request, grant Grant, resp *response) backend.Result {
+	if c := connOf(r); c != nil && hasLeft(c.Conn) {
+		return backend.Result{Err: errCallerGone, LastEvent: in.lastEvent()}
+	}
 	if !s.endsInTime(&grant) {
 		err := errEndsTooLate.WithReturn(returns.Elsewhere(s.clock().Until(in.deadline), rand.Float64()))
 		return backend.Result{Err: err, LastEvent: in.lastEvent()}
@@ -140,8 +144,10 @@
 	if context.Cause(ctx) == context.DeadlineExceeded {
 		return verdict.New(verdict.PhaseQueue, http.StatusGatewayTimeout, "deadline", "the deadline passed while the request waited for a slot")
 	}
-	return verdict.New(verdict.PhaseQueue, statusClientClosedRequest, "caller-gone", "the caller went away")
+	return errCallerGone
 }
 
+var errCallerGone = verdict.New(verdict.PhaseQueue, statusClientClosedRequest, "caller-gone", "the caller went away")
+
 // statusClientClosedRequest is logged for callers that disconnected; it is never sent.
 const statusClientClosedRequest = 499
