--- a/internal/dispatch/shares_log.go
+++ b/internal/dispatch/shares_log.go
@@ -21,11 +21,15 @@
 		return
 	}
 	s.sharesLoggedAt = s.now
-	if sh := s.core.Shares(s.now); sh.Throttled > 0 || sh.Short || sh.LeastServedFraction < reportedShare {
-		s.d.opt.log.Info("shares", "asked", int64(sh.Demand), "begun", int64(sh.Started), "level", int64(sh.FairShare),
-			"engine_level", int64(sh.EngineShare), "screened", sh.Throttled, "least_part", sh.MinFraction, "least_served", sh.LeastServedFraction, "least_account", s.accountName(sh.LeastServedAccount), "least_begun", int64(sh.LeastServed),
-			"most_account", s.accountName(sh.MostServedAccount), "most_begun", int64(sh.MostServed), "total", int64(sh.Total), "free", int64(sh.Free), "short", sh.Short, "report_age_ms", sh.ReportAge.Milliseconds())
+	sh := s.core.Shares(s.now)
+	if sh.Throttled == 0 && !sh.Short && sh.LeastServedFraction >= reportedShare {
+		return
 	}
+	s.d.opt.log.Info("shares", "asked", int64(sh.Demand), "begun", int64(sh.Started),
+		"level", int64(sh.FairShare), "engine_level", int64(sh.EngineShare), "screened", sh.Throttled, "least_part", sh.MinFraction,
+		"least_served", sh.LeastServedFraction, "least_account", s.accountName(sh.LeastServedAccount), "least_begun", int64(sh.LeastServed),
+		"most_account", s.accountName(sh.MostServedAccount), "most_begun", int64(sh.MostServed),
+		"total", int64(sh.Total), "free", int64(sh.Free), "short", sh.Short, "report_age_ms", sh.ReportAge.Milliseconds())
 }
 
 // logShortage logs when the fleet becomes short of capacity, and when it no longer is.
