Soak: an account floods while others compete, and an engine is lost

The competing accounts of the soak asked for a steady load from engines that stayed, so that the rule share was never judged at the begin of a flood.

Change: in half of the runs one account asks for three to eight times its load from a second between 2 and 5 on; in half of these one of the three engines is lost about then. Drawn after all else, so that the accounts of a seed stay as they were.

TestCompetitionIsDeterministic and the rest of test/soak pass.

--- a/test/soak/compete.go
+++ b/test/soak/compete.go
@@ -45,6 +45,17 @@
 	routers []int
 	// retries is how often a caller returns after a refusal, as it is told.
 	retries int
+	// floodFactor multiplies its rate from floodFrom on, 0 if it does not flood.
+	floodFactor float64
+	floodFrom   time.Duration
+}
+
+// rate returns the rate of its requests at a time since the beginning.
+func (c *competitor) rate(since time.Duration) float64 {
+	if c.floodFactor > 0 && since >= c.floodFrom {
+		return c.floodFactor * c.perSecond
+	}
+	return c.perSecond
 }
 
 func (c *competitor) key() string { return "secret-" + c.name }
@@ -56,6 +67,9 @@
 	competitors []competitor
 	// killed is the index of the router that is killed at the beginning, or noRouter.
 	killed int
+	// losesWorker says that a worker is lost at lostAt.
+	losesWorker bool
+	lostAt      time.Duration
 }
 
 // competitorKeys returns the API keys of all accounts that may compete, by name.
@@ -104,10 +118,16 @@
 	if rng.IntN(2) == 0 {
 		plan.killed = rng.IntN(routers)
 	}
+	if rng.IntN(2) == 0 {
+		flooding := &plan.competitors[rng.IntN(accounts)]
+		flooding.floodFactor, flooding.floodFrom = 3+5*rng.Float64(), time.Duration(2+rng.IntN(4))*time.Second
+		plan.losesWorker, plan.lostAt = rng.IntN(2) == 0, flooding.floodFrom-time.Second+time.Duration(rng.IntN(3))*time.Second
+	}
 	return plan
 }
 
-// compete lets accounts compete for engines of their own, without faults but for a router that is killed at the beginning.
+// compete lets accounts compete for engines of their own, without faults but for a router that is killed at the beginning, and
+// a worker that is lost about when an account begins to flood.
 func (r *Run) compete(f *fleet, c *checker, t *traffic) error {
 	plan := drawCompetition(r.Seed, r.Routers)
 	workers, err := f.startCompeteWorkers()
@@ -133,6 +153,12 @@
 	for i := range plan.competitors {
 		tasks.Go(func() { t.runCompetitor(ctx, record, plan, i) })
 	}
+	if plan.losesWorker {
+		time.AfterFunc(plan.lostAt, func() {
+			r.Log("worker %s is lost while accounts compete", workers[0].ID)
+			f.stopCompeteWorkers(workers[:1])
+		})
+	}
 	tasks.Wait()
 	for _, w := range workers {
 		for _, run := range w.Runs() {
--- a/test/soak/compete_callers.go
+++ b/test/soak/compete_callers.go
@@ -43,7 +43,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(time.Duration(rng.ExpFloat64() / c.perSecond * float64(time.Second))):
+		case <-time.After(time.Duration(rng.ExpFloat64() / c.rate(time.Since(record.start)) * float64(time.Second))):
 		}
 		router := t.fleet.routers[c.routers[rng.IntN(len(c.routers))]]
 		open <- struct{}{}
