Ask whether a caller has left before forwarding and sending only

Small routers lost the time for what is within the share.

TestRequestOfCallerThatLeftIsNotSent holds, as it is.

--- a/internal/front/early.go
+++ b/internal/front/early.go
@@ -66,10 +66,6 @@
 	n, head := readHead(c, buf[:])
 	s.connections.markActive(c)
 	if early, ok := s.parseHead(buf[:n], head); ok {
-		if hasLeft(c.Conn) {
-			s.dropEarly(c, early, arrived)
-			return
-		}
 		if s.rejectEarly(c, early, buf, n, n-head, arrived) {
 			return
 		}
@@ -172,7 +168,8 @@
 // the body read so far.
 func (s *Server) refuseEarly(c *conn, early *earlyRequest, buf []byte, bodyRead int, arrived time.Time, err *verdict.Error) {
 	s.requests.Add(1)
-	in := early.inbound(arrived)
+	in := &inboundRequest{id: early.request.ID, arrived: arrived, model: early.request.Model, route: &routeState{Route: early.route, prompt: early.prompt}}
+	in.account.Name = early.request.Account
 	err = in.finalError(err)
 	_ = c.SetReadDeadline(time.Now().Add(earlyTimeout))
 	whole := discardBody(c, buf, early.bodyLength-bodyRead)
@@ -183,27 +180,7 @@
 		lingerClose(c, buf)
 	}
 	_ = c.Close()
-	s.endEarly(in, arrived, err)
-}
-
-// dropEarly closes a connection whose caller has left.
-func (s *Server) dropEarly(c *conn, early *earlyRequest, arrived time.Time) {
-	s.requests.Add(1)
-	c.awaitRequest()
-	_ = c.Close()
-	s.endEarly(early.inbound(arrived), arrived, errCallerGone)
-}
-
-// inbound returns the request as it is logged.
-func (early *earlyRequest) inbound(arrived time.Time) *inboundRequest {
-	in := &inboundRequest{id: early.request.ID, arrived: arrived, model: early.request.Model, route: &routeState{Route: early.route, prompt: early.prompt}}
-	in.account.Name = early.request.Account
-	return in
-}
-
-// endEarly reports a request that ended before the HTTP server got it.
-func (s *Server) endEarly(in *inboundRequest, arrived time.Time, err *verdict.Error) {
-	outcome := Outcome{Account: in.account.Name, Model: in.model, Status: err.Status, Code: err.Code, Verdict: err.Verdict.String(), Total: s.clock().Since(arrived), RetryAfter: err.RetryAfter, Return: err.Return}
+	outcome := Outcome{Account: early.request.Account, Model: in.model, Status: err.Status, Code: err.Code, Verdict: err.Verdict.String(), Total: s.clock().Since(arrived), RetryAfter: err.RetryAfter, Return: err.Return}
 	s.opt.observer.RequestEnded(outcome)
 	s.logEnd(in, &outcome)
 }
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -32,12 +32,15 @@
 // forwardGrace is the time after its deadline at which a forwarded request is abandoned.
 const forwardGrace = 500 * time.Millisecond
 
-// forward forwards a connection whose request was refused for lack of capacity. It returns all
+// forward forwards a connection whose request was refused for lack of capacity, unless its caller has left. It returns all
 // bytes read from the connection and the refusal to send, nil if the request was answered.
 func (s *Server) forward(c *conn, early *earlyRequest, read []byte, refusal *verdict.Error) ([]byte, *verdict.Error) {
 	if s.opt.forwarder == nil || refusal.Code != CodeOverloaded || !s.scheduler.MayForward(early.request) {
 		return read, refusal
 	}
+	if hasLeft(c.Conn) {
+		return read, refusal
+	}
 	start := s.clock().Now()
 	result := s.opt.forwarder.Forward(c, bytes.Clone(read), s.scheduler.Table().Version(), early.request.Deadline.Add(forwardGrace))
 	s.opt.log.LogAttrs(context.Background(), slog.LevelInfo, "request_forwarded", slog.String("request", early.request.ID),
